Write the design page, the repository layout and the message foundation

Cause: the repository is empty; the modules need agreed interfaces, messages and identities before they can be written side by side.

Ruled out: a hand-written codec (messages convert to protobuf by field name); uvloop, whose libuv may use io_uring, which the hosts rule out.

Before: nothing. After: docs/design.md, attrs messages with a protobuf schema, tables, clocks and rendezvous hashing.

Conclusion: roles can be built against this foundation.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Every target works on a fresh machine with Python 3.11 and make.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test unit scenarios format lint proto clean
+
+$(STAMP): requirements.lock pyproject.toml
+	python3.11 -m venv $(VENV) 2>/dev/null || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet -r requirements.lock
+	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation -e . 2>/dev/null || $(PYTHON) -m pip install --quiet --no-deps -e .
+	touch $(STAMP)
+
+venv: $(STAMP)
+
+demo: $(STAMP)
+	$(PYTHON) -m catkincross.cli demo
+
+test: $(STAMP)
+	$(PYTHON) -m scenarios.run_tests
+
+unit: $(STAMP)
+	$(PYTHON) -m pytest
+
+scenarios: $(STAMP)
+	$(PYTHON) -m behave --format plain --no-capture features
+
+format: $(STAMP)
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+lint: $(STAMP)
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+proto: $(STAMP)
+	$(PYTHON) -m grpc_tools.protoc -I proto --python_out=. --grpc_python_out=. proto/catkincross/wire_pb/catkincross.proto
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/catkincross/_rendezvous.py
@@ -0,0 +1,21 @@
+"""Rendezvous hashing: the same choice in every process that knows the same names."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def _weight(key: bytes, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(key + b"\0" + name.encode())
+
+
+def rank(key: bytes, names: Iterable[str]) -> list[str]:
+    """Return the names in the order in which they are chosen for a key."""
+    return sorted(names, key=lambda name: (_weight(key, name), name), reverse=True)
+
+
+def choose(key: bytes, names: Iterable[str]) -> str | None:
+    """Return the name with the highest weight for a key, or None without names."""
+    return max(names, key=lambda name: (_weight(key, name), name), default=None)
--- /dev/null
+++ b/catkincross/_tables.py
@@ -0,0 +1,122 @@
+"""Tables of entities, and a queue of due times."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Hashable, Iterator
+from typing import Generic, TypeVar
+
+Key = TypeVar("Key", bound=Hashable)
+Row = TypeVar("Row")
+
+
+class InvariantError(RuntimeError):
+    """An invariant of the program is broken; the process must stop."""
+
+
+class Table(Generic[Key, Row]):
+    """Rows by key, in order of insertion, with the set of keys changed since last taken.
+
+    Args:
+        name: Name of the table, used in error messages.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.rows: dict[Key, Row] = {}
+        # A dict keeps the order of changes, so that every run gives the same result.
+        self.changed: dict[Key, None] = {}
+
+    def __len__(self) -> int:
+        return len(self.rows)
+
+    def __contains__(self, key: object) -> bool:
+        return key in self.rows
+
+    def __iter__(self) -> Iterator[Row]:
+        return iter(self.rows.values())
+
+    def __repr__(self) -> str:
+        return f"<Table {self.name}: {len(self.rows)} rows>"
+
+    def get(self, key: Key) -> Row | None:
+        """Return the row of a key, or None."""
+        return self.rows.get(key)
+
+    def add(self, key: Key, row: Row) -> Row:
+        """Add a row under a new key.
+
+        Raises:
+            InvariantError: If the key has a row already.
+        """
+        if key in self.rows:
+            raise InvariantError(f"table {self.name} already has a row {key!r}")
+        self.rows[key] = row
+        self.changed[key] = None
+        return row
+
+    def put(self, key: Key, row: Row) -> Row:
+        """Set the row of a key."""
+        self.rows[key] = row
+        self.changed[key] = None
+        return row
+
+    def touch(self, key: Key) -> None:
+        """Mark a row as changed."""
+        self.changed[key] = None
+
+    def remove(self, key: Key) -> Row | None:
+        """Remove and return the row of a key, or None."""
+        self.changed.pop(key, None)
+        return self.rows.pop(key, None)
+
+    def take_changed(self) -> list[Key]:
+        """Return the keys changed since the last call, in the order of change."""
+        keys = list(self.changed)
+        self.changed.clear()
+        return keys
+
+
+class DueQueue(Generic[Key]):
+    """Keys with a due time each; the cost of a change is logarithmic."""
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[int, int, Key]] = []
+        self.due: dict[Key, tuple[int, int]] = {}
+        self.sequence = 0
+
+    def __len__(self) -> int:
+        return len(self.due)
+
+    def set(self, key: Key, due_ms: int) -> None:
+        """Set the due time of a key, in place of an earlier one."""
+        self.sequence += 1
+        self.due[key] = (due_ms, self.sequence)
+        heapq.heappush(self.heap, (due_ms, self.sequence, key))
+
+    def cancel(self, key: Key) -> None:
+        """Remove a key; unknown keys are ignored."""
+        self.due.pop(key, None)
+
+    def next_due_ms(self) -> int | None:
+        """Return the earliest due time in milliseconds, or None."""
+        self._drop_stale()
+        return self.heap[0][0] if self.heap else None
+
+    def pop_due(self, now_ms: int) -> list[Key]:
+        """Remove and return the keys that are due, earliest first."""
+        keys = []
+        while True:
+            self._drop_stale()
+            if not self.heap or self.heap[0][0] > now_ms:
+                return keys
+            _, _, key = heapq.heappop(self.heap)
+            del self.due[key]
+            keys.append(key)
+
+    def _drop_stale(self) -> None:
+        while self.heap:
+            due_ms, sequence, key = self.heap[0]
+            if self.due.get(key) == (due_ms, sequence):
+                return
+            heapq.heappop(self.heap)
--- /dev/null
+++ b/catkincross/clock.py
@@ -0,0 +1,7 @@
+"""Clocks in milliseconds."""
+
+from __future__ import annotations
+
+from ._clock import Clock, ManualClock, SystemClock
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/catkincross/messages.py
@@ -0,0 +1,5 @@
+"""Messages between the processes of the system."""
+
+from __future__ import annotations
+
+from ._messages import *  # noqa: F403
--- /dev/null
+++ b/catkincross/tables.py
@@ -0,0 +1,7 @@
+"""Tables of entities and queues of due times."""
+
+from __future__ import annotations
+
+from ._tables import DueQueue, InvariantError, Table
+
+__all__ = ["DueQueue", "InvariantError", "Table"]
--- /dev/null
+++ b/catkincross/wire.py
@@ -0,0 +1,7 @@
+"""Wire form of messages."""
+
+from __future__ import annotations
+
+from ._wire import decode_frame, encode_frame
+
+__all__ = ["decode_frame", "encode_frame"]
--- /dev/null
+++ b/catkincross/wire_pb/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protobuf classes; see proto/catkincross.proto."""
--- /dev/null
+++ b/catkincross_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
