--- /dev/null
+++ b/catkincross/_agent_membership.py
@@ -0,0 +1,163 @@
+"""The agent's side of membership: view, home, grant, heartbeats and freshness."""
+
+from __future__ import annotations
+
+from ._agent_registry import AGENT
+from ._agent_results import repeat_results
+from ._agent_state import AgentState
+from ._effects import (
+    Connected,
+    Disconnected,
+    LeaveRequested,
+    SetPeers,
+    Stop,
+    UpstreamAnnounced,
+    WorkerUsage,
+)
+from ._ids import entry_process
+from ._messages import (
+    NO_EVIDENCE,
+    AgentHeartbeat,
+    AgentHello,
+    AgentView,
+    HeartbeatReply,
+)
+from ._rendezvous import choose
+
+
+@AGENT.handles(AgentView)
+def _view_received(state: AgentState, sender: str, view: AgentView) -> None:
+    if state.view is not None and view.version < state.view.version:
+        return
+    changed = state.view is None or view.draining != state.view.draining
+    state.view = view
+    if changed:
+        state.emit("view changed", version=view.version, draining=view.draining)
+    _choose_home(state)
+
+
+@AGENT.handles(HeartbeatReply)
+def _heartbeat_answered(state: AgentState, sender: str, reply: HeartbeatReply) -> None:
+    if reply.evidence_age_ms == NO_EVIDENCE or state.view is None:
+        return
+    # Evidence of a version beyond the view would vouch for changes not received.
+    if reply.version < state.view.version:
+        return
+    evidence_ms = reply.echo_ms - reply.evidence_age_ms
+    state.freshness.renew(evidence_ms, reply.version)
+
+
+@AGENT.handles(Connected)
+def _connected(state: AgentState, sender: str, event: Connected) -> None:
+    state.connected.add(event.process)
+    state.send(event.process, _hello(state, granted=event.process))
+    _choose_home(state)
+    if event.process == state.home_process:
+        repeat_results(state)
+
+
+@AGENT.handles(Disconnected)
+def _disconnected(state: AgentState, sender: str, event: Disconnected) -> None:
+    state.connected.discard(event.process)
+    _choose_home(state)
+
+
+@AGENT.handles(UpstreamAnnounced)
+def _announced(state: AgentState, sender: str, event: UpstreamAnnounced) -> None:
+    state.slots = event.slots
+    state.connections = event.connections
+    state.upstream_leaving = event.leaving
+    state.emit("upstream announced", slots=event.slots, leaving=event.leaving)
+    if state.home:
+        state.send(state.home_process, _hello(state, granted=state.home_process))
+
+
+@AGENT.handles(WorkerUsage)
+def _usage_reported(state: AgentState, sender: str, usage: WorkerUsage) -> None:
+    state.memory_used_mb = usage.memory_used_mb
+    state.cpu_permille = usage.cpu_permille
+
+
+@AGENT.handles(LeaveRequested)
+def _leave_requested(state: AgentState, sender: str, event: LeaveRequested) -> None:
+    state.leaving = True
+    state.emit("leave announced", running=len(state.running))
+    if state.home:
+        state.send(state.home_process, _heartbeat(state))
+
+
+def _choose_home(state: AgentState) -> None:
+    if state.view is None:
+        return
+    entries = [entry for entry in state.view.entries if not entry.leaving]
+    local = [
+        entry for entry in entries if entry.data_centre == state.settings.data_centre
+    ]
+    addresses = {entry_process(entry.name): entry.address for entry in entries}
+    preferred = choose(
+        state.settings.name.encode(), [entry.name for entry in local or entries]
+    )
+    reachable = [
+        entry.name for entry in entries if entry_process(entry.name) in state.connected
+    ]
+    local_reachable = [entry.name for entry in local if entry.name in reachable]
+    home = choose(state.settings.name.encode(), local_reachable or reachable) or ""
+    wanted = {entry_process(name) for name in (preferred, home) if name}
+    peers = {process: addresses[process] for process in wanted if process in addresses}
+    state.effects.append(SetPeers(peers))
+    if home and home != state.home:
+        state.home = home
+        state.grant_epoch += 1
+        state.emit("home chosen", home=home, grant_epoch=state.grant_epoch)
+        state.send(state.home_process, _hello(state, granted=state.home_process))
+
+
+def _hello(state: AgentState, *, granted: str) -> AgentHello:
+    settings = state.settings
+    return AgentHello(
+        agent=state.me,
+        upstream=settings.upstream,
+        service=settings.service,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        rack=settings.rack,
+        slots=state.slots,
+        connections=state.connections,
+        cores=settings.cores,
+        memory_mb=settings.memory_mb,
+        accelerators=settings.accelerators,
+        grant_epoch=state.grant_epoch if granted == state.home_process else 0,
+        clock_ms=state.now_ms,
+        running=state.owned_running(),
+        leaving=state.leaving or state.upstream_leaving,
+    )
+
+
+def _heartbeat(state: AgentState) -> AgentHeartbeat:
+    return AgentHeartbeat(
+        agent=state.me,
+        grant_epoch=state.grant_epoch,
+        clock_ms=state.now_ms,
+        version=state.view.version if state.view else 0,
+        running=len(state.running),
+        memory_used_mb=state.memory_used_mb,
+        cpu_permille=state.cpu_permille,
+        draining=bool(state.view and state.view.draining),
+        leaving=state.leaving or state.upstream_leaving,
+    )
+
+
+@AGENT.system(order=800)
+def _send_heartbeats(state: AgentState) -> None:
+    if state.now_ms < state.heartbeat_due_ms:
+        return
+    interval_ms = state.settings.membership.agent_heartbeat_ms
+    state.heartbeat_due_ms = state.now_ms + interval_ms
+    if state.home_process in state.connected:
+        state.send(state.home_process, _heartbeat(state))
+
+
+@AGENT.system(order=900)
+def _stop_when_idle(state: AgentState) -> None:
+    if state.leaving and not state.running and not state.results:
+        state.effects.append(Stop("left"))
--- /dev/null
+++ b/catkincross/_agent_results.py
@@ -0,0 +1,46 @@
+"""Results and census answers of the agent."""
+
+from __future__ import annotations
+
+from ._agent_registry import AGENT
+from ._agent_state import AgentState
+from ._messages import CensusReply, CensusRequest, TaskResults
+
+
+@AGENT.handles(CensusRequest)
+def _census_requested(state: AgentState, sender: str, request: CensusRequest) -> None:
+    # Fencing first: no start for the ended incarnation can follow this reply.
+    state.fenced.add(request.ended)
+    keys = {
+        row.task.key_hash
+        for row in state.starts
+        if row.start is not None and row.owner == request.ended
+    }
+    state.send(
+        sender,
+        CensusReply(
+            ended=request.ended,
+            replier=state.me,
+            keys=sorted(keys),
+            agents=[state.me],
+        ),
+    )
+
+
+@AGENT.system(order=600)
+def _send_results(state: AgentState) -> None:
+    if not state.results or state.home_process not in state.connected:
+        return
+    results, state.results = state.results, []
+    state.send(state.home_process, TaskResults(results))
+
+
+def repeat_results(state: AgentState) -> None:
+    """Send the results of the repeat window again, after a stream was opened."""
+    since_ms = state.now_ms - state.settings.jobs.results_repeat_ms
+    known = {(result.owner, result.task) for result in state.results}
+    for row in state.starts:
+        if row.result is None or row.ended_ms is None or row.ended_ms < since_ms:
+            continue
+        if (row.owner, row.task) not in known:
+            state.results.append(row.result)
--- /dev/null
+++ b/catkincross/_agent_state.py
@@ -0,0 +1,113 @@
+"""State of an agent."""
+
+from __future__ import annotations
+
+import attrs
+
+from ._effects import AbortUpstream, CallUpstream, Effect, Emit, Send
+from ._freshness import Freshness
+from ._guards import ALL_GUARDS, Guards
+from ._ids import Incarnation, TaskId, entry_process
+from ._messages import AgentView, Message, OwnedTask, TaskResult, TaskStart
+from ._settings import AgentSettings
+from ._tables import DueQueue, Table
+
+
+@attrs.define
+class StartRow:
+    """A task that was started, or that must never start here.
+
+    Attributes:
+        start: The order that started it; None for a revoked task.
+        result: Its end, or None while it runs.
+        ended_ms: When it ended or was revoked.
+        started_ms: When it was started.
+    """
+
+    owner: Incarnation
+    task: TaskId
+    start: TaskStart | None = None
+    result: TaskResult | None = None
+    ended_ms: int | None = None
+    started_ms: int | None = None
+
+
+@attrs.define
+class AgentState:
+    """Tables and settings of an agent; see `AgentCore`.
+
+    Attributes:
+        starts: Started and revoked tasks, by task, whoever owns them.
+        running: Tasks that hold a slot.
+        fenced: Owner incarnations that a census named as ended.
+        home: Name of the entry that holds the grant, or an empty string.
+        connected: Processes with an open stream.
+    """
+
+    settings: AgentSettings
+    me: Incarnation
+    freshness: Freshness
+    guards: Guards = ALL_GUARDS
+    now_ms: int = 0
+    starts: Table[TaskId, StartRow] = attrs.field(factory=lambda: Table("starts"))
+    running: dict[TaskId, StartRow] = attrs.field(factory=dict)
+    forget: DueQueue[TaskId] = attrs.field(factory=DueQueue)
+    fenced: set[Incarnation] = attrs.field(factory=set)
+    view: AgentView | None = None
+    home: str = ""
+    grant_epoch: int = 0
+    heartbeat_due_ms: int = 0
+    connected: set[str] = attrs.field(factory=set)
+    leaving: bool = False
+    upstream_leaving: bool = False
+    slots: int = 0
+    connections: int = 0
+    memory_used_mb: int = 0
+    cpu_permille: int = 0
+    results: list[TaskResult] = attrs.field(factory=list)
+    effects: list[Effect] = attrs.field(factory=list)
+
+    @classmethod
+    def from_settings(
+        cls, settings: AgentSettings, *, number: int, guards: Guards = ALL_GUARDS
+    ) -> AgentState:
+        """Return the state of an agent that has just started.
+
+        Args:
+            settings: The agent's settings.
+            number: Incarnation number, random, above 0.
+            guards: Safety checks that are active.
+        """
+        return cls(
+            settings=settings,
+            me=Incarnation(settings.name, number),
+            freshness=Freshness(settings.freshness.freshness_ms),
+            guards=guards,
+            slots=settings.slots,
+            connections=settings.connections,
+        )
+
+    @property
+    def home_process(self) -> str:
+        """Process name of the home, or an empty string."""
+        return entry_process(self.home) if self.home else ""
+
+    def send(self, to: str, message: Message) -> None:
+        """Send a message in this step."""
+        self.effects.append(Send(to, message))
+
+    def emit(self, name: str, **fields: object) -> None:
+        """Record an event of this agent."""
+        self.effects.append(Emit("agent", name, dict(fields)))
+
+    def call_upstream(self, start: TaskStart) -> None:
+        """Send a task to the upstream in this step."""
+        self.effects.append(CallUpstream(start))
+
+    def abort_upstream(self, start: TaskStart) -> None:
+        """Stop the call of a task in this step."""
+        self.effects.append(AbortUpstream(start))
+
+    def owned_running(self) -> list[OwnedTask]:
+        """Return the tasks that hold a slot."""
+        return [OwnedTask(row.owner, row.task) for row in self.running.values()]
--- /dev/null
+++ b/catkincross/_agent_tasks.py
@@ -0,0 +1,132 @@
+"""Starts, cancellations and ends of tasks at the agent."""
+
+from __future__ import annotations
+
+from ._agent_registry import AGENT
+from ._agent_state import AgentState, StartRow
+from ._effects import UpstreamAnswered
+from ._messages import (
+    CancelTasks,
+    OwnedTask,
+    Reason,
+    StartTasks,
+    TaskResult,
+    TaskStart,
+    TaskStatus,
+)
+from ._start_rules import refusal
+
+
+@AGENT.handles(StartTasks)
+def _start_tasks(state: AgentState, sender: str, message: StartTasks) -> None:
+    for start in message.starts:
+        known = state.starts.get(start.task) if state.guards.duplicate else None
+        if known is not None:
+            _answer_known(state, known, start)
+            continue
+        reason = refusal(state, sender, start)
+        if reason:
+            _refuse(state, start, reason)
+        else:
+            _start(state, start)
+
+
+def _start(state: AgentState, start: TaskStart) -> None:
+    row = StartRow(start.owner, start.task, start, started_ms=state.now_ms)
+    # The row is written before the upstream is called, so no crash of this step
+    # can leave a start that is not counted.
+    state.starts.put(start.task, row)
+    state.running[start.task] = row
+    state.emit("task started", task=str(start.task), owner=str(start.owner))
+    state.call_upstream(start)
+
+
+def _refuse(state: AgentState, start: TaskStart, reason: Reason) -> None:
+    state.emit("task refused", task=str(start.task), reason=str(reason))
+    state.results.append(
+        TaskResult(
+            owner=start.owner,
+            task=start.task,
+            status=TaskStatus.REFUSED,
+            not_run=True,
+            reason=reason,
+            upstream=state.settings.upstream,
+        )
+    )
+
+
+def _answer_known(state: AgentState, row: StartRow, start: TaskStart) -> None:
+    if row.owner != start.owner:
+        state.results.append(
+            TaskResult(
+                owner=start.owner,
+                task=start.task,
+                status=TaskStatus.REFUSED,
+                not_run=row.start is None,
+                reason=Reason.DUPLICATE,
+                upstream=state.settings.upstream,
+            )
+        )
+    elif row.result is not None:
+        state.results.append(row.result)
+
+
+@AGENT.handles(CancelTasks)
+def _cancel_tasks(state: AgentState, sender: str, message: CancelTasks) -> None:
+    for owned in message.tasks:
+        row = state.starts.get(owned.task)
+        if row is None:
+            _revoke(state, owned)
+        elif row.result is not None:
+            state.results.append(row.result)
+        elif row.start is not None and not message.revoke:
+            state.abort_upstream(row.start)
+
+
+def _revoke(state: AgentState, owned: OwnedTask) -> None:
+    result = TaskResult(
+        owner=owned.owner,
+        task=owned.task,
+        status=TaskStatus.CANCELLED,
+        not_run=True,
+        reason=Reason.REVOKED,
+        upstream=state.settings.upstream,
+    )
+    row = StartRow(owned.owner, owned.task, None, result, state.now_ms)
+    state.starts.put(owned.task, row)
+    _forget_later(state, row)
+    state.results.append(result)
+
+
+@AGENT.handles(UpstreamAnswered)
+def _upstream_answered(state: AgentState, sender: str, event: UpstreamAnswered) -> None:
+    start = event.task_start
+    row = state.running.pop(start.task, None)
+    if row is None:
+        return
+    row.ended_ms = state.now_ms
+    row.result = TaskResult(
+        owner=start.owner,
+        task=start.task,
+        status=event.status,
+        not_run=not event.started,
+        reason=Reason(event.reason),
+        payload=event.payload,
+        run_ms=max(0, state.now_ms - (row.started_ms or state.now_ms)),
+        upstream=state.settings.upstream,
+    )
+    state.emit("task ended", task=str(start.task), status=str(event.status))
+    state.results.append(row.result)
+    _forget_later(state, row)
+
+
+def _forget_later(state: AgentState, row: StartRow) -> None:
+    retention_ms = state.settings.jobs.key_retention_ms
+    state.forget.set(row.task, state.now_ms + retention_ms)
+
+
+@AGENT.system(order=700)
+def _forget_old_starts(state: AgentState) -> None:
+    for task in state.forget.pop_due(state.now_ms):
+        state.starts.remove(task)
+    state.starts.changed.clear()
--- /dev/null
+++ b/catkincross/_control_state.py
@@ -0,0 +1,125 @@
+"""State folded from the control stream."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from ._ids import Incarnation
+from ._messages import RosterEntry
+from ._records import RegisteredAgent
+
+
+@attrs.define
+class EndedEntry:
+    """An ended incarnation of an entry.
+
+    Attributes:
+        offset: Offset of the record that ended it.
+        folded_ms: When this process folded the record, on its own clock.
+        planned: It left by itself, after its work was done.
+    """
+
+    incarnation: Incarnation
+    offset: int
+    folded_ms: int
+    planned: bool
+
+
+@attrs.define
+class AgentMember:
+    """An agent incarnation of the register.
+
+    Attributes:
+        ended_ms: When this process folded its end, or None while it lives.
+    """
+
+    registered: RegisteredAgent
+    offset: int
+    ended_ms: int | None = None
+
+
+@attrs.define
+class Resource:
+    """A declared resource.
+
+    Attributes:
+        version: Offset of the record that changed it last.
+    """
+
+    kind: str
+    name: str
+    generation: int
+    version: int
+    spec: dict[str, Any]
+
+
+@attrs.define
+class RecordOutcome:
+    """What folding a record did; `reason` is empty if it was kept."""
+
+    offset: int
+    reason: str = ""
+
+
+@attrs.define
+class RosterVersion:
+    """The entries that could own keys from one roster change to the next.
+
+    Attributes:
+        until_ms: When this process folded the next roster change, or None.
+    """
+
+    version: int
+    entries: tuple[Incarnation, ...]
+    until_ms: int | None = None
+
+
+@attrs.define
+class ControlState:
+    """Everything that the control stream says, up to one offset.
+
+    Attributes:
+        version: Offset of the last folded record; 0 before the first.
+        entries: Entries that have not ended, by name.
+        ended: Ended incarnations of entries within the retention window.
+        members: Agent incarnations, the ended ones within the retention window.
+        resources: Resources by kind and name.
+        outcomes: What folding did, by record id.
+        roster_version: Offset of the last change of `entries`.
+        history: Rosters within the retention window, newest last.
+    """
+
+    version: int = 0
+    entries: dict[str, RosterEntry] = attrs.field(factory=dict)
+    ended: dict[Incarnation, EndedEntry] = attrs.field(factory=dict)
+    members: dict[Incarnation, AgentMember] = attrs.field(factory=dict)
+    resources: dict[tuple[str, str], Resource] = attrs.field(factory=dict)
+    outcomes: dict[str, RecordOutcome] = attrs.field(factory=dict)
+    roster_version: int = 0
+    history: list[RosterVersion] = attrs.field(factory=list)
+
+    def is_live(self, incarnation: Incarnation) -> bool:
+        """Whether an entry's incarnation is on the roster."""
+        entry = self.entries.get(incarnation.name)
+        return entry is not None and entry.number == incarnation.number
+
+    def owners(self) -> list[str]:
+        """Return the names of the entries that take new keys."""
+        return [entry.name for entry in self.entries.values() if not entry.leaving]
+
+    def is_registered(self, agent: Incarnation) -> bool:
+        """Whether an agent's incarnation is registered and has not ended."""
+        member = self.members.get(agent)
+        return member is not None and member.ended_ms is None
+
+    def is_draining(self, data_centre: str, upstream: str = "") -> bool:
+        """Whether a data centre or an upstream takes no new work."""
+        return self._drain_flag("datacentres", data_centre) or self._drain_flag(
+            "upstreams", upstream
+        )
+
+    def _drain_flag(self, kind: str, name: str) -> bool:
+        resource = self.resources.get((kind, name))
+        return resource is not None and bool(resource.spec.get("drain", False))
--- /dev/null
+++ b/catkincross/_entry_core.py
@@ -0,0 +1,67 @@
+"""Decision core of the entry: arrival, owner and home in one process."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+# Importing these modules registers their handlers and systems.
+from . import (  # noqa: F401
+    _arrival,
+    _entry_heartbeats,
+    _home,
+    _home_agents,
+    _membership,
+    _owner,
+)
+from ._effects import Effect, Received
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
+
+
+class EntryCore:
+    """Pure decision code of an entry.
+
+    Args:
+        state: The entry's state; the core changes it in place.
+    """
+
+    def __init__(self, state: EntryState) -> None:
+        self.state = state
+
+    def __repr__(self) -> str:
+        return f"<EntryCore {self.state.me or self.state.name}>"
+
+    def step(self, now_ms: int, inbox: Sequence[Any]) -> list[Effect]:
+        """Handle a batch of inbox items.
+
+        Args:
+            now_ms: The process's clock, read immediately before the call.
+            inbox: `Received` messages and local events, in order of arrival.
+
+        Returns:
+            The effects to carry out, in order.
+        """
+        state = self.state
+        state.now_ms = now_ms
+        for item in inbox:
+            if isinstance(item, Received):
+                ENTRY.handlers[type(item.message)](state, item.sender, item.message)
+            else:
+                ENTRY.handlers[type(item)](state, "", item)
+        for _, system in ENTRY.systems:
+            system(state)
+        state.flush_batches()
+        effects, state.effects = state.effects, []
+        return effects
+
+    def next_due_ms(self) -> int | None:
+        """Return when the core must step again without an event."""
+        state = self.state
+        due = [
+            state.heartbeat_due_ms,
+            state.retry_due_ms if state.waiting else None,
+            state.job_due.next_due_ms(),
+            state.home_due.next_due_ms(),
+        ]
+        return min(due_ms for due_ms in due if due_ms is not None)
--- /dev/null
+++ b/catkincross/_entry_heartbeats.py
@@ -0,0 +1,82 @@
+"""Heartbeats between entries: freshness evidence and capacity."""
+
+from __future__ import annotations
+
+from ._effects import Connected, Disconnected
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
+from ._home_capacity import capacity_summaries
+from ._ids import entry_process, split_process
+from ._messages import NO_EVIDENCE, PeerHeartbeat
+
+
+@ENTRY.handles(PeerHeartbeat)
+def _peer_heartbeat(state: EntryState, sender: str, message: PeerHeartbeat) -> None:
+    peer = state.peers.get(message.sender.name)
+    if peer is None or peer.incarnation != message.sender:
+        return
+    peer.heartbeat = message
+    peer.heard_ms = state.now_ms
+    peer.connected = True
+    peer.refused = False
+    peer.capacity = {(c.service, c.data_centre): c for c in message.capacity}
+    peer.teams = {usage.team: usage for usage in message.teams}
+    _take_evidence(state, message)
+
+
+def _take_evidence(state: EntryState, message: PeerHeartbeat) -> None:
+    if NO_EVIDENCE in (message.echo_ms, message.evidence_age_ms):
+        return
+    if message.version > state.control.version:
+        return
+    evidence_ms = message.echo_ms + message.echo_delay_ms - message.evidence_age_ms
+    state.freshness.renew(evidence_ms, message.version)
+
+
+@ENTRY.handles(Connected)
+def _connected(state: EntryState, sender: str, event: Connected) -> None:
+    role, name = split_process(event.process)
+    if role == "entry" and name in state.peers:
+        state.peers.rows[name].connected = True
+        state.peers.rows[name].refused = False
+        state.heartbeat_due_ms = state.now_ms
+    if role == "agent" and name in state.agents:
+        state.agents.rows[name].connected = True
+
+
+@ENTRY.handles(Disconnected)
+def _disconnected(state: EntryState, sender: str, event: Disconnected) -> None:
+    role, name = split_process(event.process)
+    if role == "entry" and name in state.peers:
+        state.peers.rows[name].connected = False
+        state.peers.rows[name].refused = event.refused
+    if role == "agent" and name in state.agents:
+        state.agents.rows[name].connected = False
+
+
+@ENTRY.system(order=800)
+def _send_heartbeats(state: EntryState) -> None:
+    if state.now_ms < state.heartbeat_due_ms:
+        return
+    interval_ms = state.settings.membership.peer_heartbeat_ms
+    state.heartbeat_due_ms = state.now_ms + interval_ms
+    if state.me is None:
+        return
+    capacity = capacity_summaries(state)
+    for name, peer in state.peers.rows.items():
+        echo_ms, delay_ms = NO_EVIDENCE, 0
+        if peer.heartbeat is not None and peer.heard_ms is not None:
+            echo_ms = peer.heartbeat.sent_ms
+            delay_ms = state.now_ms - peer.heard_ms
+        heartbeat = PeerHeartbeat(
+            sender=state.me,
+            sent_ms=state.now_ms,
+            echo_ms=echo_ms,
+            echo_delay_ms=delay_ms,
+            version=state.freshness.version,
+            log_reachable=state.log_reachable,
+            evidence_age_ms=state.freshness.age_ms(state.now_ms),
+            capacity=capacity,
+            leaving=state.stopping,
+        )
+        state.send(entry_process(name), heartbeat)
--- /dev/null
+++ b/catkincross/_entry_rows.py
@@ -0,0 +1,196 @@
+"""Rows of the entry's tables."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import attrs
+
+from ._ids import Incarnation, TaskId
+from ._messages import (
+    AgentHello,
+    AgentView,
+    CapacitySummary,
+    JobAnswer,
+    JobState,
+    OwnedTask,
+    PeerHeartbeat,
+    PlacedTask,
+    Reason,
+    TaskResult,
+    TaskSpec,
+    TeamUsage,
+)
+
+
+@attrs.define
+class RequestRow:
+    """A caller's request at the arrival entry.
+
+    Attributes:
+        submission: The submitted job, kept until its end; None for a question.
+        owner: Name of the entry to which the job was forwarded.
+        wait: Whether only the final answer is wanted.
+    """
+
+    request_id: int
+    key: str
+    key_hash: bytes
+    deadline_ms: int
+    submission: object | None = None
+    owner: str = ""
+    wait: bool = True
+
+
+class TaskPhase(StrEnum):
+    """Where a task of a job is, as its owner knows."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    ENDED = "ended"
+
+
+@attrs.define
+class TaskRow:
+    """A task of a job at its owner.
+
+    Attributes:
+        home: Name of the home that has the task while it is placed.
+        maybe_started: A send of this task was not answered by `not_run`.
+    """
+
+    task: TaskId
+    spec: TaskSpec
+    phase: TaskPhase = TaskPhase.WAITING
+    home: str = ""
+    placed_ms: int = 0
+    attempts: int = 0
+    maybe_started: bool = False
+    result: TaskResult | None = None
+
+
+@attrs.define
+class Waiter:
+    """Somebody who waits for a job's end: a request at an arrival entry."""
+
+    entry: str
+    request_id: int
+
+
+@attrs.define
+class JobRow:
+    """A job at its owner.
+
+    Attributes:
+        digest: Hash of the content, to recognize another job under the same key.
+        deadline_ms: On this process's clock.
+        open_tasks: Tasks that have not ended.
+        answer: The final answer; its request id is not set.
+    """
+
+    key: str
+    key_hash: bytes
+    digest: bytes
+    team: str
+    service: str
+    tasks: list[TaskRow]
+    deadline_ms: int
+    accepted_ms: int
+    idempotent: bool = False
+    interactive: bool = False
+    state: JobState = JobState.QUEUED
+    open_tasks: int = 0
+    cancelling: Reason = Reason.NONE
+    waiters: list[Waiter] = attrs.field(factory=list)
+    answer: JobAnswer | None = None
+
+
+@attrs.define
+class AgentRow:
+    """An agent that granted its slots to this entry.
+
+    Attributes:
+        hello: Its newest announcement.
+        clock_ms: The agent's clock at its newest stamp.
+        heard_ms: This entry's clock when the stamp arrived.
+        held: Tasks that hold one of its slots.
+        first_epoch: Grant epoch under which this entry first became its home.
+        sent_view: The view that was sent to it last.
+    """
+
+    hello: AgentHello
+    clock_ms: int
+    heard_ms: int
+    view_version: int = 0
+    held: set[OwnedTask] = attrs.field(factory=set)
+    memory_used_mb: int = 0
+    cpu_permille: int = 0
+    draining_confirmed: bool = False
+    running_reported: int = 0
+    leaving: bool = False
+    connected: bool = True
+    first_epoch: int = 0
+    sent_view: AgentView | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the agent."""
+        return self.hello.agent.name
+
+    def agent_time_ms(self, now_ms: int) -> int:
+        """Return a time that the agent's clock has reached, or slightly less."""
+        return self.clock_ms + (now_ms - self.heard_ms)
+
+    @property
+    def free(self) -> int:
+        """Number of free slots."""
+        limit = min(self.hello.slots, self.hello.connections)
+        return max(0, limit - len(self.held))
+
+
+@attrs.define
+class HomeTask:
+    """A task at its home.
+
+    Attributes:
+        owner_process: Process to which the result goes.
+        deadline_ms: On this process's clock.
+        agent: Name of the agent that has it, or an empty string while it waits.
+        agent_incarnation: Incarnation of that agent.
+    """
+
+    placed: PlacedTask
+    owner_process: str
+    deadline_ms: int
+    accepted_ms: int
+    agent: str = ""
+    agent_incarnation: Incarnation | None = None
+    start_by_ms: int = 0
+    sent_ms: int = 0
+    result: TaskResult | None = None
+    ended_ms: int | None = None
+
+    @property
+    def key(self) -> OwnedTask:
+        """Key of the row."""
+        return OwnedTask(self.placed.owner, self.placed.task)
+
+
+@attrs.define
+class PeerRow:
+    """Another entry of the region.
+
+    Attributes:
+        heartbeat: Its newest heartbeat.
+        heard_ms: This entry's clock when that heartbeat arrived.
+        capacity: Its capacity by service and data centre.
+        refused: Its address refuses connections.
+    """
+
+    incarnation: Incarnation
+    connected: bool = False
+    refused: bool = False
+    heartbeat: PeerHeartbeat | None = None
+    heard_ms: int | None = None
+    capacity: dict[tuple[str, str], CapacitySummary] = attrs.field(factory=dict)
+    teams: dict[str, TeamUsage] = attrs.field(factory=dict)
--- /dev/null
+++ b/catkincross/_entry_state.py
@@ -0,0 +1,170 @@
+"""State of an entry."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+
+import attrs
+
+from ._control_state import ControlState
+from ._effects import Append, Effect, Emit, Reply, Send
+from ._entry_rows import AgentRow, HomeTask, JobRow, PeerRow, RequestRow
+from ._freshness import Freshness
+from ._guards import ALL_GUARDS, Guards
+from ._ids import Incarnation, TaskId, entry_process
+from ._messages import (
+    JobAnswer,
+    Message,
+    OwnedTask,
+    PlacedTask,
+    PlaceTasks,
+    StartTasks,
+    TaskResult,
+    TaskResults,
+    TaskStart,
+)
+from ._records import Record, RecordBody
+from ._settings import EntrySettings
+from ._tables import DueQueue, Table
+
+
+@attrs.define
+class Batches:
+    """Items that leave in one message for each addressee at the end of a step."""
+
+    placed: dict[str, list[PlacedTask]] = attrs.field(factory=lambda: defaultdict(list))
+    starts: dict[str, list[TaskStart]] = attrs.field(factory=lambda: defaultdict(list))
+    results: dict[str, list[TaskResult]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
+
+
+@attrs.define
+class EntryState:
+    """Tables and settings of an entry; see `EntryCore`.
+
+    Attributes:
+        me: This incarnation, or None until its join is folded.
+        requests: Callers' requests at this entry, by request id.
+        jobs: Jobs that this entry owns, by key hash.
+        waiting: Tasks to place, in the order of their jobs' arrival.
+        agents: Agents whose home this entry is, by name.
+        home_tasks: Tasks placed on this entry.
+        home_queue: Tasks at this home without a slot, in order.
+        peers: Other entries on the roster, by name.
+        agent_results: Results from agents that this home has not handled yet.
+        owner_results: Results that this owner has not handled yet.
+        local_answers: Answers of this owner to its own arrival part.
+        views_version: Control version up to which changed views were sent.
+        heartbeats_to_answer: Process and clock stamp of agents' heartbeats.
+        stopping: A planned leave has begun.
+    """
+
+    settings: EntrySettings
+    address: str
+    rng: random.Random
+    freshness: Freshness
+    guards: Guards = ALL_GUARDS
+    now_ms: int = 0
+    me: Incarnation | None = None
+    control: ControlState = attrs.field(factory=ControlState)
+    requests: Table[int, RequestRow] = attrs.field(factory=lambda: Table("requests"))
+    jobs: Table[bytes, JobRow] = attrs.field(factory=lambda: Table("jobs"))
+    job_due: DueQueue[bytes] = attrs.field(factory=DueQueue)
+    waiting: dict[TaskId, None] = attrs.field(factory=dict)
+    agents: Table[str, AgentRow] = attrs.field(factory=lambda: Table("agents"))
+    home_tasks: Table[OwnedTask, HomeTask] = attrs.field(
+        factory=lambda: Table("home tasks")
+    )
+    home_queue: dict[OwnedTask, None] = attrs.field(factory=dict)
+    home_due: DueQueue[OwnedTask] = attrs.field(factory=DueQueue)
+    peers: Table[str, PeerRow] = attrs.field(factory=lambda: Table("peers"))
+    batches: Batches = attrs.field(factory=Batches)
+    agent_results: list[tuple[str, TaskResult]] = attrs.field(factory=list)
+    owner_results: list[TaskResult] = attrs.field(factory=list)
+    local_answers: list[JobAnswer] = attrs.field(factory=list)
+    retry_due_ms: int | None = None
+    log_reachable: bool = False
+    heartbeat_due_ms: int = 0
+    views_version: int = 0
+    heartbeats_to_answer: list[tuple[str, int]] = attrs.field(factory=list)
+    join_record_id: str = ""
+    record_count: int = 0
+    stopping: bool = False
+    internal_requests: int = 0
+    effects: list[Effect] = attrs.field(factory=list)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: EntrySettings,
+        *,
+        address: str,
+        seed: int,
+        guards: Guards = ALL_GUARDS,
+    ) -> EntryState:
+        """Return the state of an entry that has just started.
+
+        Args:
+            settings: The entry's settings.
+            address: gRPC address at which other processes reach it, `IP:port`.
+            seed: Seed of all random choices and record ids; differs for each start.
+            guards: Safety checks that are active.
+        """
+        return cls(
+            settings=settings,
+            address=address,
+            rng=random.Random(seed),
+            freshness=Freshness(settings.freshness.freshness_ms),
+            guards=guards,
+        )
+
+    @property
+    def name(self) -> str:
+        """Name of this entry."""
+        return self.settings.name
+
+    @property
+    def process(self) -> str:
+        """Process name of this entry."""
+        return entry_process(self.settings.name)
+
+    def may_dispatch(self) -> bool:
+        """Whether this entry may send work to homes and agents now."""
+        if self.me is None or not self.control.is_live(self.me):
+            return False
+        return not self.guards.freshness or self.freshness.is_current(self.now_ms)
+
+    def send(self, to: str, message: Message) -> None:
+        """Send a message in this step."""
+        self.effects.append(Send(to, message))
+
+    def reply(self, request_id: int, answer: JobAnswer) -> None:
+        """Answer a caller's request in this step."""
+        self.effects.append(Reply(request_id, attrs.evolve(answer, request_id=0)))
+
+    def append(self, body: RecordBody) -> Record:
+        """Append a record of this entry to the control stream."""
+        record = Record(self.new_record_id(), self.me, body)
+        self.effects.append(Append(record))
+        return record
+
+    def new_record_id(self) -> str:
+        """Return a unique record id."""
+        self.record_count += 1
+        return f"{self.name}-{self.rng.getrandbits(64):016x}-{self.record_count}"
+
+    def emit(self, part: str, name: str, **fields: object) -> None:
+        """Record an event of a part of this entry."""
+        self.effects.append(Emit(part, name, dict(fields)))
+
+    def flush_batches(self) -> None:
+        """Turn the collected items into one message for each addressee."""
+        for process, placed in self.batches.placed.items():
+            self.send(process, PlaceTasks(placed))
+        for process, starts in self.batches.starts.items():
+            self.send(process, StartTasks(starts))
+        for process, results in self.batches.results.items():
+            self.send(process, TaskResults(results))
+        self.batches = Batches()
--- /dev/null
+++ b/catkincross/_fold.py
@@ -0,0 +1,184 @@
+"""Deterministic fold of the control stream."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from ._control_state import (
+    AgentMember,
+    ControlState,
+    EndedEntry,
+    RecordOutcome,
+    Resource,
+    RosterVersion,
+)
+from ._messages import RosterEntry
+from ._records import (
+    AgentsEnded,
+    AgentsRegistered,
+    EntryEnded,
+    EntryJoined,
+    EntryLeaving,
+    Record,
+    ResourceDeleted,
+    ResourcePut,
+)
+
+LOST_RACE = "lost_race"
+ENDED_AUTHOR = "ended_author"
+DUPLICATE_ID = "duplicate_id"
+NO_EFFECT = "no_effect"
+
+Folder = Callable[[ControlState, int, Any, int], str]
+FOLDERS: dict[type, Folder] = {}
+
+
+def folds(kind: type) -> Callable[[Folder], Folder]:
+    """Register a function `(state, offset, body, now_ms)` that folds a record body.
+
+    It returns an empty string, or the reason for which the record is a no-op.
+    """
+
+    def register(folder: Folder) -> Folder:
+        FOLDERS[kind] = folder
+        return folder
+
+    return register
+
+
+def fold_record(state: ControlState, offset: int, record: Record, now_ms: int) -> str:
+    """Fold the record at the offset that follows the state's version.
+
+    Args:
+        state: State to change.
+        offset: Offset of the record; greater than the state's version.
+        record: The record.
+        now_ms: This process's clock, for retention windows only.
+
+    Returns:
+        An empty string if the record was kept, or the reason why it is a no-op.
+    """
+    state.version = offset
+    if record.id in state.outcomes:
+        return DUPLICATE_ID
+    reason = _fold_body(state, offset, record, now_ms)
+    state.outcomes[record.id] = RecordOutcome(offset, reason)
+    return reason
+
+
+def _fold_body(state: ControlState, offset: int, record: Record, now_ms: int) -> str:
+    if record.author is None and not isinstance(record.body, EntryJoined):
+        return ENDED_AUTHOR
+    if record.author is not None and not state.is_live(record.author):
+        return ENDED_AUTHOR
+    return FOLDERS[type(record.body)](state, offset, record.body, now_ms)
+
+
+def _roster_changed(state: ControlState, offset: int, now_ms: int) -> None:
+    if state.history:
+        state.history[-1].until_ms = now_ms
+    state.roster_version = offset
+    owners = tuple(
+        entry.incarnation for entry in state.entries.values() if not entry.leaving
+    )
+    state.history.append(RosterVersion(offset, owners))
+
+
+@folds(EntryJoined)
+def _entry_joined(
+    state: ControlState, offset: int, body: EntryJoined, now_ms: int
+) -> str:
+    previous = state.entries.get(body.name)
+    if previous is not None:
+        state.ended[previous.incarnation] = EndedEntry(
+            previous.incarnation, offset, now_ms, planned=False
+        )
+    state.entries[body.name] = RosterEntry(
+        body.name, offset, body.address, body.data_centre
+    )
+    _roster_changed(state, offset, now_ms)
+    return ""
+
+
+@folds(EntryLeaving)
+def _entry_leaving(
+    state: ControlState, offset: int, body: EntryLeaving, now_ms: int
+) -> str:
+    if not state.is_live(body.entry):
+        return NO_EFFECT
+    entry = state.entries[body.entry.name]
+    if entry.leaving:
+        return NO_EFFECT
+    state.entries[body.entry.name] = attrs.evolve(entry, leaving=True)
+    _roster_changed(state, offset, now_ms)
+    return ""
+
+
+@folds(EntryEnded)
+def _entry_ended(
+    state: ControlState, offset: int, body: EntryEnded, now_ms: int
+) -> str:
+    if not state.is_live(body.entry):
+        return NO_EFFECT
+    state.ended[body.entry] = EndedEntry(
+        body.entry, offset, now_ms, planned=body.reason == "planned"
+    )
+    del state.entries[body.entry.name]
+    _roster_changed(state, offset, now_ms)
+    return ""
+
+
+@folds(AgentsRegistered)
+def _agents_registered(
+    state: ControlState, offset: int, body: AgentsRegistered, now_ms: int
+) -> str:
+    names = {item.agent.name: item for item in body.agents}
+    for member in state.members.values():
+        item = names.get(member.registered.agent.name)
+        if item is not None and item.agent != member.registered.agent:
+            member.ended_ms = now_ms if member.ended_ms is None else member.ended_ms
+    for item in body.agents:
+        if item.agent not in state.members:
+            state.members[item.agent] = AgentMember(item, offset)
+    return ""
+
+
+@folds(AgentsEnded)
+def _agents_ended(
+    state: ControlState, offset: int, body: AgentsEnded, now_ms: int
+) -> str:
+    for agent in body.agents:
+        member = state.members.get(agent)
+        if member is not None and member.ended_ms is None:
+            member.ended_ms = now_ms
+    return ""
+
+
+@folds(ResourcePut)
+def _resource_put(
+    state: ControlState, offset: int, body: ResourcePut, now_ms: int
+) -> str:
+    key = (body.kind, body.name)
+    current = state.resources.get(key)
+    generation = 0 if current is None else current.generation
+    if generation != body.expected_generation:
+        return LOST_RACE
+    state.resources[key] = Resource(
+        body.kind, body.name, generation + 1, offset, dict(body.spec)
+    )
+    return ""
+
+
+@folds(ResourceDeleted)
+def _resource_deleted(
+    state: ControlState, offset: int, body: ResourceDeleted, now_ms: int
+) -> str:
+    key = (body.kind, body.name)
+    current = state.resources.get(key)
+    if current is None or current.generation != body.expected_generation:
+        return LOST_RACE
+    del state.resources[key]
+    return ""
--- /dev/null
+++ b/catkincross/_owner.py
@@ -0,0 +1,330 @@
+"""Owner: job rows, placement of their tasks on homes, and answers."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import attrs
+
+from ._entry_registry import ENTRY
+from ._entry_rows import JobRow, TaskPhase, TaskRow, Waiter
+from ._entry_state import EntryState
+from ._home import accept_tasks, cancel_tasks
+from ._home_choice import choose_homes
+from ._ids import TaskId, entry_process, hash_key, split_process
+from ._key_settlement import KeyFate, settle_key
+from ._messages import (
+    CancelJob,
+    CancelTasks,
+    ForwardJob,
+    JobAnswer,
+    JobAsked,
+    JobState,
+    OwnedTask,
+    PlacedTask,
+    Reason,
+    TaskResult,
+    TaskResults,
+    TaskStatus,
+    Truth,
+)
+
+PLACE_RETRY_MS = 50
+UNSETTLED_RETRY_MS = 1_000
+
+
+@ENTRY.handles(ForwardJob)
+def _job_forwarded(state: EntryState, sender: str, message: ForwardJob) -> None:
+    own_job(state, split_process(sender)[1], message)
+
+
+@ENTRY.handles(JobAsked)
+def _job_asked(state: EntryState, sender: str, message: JobAsked) -> None:
+    ask_job(state, split_process(sender)[1], message)
+
+
+@ENTRY.handles(CancelJob)
+def _job_cancelled(state: EntryState, sender: str, message: CancelJob) -> None:
+    cancel_job(state, split_process(sender)[1], message)
+
+
+def own_job(state: EntryState, arrival: str, message: ForwardJob) -> None:
+    """Take a job from an arrival entry, or answer what is known of its key.
+
+    Args:
+        state: The entry's state.
+        arrival: Name of the arrival entry.
+        message: The job.
+    """
+    key_hash = hash_key(message.key)
+    waiter = Waiter(arrival, message.request_id)
+    job = state.jobs.get(key_hash)
+    if job is None:
+        fate = settle_key(state, key_hash)
+        if fate is not KeyFate.FREE:
+            _answer(state, waiter, _unsettled(message.key, fate))
+            return
+        job = _admit(state, key_hash, message)
+    elif job.digest != message.digest:
+        conflict = JobAnswer(
+            0, message.key, JobState.FAILED, Truth.NONE, Reason.KEY_CONFLICT
+        )
+        _answer(state, waiter, conflict)
+        return
+    if job.answer is not None:
+        _answer(state, waiter, job.answer)
+    else:
+        job.waiters.append(waiter)
+
+
+def _unsettled(key: str, fate: KeyFate) -> JobAnswer:
+    if fate is KeyFate.STARTED:
+        return JobAnswer(0, key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST)
+    return JobAnswer(
+        0,
+        key,
+        JobState.UNKNOWN,
+        reason=Reason.RECOVERING,
+        retry_after_ms=UNSETTLED_RETRY_MS,
+    )
+
+
+def _admit(state: EntryState, key_hash: bytes, message: ForwardJob) -> JobRow:
+    tasks = [
+        TaskRow(TaskId(key_hash, index), spec)
+        for index, spec in enumerate(message.tasks)
+    ]
+    job = JobRow(
+        key=message.key,
+        key_hash=key_hash,
+        digest=message.digest,
+        team=message.team,
+        service=message.service,
+        tasks=tasks,
+        deadline_ms=state.now_ms + message.budget_ms,
+        accepted_ms=state.now_ms,
+        idempotent=message.idempotent,
+        interactive=message.interactive,
+        open_tasks=len(tasks),
+    )
+    state.jobs.add(key_hash, job)
+    state.job_due.set(key_hash, job.deadline_ms)
+    for row in tasks:
+        state.waiting[row.task] = None
+    state.emit("owner", "job accepted", job=key_hash.hex(), tasks=len(tasks))
+    return job
+
+
+def ask_job(state: EntryState, arrival: str, message: JobAsked) -> None:
+    """Answer the state of a job, or register who waits for its end."""
+    waiter = Waiter(arrival, message.request_id)
+    job = state.jobs.get(hash_key(message.key))
+    if job is None:
+        _answer(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+    elif job.answer is not None:
+        _answer(state, waiter, job.answer)
+    elif message.wait:
+        job.waiters.append(waiter)
+    else:
+        _answer(state, waiter, _progress(job))
+
+
+def cancel_job(state: EntryState, arrival: str, message: CancelJob) -> None:
+    """Cancel a job; the waiter is answered when the job has ended."""
+    waiter = Waiter(arrival, message.request_id)
+    job = state.jobs.get(hash_key(message.key))
+    if job is None:
+        _answer(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        return
+    if job.answer is not None:
+        _answer(state, waiter, job.answer)
+        return
+    job.waiters.append(waiter)
+    stop_job(state, job, Reason.CANCELLED)
+
+
+def _progress(job: JobRow) -> JobAnswer:
+    return JobAnswer(
+        request_id=0,
+        key=job.key,
+        state=job.state,
+        tasks=len(job.tasks),
+        tasks_done=len(job.tasks) - job.open_tasks,
+    )
+
+
+def _answer(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
+    addressed = attrs.evolve(answer, request_id=waiter.request_id)
+    if waiter.entry == state.name:
+        state.local_answers.append(addressed)
+    else:
+        state.send(entry_process(waiter.entry), addressed)
+
+
+def task_row(state: EntryState, task: TaskId) -> tuple[JobRow, TaskRow] | None:
+    """Return the job and the row of a task that this entry owns, or None."""
+    job = state.jobs.get(task.key_hash)
+    if job is None or task.index >= len(job.tasks):
+        return None
+    return job, job.tasks[task.index]
+
+
+@ENTRY.system(order=400)
+def _place_waiting(state: EntryState) -> None:
+    if not state.waiting or not state.may_dispatch():
+        return
+    for home, tasks in choose_homes(state, list(state.waiting)).items():
+        _place(state, home, tasks)
+
+
+def _place(state: EntryState, home: str, tasks: list[TaskId]) -> None:
+    placed = []
+    for task in tasks:
+        found = task_row(state, task)
+        state.waiting.pop(task, None)
+        if found is None:
+            continue
+        job, row = found
+        row.phase = TaskPhase.PLACED
+        row.home = home
+        row.placed_ms = state.now_ms
+        row.attempts += 1
+        row.maybe_started = True
+        job.state = JobState.RUNNING
+        placed.append(_placed_task(state, job, row))
+    if home == state.name:
+        accept_tasks(state, state.process, placed)
+    else:
+        state.batches.placed[entry_process(home)].extend(placed)
+
+
+def _placed_task(state: EntryState, job: JobRow, row: TaskRow) -> PlacedTask:
+    assert state.me is not None
+    return PlacedTask(
+        owner=state.me,
+        task=row.task,
+        service=job.service,
+        team=job.team,
+        spec=row.spec,
+        budget_ms=max(0, job.deadline_ms - state.now_ms),
+        idempotent=job.idempotent,
+        interactive=job.interactive,
+    )
+
+
+@ENTRY.handles(TaskResults)
+def _results_received(state: EntryState, sender: str, message: TaskResults) -> None:
+    role, name = split_process(sender)
+    if role == "agent":
+        state.agent_results.extend((name, result) for result in message.results)
+        return
+    peer = state.peers.get(name)
+    if peer is not None:
+        peer.capacity.update({(c.service, c.data_centre): c for c in message.capacity})
+    state.owner_results.extend(message.results)
+
+
+@ENTRY.system(order=500)
+def _take_results(state: EntryState) -> None:
+    results, state.owner_results = state.owner_results, []
+    for result in results:
+        if state.me is None or result.owner != state.me:
+            continue
+        found = task_row(state, result.task)
+        if found is not None:
+            _task_ended(state, *found, result)
+
+
+def _task_ended(
+    state: EntryState, job: JobRow, row: TaskRow, result: TaskResult
+) -> None:
+    if row.phase is TaskPhase.ENDED:
+        return
+    if result.not_run:
+        row.maybe_started = False
+        if job.answer is None and not job.cancelling:
+            row.phase = TaskPhase.WAITING
+            state.waiting[row.task] = None
+            state.retry_due_ms = state.now_ms + PLACE_RETRY_MS
+            return
+    row.phase = TaskPhase.ENDED
+    row.result = result
+    job.open_tasks -= 1
+    if job.answer is not None:
+        return
+    if result.status is not TaskStatus.OK and not job.cancelling:
+        stop_job(state, job, Reason.TASK_FAILED)
+    if job.open_tasks == 0:
+        _finish(state, job)
+
+
+def stop_job(state: EntryState, job: JobRow, reason: Reason) -> None:
+    """Cancel all that is left of a job; it ends when its tasks have ended."""
+    job.cancelling = job.cancelling or reason
+    placed = defaultdict(list)
+    for row in job.tasks:
+        if row.phase is TaskPhase.WAITING:
+            state.waiting.pop(row.task, None)
+            row.phase = TaskPhase.ENDED
+            job.open_tasks -= 1
+        elif row.phase is TaskPhase.PLACED:
+            placed[row.home].append(OwnedTask(state.me, row.task))
+    for home, tasks in placed.items():
+        if home == state.name:
+            cancel_tasks(state, CancelTasks(tasks))
+        else:
+            state.send(entry_process(home), CancelTasks(tasks))
+    if job.open_tasks == 0:
+        _finish(state, job)
+
+
+def _finish(state: EntryState, job: JobRow) -> None:
+    if job.answer is not None:
+        return
+    if job.cancelling:
+        answer = JobAnswer(0, job.key, JobState.FAILED, job_truth(job), job.cancelling)
+    else:
+        results = [row.result for row in job.tasks if row.result is not None]
+        answer = JobAnswer(0, job.key, JobState.COMPLETE, results=results)
+    job.answer = attrs.evolve(
+        answer, tasks=len(job.tasks), tasks_done=len(job.tasks) - job.open_tasks
+    )
+    job.state = answer.state
+    state.emit(
+        "owner",
+        "job ended",
+        job=job.key_hash.hex(),
+        state=str(answer.state),
+        truth=str(answer.truth),
+        reason=str(answer.reason),
+    )
+    for waiter in job.waiters:
+        _answer(state, waiter, job.answer)
+    job.waiters.clear()
+    retention_ms = state.settings.jobs.key_retention_ms
+    state.job_due.set(job.key_hash, state.now_ms + retention_ms)
+
+
+def job_truth(job: JobRow) -> Truth:
+    """Return what is known about the execution of a job that failed."""
+    started = [row for row in job.tasks if row.result and not row.result.not_run]
+    if any(row.result.reason is not Reason.AGENT_LOST for row in started):
+        return Truth.FAILED
+    if started or any(row.maybe_started for row in job.tasks):
+        return Truth.MAY_HAVE_RUN
+    return Truth.NOT_RUN
+
+
+@ENTRY.system(order=520)
+def _expire_jobs(state: EntryState) -> None:
+    for key_hash in state.job_due.pop_due(state.now_ms):
+        job = state.jobs.get(key_hash)
+        if job is None:
+            continue
+        if job.answer is not None:
+            state.jobs.remove(key_hash)
+            continue
+        stop_job(state, job, Reason.DEADLINE)
+        # Tasks whose end is not known by now are answered as such.
+        _finish(state, job)
+    state.jobs.changed.clear()
--- /dev/null
+++ b/catkincross/_settings.py
@@ -0,0 +1,169 @@
+"""Settings of the daemons, each field with its unit and bounds."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+
+def setting(
+    default: Any = attrs.NOTHING,
+    *,
+    unit: str = "",
+    low: float | None = None,
+    high: float | None = None,
+    allowed: tuple[str, ...] = (),
+    about: str = "",
+) -> Any:
+    """Return an attrs field that carries what the settings check needs.
+
+    Args:
+        default: Value if the key is absent; without it the key must be given.
+        unit: Unit of the value, for messages and docs.
+        low: Smallest allowed value.
+        high: Largest allowed value.
+        allowed: The only allowed values, for a choice.
+        about: One sentence for the operators' page.
+    """
+    metadata = {
+        "unit": unit,
+        "low": low,
+        "high": high,
+        "allowed": allowed,
+        "about": about,
+    }
+    return attrs.field(default=default, metadata=metadata, kw_only=True)
+
+
+@attrs.define
+class FreshnessSettings:
+    """Section `[freshness]`."""
+
+    freshness_ms: int = setting(
+        2_000,
+        unit="ms",
+        low=200,
+        high=10_000,
+        about="Oldest evidence of the log's tail with which work may start.",
+    )
+    outage_quorum: str = setting(
+        "all",
+        allowed=("all", "one_per_data_centre"),
+        about="Which entries must report the log unreachable for work to go on.",
+    )
+
+
+@attrs.define
+class MembershipSettings:
+    """Section `[membership]`."""
+
+    peer_heartbeat_ms: int = setting(
+        250, unit="ms", low=50, high=5_000, about="Interval of heartbeats of entries."
+    )
+    agent_heartbeat_ms: int = setting(
+        500, unit="ms", low=50, high=5_000, about="Interval of heartbeats of agents."
+    )
+    suspect_ms: int = setting(
+        5_000,
+        unit="ms",
+        low=500,
+        high=600_000,
+        about="Silence after which an entry is proposed for ending.",
+    )
+    agent_suspect_ms: int = setting(
+        10_000,
+        unit="ms",
+        low=500,
+        high=600_000,
+        about="Silence after which an agent is proposed for ending.",
+    )
+
+
+@attrs.define
+class JobSettings:
+    """Section `[jobs]`."""
+
+    key_retention_ms: int = setting(
+        900_000,
+        unit="ms",
+        low=1_000,
+        high=86_400_000,
+        about="How long a finished job's key and answer are kept.",
+    )
+    start_budget_ms: int = setting(
+        1_000,
+        unit="ms",
+        low=50,
+        high=60_000,
+        about="Time in which an agent must start a task that was sent to it.",
+    )
+    max_tasks: int = setting(
+        1_000, unit="tasks", low=1, high=100_000, about="Most tasks in a job."
+    )
+    max_deadline_ms: int = setting(
+        600_000,
+        unit="ms",
+        low=100,
+        high=86_400_000,
+        about="Longest deadline that a caller may set.",
+    )
+    results_repeat_ms: int = setting(
+        30_000,
+        unit="ms",
+        low=1_000,
+        high=600_000,
+        about="Age up to which results are repeated on a new stream.",
+    )
+
+
+@attrs.define
+class PlacementSettings:
+    """Section `[placement]`."""
+
+    policy: str = setting(
+        "expected_finish",
+        about="Name of the placement policy.",
+    )
+    seed: int = setting(0, low=0, about="Seed of random choices; 0 draws one.")
+
+
+@attrs.define
+class EntrySettings:
+    """All settings of an entry process."""
+
+    name: str = setting(about="Name of the entry, unique in its region.")
+    region: str = setting(about="Region of the entry.")
+    data_centre: str = setting(about="Data centre of the entry.")
+    freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings, kw_only=True)
+    membership: MembershipSettings = attrs.field(
+        factory=MembershipSettings, kw_only=True
+    )
+    jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
+    placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
+
+
+@attrs.define
+class AgentSettings:
+    """All settings of an agent process."""
+
+    name: str = setting(about="Name of the agent, unique in its region.")
+    region: str = setting(about="Region of the agent.")
+    data_centre: str = setting(about="Data centre of the agent.")
+    rack: str = setting("", about="Rack of the worker.")
+    upstream: str = setting(about="Name of the upstream beside the agent.")
+    service: str = setting(about="Service that the upstream provides.")
+    slots: int = setting(8, unit="tasks", low=1, high=10_000, about="Tasks at a time.")
+    connections: int = setting(
+        64, unit="connections", low=1, high=10_000, about="Connections to the upstream."
+    )
+    cores: int = setting(1, unit="cores", low=1, high=4_096, about="Processor cores.")
+    memory_mb: int = setting(
+        1_024, unit="MB", low=1, high=100_000_000, about="Memory of the worker."
+    )
+    accelerators: int = setting(0, low=0, high=1_024, about="Accelerators.")
+    freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings, kw_only=True)
+    membership: MembershipSettings = attrs.field(
+        factory=MembershipSettings, kw_only=True
+    )
+    jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
--- /dev/null
+++ b/catkincross/_start_rules.py
@@ -0,0 +1,84 @@
+"""The rules that decide whether an agent may start a task.
+
+The rules run in the order in which they are registered. They read the clock of
+the step, which the daemon takes immediately before the step, so a process that
+was stopped between the receipt of a task and its start refuses what is overdue.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ._agent_state import AgentState
+from ._messages import Reason, TaskStart
+
+StartRule = Callable[[AgentState, str, TaskStart], bool]
+START_RULES: list[tuple[Reason, StartRule]] = []
+
+
+def start_rule(reason: Reason) -> Callable[[StartRule], StartRule]:
+    """Register a rule `(state, sender, start)` that returns True to let a task pass."""
+
+    def register(rule: StartRule) -> StartRule:
+        START_RULES.append((reason, rule))
+        return rule
+
+    return register
+
+
+def refusal(state: AgentState, sender: str, start: TaskStart) -> Reason:
+    """Return the reason why a task may not start now, or `Reason.NONE`.
+
+    A task that is in the started set must be handled before.
+    """
+    for reason, rule in START_RULES:
+        if not rule(state, sender, start):
+            return reason
+    return Reason.NONE
+
+
+@start_rule(Reason.STALE_OWNER)
+def _owner_is_live(state: AgentState, sender: str, start: TaskStart) -> bool:
+    if not state.guards.fence:
+        return True
+    if state.view is None or start.owner in state.fenced:
+        return False
+    return any(entry.incarnation == start.owner for entry in state.view.entries)
+
+
+@start_rule(Reason.STALE_EPOCH)
+def _grant_is_current(state: AgentState, sender: str, start: TaskStart) -> bool:
+    if not state.guards.epoch:
+        return True
+    return start.grant_epoch == state.grant_epoch and sender == state.home_process
+
+
+@start_rule(Reason.START_BY)
+def _is_in_time(state: AgentState, sender: str, start: TaskStart) -> bool:
+    return not state.guards.start_by or state.now_ms <= start.start_by_ms
+
+
+@start_rule(Reason.NOT_CURRENT)
+def _view_is_current(state: AgentState, sender: str, start: TaskStart) -> bool:
+    return not state.guards.freshness or state.freshness.is_current(state.now_ms)
+
+
+@start_rule(Reason.DRAINING)
+def _is_not_draining(state: AgentState, sender: str, start: TaskStart) -> bool:
+    if state.leaving or state.upstream_leaving:
+        return False
+    if not state.guards.drain:
+        return True
+    return state.view is not None and not state.view.draining
+
+
+@start_rule(Reason.NO_SLOT)
+def _has_slot(state: AgentState, sender: str, start: TaskStart) -> bool:
+    return len(state.running) < min(state.slots, state.connections)
+
+
+@start_rule(Reason.NOT_REGISTERED)
+def _is_registered(state: AgentState, sender: str, start: TaskStart) -> bool:
+    if not state.guards.registration:
+        return True
+    return state.view is not None and state.view.registered
--- a/catkincross/_tables.py
+++ b/catkincross/_tables.py
@@ -15,7 +15,7 @@
 
 
 class Table(Generic[Key, Row]):
-    """Rows by key, in order of insertion, with the set of keys changed since last taken.
+    """Rows by key in order of insertion, and the keys changed since last taken.
 
     Args:
         name: Name of the table, used in error messages.
--- /dev/null
+++ b/catkincross/guards.py
@@ -0,0 +1,7 @@
+"""Switches of safety checks, for tests."""
+
+from __future__ import annotations
+
+from ._guards import ALL_GUARDS, Guards
+
+__all__ = ["ALL_GUARDS", "Guards"]
--- /dev/null
+++ b/scenarios/driver.py
@@ -0,0 +1,382 @@
+"""Runs decision cores against each other in virtual time, with injected faults.
+
+It carries out the effects of entry and agent cores: messages with a delay, the
+control stream, and upstreams that answer after a set time. Every run with the
+same seed and the same calls gives the same result.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from catkincross import effects as fx
+from catkincross._agent_core import AgentCore
+from catkincross._agent_state import AgentState
+from catkincross._entry_core import EntryCore
+from catkincross._entry_state import EntryState
+from catkincross._records import encode_record
+from catkincross.guards import ALL_GUARDS, Guards
+from catkincross.ids import agent_process, entry_process
+from catkincross.messages import JobAnswer, TaskStart, TaskStatus
+from catkincross.settings import AgentSettings, EntrySettings
+
+from .fake_log import FakeLog
+
+MESSAGE_DELAY_MS = 1
+LOG_DELAY_MS = 3
+LOG_POLL_MS = 200
+
+
+@attrs.define
+class Node:
+    """A process in the driver.
+
+    Attributes:
+        paused: The process is stopped; its inbox collects.
+        life: Grows with each restart, so that old events do not reach a new life.
+    """
+
+    process: str
+    core: EntryCore | AgentCore
+    address: str
+    alive: bool = True
+    paused: bool = False
+    life: int = 0
+    inbox: list[Any] = attrs.field(factory=list)
+    wake_at: int | None = None
+    peers: dict[str, str] = attrs.field(factory=dict)
+    reading: bool = False
+
+
+@attrs.frozen
+class Start:
+    """A task that an upstream began to run."""
+
+    at_ms: int
+    agent: str
+    start: TaskStart
+
+
+class Driver:
+    """Entries, agents, the log and the network in one process.
+
+    Args:
+        seed: Seed of all random choices.
+        guards: Safety checks that are active in every core.
+    """
+
+    def __init__(self, *, seed: int = 1, guards: Guards = ALL_GUARDS) -> None:
+        self.rng = random.Random(seed)
+        self.guards = guards
+        self.now_ms = 1_000
+        self.sequence = 0
+        self.agenda: list[tuple[int, int, Callable[[], None]]] = []
+        self.nodes: dict[str, Node] = {}
+        self.streams: set[frozenset[str]] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self.log = FakeLog()
+        self.log_down = False
+        self.log_cut: set[str] = set()
+        self.log_delay_ms = LOG_DELAY_MS
+        self.lose_append_answers = 0
+        self.run_ms: Callable[[str, TaskStart], int] = lambda agent, start: 50
+        self.outcome: Callable[[str, TaskStart], TaskStatus] = lambda agent, start: (
+            TaskStatus.OK
+        )
+        self.starts: list[Start] = []
+        self.answers: dict[int, JobAnswer] = {}
+        self.change_replies: dict[int, fx.ChangeReply] = {}
+        self.events: list[tuple[int, str, fx.Emit]] = []
+        self.sent: list[tuple[int, str, str, Any]] = []
+        self.drop: Callable[[str, str, Any], bool] = lambda sender, to, message: False
+        self.delay: Callable[[str, str], int] = lambda sender, to: MESSAGE_DELAY_MS
+        self.next_request = 0
+
+    # Building
+
+    def add_entry(self, name: str, data_centre: str, **changes: Any) -> Node:
+        """Start an entry; `changes` are attributes of its settings."""
+        settings = EntrySettings(
+            name=name, region="r1", data_centre=data_centre, **changes
+        )
+        process = entry_process(name)
+        life = self._next_life(process)
+        state = EntryState.from_settings(
+            settings,
+            address=f"addr/{process}",
+            seed=self.rng.getrandbits(32),
+            guards=self.guards,
+        )
+        return self._add(Node(process, EntryCore(state), state.address, life=life))
+
+    def add_agent(
+        self, name: str, data_centre: str, *, service: str = "s", **changes: Any
+    ) -> Node:
+        """Start an agent that knows all entries as seeds."""
+        settings = AgentSettings(
+            name=name,
+            region="r1",
+            data_centre=data_centre,
+            upstream=name,
+            service=service,
+            **changes,
+        )
+        process = agent_process(name)
+        life = self._next_life(process)
+        state = AgentState.from_settings(
+            settings, number=self.rng.getrandbits(62) + 1, guards=self.guards
+        )
+        node = self._add(Node(process, AgentCore(state), "", life=life))
+        for other in list(self.nodes.values()):
+            if other.process.startswith("entry/") and other.alive:
+                node.peers[other.process] = other.address
+        self._connect_all(node)
+        return node
+
+    def _next_life(self, process: str) -> int:
+        old = self.nodes.get(process)
+        return old.life + 1 if old else 0
+
+    def _add(self, node: Node) -> Node:
+        self.nodes[node.process] = node
+        self._wake(node)
+        if isinstance(node.core, EntryCore):
+            self._read_log(node)
+        return node
+
+    # Time
+
+    def at(self, time_ms: int, action: Callable[[], None]) -> None:
+        """Run an action at a time."""
+        self.sequence += 1
+        heapq.heappush(self.agenda, (time_ms, self.sequence, action))
+
+    def run(self, duration_ms: int) -> None:
+        """Run for a time."""
+        end_ms = self.now_ms + duration_ms
+        while self.agenda and self.agenda[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self.agenda)
+            action()
+        self.now_ms = end_ms
+
+    def run_until(
+        self, condition: Callable[[], bool], *, limit_ms: int = 60_000
+    ) -> bool:
+        """Run until a condition holds; return whether it did within the limit."""
+        end_ms = self.now_ms + limit_ms
+        while not condition():
+            if not self.agenda or self.agenda[0][0] > end_ms:
+                return False
+            self.now_ms, _, action = heapq.heappop(self.agenda)
+            action()
+        return True
+
+    # Steps
+
+    def deliver(self, node: Node, item: Any) -> None:
+        """Put an item into a node's inbox and let it step."""
+        if node.alive:
+            node.inbox.append(item)
+            self._wake(node)
+
+    def _wake(self, node: Node) -> None:
+        if node.wake_at == self.now_ms:
+            return
+        node.wake_at = self.now_ms
+        self.at(self.now_ms, lambda: self._step(node))
+
+    def _step(self, node: Node) -> None:
+        node.wake_at = None
+        if not node.alive or node.paused:
+            return
+        inbox, node.inbox = node.inbox, []
+        for effect in node.core.step(self.now_ms, inbox):
+            self._carry_out(node, effect)
+        due_ms = node.core.next_due_ms()
+        if due_ms is not None:
+            self.at(max(due_ms, self.now_ms + 1), lambda: self._due(node))
+
+    def _due(self, node: Node) -> None:
+        due_ms = node.core.next_due_ms()
+        if node.wake_at is None and due_ms is not None and due_ms <= self.now_ms:
+            self._step(node)
+
+    def _carry_out(self, node: Node, effect: Any) -> None:
+        match effect:
+            case fx.Send(to, message):
+                self._send(node, to, message)
+            case fx.Append(record):
+                self._append(node, record)
+            case fx.Reply(request_id, answer):
+                self.answers[request_id] = answer
+            case fx.ChangeReply():
+                self.change_replies[effect.request_id] = effect
+            case fx.Emit():
+                self.events.append((self.now_ms, node.process, effect))
+            case fx.SetPeers(addresses):
+                node.peers = dict(addresses)
+                self._connect_all(node)
+            case fx.CallUpstream(start):
+                self._call_upstream(node, start)
+            case fx.AbortUpstream(start):
+                self._answer_upstream(node, start, TaskStatus.CANCELLED, "cancelled")
+            case fx.Stop():
+                self.kill(node.process)
+
+    # Network
+
+    def _connected(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) in self.streams
+
+    def _connect_all(self, node: Node) -> None:
+        for process in node.peers:
+            self._connect(node, process)
+
+    def _connect(self, node: Node, process: str) -> None:
+        pair = frozenset((node.process, process))
+        peer = self.nodes.get(process)
+        if pair in self.streams or process == node.process:
+            return
+        if peer is None or not peer.alive or pair in self.cuts:
+            refused = peer is not None and not peer.alive
+            self.deliver(node, fx.Disconnected(process, refused))
+            self.at(self.now_ms + 500, lambda: self._reconnect(node, process))
+            return
+        self.streams.add(pair)
+        self.deliver(node, fx.Connected(process))
+        self.deliver(peer, fx.Connected(node.process))
+
+    def _reconnect(self, node: Node, process: str) -> None:
+        if node.alive and process in node.peers:
+            self._connect(node, process)
+
+    def _send(self, node: Node, to: str, message: Any) -> None:
+        self.sent.append((self.now_ms, node.process, to, message))
+        if not self._connected(node.process, to):
+            return
+        if self.drop(node.process, to, message):
+            return
+        item = fx.Received(node.process, message)
+        self.at(
+            self.now_ms + self.delay(node.process, to),
+            lambda: self._arrive(node.process, to, item),
+        )
+
+    def _arrive(self, sender: str, to: str, item: Any) -> None:
+        if self._connected(sender, to):
+            self.deliver(self.nodes[to], item)
+
+    def break_stream(self, one: str, other: str) -> None:
+        """Break the stream between two processes; what is under way is lost."""
+        pair = frozenset((one, other))
+        if pair not in self.streams:
+            return
+        self.streams.discard(pair)
+        for process, peer in ((one, other), (other, one)):
+            node = self.nodes[process]
+            refused = not self.nodes[peer].alive
+            self.deliver(node, fx.Disconnected(peer, refused))
+            if peer in node.peers:
+                self.at(
+                    self.now_ms + 100,
+                    lambda node=node, peer=peer: self._reconnect(node, peer),
+                )
+
+    # Faults
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut the network between two processes until `heal`."""
+        self.cuts.add(frozenset((one, other)))
+        self.break_stream(one, other)
+
+    def heal(self) -> None:
+        """Undo all cuts, also those from the log."""
+        self.cuts.clear()
+        self.log_cut.clear()
+
+    def kill(self, process: str) -> None:
+        """End a process at once."""
+        node = self.nodes[process]
+        node.alive = False
+        node.inbox.clear()
+        for pair in [pair for pair in self.streams if process in pair]:
+            (peer,) = pair - {process}
+            self.break_stream(process, peer)
+
+    def pause(self, process: str) -> None:
+        """Stop a process; its streams stay open."""
+        self.nodes[process].paused = True
+
+    def resume(self, process: str) -> None:
+        """Let a paused process go on."""
+        node = self.nodes[process]
+        node.paused = False
+        self._step(node)
+
+    # Log
+
+    def _read_log(self, node: Node) -> None:
+        if not node.alive:
+            return
+        asked_ms = self.now_ms
+        if node.paused:
+            self.at(asked_ms + LOG_POLL_MS, lambda: self._read_log(node))
+            return
+        if self.log_down or node.process in self.log_cut:
+            self.deliver(node, fx.LogUnreachable())
+        else:
+            version = node.core.state.control.version
+            records = self.log.read(version + 1)
+            event = (
+                fx.LogGap(self.log.first)
+                if records is None
+                else fx.LogRead(asked_ms, records, self.log.tail)
+            )
+            self.at(asked_ms + self.log_delay_ms, lambda: self.deliver(node, event))
+        self.at(asked_ms + LOG_POLL_MS, lambda: self._read_log(node))
+
+    def _append(self, node: Node, record: Any) -> None:
+        if self.log_down or node.process in self.log_cut:
+            self.deliver(node, fx.AppendEnded(record.id, None, True, "unreachable"))
+            return
+        offset = self.log.append(encode_record(record))
+        if self.lose_append_answers:
+            self.lose_append_answers -= 1
+            event = fx.AppendEnded(record.id, None, False, "timeout")
+        else:
+            event = fx.AppendEnded(record.id, offset, True)
+        self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
+
+    # Upstreams
+
+    def _call_upstream(self, node: Node, start: TaskStart) -> None:
+        self.starts.append(Start(self.now_ms, node.process, start))
+        run_ms = self.run_ms(node.process, start)
+        status = self.outcome(node.process, start)
+        reason = "" if status is TaskStatus.OK else "upstream_failed"
+        self.at(
+            self.now_ms + run_ms,
+            lambda: self._answer_upstream(node, start, status, reason),
+        )
+
+    def _answer_upstream(
+        self, node: Node, start: TaskStart, status: TaskStatus, reason: str
+    ) -> None:
+        payload = start.spec.payload if status is TaskStatus.OK else b""
+        event = fx.UpstreamAnswered(start, status, payload, reason)
+        self.deliver(node, event)
+
+    # Callers
+
+    def submit(self, entry: str, job: fx.JobSubmitted) -> int:
+        """Submit a job at an entry and return the request's number."""
+        self.next_request += 1
+        request_id = self.next_request
+        node = self.nodes[entry_process(entry)]
+        self.deliver(node, attrs.evolve(job, request_id=request_id))
+        return request_id
