Number the attempts of a task and remember refused attempts

Cause: a refused start was not recorded at the agent, so a duplicate of its message could start the task after the owner was told not_run; and a late not_run answer for one attempt was taken for the current one. Either starts a task twice.

Ruled out: deduplication by stream only, since a home repeats starts after a reconnect.

Before: the owner and the agent knew a task only by key and index.

Conclusion: not_run now speaks of one attempt and stays true.

--- a/catkincross/_agent_state.py
+++ b/catkincross/_agent_state.py
@@ -15,10 +15,11 @@
 
 @attrs.define
 class StartRow:
-    """A task that was started, or that must never start here.
+    """A task that was started, or an attempt that must never start here.
 
     Attributes:
-        start: The order that started it; None for a revoked task.
+        attempt: The attempt that was started, or the last one refused or revoked.
+        start: The order that started it; None if it was refused or revoked.
         result: Its end, or None while it runs.
         ended_ms: When it ended or was revoked.
         started_ms: When it was started.
@@ -26,6 +27,7 @@
 
     owner: Incarnation
     task: TaskId
+    attempt: int
     start: TaskStart | None = None
     result: TaskResult | None = None
     ended_ms: int | None = None
@@ -110,4 +112,6 @@
 
     def owned_running(self) -> list[OwnedTask]:
         """Return the tasks that hold a slot."""
-        return [OwnedTask(row.owner, row.task) for row in self.running.values()]
+        return [
+            OwnedTask(row.owner, row.task, row.attempt) for row in self.running.values()
+        ]
--- a/catkincross/_agent_tasks.py
+++ b/catkincross/_agent_tasks.py
@@ -21,7 +21,7 @@
 def _start_tasks(state: AgentState, sender: str, message: StartTasks) -> None:
     for start in message.starts:
         known = state.starts.get(start.task) if state.guards.duplicate else None
-        if known is not None:
+        if known is not None and not _may_start_again(known, start):
             _answer_known(state, known, start)
             continue
         reason = refusal(state, sender, start)
@@ -31,11 +31,20 @@
             _start(state, start)
 
 
+def _may_start_again(row: StartRow, start: TaskStart) -> bool:
+    """Whether a task with a row may start: nothing started, or it is idempotent."""
+    if row.start is None:
+        return row.owner != start.owner or row.attempt < start.attempt
+    return start.idempotent and row.result is not None and row.attempt < start.attempt
+
+
 def _start(state: AgentState, start: TaskStart) -> None:
-    row = StartRow(start.owner, start.task, start, started_ms=state.now_ms)
-    # The row is written before the upstream is called, so no crash of this step
-    # can leave a start that is not counted.
+    row = StartRow(
+        start.owner, start.task, start.attempt, start, started_ms=state.now_ms
+    )
+    # The row is written before the upstream is called, so no start goes uncounted.
     state.starts.put(start.task, row)
+    state.forget.cancel(start.task)
     state.running[start.task] = row
     state.emit("task started", task=str(start.task), owner=str(start.owner))
     state.call_upstream(start)
@@ -43,16 +52,31 @@
 
 def _refuse(state: AgentState, start: TaskStart, reason: Reason) -> None:
     state.emit("task refused", task=str(start.task), reason=str(reason))
-    state.results.append(
-        TaskResult(
-            owner=start.owner,
-            task=start.task,
-            status=TaskStatus.REFUSED,
-            not_run=True,
-            reason=reason,
-            upstream=state.settings.upstream,
-        )
+    owned = OwnedTask(start.owner, start.task, start.attempt)
+    _block(state, owned, TaskStatus.REFUSED, reason)
+
+
+def _block(
+    state: AgentState, owned: OwnedTask, status: TaskStatus, reason: Reason
+) -> None:
+    """Answer that an attempt has not run, and keep it from starting later.
+
+    Without the row a duplicate of the message could start the task after its owner
+    was told that it has not run.
+    """
+    result = TaskResult(
+        owner=owned.owner,
+        task=owned.task,
+        status=status,
+        not_run=True,
+        reason=reason,
+        upstream=state.settings.upstream,
+        attempt=owned.attempt,
     )
+    row = StartRow(owned.owner, owned.task, owned.attempt, None, result, state.now_ms)
+    state.starts.put(owned.task, row)
+    _forget_later(state, row)
+    state.results.append(result)
 
 
 def _answer_known(state: AgentState, row: StartRow, start: TaskStart) -> None:
@@ -62,9 +86,10 @@
                 owner=start.owner,
                 task=start.task,
                 status=TaskStatus.REFUSED,
-                not_run=row.start is None,
+                not_run=False,
                 reason=Reason.DUPLICATE,
                 upstream=state.settings.upstream,
+                attempt=start.attempt,
             )
         )
     elif row.result is not None:
@@ -75,29 +100,14 @@
 def _cancel_tasks(state: AgentState, sender: str, message: CancelTasks) -> None:
     for owned in message.tasks:
         row = state.starts.get(owned.task)
-        if row is None:
-            _revoke(state, owned)
+        if row is None or (row.start is None and row.attempt < owned.attempt):
+            _block(state, owned, TaskStatus.CANCELLED, Reason.REVOKED)
         elif row.result is not None:
             state.results.append(row.result)
         elif row.start is not None and not message.revoke:
             state.abort_upstream(row.start)
 
 
-def _revoke(state: AgentState, owned: OwnedTask) -> None:
-    result = TaskResult(
-        owner=owned.owner,
-        task=owned.task,
-        status=TaskStatus.CANCELLED,
-        not_run=True,
-        reason=Reason.REVOKED,
-        upstream=state.settings.upstream,
-    )
-    row = StartRow(owned.owner, owned.task, None, result, state.now_ms)
-    state.starts.put(owned.task, row)
-    _forget_later(state, row)
-    state.results.append(result)
-
-
 @AGENT.handles(UpstreamAnswered)
 def _upstream_answered(state: AgentState, sender: str, event: UpstreamAnswered) -> None:
     start = event.task_start
@@ -114,6 +124,7 @@
         payload=event.payload,
         run_ms=max(0, state.now_ms - (row.started_ms or state.now_ms)),
         upstream=state.settings.upstream,
+        attempt=row.attempt,
     )
     state.emit("task ended", task=str(start.task), status=str(event.status))
     state.results.append(row.result)
--- a/catkincross/_entry_rows.py
+++ b/catkincross/_entry_rows.py
@@ -173,7 +173,7 @@
     @property
     def key(self) -> OwnedTask:
         """Key of the row."""
-        return OwnedTask(self.placed.owner, self.placed.task)
+        return OwnedTask(self.placed.owner, self.placed.task, self.placed.attempt)
 
 
 @attrs.define
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -43,11 +43,8 @@
 ) -> None:
     """Take tasks from an owner; a task that is known is not taken twice."""
     for placed in tasks:
-        key = OwnedTask(placed.owner, placed.task)
+        key = OwnedTask(placed.owner, placed.task, placed.attempt)
         known = state.home_tasks.get(key)
-        if known is not None and known.result is not None and known.result.not_run:
-            state.home_tasks.remove(key)
-            known = None
         if known is not None:
             if known.result is not None:
                 send_result(state, known, known.result)
@@ -110,6 +107,7 @@
         deadline_ms=agent_now_ms + budget_ms,
         version=state.control.version,
         idempotent=row.placed.idempotent,
+        attempt=row.placed.attempt,
     )
     state.batches.starts[agent_process(agent.name)].append(start)
 
@@ -118,7 +116,7 @@
 def _take_agent_results(state: EntryState) -> None:
     results, state.agent_results = state.agent_results, []
     for name, result in results:
-        key = OwnedTask(result.owner, result.task)
+        key = OwnedTask(result.owner, result.task, result.attempt)
         agent = state.agents.get(name)
         if agent is not None:
             agent.held.discard(key)
@@ -156,6 +154,7 @@
         status=TaskStatus.REFUSED,
         not_run=True,
         reason=reason,
+        attempt=row.placed.attempt,
     )
     finish(state, row, result)
 
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -110,6 +110,7 @@
 
     Attributes:
         budget_ms: Time left until the job's deadline when the message was sent.
+        attempt: Counts the sends of the task by its owner, from 1.
         idempotent: Whether the task may run more than once.
         interactive: Whether a caller waits for it.
     """
@@ -122,6 +123,7 @@
     budget_ms: int
     idempotent: bool = False
     interactive: bool = False
+    attempt: int = 1
 
 
 @attrs.frozen
@@ -144,6 +146,7 @@
     deadline_ms: int
     version: int = 0
     idempotent: bool = False
+    attempt: int = 1
 
 
 @attrs.frozen
@@ -151,7 +154,7 @@
     """The end of a task.
 
     Attributes:
-        not_run: True only if the task cannot have started and never will.
+        not_run: True only if this attempt has not started and never will.
         run_ms: Time on the upstream, measured by the agent.
     """
 
@@ -163,14 +166,16 @@
     payload: bytes = b""
     run_ms: int = 0
     upstream: str = ""
+    attempt: int = 1
 
 
 @attrs.frozen
 class OwnedTask:
-    """A task named together with the incarnation that owns it."""
+    """An attempt of a task, with the incarnation that owns it."""
 
     owner: Incarnation
     task: TaskId
+    attempt: int = 1
 
 
 @attrs.frozen
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -209,6 +209,7 @@
         budget_ms=max(0, job.deadline_ms - state.now_ms),
         idempotent=job.idempotent,
         interactive=job.interactive,
+        attempt=row.attempts,
     )
 
 
@@ -241,6 +242,9 @@
     if row.phase is TaskPhase.ENDED:
         return
     if result.not_run:
+        if row.phase is not TaskPhase.PLACED or result.attempt != row.attempts:
+            # A late answer to an earlier attempt says nothing about the current one.
+            return
         row.maybe_started = False
         if job.answer is None and not job.cancelling:
             row.phase = TaskPhase.WAITING
@@ -268,7 +272,7 @@
             row.phase = TaskPhase.ENDED
             job.open_tasks -= 1
         elif row.phase is TaskPhase.PLACED:
-            placed[row.home].append(OwnedTask(state.me, row.task))
+            placed[row.home].append(OwnedTask(state.me, row.task, row.attempts))
     for home, tasks in placed.items():
         if home == state.name:
             cancel_tasks(state, CancelTasks(tasks))
