--- a/catkincross/_agent_membership.py
+++ b/catkincross/_agent_membership.py
@@ -40,8 +40,8 @@
 def _heartbeat_answered(state: AgentState, sender: str, reply: HeartbeatReply) -> None:
     if reply.evidence_age_ms == NO_EVIDENCE or state.view is None:
         return
-    # Evidence of a version beyond the view would vouch for changes not received.
-    if reply.version < state.view.version:
+    # A view that was lost with a broken stream must not be vouched for.
+    if reply.view_version > state.view.version or reply.version < state.view.version:
         return
     evidence_ms = reply.echo_ms - reply.evidence_age_ms
     state.freshness.renew(evidence_ms, reply.version)
@@ -138,7 +138,7 @@
         agent=state.me,
         grant_epoch=state.grant_epoch,
         clock_ms=state.now_ms,
-        version=state.view.version if state.view else 0,
+        version=max(state.view.version if state.view else 0, state.freshness.version),
         running=len(state.running),
         memory_used_mb=state.memory_used_mb,
         cpu_permille=state.cpu_permille,
--- /dev/null
+++ b/catkincross/_appends.py
@@ -0,0 +1,219 @@
+"""Appends of this entry: operators' changes, their outcomes, and the budget."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterator
+
+import attrs
+
+from ._append_queue import PendingAppend
+from ._effects import Append, AppendEnded, ChangeProposed, ChangeReply
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
+from ._fold import LOST_RACE
+from ._messages import Reason
+from ._records import (
+    Barrier,
+    EntryEnded,
+    EntryJoined,
+    Record,
+    ResourceDeleted,
+    ResourcePut,
+)
+
+ACCEPTED = "accepted"
+REFUSED = "refused"
+UNKNOWN = "unknown"
+
+# The append failed and can never take effect.
+NOT_APPENDED = "not_appended"
+
+
+@ENTRY.handles(ChangeProposed)
+def _change_proposed(state: EntryState, sender: str, event: ChangeProposed) -> None:
+    record_id = event.record.id
+    if record_id in state.control.outcomes:
+        _reply(state, [event.request_id], change_status(state, record_id))
+        return
+    row = state.appends.pending.get(record_id)
+    if row is None:
+        reason = _refusal(state, event.record.body)
+        if reason:
+            refused = ChangeReply(0, record_id, REFUSED, reason)
+            _reply(state, [event.request_id], refused)
+            return
+        state.appends.not_kept.pop(record_id, None)
+        row = state.appends.add(attrs.evolve(event.record, author=state.me))
+    row.requests.append(event.request_id)
+    row.answer_due_ms = state.now_ms + state.settings.control.change_answer_ms
+    state.timers.set(f"change {record_id}", row.answer_due_ms)
+
+
+def _refusal(state: EntryState, body: object) -> str:
+    """Return why a change may not be appended now, or an empty string."""
+    if state.me is None or state.stopping or not state.control.is_live(state.me):
+        return Reason.NOT_READY
+    if not state.log_reachable:
+        return Reason.LOG_UNREACHABLE
+    if not state.freshness.is_current(state.now_ms):
+        return Reason.NOT_CURRENT
+    if not join_is_known(state):
+        return Reason.NOT_READY
+    if isinstance(body, ResourcePut | ResourceDeleted):
+        current = state.control.resources.get((body.kind, body.name))
+        generation = 0 if current is None else current.generation
+        if generation != body.expected_generation:
+            return LOST_RACE
+    return ""
+
+
+def join_is_known(state: EntryState, *, besides: Container[str] = ()) -> bool:
+    """Whether every other live entry has folded this entry's join.
+
+    Until then another entry may hold outage evidence that does not count this one,
+    and it would not see what this entry appends.
+
+    Args:
+        state: The entry's state; it has joined.
+        besides: Names of entries that need not have reported.
+    """
+    assert state.me is not None
+    return all(
+        peer.heartbeat is not None and peer.heartbeat.version >= state.me.number
+        for name, peer in state.peers.rows.items()
+        if name not in besides
+    )
+
+
+def change_status(state: EntryState, record_id: str) -> ChangeReply:
+    """Return what this entry knows about a change.
+
+    Args:
+        state: The entry's state.
+        record_id: Id of the change's record.
+
+    Returns:
+        A reply without request id. `unknown` with reason `not_found` means that
+        this entry has neither appended nor folded the record.
+    """
+    outcome = state.control.outcomes.get(record_id)
+    if outcome is not None:
+        kind = REFUSED if outcome.reason else ACCEPTED
+        return ChangeReply(0, record_id, kind, outcome.reason, outcome.offset)
+    if record_id in state.appends.not_kept:
+        return ChangeReply(0, record_id, REFUSED, state.appends.not_kept[record_id])
+    reason = "" if record_id in state.appends.pending else "not_found"
+    return ChangeReply(0, record_id, UNKNOWN, reason)
+
+
+def _reply(state: EntryState, requests: list[int], reply: ChangeReply) -> None:
+    for request_id in requests:
+        state.effects.append(attrs.evolve(reply, request_id=request_id))
+
+
+@ENTRY.handles(AppendEnded)
+def _append_ended(state: EntryState, sender: str, event: AppendEnded) -> None:
+    queue = state.appends
+    if event.record_id == queue.in_flight:
+        queue.in_flight = ""
+    row = queue.pending.get(event.record_id)
+    if row is None or event.offset is not None:
+        return
+    if not event.known:
+        row.uncertain_ms = state.now_ms
+        state.emit("appends", "outcome unknown", record=event.record_id)
+        return
+    _settle(state, row, ChangeReply(0, event.record_id, REFUSED, event.reason))
+
+
+def _settle(state: EntryState, row: PendingAppend, reply: ChangeReply) -> None:
+    state.appends.remove(row.record.id)
+    state.timers.cancel(f"change {row.record.id}")
+    if reply.version == 0:
+        state.appends.note_not_kept(row.record.id, reply.reason)
+    _reply(state, row.requests, reply)
+
+
+def settle_folded(state: EntryState, record: Record) -> None:
+    """Settle what the fold of a record decides about this entry's appends.
+
+    Args:
+        state: The entry's state, with the record folded.
+        record: The record, whoever appended it.
+    """
+    row = state.appends.pending.get(record.id)
+    if row is not None:
+        _settle(state, row, change_status(state, record.id))
+    if state.me is None or record.author != state.me:
+        return
+    for earlier in list(state.appends.pending.values()):
+        if earlier.sent and earlier.record.sequence < record.sequence:
+            reply = ChangeReply(0, earlier.record.id, REFUSED, NOT_APPENDED)
+            _settle(state, earlier, reply)
+
+
+def drop_appends(state: EntryState) -> None:
+    """Settle all appends of an incarnation that has ended: none can be kept now."""
+    for row in list(state.appends.pending.values()):
+        _settle(state, row, ChangeReply(0, row.record.id, REFUSED, NOT_APPENDED))
+    state.appends.clear()
+
+
+@ENTRY.system(order=840)
+def _answer_overdue(state: EntryState) -> None:
+    for row in state.appends.pending.values():
+        if row.answer_due_ms is None or state.now_ms < row.answer_due_ms:
+            continue
+        row.answer_due_ms = None
+        _reply(state, row.requests, ChangeReply(0, row.record.id, UNKNOWN))
+        row.requests.clear()
+
+
+@ENTRY.system(order=845)
+def _settle_by_barrier(state: EntryState) -> None:
+    """Append an empty record behind an append whose outcome stays unknown."""
+    queue = state.appends
+    if queue.waiting or queue.in_flight or not state.log_reachable or state.me is None:
+        return
+    wait_ms = state.settings.control.change_answer_ms
+    rows = queue.pending.values()
+    if any(isinstance(row.record.body, Barrier) for row in rows if not _overdue(row)):
+        return
+    for row in rows:
+        since_ms = row.uncertain_ms
+        if since_ms is not None and state.now_ms - since_ms >= wait_ms:
+            state.append(Barrier())
+            return
+
+
+def _overdue(row: PendingAppend) -> bool:
+    return row.uncertain_ms is not None
+
+
+@ENTRY.system(order=850)
+def _send_appends(state: EntryState) -> None:
+    row = state.appends.take(state.now_ms)
+    if row is not None:
+        if isinstance(row.record.body, EntryJoined):
+            row.record = attrs.evolve(row.record, sequence=0)
+        state.effects.append(Append(row.record))
+    due_ms = state.appends.next_due_ms()
+    if due_ms is not None:
+        state.timers.set("appends", due_ms)
+
+
+def restrictive_pending(state: EntryState) -> Iterator[Record]:
+    """Yield this entry's appended records that stop work and are not settled."""
+    for row in state.appends.pending.values():
+        if row.sent and is_restrictive(row.record):
+            yield row.record
+
+
+def is_restrictive(record: Record) -> bool:
+    """Whether a record only takes something out of service."""
+    body = record.body
+    if isinstance(body, ResourcePut):
+        return body.kind in ("datacentres", "upstreams") and bool(
+            body.spec.get("drain", False)
+        )
+    return isinstance(body, EntryEnded)
--- a/catkincross/_control_state.py
+++ b/catkincross/_control_state.py
@@ -27,17 +27,41 @@
     planned: bool
 
 
+@attrs.define
+class HomeTerm:
+    """The time for which the register names an entry as an agent's home.
+
+    Attributes:
+        since_ms: When this process folded the registration.
+        until_ms: When this process folded the next home, or None.
+    """
+
+    entry: Incarnation
+    since_ms: int
+    until_ms: int | None = None
+
+
 @attrs.define
 class AgentMember:
     """An agent incarnation of the register.
 
     Attributes:
+        offset: Offset of its first registration.
+        homes: Its homes within the retention window, newest last.
         ended_ms: When this process folded its end, or None while it lives.
+        ends_ms: When its ends within the retention window were folded.
     """
 
     registered: RegisteredAgent
     offset: int
+    homes: list[HomeTerm] = attrs.field(factory=list)
     ended_ms: int | None = None
+    ends_ms: list[int] = attrs.field(factory=list)
+
+    @property
+    def home(self) -> Incarnation | None:
+        """The home that the register names."""
+        return self.homes[-1].entry if self.homes else None
 
 
 @attrs.define
@@ -89,6 +113,7 @@
         outcomes: What folding did, by record id.
         roster_version: Offset of the last change of `entries`.
         history: Rosters within the retention window, newest last.
+        sequences: Sequence number of the last record of each live entry, by name.
     """
 
     version: int = 0
@@ -99,6 +124,7 @@
     outcomes: dict[str, RecordOutcome] = attrs.field(factory=dict)
     roster_version: int = 0
     history: list[RosterVersion] = attrs.field(factory=list)
+    sequences: dict[str, int] = attrs.field(factory=dict)
 
     def is_live(self, incarnation: Incarnation) -> bool:
         """Whether an entry's incarnation is on the roster."""
@@ -109,6 +135,40 @@
         """Return the names of the entries that take new keys."""
         return [entry.name for entry in self.entries.values() if not entry.leaving]
 
+    def home_of(self, agent: Incarnation) -> Incarnation | None:
+        """Return the home that the register names for a live agent, or None."""
+        member = self.members.get(agent)
+        return None if member is None or member.ended_ms is not None else member.home
+
+    def prune(self, before_ms: int) -> None:
+        """Drop what ended before a time on this process's clock.
+
+        Args:
+            before_ms: Start of the retention window.
+        """
+        self.ended = {
+            incarnation: ended
+            for incarnation, ended in self.ended.items()
+            if ended.folded_ms >= before_ms
+        }
+        self.members = {
+            agent: member
+            for agent, member in self.members.items()
+            if member.ended_ms is None or member.ended_ms >= before_ms
+        }
+        for member in self.members.values():
+            member.homes = [
+                term
+                for term in member.homes
+                if term.until_ms is None or term.until_ms >= before_ms
+            ]
+            member.ends_ms = [time for time in member.ends_ms if time >= before_ms]
+        self.history = [
+            roster
+            for roster in self.history
+            if roster.until_ms is None or roster.until_ms >= before_ms
+        ]
+
     def is_registered(self, agent: Incarnation) -> bool:
         """Whether an agent's incarnation is registered and has not ended."""
         member = self.members.get(agent)
--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -7,12 +7,16 @@
 
 # Importing these modules registers their handlers and systems.
 from . import (  # noqa: F401
+    _appends,
     _arrival,
     _entry_heartbeats,
     _home,
     _home_agents,
     _membership,
+    _outage,
     _owner,
+    _restrictions,
+    _suspicion,
 )
 from ._effects import Effect, Received
 from ._entry_registry import ENTRY
@@ -44,6 +48,7 @@
         """
         state = self.state
         state.now_ms = now_ms
+        state.timers.pop_due(now_ms)
         for item in inbox:
             if isinstance(item, Received):
                 ENTRY.handlers[type(item.message)](state, item.sender, item.message)
@@ -63,5 +68,6 @@
             state.retry_due_ms if state.waiting else None,
             state.job_due.next_due_ms(),
             state.home_due.next_due_ms(),
+            state.timers.next_due_ms(),
         ]
         return min(due_ms for due_ms in due if due_ms is not None)
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from ._appends import restrictive_pending
 from ._effects import Connected, Disconnected
 from ._entry_registry import ENTRY
+from ._entry_rows import PeerRow
 from ._entry_state import EntryState
 from ._home_capacity import capacity_summaries
 from ._ids import entry_process, split_process
-from ._messages import NO_EVIDENCE, PeerHeartbeat
+from ._messages import NO_EVIDENCE, PeerHeartbeat, RecordsTail
+from ._records import encode_record
+
+RELAYED_RECORDS = 200
 
 
 @ENTRY.handles(PeerHeartbeat)
@@ -18,10 +23,28 @@
     peer.heartbeat = message
     peer.heard_ms = state.now_ms
     peer.connected = True
-    peer.refused = False
+    peer.refused_ms = None
     peer.capacity = {(c.service, c.data_centre): c for c in message.capacity}
     peer.teams = {usage.team: usage for usage in message.teams}
     _take_evidence(state, message)
+    _relay_records(state, peer)
+
+
+def _relay_records(state: EntryState, peer: PeerRow) -> None:
+    """Send a peer that lags behind what it has not folded.
+
+    A peer that reaches the log gets time to read for itself.
+    """
+    heartbeat = peer.heartbeat
+    if heartbeat is None or heartbeat.version >= state.control.version:
+        return
+    wait_ms = state.settings.membership.peer_heartbeat_ms
+    if heartbeat.log_reachable and state.now_ms - state.folded_ms < wait_ms:
+        return
+    records = state.recent.following(heartbeat.version)
+    if records:
+        tail = RecordsTail(records[:RELAYED_RECORDS], heartbeat.version)
+        state.send(entry_process(peer.incarnation.name), tail)
 
 
 def _take_evidence(state: EntryState, message: PeerHeartbeat) -> None:
@@ -38,7 +61,7 @@
     role, name = split_process(event.process)
     if role == "entry" and name in state.peers:
         state.peers.rows[name].connected = True
-        state.peers.rows[name].refused = False
+        state.peers.rows[name].refused_ms = None
         state.heartbeat_due_ms = state.now_ms
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = True
@@ -49,7 +72,11 @@
     role, name = split_process(event.process)
     if role == "entry" and name in state.peers:
         state.peers.rows[name].connected = False
-        state.peers.rows[name].refused = event.refused
+        peer = state.peers.rows[name]
+        if not event.refused:
+            peer.refused_ms = None
+        elif peer.refused_ms is None:
+            peer.refused_ms = state.now_ms
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = False
 
@@ -63,6 +90,7 @@
     if state.me is None:
         return
     capacity = capacity_summaries(state)
+    pending = [encode_record(record) for record in restrictive_pending(state)]
     for name, peer in state.peers.rows.items():
         echo_ms, delay_ms = NO_EVIDENCE, 0
         if peer.heartbeat is not None and peer.heard_ms is not None:
@@ -73,10 +101,11 @@
             sent_ms=state.now_ms,
             echo_ms=echo_ms,
             echo_delay_ms=delay_ms,
-            version=state.freshness.version,
+            version=state.control.version,
             log_reachable=state.log_reachable,
             evidence_age_ms=state.freshness.age_ms(state.now_ms),
             capacity=capacity,
             leaving=state.stopping,
+            pending=pending,
         )
         state.send(entry_process(name), heartbeat)
--- a/catkincross/_entry_rows.py
+++ b/catkincross/_entry_rows.py
@@ -114,7 +114,6 @@
         clock_ms: The agent's clock at its newest stamp.
         heard_ms: This entry's clock when the stamp arrived.
         held: Tasks that hold one of its slots.
-        first_epoch: Grant epoch under which this entry first became its home.
         sent_view: The view that was sent to it last.
     """
 
@@ -129,7 +128,6 @@
     running_reported: int = 0
     leaving: bool = False
     connected: bool = True
-    first_epoch: int = 0
     sent_view: AgentView | None = None
 
     @property
@@ -184,13 +182,20 @@
         heartbeat: Its newest heartbeat.
         heard_ms: This entry's clock when that heartbeat arrived.
         capacity: Its capacity by service and data centre.
-        refused: Its address refuses connections.
+        refused_ms: Since when its address refuses connections, or None.
+        known_ms: When this entry folded its join.
     """
 
     incarnation: Incarnation
+    known_ms: int = 0
     connected: bool = False
-    refused: bool = False
+    refused_ms: int | None = None
     heartbeat: PeerHeartbeat | None = None
     heard_ms: int | None = None
     capacity: dict[tuple[str, str], CapacitySummary] = attrs.field(factory=dict)
     teams: dict[str, TeamUsage] = attrs.field(factory=dict)
+
+    @property
+    def refused(self) -> bool:
+        """Whether its address refuses connections."""
+        return self.refused_ms is not None
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -7,13 +7,15 @@
 
 import attrs
 
+from ._append_queue import AppendQueue
 from ._control_state import ControlState
-from ._effects import Append, Effect, Emit, Reply, Send
+from ._effects import Effect, Emit, Reply, Send
 from ._entry_rows import AgentRow, HomeTask, JobRow, PeerRow, RequestRow
 from ._freshness import Freshness
 from ._guards import ALL_GUARDS, Guards
 from ._ids import Incarnation, TaskId, entry_process
 from ._messages import (
+    AgentHello,
     JobAnswer,
     Message,
     OwnedTask,
@@ -24,6 +26,7 @@
     TaskResults,
     TaskStart,
 )
+from ._recent_records import RecentRecords
 from ._records import Record, RecordBody
 from ._settings import EntrySettings
 from ._tables import DueQueue, Table
@@ -40,6 +43,19 @@
     )
 
 
+@attrs.define
+class Restrictions:
+    """Restrictive changes whose records are not folded yet.
+
+    Attributes:
+        draining: Kind and name of resources that are to drain.
+        ended: Incarnations of entries that are to end.
+    """
+
+    draining: set[tuple[str, str]] = attrs.field(factory=set)
+    ended: set[Incarnation] = attrs.field(factory=set)
+
+
 @attrs.define
 class EntryState:
     """Tables and settings of an entry; see `EntryCore`.
@@ -58,13 +74,24 @@
         local_answers: Answers of this owner to its own arrival part.
         views_version: Control version up to which changed views were sent.
         heartbeats_to_answer: Process and clock stamp of agents' heartbeats.
+        hellos_to_answer: Announcements of agents that wait for a view.
         stopping: A planned leave has begun.
+        appends: Records that this entry appends.
+        timers: Times at which the core must step, by a name for each.
+        recent: Records folded last.
+        folded_ms: When a record was folded last.
+        restrictions: Restrictive changes that are not folded yet.
+        last_step_ms: Time of the last step.
+        watch_ms: Silence of other processes counts from here at the earliest.
+        agent_scan_due_ms: When agents are next checked for silence.
+        unregistered: Names of agents that the register does not assign to this home.
     """
 
     settings: EntrySettings
     address: str
     rng: random.Random
     freshness: Freshness
+    appends: AppendQueue
     guards: Guards = ALL_GUARDS
     now_ms: int = 0
     me: Incarnation | None = None
@@ -89,9 +116,18 @@
     heartbeat_due_ms: int = 0
     views_version: int = 0
     heartbeats_to_answer: list[tuple[str, int]] = attrs.field(factory=list)
+    hellos_to_answer: list[AgentHello] = attrs.field(factory=list)
     join_record_id: str = ""
     record_count: int = 0
     stopping: bool = False
+    timers: DueQueue[str] = attrs.field(factory=DueQueue)
+    recent: RecentRecords = attrs.field(factory=RecentRecords)
+    folded_ms: int = 0
+    restrictions: Restrictions = attrs.field(factory=Restrictions)
+    last_step_ms: int = 0
+    watch_ms: int = 0
+    agent_scan_due_ms: int = 0
+    unregistered: dict[str, None] = attrs.field(factory=dict)
     internal_requests: int = 0
     effects: list[Effect] = attrs.field(factory=list)
 
@@ -117,6 +153,7 @@
             address=address,
             rng=random.Random(seed),
             freshness=Freshness(settings.freshness.freshness_ms),
+            appends=AppendQueue(settings.control.appends_per_second),
             guards=guards,
         )
 
@@ -136,6 +173,19 @@
             return False
         return not self.guards.freshness or self.freshness.is_current(self.now_ms)
 
+    def is_draining(self, data_centre: str, upstream: str) -> bool:
+        """Whether an upstream takes no new work, as far as this entry has heard."""
+        draining = self.restrictions.draining
+        return (
+            self.control.is_draining(data_centre, upstream)
+            or ("datacentres", data_centre) in draining
+            or ("upstreams", upstream) in draining
+        )
+
+    def is_fenced(self, owner: Incarnation) -> bool:
+        """Whether an owner incarnation has ended, as far as this entry has heard."""
+        return not self.control.is_live(owner) or owner in self.restrictions.ended
+
     def send(self, to: str, message: Message) -> None:
         """Send a message in this step."""
         self.effects.append(Send(to, message))
@@ -145,10 +195,8 @@
         self.effects.append(Reply(request_id, attrs.evolve(answer, request_id=0)))
 
     def append(self, body: RecordBody) -> Record:
-        """Append a record of this entry to the control stream."""
-        record = Record(self.new_record_id(), self.me, body)
-        self.effects.append(Append(record))
-        return record
+        """Queue a record of this entry for the control stream and return it."""
+        return self.appends.add(Record(self.new_record_id(), self.me, body)).record
 
     def new_record_id(self) -> str:
         """Return a unique record id."""
--- a/catkincross/_fold.py
+++ b/catkincross/_fold.py
@@ -11,6 +11,7 @@
     AgentMember,
     ControlState,
     EndedEntry,
+    HomeTerm,
     RecordOutcome,
     Resource,
     RosterVersion,
@@ -19,6 +20,7 @@
 from ._records import (
     AgentsEnded,
     AgentsRegistered,
+    Barrier,
     EntryEnded,
     EntryJoined,
     EntryLeaving,
@@ -31,13 +33,19 @@
 ENDED_AUTHOR = "ended_author"
 DUPLICATE_ID = "duplicate_id"
 NO_EFFECT = "no_effect"
+# A later record of the same author was folded before.
+OVERTAKEN = "overtaken"
+
+# Outcomes that are kept for operators' questions. The bound is a count, because all
+# processes must drop the same ids: a second record with a kept id is a no-op.
+KEPT_OUTCOMES = 2_000
 
 Folder = Callable[[ControlState, int, Any, int], str]
 FOLDERS: dict[type, Folder] = {}
 
 
 def folds(kind: type) -> Callable[[Folder], Folder]:
-    """Register a function `(state, offset, body, now_ms)` that folds a record body.
+    """Register a function `(state, offset, record, now_ms)` for a class of bodies.
 
     It returns an empty string, or the reason for which the record is a no-op.
     """
@@ -66,6 +74,8 @@
         return DUPLICATE_ID
     reason = _fold_body(state, offset, record, now_ms)
     state.outcomes[record.id] = RecordOutcome(offset, reason)
+    while len(state.outcomes) > KEPT_OUTCOMES:
+        del state.outcomes[next(iter(state.outcomes))]
     return reason
 
 
@@ -74,7 +84,11 @@
         return ENDED_AUTHOR
     if record.author is not None and not state.is_live(record.author):
         return ENDED_AUTHOR
-    return FOLDERS[type(record.body)](state, offset, record.body, now_ms)
+    if record.author is not None and record.sequence:
+        if record.sequence <= state.sequences.get(record.author.name, 0):
+            return OVERTAKEN
+        state.sequences[record.author.name] = record.sequence
+    return FOLDERS[type(record.body)](state, offset, record, now_ms)
 
 
 def _roster_changed(state: ControlState, offset: int, now_ms: int) -> None:
@@ -88,9 +102,8 @@
 
 
 @folds(EntryJoined)
-def _entry_joined(
-    state: ControlState, offset: int, body: EntryJoined, now_ms: int
-) -> str:
+def _entry_joined(state: ControlState, offset: int, record: Record, now_ms: int) -> str:
+    body = record.body
     previous = state.entries.get(body.name)
     if previous is not None:
         state.ended[previous.incarnation] = EndedEntry(
@@ -99,14 +112,16 @@
     state.entries[body.name] = RosterEntry(
         body.name, offset, body.address, body.data_centre
     )
+    state.sequences.pop(body.name, None)
     _roster_changed(state, offset, now_ms)
     return ""
 
 
 @folds(EntryLeaving)
 def _entry_leaving(
-    state: ControlState, offset: int, body: EntryLeaving, now_ms: int
+    state: ControlState, offset: int, record: Record, now_ms: int
 ) -> str:
+    body = record.body
     if not state.is_live(body.entry):
         return NO_EFFECT
     entry = state.entries[body.entry.name]
@@ -118,49 +133,60 @@
 
 
 @folds(EntryEnded)
-def _entry_ended(
-    state: ControlState, offset: int, body: EntryEnded, now_ms: int
-) -> str:
+def _entry_ended(state: ControlState, offset: int, record: Record, now_ms: int) -> str:
+    body = record.body
     if not state.is_live(body.entry):
         return NO_EFFECT
     state.ended[body.entry] = EndedEntry(
         body.entry, offset, now_ms, planned=body.reason == "planned"
     )
     del state.entries[body.entry.name]
+    state.sequences.pop(body.entry.name, None)
     _roster_changed(state, offset, now_ms)
     return ""
 
 
 @folds(AgentsRegistered)
 def _agents_registered(
-    state: ControlState, offset: int, body: AgentsRegistered, now_ms: int
+    state: ControlState, offset: int, record: Record, now_ms: int
 ) -> str:
+    body = record.body
     names = {item.agent.name: item for item in body.agents}
     for member in state.members.values():
         item = names.get(member.registered.agent.name)
         if item is not None and item.agent != member.registered.agent:
             member.ended_ms = now_ms if member.ended_ms is None else member.ended_ms
     for item in body.agents:
-        if item.agent not in state.members:
-            state.members[item.agent] = AgentMember(item, offset)
+        member = state.members.setdefault(item.agent, AgentMember(item, offset))
+        # A member that was ended lives again. This must not depend on whether the
+        # ended row was still kept, because rows are dropped by local time.
+        member.ended_ms = None
+        if member.home != record.author:
+            if member.homes:
+                member.homes[-1].until_ms = now_ms
+            member.homes.append(HomeTerm(record.author, now_ms))
+    return ""
+
+
+@folds(Barrier)
+def _barrier(state: ControlState, offset: int, record: Record, now_ms: int) -> str:
     return ""
 
 
 @folds(AgentsEnded)
-def _agents_ended(
-    state: ControlState, offset: int, body: AgentsEnded, now_ms: int
-) -> str:
+def _agents_ended(state: ControlState, offset: int, record: Record, now_ms: int) -> str:
+    body = record.body
     for agent in body.agents:
         member = state.members.get(agent)
         if member is not None and member.ended_ms is None:
             member.ended_ms = now_ms
+            member.ends_ms.append(now_ms)
     return ""
 
 
 @folds(ResourcePut)
-def _resource_put(
-    state: ControlState, offset: int, body: ResourcePut, now_ms: int
-) -> str:
+def _resource_put(state: ControlState, offset: int, record: Record, now_ms: int) -> str:
+    body = record.body
     key = (body.kind, body.name)
     current = state.resources.get(key)
     generation = 0 if current is None else current.generation
@@ -174,8 +200,9 @@
 
 @folds(ResourceDeleted)
 def _resource_deleted(
-    state: ControlState, offset: int, body: ResourceDeleted, now_ms: int
+    state: ControlState, offset: int, record: Record, now_ms: int
 ) -> str:
+    body = record.body
     key = (body.kind, body.name)
     current = state.resources.get(key)
     if current is None or current.generation != body.expected_generation:
--- a/catkincross/_home_agents.py
+++ b/catkincross/_home_agents.py
@@ -9,38 +9,25 @@
 from ._messages import AgentHeartbeat, AgentHello, AgentView, HeartbeatReply
 from ._records import AgentsRegistered, RegisteredAgent
 
+# Ends of the same agent within this time lengthen its hold before it returns.
+REPEATED_END_MS = 600_000
+LONGEST_HOLD_MS = 300_000
+
 
 @ENTRY.handles(AgentHello)
 def _agent_hello(state: EntryState, sender: str, hello: AgentHello) -> None:
-    if state.me is None:
-        return
-    send_view(state, hello)
-    state.heartbeats_to_answer.append((sender, hello.clock_ms))
+    state.hellos_to_answer.append(hello)
     if hello.grant_epoch == 0:
         return
-    previous = state.agents.get(hello.agent.name)
-    first_epoch = hello.grant_epoch
-    if previous is not None and previous.hello.agent == hello.agent:
-        first_epoch = previous.first_epoch
     row = AgentRow(
         hello=hello,
         clock_ms=hello.clock_ms,
         heard_ms=state.now_ms,
         held=set(hello.running),
         leaving=hello.leaving,
-        first_epoch=first_epoch,
     )
     state.agents.put(row.name, row)
-    _register(state, hello)
-
-
-def _register(state: EntryState, hello: AgentHello) -> None:
-    if hello.agent in state.control.members:
-        return
-    registered = RegisteredAgent(
-        hello.agent, hello.upstream, hello.service, hello.data_centre
-    )
-    state.append(AgentsRegistered([registered]))
+    state.unregistered[row.name] = None
 
 
 @ENTRY.handles(AgentHeartbeat)
@@ -59,25 +46,29 @@
     state.heartbeats_to_answer.append((sender, message.clock_ms))
 
 
-def send_view(state: EntryState, hello: AgentHello) -> None:
-    """Send an agent all control state that concerns it."""
-    view = view_for(state, hello.agent, hello.data_centre, hello.upstream)
-    state.send(agent_process(hello.agent.name), view)
-
-
 def view_for(
     state: EntryState, agent: Incarnation, data_centre: str, upstream: str
 ) -> AgentView:
     """Return the control state that concerns one agent."""
     control = state.control
+    home = control.home_of(agent)
     return AgentView(
         version=control.version,
-        entries=list(control.entries.values()),
-        draining=control.is_draining(data_centre, upstream),
+        entries=[
+            entry
+            for entry in control.entries.values()
+            if entry.incarnation not in state.restrictions.ended
+        ],
+        draining=state.is_draining(data_centre, upstream),
         registered=control.is_registered(agent),
+        home_number=0 if home is None else home.number,
     )
 
 
+def _view_of(state: EntryState, hello: AgentHello) -> AgentView:
+    return view_for(state, hello.agent, hello.data_centre, hello.upstream)
+
+
 @ENTRY.system(order=200)
 def _send_changed_views(state: EntryState) -> None:
     version = state.control.version
@@ -85,8 +76,9 @@
         return
     state.views_version = version
     for row in state.agents:
-        hello = row.hello
-        view = view_for(state, hello.agent, hello.data_centre, hello.upstream)
+        if state.control.home_of(row.hello.agent) != state.me:
+            state.unregistered[row.name] = None
+        view = _view_of(state, row.hello)
         previous = row.sent_view
         if previous is None or _concerns(previous) != _concerns(view):
             row.sent_view = view
@@ -94,21 +86,79 @@
 
 
 def _concerns(view: AgentView) -> tuple:
-    return view.entries, view.draining, view.registered
+    return view.entries, view.draining, view.registered, view.home_number
 
 
-@ENTRY.system(order=250)
-def _answer_heartbeats(state: EntryState) -> None:
-    # Runs after the changed views are sent: the answer vouches for the view that the
-    # agent holds when it arrives.
-    if state.me is None:
+@ENTRY.system(order=210)
+def _register_agents(state: EntryState) -> None:
+    """Register, in one record, the agents that the register does not assign here."""
+    if not state.unregistered or not state.log_reachable or state.stopping:
+        return
+    if state.me is None or not state.control.is_live(state.me):
+        return
+    rows = state.appends.pending.values()
+    if any(isinstance(row.record.body, AgentsRegistered) for row in rows):
         return
+    agents = []
+    for name in list(state.unregistered):
+        row = state.agents.get(name)
+        if row is None or state.control.home_of(row.hello.agent) == state.me:
+            del state.unregistered[name]
+        elif _may_register(state, row):
+            hello = row.hello
+            agents.append(
+                RegisteredAgent(
+                    hello.agent, hello.upstream, hello.service, hello.data_centre
+                )
+            )
+    if agents:
+        state.append(AgentsRegistered(agents))
+
+
+def _may_register(state: EntryState, row: AgentRow) -> bool:
+    # An agent that is not heard may have another home by now.
+    silent_ms = state.now_ms - row.heard_ms
+    if row.leaving or not row.connected:
+        return False
+    if silent_ms > 3 * state.settings.membership.agent_heartbeat_ms:
+        return False
+    member = state.control.members.get(row.hello.agent)
+    since_ms = state.now_ms - REPEATED_END_MS
+    ends = [time for time in member.ends_ms if time > since_ms] if member else []
+    if not ends:
+        return True
+    hold_ms = state.settings.membership.rejoin_hold_ms << (len(ends) - 1)
+    return state.now_ms >= max(ends) + min(hold_ms, LONGEST_HOLD_MS)
+
+
+@ENTRY.system(order=250)
+def _answer_agents(state: EntryState) -> None:
+    # Runs after all records of the step are folded and the changed views are sent:
+    # the answer vouches for the view that the agent holds when it arrives.
+    for hello in state.hellos_to_answer:
+        view = _view_of(state, hello)
+        process = agent_process(hello.agent.name)
+        row = state.agents.get(hello.agent.name)
+        if row is not None and row.hello.agent == hello.agent:
+            row.sent_view = view
+        state.send(process, view)
+        _reply(state, process, hello.clock_ms, view.version)
+    state.hellos_to_answer.clear()
     for process, clock_ms in state.heartbeats_to_answer:
-        reply = HeartbeatReply(
-            entry=state.me,
-            echo_ms=clock_ms,
-            evidence_age_ms=state.freshness.age_ms(state.now_ms),
-            version=state.freshness.version,
-        )
-        state.send(process, reply)
+        row = state.agents.get(process.partition("/")[2])
+        if row is not None and row.sent_view is not None:
+            _reply(state, process, clock_ms, row.sent_view.version)
     state.heartbeats_to_answer.clear()
+
+
+def _reply(state: EntryState, process: str, clock_ms: int, view_version: int) -> None:
+    if state.me is None:
+        return
+    reply = HeartbeatReply(
+        entry=state.me,
+        echo_ms=clock_ms,
+        evidence_age_ms=state.freshness.age_ms(state.now_ms),
+        version=state.control.version,
+        view_version=view_version,
+    )
+    state.send(process, reply)
--- a/catkincross/_home_capacity.py
+++ b/catkincross/_home_capacity.py
@@ -15,8 +15,8 @@
     return (
         agent.connected
         and not agent.leaving
-        and state.control.is_registered(hello.agent)
-        and not state.control.is_draining(hello.data_centre, hello.upstream)
+        and state.control.home_of(hello.agent) == state.me
+        and not state.is_draining(hello.data_centre, hello.upstream)
     )
 
 
--- a/catkincross/_membership.py
+++ b/catkincross/_membership.py
@@ -1,16 +1,24 @@
-"""Folding of the control stream, joining the roster, and registering agents."""
+"""Folding of the control stream, and this entry's own place on the roster."""
 
 from __future__ import annotations
 
-from ._effects import AppendEnded, LogRead, LogUnreachable, SetPeers
+from collections.abc import Sequence
+
+from ._appends import drop_appends, settle_folded
+from ._effects import LogRead, LogUnreachable, SetPeers
 from ._entry_registry import ENTRY
 from ._entry_rows import PeerRow
 from ._entry_state import EntryState
 from ._fold import fold_record
-from ._ids import entry_process
-from ._messages import RecordsTail
+from ._ids import Incarnation, entry_process
+from ._messages import LogRecord, RecordsTail
+from ._owner import fail_jobs
 from ._records import EntryJoined, decode_record
 
+# Ends of the same process within this time lengthen its hold before it rejoins.
+REPEATED_END_MS = 600_000
+LONGEST_HOLD_MS = 300_000
+
 
 @ENTRY.handles(LogRead)
 def _log_read(state: EntryState, sender: str, event: LogRead) -> None:
@@ -18,7 +26,6 @@
     fold_all(state, event.records)
     if state.control.version >= event.tail:
         state.freshness.renew(event.asked_ms, state.control.version)
-    if state.me is None and not state.join_record_id:
         _join(state)
 
 
@@ -29,26 +36,50 @@
 
 @ENTRY.handles(RecordsTail)
 def _records_relayed(state: EntryState, sender: str, message: RecordsTail) -> None:
-    fold_all(state, message.records)
-
-
-@ENTRY.handles(AppendEnded)
-def _append_ended(state: EntryState, sender: str, event: AppendEnded) -> None:
-    if event.record_id == state.join_record_id and event.known and event.offset is None:
-        state.join_record_id = ""
+    # Records with a gap before them would be folded onto a state that lacks some.
+    if message.after <= state.control.version:
+        fold_all(state, message.records)
 
 
 def _join(state: EntryState) -> None:
+    if state.me is not None or state.stopping:
+        return
+    pending = state.appends.pending.get(state.join_record_id)
+    if pending is not None:
+        since_ms = pending.uncertain_ms
+        wait_ms = state.settings.control.change_answer_ms
+        if since_ms is None or state.now_ms - since_ms < wait_ms:
+            return
+        # If the lost record arrives after all, this entry finds its incarnation
+        # replaced, and joins once more.
+        state.appends.remove(state.join_record_id)
+    if state.now_ms < _hold_until_ms(state):
+        return
     body = EntryJoined(state.name, state.address, state.settings.data_centre)
     state.join_record_id = state.append(body).id
 
 
-def fold_all(state: EntryState, records: list) -> None:
+def _hold_until_ms(state: EntryState) -> int:
+    since_ms = state.now_ms - REPEATED_END_MS
+    ends = [
+        ended.folded_ms
+        for ended in state.control.ended.values()
+        if ended.incarnation.name == state.name
+        and not ended.planned
+        and ended.folded_ms > since_ms
+    ]
+    if not ends or state.name in state.control.entries:
+        return 0
+    hold_ms = state.settings.membership.rejoin_hold_ms << (len(ends) - 1)
+    return max(ends) + min(hold_ms, LONGEST_HOLD_MS)
+
+
+def fold_all(state: EntryState, records: Sequence[LogRecord]) -> None:
     """Fold the records that follow this entry's version, in order.
 
     Args:
         state: The entry's state.
-        records: `LogRecord` rows, by offset; those folded before are skipped.
+        records: Rows by offset; those folded before are skipped.
     """
     roster_version = state.control.roster_version
     for row in records:
@@ -56,14 +87,23 @@
             continue
         record = decode_record(row.body)
         reason = fold_record(state.control, row.offset, record, state.now_ms)
+        state.recent.add(row)
         if record.id == state.join_record_id and not reason:
-            state.me = state.control.entries[state.name].incarnation
-            state.emit("membership", "joined", incarnation=str(state.me))
+            _joined(state, state.control.entries[state.name].incarnation)
+        settle_folded(state, record)
+        state.folded_ms = state.now_ms
     if state.control.roster_version != roster_version:
-        _roster_changed(state)
+        roster_changed(state)
+
+
+def _joined(state: EntryState, me: Incarnation) -> None:
+    state.me = me
+    state.appends.sequence = 0
+    state.emit("membership", "joined", incarnation=str(me))
 
 
-def _roster_changed(state: EntryState) -> None:
+def roster_changed(state: EntryState) -> None:
+    """Adjust the peers to the roster, and leave it if this entry has ended."""
     live = state.control.entries
     for name in list(state.peers.rows):
         row = state.peers.rows[name]
@@ -71,7 +111,8 @@
             state.peers.remove(name)
     for name, entry in live.items():
         if name != state.name and name not in state.peers:
-            state.peers.add(name, PeerRow(entry.incarnation))
+            row = PeerRow(entry.incarnation, known_ms=state.now_ms)
+            state.peers.add(name, row)
     addresses = {
         entry_process(name): entry.address
         for name, entry in live.items()
@@ -79,3 +120,16 @@
     }
     state.effects.append(SetPeers(addresses))
     state.emit("membership", "roster changed", entries=len(live))
+    if state.me is not None and not state.control.is_live(state.me):
+        _ended(state)
+
+
+def _ended(state: EntryState) -> None:
+    """Give up all work of this incarnation; another entry may run it from now on."""
+    ended = state.control.ended.get(state.me)
+    state.emit("membership", "ended", incarnation=str(state.me))
+    drop_appends(state)
+    if ended is None or not ended.planned:
+        fail_jobs(state)
+    state.me = None
+    state.join_record_id = ""
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -269,7 +269,7 @@
 
     Attributes:
         clock_ms: The agent's clock when the message was sent.
-        version: Control version of the agent's view.
+        version: Control version up to which the agent knows all that concerns it.
         draining: Whether the agent's view says that it is draining.
     """
 
@@ -294,12 +294,15 @@
             answer was sent, or `NO_EVIDENCE`.
         version: Version that the evidence speaks of; the entry's latest
             `AgentView` for this agent holds all that concerns it up to here.
+        view_version: Version of that view; the evidence counts only for an agent
+            that holds this view or a newer one.
     """
 
     entry: Incarnation
     echo_ms: int
     evidence_age_ms: int
     version: int
+    view_version: int = 0
 
 
 @attrs.frozen
@@ -310,12 +313,15 @@
         entries: Entries on the roster; all others have ended.
         draining: The agent's data centre or upstream is draining.
         registered: The agent's incarnation is registered in the log.
+        home_number: Incarnation number of the entry that the register names as the
+            agent's home; 0 if none.
     """
 
     version: int
     entries: list[RosterEntry]
     draining: bool
     registered: bool
+    home_number: int = 0
 
 
 @attrs.frozen
@@ -374,6 +380,35 @@
 # Entry and entry
 
 
+@attrs.frozen
+class ObservedVersion:
+    """Agents of one home that have observed the control state up to a version.
+
+    Attributes:
+        agents: Number of agents.
+        names: Some of their names.
+    """
+
+    version: int
+    agents: int
+    names: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class DrainReport:
+    """Agents of one home on an upstream that takes no new work.
+
+    Attributes:
+        agents: Number of agents.
+        idle: Agents that have confirmed the drain and run nothing.
+    """
+
+    data_centre: str
+    upstream: str
+    agents: int
+    idle: int
+
+
 @attrs.frozen
 class PeerHeartbeat:
     """Periodic message between entries.
@@ -386,6 +421,10 @@
         version: Control version that the sender has folded.
         log_reachable: Whether the sender's last read of the log succeeded.
         evidence_age_ms: Age of the sender's own evidence, or `NO_EVIDENCE`.
+        pending: Restrictive records that the sender has appended and whose outcome
+            it does not know; the addressee obeys them as well.
+        observed: What the sender's agents have observed.
+        drains: What runs on upstreams that take no new work.
     """
 
     sender: Incarnation
@@ -398,13 +437,36 @@
     capacity: list[CapacitySummary] = attrs.field(factory=list)
     teams: list[TeamUsage] = attrs.field(factory=list)
     leaving: bool = False
+    pending: list[bytes] = attrs.field(factory=list)
+    observed: list[ObservedVersion] = attrs.field(factory=list)
+    drains: list[DrainReport] = attrs.field(factory=list)
 
 
 @attrs.frozen
 class RecordsTail:
-    """Records of the control stream that the addressee has not folded."""
+    """Records of the control stream that the addressee has not folded.
+
+    Attributes:
+        after: The version that the first record follows directly.
+    """
 
     records: list[LogRecord]
+    after: int = 0
+
+
+@attrs.frozen
+class StateRequest:
+    """Asks for the control state if it is newer than a version."""
+
+    version: int
+
+
+@attrs.frozen
+class ControlSnapshot:
+    """The whole control state as of a version; the body is JSON."""
+
+    version: int
+    body: bytes
 
 
 @attrs.frozen
@@ -482,10 +544,15 @@
 
 @attrs.frozen
 class KeyReply:
-    """Answer to `KeyQuery`: the keys asked for and those known among them."""
+    """Answer to `KeyQuery`: the keys asked for and those known among them.
+
+    Attributes:
+        roster_version: Version of the query that is answered.
+    """
 
     keys: list[bytes]
     known: list[bytes]
+    roster_version: int = 0
 
 
 @attrs.frozen
@@ -500,9 +567,21 @@
 
 @attrs.frozen
 class KeyHandover:
-    """Finished jobs of a leaving owner."""
+    """Finished jobs of a leaving owner.
+
+    Attributes:
+        batch: Number of the batch, which the addressee confirms.
+    """
 
     rows: list[FinishedKey]
+    batch: int = 0
+
+
+@attrs.frozen
+class HandoverReceived:
+    """Confirms a batch of finished jobs."""
+
+    batch: int
 
 
 @attrs.frozen
@@ -538,6 +617,9 @@
     | KeyQuery
     | KeyReply
     | KeyHandover
+    | HandoverReceived
+    | StateRequest
+    | ControlSnapshot
     | PlaceTasks
     | RecallTasks
 )
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -309,6 +309,24 @@
     state.job_due.set(job.key_hash, state.now_ms + retention_ms)
 
 
+def fail_jobs(state: EntryState) -> None:
+    """Fail all open jobs after the end of this incarnation, and forget them.
+
+    Another entry may own their keys by now, so any of them may have run.
+    """
+    for key_hash, job in list(state.jobs.rows.items()):
+        if job.answer is not None:
+            continue
+        answer = JobAnswer(
+            0, job.key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST
+        )
+        for waiter in job.waiters:
+            _answer(state, waiter, answer)
+        state.jobs.remove(key_hash)
+        state.job_due.cancel(key_hash)
+    state.waiting.clear()
+
+
 def job_truth(job: JobRow) -> Truth:
     """Return what is known about the execution of a job that failed."""
     started = [row for row in job.tasks if row.result and not row.result.not_run]
--- a/catkincross/_records.py
+++ b/catkincross/_records.py
@@ -88,6 +88,11 @@
     expected_generation: int
 
 
+@attrs.frozen
+class Barrier:
+    """Changes nothing; settles the earlier appends of its author once it is folded."""
+
+
 RecordBody = (
     EntryJoined
     | EntryLeaving
@@ -96,6 +101,7 @@
     | AgentsEnded
     | ResourcePut
     | ResourceDeleted
+    | Barrier
 )
 
 
@@ -106,11 +112,13 @@
     Attributes:
         id: Unique id; a second record with the same id is a no-op.
         author: Incarnation that appended it; None for an entry that joins.
+        sequence: Grows with each append of the author; 0 for an entry that joins.
     """
 
     id: str
     author: Incarnation | None
     body: RecordBody
+    sequence: int = 0
 
 
 _converter = make_converter()
--- /dev/null
+++ b/catkincross/_restrictions.py
@@ -0,0 +1,43 @@
+"""Restrictive changes that were appended and whose outcome is not known yet.
+
+They are obeyed as soon as they are heard of. If one turns out not to have been kept,
+it stops to count with the next heartbeat of the entry that appended it.
+"""
+
+from __future__ import annotations
+
+from ._appends import restrictive_pending
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState, Restrictions
+from ._records import EntryEnded, Record, ResourcePut, decode_record
+
+
+@ENTRY.system(order=190)
+def _collect_restrictions(state: EntryState) -> None:
+    records = list(restrictive_pending(state))
+    for peer in state.peers:
+        if peer.heartbeat is not None:
+            records += [decode_record(body) for body in peer.heartbeat.pending]
+    found = Restrictions()
+    for record in records:
+        _add(state, found, record)
+    if found != state.restrictions:
+        state.restrictions = found
+        state.views_version = 0
+        state.emit(
+            "membership",
+            "restrictions changed",
+            draining=len(found.draining),
+            ended=len(found.ended),
+        )
+        # Peers must hear of this at once.
+        state.heartbeat_due_ms = state.now_ms
+
+
+def _add(state: EntryState, found: Restrictions, record: Record) -> None:
+    if record.id in state.control.outcomes:
+        return
+    if isinstance(record.body, EntryEnded):
+        found.ended.add(record.body.entry)
+    elif isinstance(record.body, ResourcePut):
+        found.draining.add((record.body.kind, record.body.name))
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -78,6 +78,36 @@
         high=600_000,
         about="Silence after which an agent is proposed for ending.",
     )
+    refused_suspect_ms: int = setting(
+        1_000,
+        unit="ms",
+        low=100,
+        high=600_000,
+        about="Time of refused connections after which an entry is proposed for "
+        "ending.",
+    )
+    second_proposer_ms: int = setting(
+        2_000,
+        unit="ms",
+        low=100,
+        high=600_000,
+        about="Delay after which the next entry tries to end a silent process.",
+    )
+    rejoin_hold_ms: int = setting(
+        1_000,
+        unit="ms",
+        low=10,
+        high=600_000,
+        about="Wait of a process that returns after its end; doubles with each end "
+        "within ten minutes.",
+    )
+    leave_limit_ms: int = setting(
+        30_000,
+        unit="ms",
+        low=100,
+        high=3_600_000,
+        about="Time in which a leaving entry finishes its jobs.",
+    )
 
 
 @attrs.define
@@ -117,6 +147,41 @@
     )
 
 
+@attrs.define
+class ControlSettings:
+    """Section `[control]`."""
+
+    appends_per_second: int = setting(
+        20,
+        unit="records/s",
+        low=1,
+        high=1_000,
+        about="Most records that this entry appends to the log in a second.",
+    )
+    change_answer_ms: int = setting(
+        2_000,
+        unit="ms",
+        low=100,
+        high=60_000,
+        about="Time after which a change that is not settled is answered unknown.",
+    )
+    snapshot_records: int = setting(
+        1_000,
+        unit="records",
+        low=10,
+        high=1_000_000,
+        about="Records since the last snapshot after which a new one is written.",
+    )
+    snapshot_interval_ms: int = setting(
+        1_800_000,
+        unit="ms",
+        low=10_000,
+        high=86_400_000,
+        about="Age of the last snapshot after which a new one is written; at most "
+        "half of the time for which the log keeps records.",
+    )
+
+
 @attrs.define
 class PlacementSettings:
     """Section `[placement]`."""
@@ -140,6 +205,7 @@
         factory=MembershipSettings, kw_only=True
     )
     jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
+    control: ControlSettings = attrs.field(factory=ControlSettings, kw_only=True)
     placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
 
 
--- a/catkincross/_start_rules.py
+++ b/catkincross/_start_rules.py
@@ -81,4 +81,12 @@
 def _is_registered(state: AgentState, sender: str, start: TaskStart) -> bool:
     if not state.guards.registration:
         return True
-    return state.view is not None and state.view.registered
+    view = state.view
+    if view is None or not view.registered:
+        return False
+    # A home that the register does not name could not be asked for the starts that
+    # it relayed once this agent is lost.
+    return any(
+        entry.name == state.home and entry.number == view.home_number
+        for entry in view.entries
+    )
--- /dev/null
+++ b/catkincross/_suspicion.py
@@ -0,0 +1,128 @@
+"""Ending of entries and agents that have been silent for a time."""
+
+from __future__ import annotations
+
+from ._appends import join_is_known
+from ._control_state import AgentMember
+from ._entry_registry import ENTRY
+from ._entry_rows import AgentRow, PeerRow
+from ._entry_state import EntryState
+from ._ids import Incarnation
+from ._records import AgentsEnded, EntryEnded
+from ._rendezvous import rank
+
+AGENT_SCAN_MS = 1_000
+
+
+@ENTRY.system(order=5)
+def _notice_pause(state: EntryState) -> None:
+    """Restart the watch after a pause of this process.
+
+    All others look silent then, because their messages wait in the inbox.
+    """
+    gap_ms = state.now_ms - state.last_step_ms
+    if gap_ms > state.settings.membership.suspect_ms // 2:
+        state.watch_ms = state.now_ms
+    state.last_step_ms = state.now_ms
+
+
+def _may_end(state: EntryState) -> bool:
+    return (
+        state.me is not None
+        and state.control.is_live(state.me)
+        and not state.stopping
+        and state.log_reachable
+        and state.freshness.is_current(state.now_ms)
+    )
+
+
+@ENTRY.system(order=150)
+def _end_silent_entries(state: EntryState) -> None:
+    if not state.peers.rows or not _may_end(state):
+        return
+    overdue = {
+        name: overdue_ms
+        for name, row in state.peers.rows.items()
+        if (overdue_ms := _overdue_ms(state, row)) >= 0
+    }
+    if not overdue or not join_is_known(state, besides=overdue):
+        return
+    proposed = {
+        row.record.body.entry
+        for row in state.appends.pending.values()
+        if isinstance(row.record.body, EntryEnded)
+    }
+    proposers = [name for name in state.control.owners() if name not in overdue]
+    for name, overdue_ms in overdue.items():
+        entry = state.peers.rows[name].incarnation
+        if entry not in proposed and _is_my_turn(state, entry, proposers, overdue_ms):
+            state.emit("membership", "silent entry", entry=str(entry))
+            state.append(EntryEnded(entry, "silent"))
+
+
+def _is_my_turn(
+    state: EntryState, ended: Incarnation, proposers: list[str], overdue_ms: int
+) -> bool:
+    order = rank(str(ended).encode(), proposers)
+    if state.name not in order:
+        return False
+    delay_ms = state.settings.membership.second_proposer_ms
+    return overdue_ms >= order.index(state.name) * delay_ms
+
+
+def _overdue_ms(state: EntryState, row: PeerRow) -> int:
+    """Return for how long an entry is suspected; negative if it is not."""
+    settings = state.settings.membership
+    heard_ms = max(row.heard_ms or row.known_ms, row.known_ms, state.watch_ms)
+    silent_ms = state.now_ms - heard_ms - settings.suspect_ms
+    if row.refused_ms is None:
+        return silent_ms
+    since_ms = max(row.refused_ms, state.watch_ms)
+    return max(silent_ms, state.now_ms - since_ms - settings.refused_suspect_ms)
+
+
+@ENTRY.system(order=160)
+def _end_silent_agents(state: EntryState) -> None:
+    if state.now_ms < state.agent_scan_due_ms or not _may_end(state):
+        return
+    state.agent_scan_due_ms = state.now_ms + AGENT_SCAN_MS
+    proposed = {
+        agent
+        for row in state.appends.pending.values()
+        if isinstance(row.record.body, AgentsEnded)
+        for agent in row.record.body.agents
+    }
+    ended = [
+        agent
+        for agent, member in state.control.members.items()
+        if member.ended_ms is None
+        and agent not in proposed
+        and _is_lost(state, agent, member)
+    ]
+    if ended:
+        state.emit("membership", "silent agents", agents=len(ended))
+        state.append(AgentsEnded(ended, "silent"))
+
+
+def _is_lost(state: EntryState, agent: Incarnation, member: AgentMember) -> bool:
+    suspect_ms = state.settings.membership.agent_suspect_ms
+    since_ms = max(member.homes[-1].since_ms, state.watch_ms)
+    if member.home == state.me:
+        row = state.agents.get(agent.name)
+        if row is not None and row.hello.agent == agent:
+            since_ms = max(since_ms, row.heard_ms)
+            if _has_left(row):
+                return True
+        return state.now_ms - since_ms >= suspect_ms
+    if member.home is None or state.control.is_live(member.home):
+        return False
+    # The home has ended and no other has registered the agent.
+    ended = state.control.ended.get(member.home)
+    if ended is not None:
+        since_ms = max(since_ms, ended.folded_ms)
+    overdue_ms = state.now_ms - since_ms - suspect_ms
+    return _is_my_turn(state, agent, state.control.owners(), overdue_ms)
+
+
+def _has_left(row: AgentRow) -> bool:
+    return row.leaving and not row.connected and not row.held
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -19,7 +19,7 @@
 from catkincross._agent_state import AgentState
 from catkincross._entry_core import EntryCore
 from catkincross._entry_state import EntryState
-from catkincross._records import encode_record
+from catkincross._records import Record, encode_record
 from catkincross.guards import ALL_GUARDS, Guards
 from catkincross.ids import agent_process, entry_process
 from catkincross.messages import JobAnswer, TaskStart, TaskStatus
@@ -84,6 +84,10 @@
         self.log_cut: set[str] = set()
         self.log_delay_ms = LOG_DELAY_MS
         self.lose_append_answers = 0
+        # Time until an append of a process reaches the log.
+        self.append_delay: Callable[[str], int] = lambda process: 0
+        # Processes whose host is down: their address does not refuse connections.
+        self.lost_hosts: set[str] = set()
         self.run_ms: Callable[[str, TaskStart], int] = lambda agent, start: 50
         self.outcome: Callable[[str, TaskStart], TaskStatus] = lambda agent, start: (
             TaskStatus.OK
@@ -243,7 +247,7 @@
         if pair in self.streams or process == node.process:
             return
         if peer is None or not peer.alive or pair in self.cuts:
-            refused = peer is not None and not peer.alive
+            refused = peer is not None and self._refuses(process)
             self.deliver(node, fx.Disconnected(process, refused))
             self.at(self.now_ms + 500, lambda: self._reconnect(node, process))
             return
@@ -279,7 +283,7 @@
         self.streams.discard(pair)
         for process, peer in ((one, other), (other, one)):
             node = self.nodes[process]
-            refused = not self.nodes[peer].alive
+            refused = self._refuses(peer)
             self.deliver(node, fx.Disconnected(peer, refused))
             if peer in node.peers:
                 self.at(
@@ -299,9 +303,14 @@
         self.cuts.clear()
         self.log_cut.clear()
 
-    def kill(self, process: str) -> None:
-        """End a process at once."""
+    def _refuses(self, process: str) -> bool:
+        return not self.nodes[process].alive and process not in self.lost_hosts
+
+    def kill(self, process: str, *, with_host: bool = False) -> None:
+        """End a process at once; without its host, its address refuses connections."""
         node = self.nodes[process]
+        if with_host:
+            self.lost_hosts.add(process)
         node.alive = False
         node.inbox.clear()
         for pair in [pair for pair in self.streams if process in pair]:
@@ -344,6 +353,14 @@
         if self.log_down or node.process in self.log_cut:
             self.deliver(node, fx.AppendEnded(record.id, None, True, "unreachable"))
             return
+        delay_ms = self.append_delay(node.process)
+        if delay_ms:
+            # The writer gives up waiting; the record arrives all the same.
+            body = encode_record(record)
+            self.at(self.now_ms + delay_ms, lambda: self.log.append(body))
+            lost = fx.AppendEnded(record.id, None, False, "timeout")
+            self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, lost))
+            return
         offset = self.log.append(encode_record(record))
         if self.lose_append_answers:
             self.lose_append_answers -= 1
@@ -373,6 +390,15 @@
 
     # Callers
 
+    def propose(self, entry: str, body: Any, *, record_id: str = "") -> int:
+        """Propose a change of a resource at an entry; return the request's number."""
+        self.next_request += 1
+        request_id = self.next_request
+        record = Record(record_id or f"change-{request_id}", None, body)
+        node = self.nodes[entry_process(entry)]
+        self.deliver(node, fx.ChangeProposed(request_id, record))
+        return request_id
+
     def submit(self, entry: str, job: fx.JobSubmitted) -> int:
         """Submit a job at an entry and return the request's number."""
         self.next_request += 1
--- a/tests/test_agent_starts.py
+++ b/tests/test_agent_starts.py
@@ -31,7 +31,7 @@
         name="u1", region="r", data_centre="d", upstream="u1", service="s", slots=1
     )
     core = AgentCore(AgentState.from_settings(settings, number=7))
-    view = AgentView(5, [RosterEntry("e1", 1, "addr", "d")], False, True)
+    view = AgentView(5, [RosterEntry("e1", 1, "addr", "d")], False, True, 1)
     core.step(1_000, [Connected("entry/e1"), Received("entry/e1", view)])
     core.step(1_000, [Received("entry/e1", HeartbeatReply(OWNER, 1_000, 0, 5))])
     return core
