Settle keys of earlier owners by questions and a census; leave as planned

Cause: a key was admitted by its owner without asking anybody, so a job whose owner ended, or whose key moved with the roster, could run a second time.

Ruled out: answers about a dead agent from a home that believes it was the only one; the register lists all homes of an agent, and every one of them must have answered. An entry that hands over its keys ends with reason 'planned' only after each batch was confirmed, so its successors need no census for it.

Before: an agent that left stopped in the step that sent its last results; the scenario printed a job 'failed' by its deadline with 2 of 4 tasks.

Conclusion: a job runs on its new owner only when nothing was started.

--- a/catkincross/_agent_membership.py
+++ b/catkincross/_agent_membership.py
@@ -38,6 +38,8 @@
 
 @AGENT.handles(HeartbeatReply)
 def _heartbeat_answered(state: AgentState, sender: str, reply: HeartbeatReply) -> None:
+    if sender == state.home_process:
+        state.echoed_ms = max(state.echoed_ms, reply.echo_ms)
     if reply.evidence_age_ms == NO_EVIDENCE or state.view is None:
         return
     # A view that was lost with a broken stream must not be vouched for.
@@ -159,5 +161,9 @@
 
 @AGENT.system(order=900)
 def _stop_when_idle(state: AgentState) -> None:
-    if state.leaving and not state.running and not state.results:
+    if not state.leaving or state.running or state.results:
+        return
+    # Results may be under way. The home has them when it answers a later stamp.
+    answered = state.echoed_ms > state.results_sent_ms
+    if answered or state.home_process not in state.connected:
         state.effects.append(Stop("left"))
--- a/catkincross/_agent_results.py
+++ b/catkincross/_agent_results.py
@@ -32,6 +32,7 @@
     if not state.results or state.home_process not in state.connected:
         return
     results, state.results = state.results, []
+    state.results_sent_ms = state.now_ms
     state.send(state.home_process, TaskResults(results))
 
 
--- a/catkincross/_agent_state.py
+++ b/catkincross/_agent_state.py
@@ -44,6 +44,8 @@
         fenced: Owner incarnations that a census named as ended.
         home: Name of the entry that holds the grant, or an empty string.
         connected: Processes with an open stream.
+        results_sent_ms: When results were sent to the home last.
+        echoed_ms: Newest stamp of this agent that its home has answered.
     """
 
     settings: AgentSettings
@@ -62,6 +64,8 @@
     connected: set[str] = attrs.field(factory=set)
     leaving: bool = False
     upstream_leaving: bool = False
+    results_sent_ms: int = -1
+    echoed_ms: int = 0
     slots: int = 0
     connections: int = 0
     memory_used_mb: int = 0
--- a/catkincross/_arrival.py
+++ b/catkincross/_arrival.py
@@ -8,7 +8,9 @@
 from ._entry_registry import ENTRY
 from ._entry_rows import RequestRow
 from ._entry_state import EntryState
+from ._held_requests import relay_answer, unknown_answer
 from ._ids import entry_process, hash_key
+from ._key_settlement import owner_of
 from ._messages import (
     CancelJob,
     ForwardJob,
@@ -23,10 +25,8 @@
 
 RETRY_AFTER_MS = 1_000
 
-
-def owner_of(state: EntryState, key_hash: bytes) -> str | None:
-    """Return the name of the entry that owns a key on this entry's roster."""
-    return choose(key_hash, state.control.owners())
+# An owner answers at the deadline; its answer needs some time to arrive.
+OWNER_GRACE_MS = 1_000
 
 
 @ENTRY.handles(JobSubmitted)
@@ -44,9 +44,10 @@
         key_hash=hash_key(key),
         deadline_ms=state.now_ms + event.deadline_ms,
         submission=attrs.evolve(event, key=key),
-        owner=state.name if internal else "",
+        internal=internal,
     )
     state.requests.add(event.request_id, row)
+    state.request_due.set(event.request_id, row.deadline_ms + OWNER_GRACE_MS)
     forward(state, row)
 
 
@@ -67,11 +68,30 @@
 
 
 def forward(state: EntryState, row: RequestRow) -> None:
-    """Send a submitted job to its owner, which may be this entry."""
+    """Send a request to its owner, which may be this entry.
+
+    Without an owner on the roster it waits for the next roster.
+    """
+    row.owner = state.name
+    if not row.internal:
+        row.owner = owner_of(state, row.key_hash) or ""
+    entry = state.control.entries.get(row.owner)
+    row.owner_number = 0 if entry is None else entry.number
+    message = row.question or _job_of(state, row)
+    if row.owner and row.owner != state.name:
+        state.send(entry_process(row.owner), message)
+    elif isinstance(message, ForwardJob) and row.owner:
+        own_job(state, state.name, message)
+    elif isinstance(message, JobAsked) and row.owner:
+        ask_job(state, state.name, message)
+    elif isinstance(message, CancelJob) and row.owner:
+        cancel_job(state, state.name, message)
+
+
+def _job_of(state: EntryState, row: RequestRow) -> ForwardJob:
     event = row.submission
     assert isinstance(event, JobSubmitted)
-    row.owner = row.owner or owner_of(state, row.key_hash) or ""
-    message = ForwardJob(
+    return ForwardJob(
         request_id=row.request_id,
         key=row.key,
         digest=event.digest,
@@ -83,52 +103,87 @@
         idempotent=event.idempotent,
         interactive=event.interactive,
     )
-    if row.owner == state.name:
-        own_job(state, state.name, message)
-    elif row.owner:
-        state.send(entry_process(row.owner), message)
+
+
+@ENTRY.system(order=560)
+def _forward_again(state: EntryState) -> None:
+    """Forward requests again whose owner ended or is another on the new roster.
+
+    The new owner asks the earlier one, which stays the owner of a job it has.
+    """
+    if state.arrival_version == state.control.roster_version:
+        return
+    state.arrival_version = state.control.roster_version
+    owners = state.control.owners()
+    for row in list(state.requests):
+        if row.internal:
+            continue
+        owner = choose(row.key_hash, owners) or ""
+        entry = state.control.entries.get(owner)
+        number = 0 if entry is None else entry.number
+        if (owner, number) != (row.owner, row.owner_number):
+            forward(state, row)
+
+
+def repeat_forwards(state: EntryState, name: str) -> None:
+    """Send an entry its requests again; some may be lost with the last stream."""
+    for row in list(state.requests):
+        if row.owner == name and name != state.name:
+            forward(state, row)
+
+
+@ENTRY.system(order=570)
+def _answer_overdue(state: EntryState) -> None:
+    for request_id in state.request_due.pop_due(state.now_ms):
+        row = state.requests.remove(request_id)
+        if row is not None:
+            state.reply(request_id, unknown_answer(row.key))
+    state.requests.changed.clear()
 
 
 @ENTRY.handles(JobLookedUp)
 def _looked_up(state: EntryState, sender: str, event: JobLookedUp) -> None:
-    key_hash = hash_key(event.key)
-    owner = owner_of(state, key_hash) or state.name
-    row = RequestRow(event.request_id, event.key, key_hash, 0, None, owner, event.wait)
-    state.requests.add(event.request_id, row)
-    message = JobAsked(event.request_id, event.key, event.wait)
-    if owner == state.name:
-        ask_job(state, state.name, message)
-    else:
-        state.send(entry_process(owner), message)
+    question = JobAsked(event.request_id, event.key, event.wait)
+    _ask(state, question, wait=event.wait)
 
 
 @ENTRY.handles(JobCancelRequested)
 def _cancel_requested(
     state: EntryState, sender: str, event: JobCancelRequested
 ) -> None:
-    key_hash = hash_key(event.key)
-    owner = owner_of(state, key_hash) or state.name
-    row = RequestRow(event.request_id, event.key, key_hash, 0, None, owner)
-    state.requests.add(event.request_id, row)
-    message = CancelJob(event.request_id, event.key)
-    if owner == state.name:
-        cancel_job(state, state.name, message)
-    else:
-        state.send(entry_process(owner), message)
+    _ask(state, CancelJob(event.request_id, event.key), wait=True)
+
+
+def _ask(state: EntryState, question: JobAsked | CancelJob, *, wait: bool) -> None:
+    row = RequestRow(
+        request_id=question.request_id,
+        key=question.key,
+        key_hash=hash_key(question.key),
+        deadline_ms=0,
+        wait=wait,
+        question=question,
+    )
+    state.requests.add(row.request_id, row)
+    forward(state, row)
 
 
 @ENTRY.handles(JobAnswer)
 def _answered(state: EntryState, sender: str, answer: JobAnswer) -> None:
+    if answer.request_id < 0:
+        relay_answer(state, answer)
+        return
     row = state.requests.get(answer.request_id)
     if row is None or row.key != answer.key:
         return
     state.requests.remove(answer.request_id)
+    state.request_due.cancel(answer.request_id)
     state.reply(answer.request_id, answer)
 
 
 @ENTRY.handles(CallerGone)
 def _caller_gone(state: EntryState, sender: str, event: CallerGone) -> None:
     state.requests.remove(event.request_id)
+    state.request_due.cancel(event.request_id)
 
 
 @ENTRY.system(order=550)
--- /dev/null
+++ b/catkincross/_census.py
@@ -0,0 +1,215 @@
+"""Census of the starts of ended owners, and the fence that comes with it."""
+
+from __future__ import annotations
+
+from ._control_state import AgentMember
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
+from ._home import decline
+from ._ids import Incarnation, agent_process, entry_process, split_process
+from ._key_fate import KeyFate
+from ._messages import CensusReply, CensusRequest, Reason
+from ._recovery_rows import Census, HomeCensus
+
+REPEAT_MS = 500
+
+# Lost agents may return; they are asked for at this interval.
+LOST_REPEAT_MS = 5_000
+
+
+# The side that wants to know
+
+
+def census_fate(state: EntryState, ended: Incarnation, key_hash: bytes) -> KeyFate:
+    """Return what the census of an ended incarnation says about a key."""
+    census = _census_of(state, ended)
+    if key_hash in census.keys:
+        return KeyFate.STARTED
+    if census.waiting:
+        return KeyFate.PENDING
+    return KeyFate.STARTED if census.lost else KeyFate.FREE
+
+
+def _census_of(state: EntryState, ended: Incarnation) -> Census:
+    census = state.censuses.own.get(ended)
+    if census is None:
+        # Until then an agent that has not heard of the end may still hold evidence.
+        folded_ms = state.control.ended[ended].folded_ms
+        census = Census(folded_ms + state.settings.freshness.freshness_ms)
+        census.ask_due_ms = census.begin_ms
+        state.censuses.own[ended] = census
+        state.timers.set(f"census {ended}", census.begin_ms)
+    return census
+
+
+@ENTRY.system(order=170)
+def _begin_censuses(state: EntryState) -> None:
+    censuses = state.censuses
+    if censuses.roster_version == state.control.roster_version or state.me is None:
+        return
+    censuses.roster_version = state.control.roster_version
+    for ended in state.control.ended.values():
+        if not ended.planned and state.guards.census:
+            _census_of(state, ended.incarnation)
+    for known in (censuses.own, censuses.served):
+        for incarnation in [entry for entry in known if _is_forgotten(state, entry)]:
+            del known[incarnation]
+    state.fenced = {entry for entry in state.fenced if not _is_forgotten(state, entry)}
+
+
+def _is_forgotten(state: EntryState, entry: Incarnation) -> bool:
+    return entry not in state.control.ended and not state.control.is_live(entry)
+
+
+@ENTRY.system(order=180)
+def _run_censuses(state: EntryState) -> None:
+    if state.me is None:
+        return
+    for ended, census in state.censuses.own.items():
+        if ended not in state.control.ended or state.now_ms < census.ask_due_ms:
+            continue
+        _evaluate(state, ended, census)
+        if not census.waiting and not census.lost:
+            census.ask_due_ms = state.now_ms + LOST_REPEAT_MS
+            continue
+        census.ask_due_ms = state.now_ms + (
+            REPEAT_MS if census.waiting else LOST_REPEAT_MS
+        )
+        state.timers.set(f"census {ended}", census.ask_due_ms)
+        request = CensusRequest(ended, state.me)
+        _serve(state, state.process, request)
+        for name in state.peers.rows:
+            state.send(entry_process(name), request)
+
+
+def _evaluate(state: EntryState, ended: Incarnation, census: Census) -> None:
+    """Work out who has not answered, and which agents are lost."""
+    offset = state.control.ended[ended].offset
+    before = bool(census.waiting)
+    census.waiting = {
+        str(entry.incarnation)
+        for entry in state.control.entries.values()
+        if entry.number < offset and entry.incarnation not in census.entries
+    }
+    census.lost = set()
+    for agent, member in state.control.members.items():
+        # An agent that was registered later had folded the end when it could start.
+        if member.offset > offset or agent in census.agents:
+            continue
+        if member.ended_ms is None:
+            census.waiting.add(str(agent))
+        elif not _relayed_by(member) <= census.entries:
+            lost = any(not state.control.is_live(home) for home in _relayed_by(member))
+            if lost:
+                census.lost.add(agent)
+            else:
+                census.waiting.add(str(agent))
+    if before and not census.waiting:
+        state.settlement_due_ms = state.now_ms
+        state.emit(
+            "census",
+            "census complete",
+            ended=str(ended),
+            keys=len(census.keys),
+            lost=len(census.lost),
+        )
+
+
+def _relayed_by(member: AgentMember) -> set[Incarnation]:
+    return {term.entry for term in member.homes}
+
+
+# The side that answers
+
+
+@ENTRY.handles(CensusRequest)
+def _census_requested(state: EntryState, sender: str, message: CensusRequest) -> None:
+    if state.me is not None:
+        _serve(state, sender, message)
+
+
+def _serve(state: EntryState, sender: str, request: CensusRequest) -> None:
+    ended = request.ended
+    _fence(state, ended)
+    served = state.censuses.served.setdefault(ended, HomeCensus())
+    served.requesters.add(sender)
+    for row in state.agents:
+        agent = row.hello.agent
+        asked_ms = served.asked_ms.get(agent)
+        due = asked_ms is None or state.now_ms - asked_ms >= REPEAT_MS // 2
+        if agent not in served.agents and row.connected and due:
+            served.asked_ms[agent] = state.now_ms
+            state.send(agent_process(row.name), CensusRequest(ended, state.me))
+    _reply(state, ended, served, sender)
+
+
+def _fence(state: EntryState, ended: Incarnation) -> None:
+    """Take no more tasks of an ended owner, and give up those that wait."""
+    if ended in state.fenced:
+        return
+    state.fenced.add(ended)
+    for key in list(state.home_queue):
+        if key.owner == ended:
+            decline(state, state.home_tasks.rows[key], Reason.STALE_OWNER)
+
+
+def _reply(state: EntryState, ended: Incarnation, served: HomeCensus, to: str) -> None:
+    reply = CensusReply(
+        ended=ended,
+        replier=state.me,
+        keys=sorted(served.keys | _relayed_keys(state, ended, served)),
+        agents=sorted(served.agents),
+        complete=_all_answered(state, served),
+    )
+    if to == state.process:
+        _take_reply(state, reply)
+    else:
+        state.send(to, reply)
+
+
+def _relayed_keys(
+    state: EntryState, ended: Incarnation, served: HomeCensus
+) -> set[bytes]:
+    """Return keys of tasks that were sent to agents that have not answered.
+
+    They count for an agent that is lost later as well, so no later answer of this
+    home is needed.
+    """
+    return {
+        key.task.key_hash
+        for key, row in state.home_tasks.rows.items()
+        if key.owner == ended
+        and row.agent
+        and not (row.result is not None and row.result.not_run)
+        and row.agent_incarnation not in served.agents
+    }
+
+
+def _all_answered(state: EntryState, served: HomeCensus) -> bool:
+    return all(row.hello.agent in served.agents for row in state.agents)
+
+
+@ENTRY.handles(CensusReply)
+def _census_answered(state: EntryState, sender: str, message: CensusReply) -> None:
+    if split_process(sender)[0] == "entry":
+        _take_reply(state, message)
+        return
+    served = state.censuses.served.get(message.ended)
+    if served is None or state.me is None:
+        return
+    served.keys |= set(message.keys)
+    served.agents |= set(message.agents)
+    if _all_answered(state, served):
+        for requester in sorted(served.requesters):
+            _reply(state, message.ended, served, requester)
+        served.requesters.clear()
+
+
+def _take_reply(state: EntryState, reply: CensusReply) -> None:
+    census = state.censuses.own.get(reply.ended)
+    if census is None or reply.ended not in state.control.ended:
+        return
+    census.keys |= set(reply.keys)
+    census.agents |= set(reply.agents)
+    census.entries.add(reply.replier)
+    _evaluate(state, reply.ended, census)
--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -9,9 +9,13 @@
 from . import (  # noqa: F401
     _appends,
     _arrival,
+    _census,
     _entry_heartbeats,
+    _held_requests,
     _home,
     _home_agents,
+    _key_queries,
+    _leave,
     _membership,
     _outage,
     _owner,
@@ -66,6 +70,7 @@
         due = [
             state.heartbeat_due_ms,
             state.retry_due_ms if state.waiting else None,
+            state.request_due.next_due_ms(),
             state.job_due.next_due_ms(),
             state.home_due.next_due_ms(),
             state.timers.next_due_ms(),
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from ._appends import restrictive_pending
+from ._arrival import repeat_forwards
 from ._effects import Connected, Disconnected
 from ._entry_registry import ENTRY
 from ._entry_rows import PeerRow
 from ._entry_state import EntryState
+from ._held_requests import send_relayed_again
 from ._home_capacity import capacity_summaries
 from ._ids import entry_process, split_process
+from ._key_queries import send_key_list
 from ._messages import NO_EVIDENCE, PeerHeartbeat, RecordsTail
 from ._records import encode_record
 
@@ -63,6 +66,9 @@
         state.peers.rows[name].connected = True
         state.peers.rows[name].refused_ms = None
         state.heartbeat_due_ms = state.now_ms
+        repeat_forwards(state, name)
+        send_relayed_again(state, name)
+        send_key_list(state, name)
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = True
 
--- a/catkincross/_entry_rows.py
+++ b/catkincross/_entry_rows.py
@@ -10,8 +10,10 @@
 from ._messages import (
     AgentHello,
     AgentView,
+    CancelJob,
     CapacitySummary,
     JobAnswer,
+    JobAsked,
     JobState,
     OwnedTask,
     PeerHeartbeat,
@@ -29,7 +31,10 @@
 
     Attributes:
         submission: The submitted job, kept until its end; None for a question.
-        owner: Name of the entry to which the job was forwarded.
+        question: The question or cancellation if nothing was submitted.
+        owner: Name of the entry to which the request was sent.
+        owner_number: Incarnation number of that entry.
+        internal: The key is this entry's own; no other entry can own it.
         wait: Whether only the final answer is wanted.
     """
 
@@ -40,6 +45,9 @@
     submission: object | None = None
     owner: str = ""
     wait: bool = True
+    question: JobAsked | CancelJob | None = None
+    owner_number: int = 0
+    internal: bool = False
 
 
 class TaskPhase(StrEnum):
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -17,6 +17,7 @@
 from ._messages import (
     AgentHello,
     JobAnswer,
+    KeyHandover,
     Message,
     OwnedTask,
     PlacedTask,
@@ -28,6 +29,7 @@
 )
 from ._recent_records import RecentRecords
 from ._records import Record, RecordBody
+from ._recovery_rows import Censuses, HeldRequest, KeyQueries
 from ._settings import EntrySettings
 from ._tables import DueQueue, Table
 
@@ -56,6 +58,28 @@
     ended: set[Incarnation] = attrs.field(factory=set)
 
 
+@attrs.define
+class Leave:
+    """Progress of a planned leave.
+
+    Attributes:
+        due_ms: When open jobs are given up.
+        batches: Addressee and message of batches that are not confirmed.
+        roster_version: Roster version for which the batches were made; 0 before.
+        send_due_ms: When unconfirmed batches are sent again.
+        gave_up: Open jobs were given up; their keys were not handed over.
+        stopped: The process was told that it may end.
+    """
+
+    due_ms: int = 0
+    batches: dict[int, tuple[str, KeyHandover]] = attrs.field(factory=dict)
+    batch_count: int = 0
+    roster_version: int = 0
+    send_due_ms: int = 0
+    gave_up: bool = False
+    stopped: bool = False
+
+
 @attrs.define
 class EntryState:
     """Tables and settings of an entry; see `EntryCore`.
@@ -84,6 +108,14 @@
         last_step_ms: Time of the last step.
         watch_ms: Silence of other processes counts from here at the earliest.
         agent_scan_due_ms: When agents are next checked for silence.
+        fenced: Owner incarnations that a census named as ended.
+        censuses: What is known of the starts of ended owners.
+        key_queries: Questions about keys to and from other owners.
+        held_jobs: Requests whose key is not settled, by key hash.
+        settlement_due_ms: When held requests are looked at again.
+        arrival_version: Roster version for which requests were forwarded.
+        relays: Number of requests passed on to earlier owners.
+        leave: What this entry has done to leave.
         unregistered: Names of agents that the register does not assign to this home.
     """
 
@@ -98,6 +130,7 @@
     control: ControlState = attrs.field(factory=ControlState)
     requests: Table[int, RequestRow] = attrs.field(factory=lambda: Table("requests"))
     jobs: Table[bytes, JobRow] = attrs.field(factory=lambda: Table("jobs"))
+    request_due: DueQueue[int] = attrs.field(factory=DueQueue)
     job_due: DueQueue[bytes] = attrs.field(factory=DueQueue)
     waiting: dict[TaskId, None] = attrs.field(factory=dict)
     agents: Table[str, AgentRow] = attrs.field(factory=lambda: Table("agents"))
@@ -127,6 +160,14 @@
     last_step_ms: int = 0
     watch_ms: int = 0
     agent_scan_due_ms: int = 0
+    fenced: set[Incarnation] = attrs.field(factory=set)
+    censuses: Censuses = attrs.field(factory=Censuses)
+    key_queries: KeyQueries = attrs.field(factory=KeyQueries)
+    held_jobs: dict[bytes, list[HeldRequest]] = attrs.field(factory=dict)
+    settlement_due_ms: int | None = None
+    arrival_version: int = 0
+    relays: int = 0
+    leave: Leave = attrs.field(factory=Leave)
     unregistered: dict[str, None] = attrs.field(factory=dict)
     internal_requests: int = 0
     effects: list[Effect] = attrs.field(factory=list)
@@ -184,7 +225,11 @@
 
     def is_fenced(self, owner: Incarnation) -> bool:
         """Whether an owner incarnation has ended, as far as this entry has heard."""
-        return not self.control.is_live(owner) or owner in self.restrictions.ended
+        return (
+            not self.control.is_live(owner)
+            or owner in self.fenced
+            or owner in self.restrictions.ended
+        )
 
     def send(self, to: str, message: Message) -> None:
         """Send a message in this step."""
--- /dev/null
+++ b/catkincross/_held_requests.py
@@ -0,0 +1,114 @@
+"""Requests at the owner whose key is not settled, or whose job is kept elsewhere."""
+
+from __future__ import annotations
+
+import attrs
+
+from ._entry_registry import ENTRY
+from ._entry_rows import Waiter
+from ._entry_state import EntryState
+from ._ids import entry_process
+from ._key_settlement import KeyFate, keeper_of, settle_key
+from ._messages import CancelJob, ForwardJob, JobAnswer, JobAsked, JobState, Reason
+from ._owner import answer_request, ask_job, cancel_job, own_job
+from ._recovery_rows import HeldRequest
+
+CHECK_MS = 100
+RETRY_AFTER_MS = 1_000
+
+
+def unknown_answer(key: str) -> JobAnswer:
+    """Return the answer for a job whose outcome is not known yet."""
+    return JobAnswer(
+        0,
+        key,
+        JobState.UNKNOWN,
+        reason=Reason.RECOVERING,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+@ENTRY.system(order=350)
+def _settle_held(state: EntryState) -> None:
+    due_ms = state.settlement_due_ms
+    if not state.held_jobs or due_ms is None or state.now_ms < due_ms:
+        return
+    state.settlement_due_ms = state.now_ms + CHECK_MS
+    state.timers.set("settlement", state.settlement_due_ms)
+    for key_hash in list(state.held_jobs):
+        _expire(state, key_hash)
+        if key_hash in state.held_jobs:
+            _settle(state, key_hash)
+
+
+def _expire(state: EntryState, key_hash: bytes) -> None:
+    held = state.held_jobs[key_hash]
+    for row in [row for row in held if row.deadline_ms <= state.now_ms]:
+        held.remove(row)
+        waiter = Waiter(row.arrival, row.message.request_id)
+        answer_request(state, waiter, unknown_answer(row.message.key))
+    if not held:
+        del state.held_jobs[key_hash]
+
+
+def _settle(state: EntryState, key_hash: bytes) -> None:
+    if key_hash not in state.jobs:
+        fate = settle_key(state, key_hash)
+        if fate is KeyFate.PENDING:
+            return
+        if fate is KeyFate.ELSEWHERE:
+            _pass_on(state, key_hash)
+            return
+    for row in state.held_jobs.pop(key_hash):
+        if isinstance(row.message, ForwardJob):
+            budget_ms = max(0, row.deadline_ms - state.now_ms)
+            message = attrs.evolve(row.message, budget_ms=budget_ms)
+            own_job(state, row.arrival, message)
+        elif isinstance(row.message, JobAsked):
+            ask_job(state, row.arrival, row.message)
+        elif isinstance(row.message, CancelJob):
+            cancel_job(state, row.arrival, row.message)
+
+
+def _pass_on(state: EntryState, key_hash: bytes) -> None:
+    """Send held requests to the earlier owner that keeps the job."""
+    keeper = keeper_of(state, key_hash)
+    for row in state.held_jobs[key_hash]:
+        if keeper is None or row.keeper == keeper:
+            continue
+        row.keeper = keeper
+        _send_on(state, row)
+
+
+def _send_on(state: EntryState, row: HeldRequest) -> None:
+    if not row.relay_id:
+        state.relays += 1
+        # Negative, so that it differs from every number of this entry's callers.
+        row.relay_id = -state.relays
+    changes = {"request_id": row.relay_id}
+    if isinstance(row.message, ForwardJob):
+        changes["budget_ms"] = max(0, row.deadline_ms - state.now_ms)
+    assert row.keeper is not None
+    message = attrs.evolve(row.message, **changes)
+    state.send(entry_process(row.keeper.name), message)
+
+
+def send_relayed_again(state: EntryState, name: str) -> None:
+    """Repeat what was passed on to an entry whose stream opened again."""
+    for rows in state.held_jobs.values():
+        for row in rows:
+            if row.keeper is not None and row.keeper.name == name:
+                _send_on(state, row)
+
+
+def relay_answer(state: EntryState, answer: JobAnswer) -> None:
+    """Pass the answer of an earlier owner on to the arrival entry."""
+    for key_hash, rows in list(state.held_jobs.items()):
+        for row in rows:
+            if row.relay_id == answer.request_id:
+                rows.remove(row)
+                waiter = Waiter(row.arrival, row.message.request_id)
+                answer_request(state, waiter, answer)
+                if not rows:
+                    del state.held_jobs[key_hash]
+                return
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -58,6 +58,8 @@
         state.home_tasks.add(key, row)
         state.home_queue[key] = None
         state.home_due.set(key, row.deadline_ms)
+        if state.is_fenced(placed.owner):
+            decline(state, row, Reason.STALE_OWNER)
 
 
 @ENTRY.system(order=450)
--- /dev/null
+++ b/catkincross/_key_queries.py
@@ -0,0 +1,131 @@
+"""Questions to earlier owners that still live, and the lists they send unasked."""
+
+from __future__ import annotations
+
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
+from ._ids import Incarnation, entry_process, split_process
+from ._messages import KeyQuery, KeyReply
+from ._recovery_rows import Inquiry, KeyList, Knowledge
+from ._rendezvous import choose
+
+REPEAT_MS = 500
+
+# An owner with more keys sends no list after a roster change; it is asked instead.
+MOST_LISTED_KEYS = 20_000
+
+
+def ask_about(
+    state: EntryState, key_hash: bytes, owners: list[Incarnation]
+) -> dict[Incarnation, Knowledge]:
+    """Return what earlier owners say about a key, and ask those that did not.
+
+    Only answers given under this entry's current roster count. An owner that has
+    folded it does not admit the key any more.
+
+    Args:
+        state: The entry's state.
+        key_hash: Hash of a key that this entry owns.
+        owners: Earlier owners that live.
+    """
+    queries, version = state.key_queries, state.control.roster_version
+    knowledge = {}
+    open_owners = []
+    for owner in owners:
+        listed = queries.lists.get(owner)
+        if listed is not None and listed.roster_version >= version:
+            known = key_hash in listed.keys
+            knowledge[owner] = Knowledge.KNOWN if known else Knowledge.NOT_KNOWN
+        else:
+            open_owners.append(owner)
+    if not open_owners:
+        return knowledge
+    inquiry = queries.inquiries.get(key_hash)
+    if inquiry is None or inquiry.roster_version != version:
+        inquiry = queries.inquiries[key_hash] = Inquiry(version)
+    for owner in open_owners:
+        knowledge[owner] = inquiry.answers.get(owner, Knowledge.ASKED)
+        asked_ms = inquiry.asked_ms.get(owner)
+        overdue = asked_ms is None or state.now_ms - asked_ms >= REPEAT_MS
+        if knowledge[owner] is Knowledge.ASKED and overdue:
+            inquiry.asked_ms[owner] = state.now_ms
+            queries.to_ask[owner.name].append(key_hash)
+    return knowledge
+
+
+@ENTRY.system(order=800)
+def _send_queries(state: EntryState) -> None:
+    queries = state.key_queries
+    for name, keys in queries.to_ask.items():
+        message = KeyQuery(keys, state.control.roster_version)
+        state.send(entry_process(name), message)
+    queries.to_ask.clear()
+    for key_hash in [key for key in queries.inquiries if key not in state.held_jobs]:
+        del queries.inquiries[key_hash]
+
+
+@ENTRY.handles(KeyQuery)
+def _key_asked(state: EntryState, sender: str, message: KeyQuery) -> None:
+    state.key_queries.deferred.append((sender, message))
+
+
+@ENTRY.system(order=355)
+def _answer_queries(state: EntryState) -> None:
+    """Answer the questions about rosters that this entry has folded."""
+    queries = state.key_queries
+    deferred, queries.deferred = queries.deferred, []
+    for sender, message in deferred:
+        if message.roster_version > state.control.version:
+            queries.deferred.append((sender, message))
+            continue
+        known = [key for key in message.keys if key in state.jobs]
+        reply = KeyReply(message.keys, known, message.roster_version)
+        state.send(sender, reply)
+
+
+@ENTRY.handles(KeyReply)
+def _key_answered(state: EntryState, sender: str, message: KeyReply) -> None:
+    peer = state.peers.get(split_process(sender)[1])
+    if peer is None:
+        return
+    queries = state.key_queries
+    if message.complete:
+        keys = frozenset(message.known)
+        queries.lists[peer.incarnation] = KeyList(message.roster_version, keys)
+    known = set(message.known)
+    for key in message.keys:
+        inquiry = queries.inquiries.get(key)
+        if inquiry is not None and inquiry.roster_version == message.roster_version:
+            answer = Knowledge.KNOWN if key in known else Knowledge.NOT_KNOWN
+            inquiry.answers[peer.incarnation] = answer
+    state.settlement_due_ms = state.now_ms
+
+
+@ENTRY.system(order=360)
+def _list_moved_keys(state: EntryState) -> None:
+    """Tell each entry, after a roster change, which of its keys are known here.
+
+    This spares it a question for each new key.
+    """
+    queries, version = state.key_queries, state.control.roster_version
+    if queries.listed_version == version or state.me is None:
+        return
+    queries.listed_version = version
+    queries.lists = {
+        owner: listed
+        for owner, listed in queries.lists.items()
+        if state.control.is_live(owner)
+    }
+    for name, peer in state.peers.rows.items():
+        if peer.connected:
+            send_key_list(state, name)
+
+
+def send_key_list(state: EntryState, name: str) -> None:
+    """Send an entry the keys of its range that are known here, if they are few."""
+    if state.me is None or len(state.jobs) > MOST_LISTED_KEYS:
+        return
+    owners = state.control.owners()
+    known = [key for key in state.jobs.rows if choose(key, owners) == name]
+    version = state.control.roster_version
+    state.send(entry_process(name), KeyReply([], known, version, complete=True))
--- a/catkincross/_key_settlement.py
+++ b/catkincross/_key_settlement.py
@@ -2,18 +2,34 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
-
+from ._census import census_fate
 from ._entry_state import EntryState
+from ._ids import Incarnation
+from ._key_fate import KeyFate
+from ._key_queries import ask_about
+from ._recovery_rows import Knowledge
+from ._rendezvous import choose
+
+__all__ = ["KeyFate", "earlier_owners", "owner_of", "settle_key"]
+
 
+def owner_of(state: EntryState, key_hash: bytes) -> str | None:
+    """Return the name of the entry that owns a key on this entry's roster."""
+    return choose(key_hash, state.control.owners())
 
-class KeyFate(StrEnum):
-    """What is known of a key under earlier owners."""
 
-    FREE = "free"
-    STARTED = "started"
-    PENDING = "pending"
-    ELSEWHERE = "elsewhere"
+def earlier_owners(state: EntryState, key_hash: bytes) -> list[Incarnation]:
+    """Return the incarnations that owned a key within the retention window.
+
+    This entry's own incarnation is left out: it knows its keys.
+    """
+    found = {}
+    for roster in state.control.history:
+        by_name = {entry.name: entry for entry in roster.entries}
+        name = choose(key_hash, by_name)
+        if name is not None and by_name[name] != state.me:
+            found[by_name[name]] = None
+    return list(found)
 
 
 def settle_key(state: EntryState, key_hash: bytes) -> KeyFate:
@@ -21,11 +37,47 @@
 
     Args:
         state: The entry's state.
-        key_hash: Hash of a key that this entry owns and has no job for.
+        key_hash: Hash of a key that this entry has no job for.
 
     Returns:
         `FREE` if no task of the key can have started, `STARTED` if one may have,
-        `PENDING` while that is being found out, `ELSEWHERE` if an earlier owner
-        lives and keeps the job.
+        `PENDING` while that is being found out or while this entry does not own the
+        key on its roster, `ELSEWHERE` if an earlier owner lives and keeps the job.
     """
+    if not state.guards.census:
+        return KeyFate.FREE
+    if state.me is None or owner_of(state, key_hash) != state.name:
+        return KeyFate.PENDING
+    earlier = earlier_owners(state, key_hash)
+    live = [entry for entry in earlier if state.control.is_live(entry)]
+    knowledge = ask_about(state, key_hash, live)
+    if Knowledge.KNOWN in knowledge.values():
+        return KeyFate.ELSEWHERE
+    if Knowledge.ASKED in knowledge.values():
+        return KeyFate.PENDING
+    return _fate_under_ended(state, key_hash, earlier)
+
+
+def _fate_under_ended(
+    state: EntryState, key_hash: bytes, earlier: list[Incarnation]
+) -> KeyFate:
+    ended = [entry for entry in earlier if entry in state.control.ended]
+    # An owner that left as planned has handed its keys to later owners, which
+    # were asked. If one of those was lost, the keys that it received were too.
+    if all(state.control.ended[entry].planned for entry in ended):
+        return KeyFate.FREE
+    fates = {census_fate(state, entry, key_hash) for entry in ended}
+    for fate in (KeyFate.STARTED, KeyFate.PENDING):
+        if fate in fates:
+            return fate
     return KeyFate.FREE
+
+
+def keeper_of(state: EntryState, key_hash: bytes) -> Incarnation | None:
+    """Return the earlier owner that lives and keeps a job, or None."""
+    earlier = earlier_owners(state, key_hash)
+    live = [entry for entry in earlier if state.control.is_live(entry)]
+    for entry, known in ask_about(state, key_hash, live).items():
+        if known is Knowledge.KNOWN:
+            return entry
+    return None
--- /dev/null
+++ b/catkincross/_leave.py
@@ -0,0 +1,157 @@
+"""Planned leave of an entry: announce it, finish jobs, hand over keys, end."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from ._effects import LeaveRequested, Stop
+from ._entry_registry import ENTRY
+from ._entry_rows import JobRow
+from ._entry_state import EntryState
+from ._home import decline
+from ._ids import entry_process, hash_key
+from ._messages import FinishedKey, HandoverReceived, KeyHandover, Reason
+from ._owner import fail_jobs
+from ._records import EntryEnded, EntryLeaving, RecordBody
+from ._rendezvous import choose
+
+HANDOVER_ROWS = 100
+HANDOVER_REPEAT_MS = 1_000
+
+PLANNED = "planned"
+# Left with keys that no other entry has confirmed.
+UNCONFIRMED = "unconfirmed"
+
+
+@ENTRY.handles(LeaveRequested)
+def _leave_requested(state: EntryState, sender: str, event: LeaveRequested) -> None:
+    if state.stopping:
+        return
+    state.stopping = True
+    state.leave.due_ms = state.now_ms + state.settings.membership.leave_limit_ms
+    state.timers.set("leave", state.leave.due_ms)
+    state.heartbeat_due_ms = state.now_ms
+    state.emit("membership", "leave announced", jobs=len(state.jobs))
+
+
+@ENTRY.system(order=700)
+def _leave(state: EntryState) -> None:
+    if not state.stopping or state.leave.stopped:
+        return
+    overdue = state.now_ms >= state.leave.due_ms
+    if state.me is None:
+        if overdue or not state.appends.pending:
+            _stop(state)
+        return
+    if not state.control.entries[state.name].leaving:
+        _append_once(state, EntryLeaving(state.me))
+        # Without the log, the others end this entry when it returns.
+        if overdue:
+            _stop(state)
+        return
+    for key in list(state.home_queue):
+        decline(state, state.home_tasks.rows[key], Reason.LEAVING)
+    if not overdue and _is_busy(state):
+        return
+    state.leave.gave_up |= any(job.answer is None for job in state.jobs)
+    fail_jobs(state)
+    handed_over = _hand_over(state)
+    if handed_over or overdue:
+        planned = handed_over and bool(state.control.owners())
+        planned = planned and not state.leave.gave_up
+        _append_once(state, EntryEnded(state.me, PLANNED if planned else UNCONFIRMED))
+        if overdue and not state.log_reachable:
+            _stop(state)
+
+
+def _is_busy(state: EntryState) -> bool:
+    return (
+        any(job.answer is None for job in state.jobs)
+        or len(state.requests) > 0
+        or bool(state.held_jobs)
+        or any(row.connected and row.held for row in state.agents)
+    )
+
+
+def _append_once(state: EntryState, body: RecordBody) -> None:
+    pending = state.appends.pending.values()
+    if state.log_reachable and not any(row.record.body == body for row in pending):
+        state.append(body)
+
+
+def _stop(state: EntryState) -> None:
+    state.leave.stopped = True
+    state.effects.append(Stop("left"))
+
+
+def _hand_over(state: EntryState) -> bool:
+    """Send finished rows to their next owners; return whether all are confirmed."""
+    leave = state.leave
+    if leave.roster_version != state.control.roster_version:
+        leave.roster_version = state.control.roster_version
+        leave.batches = {}
+        leave.send_due_ms = state.now_ms
+        _make_batches(state)
+    if leave.batches and state.now_ms >= leave.send_due_ms:
+        leave.send_due_ms = state.now_ms + HANDOVER_REPEAT_MS
+        state.timers.set("handover", leave.send_due_ms)
+        for name, message in leave.batches.values():
+            state.send(entry_process(name), message)
+    return not leave.batches
+
+
+def _make_batches(state: EntryState) -> None:
+    owners = state.control.owners()
+    rows: dict[str, list[FinishedKey]] = defaultdict(list)
+    for job in state.jobs:
+        name = choose(job.key_hash, owners)
+        if name is not None and not job.key.startswith(f"{state.me}/"):
+            rows[name].append(_finished(state, job))
+    leave = state.leave
+    for name, finished in rows.items():
+        for start in range(0, len(finished), HANDOVER_ROWS):
+            leave.batch_count += 1
+            batch = finished[start : start + HANDOVER_ROWS]
+            message = KeyHandover(batch, leave.batch_count)
+            leave.batches[leave.batch_count] = (name, message)
+
+
+def _finished(state: EntryState, job: JobRow) -> FinishedKey:
+    assert job.answer is not None
+    due_ms, _ = state.job_due.due[job.key_hash]
+    age_ms = state.now_ms + state.settings.jobs.key_retention_ms - due_ms
+    return FinishedKey(job.key, job.digest, job.answer, max(0, age_ms))
+
+
+@ENTRY.handles(HandoverReceived)
+def _handover_confirmed(
+    state: EntryState, sender: str, message: HandoverReceived
+) -> None:
+    state.leave.batches.pop(message.batch, None)
+
+
+@ENTRY.handles(KeyHandover)
+def _keys_handed_over(state: EntryState, sender: str, message: KeyHandover) -> None:
+    if state.me is None:
+        return
+    for row in message.rows:
+        key_hash = hash_key(row.key)
+        if key_hash in state.jobs:
+            continue
+        job = JobRow(
+            key=row.key,
+            key_hash=key_hash,
+            digest=row.digest,
+            team="",
+            service="",
+            tasks=[],
+            deadline_ms=state.now_ms,
+            accepted_ms=state.now_ms - row.age_ms,
+            state=row.answer.state,
+            answer=row.answer,
+        )
+        state.jobs.add(key_hash, job)
+        retention_ms = state.settings.jobs.key_retention_ms
+        state.job_due.set(key_hash, state.now_ms + max(0, retention_ms - row.age_ms))
+    state.settlement_due_ms = state.now_ms
+    state.send(sender, HandoverReceived(message.batch))
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -548,11 +548,14 @@
 
     Attributes:
         roster_version: Version of the query that is answered.
+        complete: `known` holds all keys known to the sender that the addressee owns
+            on the roster of this version; sent unasked after a roster change.
     """
 
     keys: list[bytes]
     known: list[bytes]
     roster_version: int = 0
+    complete: bool = False
 
 
 @attrs.frozen
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -28,9 +28,10 @@
     TaskStatus,
     Truth,
 )
+from ._recovery_rows import HeldRequest
 
 PLACE_RETRY_MS = 50
-UNSETTLED_RETRY_MS = 1_000
+ASK_BUDGET_MS = 60_000
 
 
 @ENTRY.handles(ForwardJob)
@@ -60,33 +61,53 @@
     waiter = Waiter(arrival, message.request_id)
     job = state.jobs.get(key_hash)
     if job is None:
-        fate = settle_key(state, key_hash)
-        if fate is not KeyFate.FREE:
-            _answer(state, waiter, _unsettled(message.key, fate))
+        fate = KeyFate.FREE
+        if not message.key.startswith(f"{state.me}/"):
+            fate = settle_key(state, key_hash)
+        if fate in (KeyFate.PENDING, KeyFate.ELSEWHERE):
+            hold_request(state, arrival, message)
+            return
+        if fate is KeyFate.STARTED:
+            answer_request(state, waiter, lost_answer(message.key))
             return
         job = _admit(state, key_hash, message)
     elif job.digest != message.digest:
         conflict = JobAnswer(
             0, message.key, JobState.FAILED, Truth.NONE, Reason.KEY_CONFLICT
         )
-        _answer(state, waiter, conflict)
+        answer_request(state, waiter, conflict)
         return
     if job.answer is not None:
-        _answer(state, waiter, job.answer)
-    else:
+        answer_request(state, waiter, job.answer)
+    elif waiter not in job.waiters:
         job.waiters.append(waiter)
 
 
-def _unsettled(key: str, fate: KeyFate) -> JobAnswer:
-    if fate is KeyFate.STARTED:
-        return JobAnswer(0, key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST)
-    return JobAnswer(
-        0,
-        key,
-        JobState.UNKNOWN,
-        reason=Reason.RECOVERING,
-        retry_after_ms=UNSETTLED_RETRY_MS,
-    )
+def lost_answer(key: str) -> JobAnswer:
+    """Return the answer for a job that an ended owner may have run."""
+    return JobAnswer(0, key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST)
+
+
+def hold_request(
+    state: EntryState, arrival: str, message: ForwardJob | JobAsked | CancelJob
+) -> None:
+    """Keep a request until its key is settled."""
+    budget_ms = message.budget_ms if isinstance(message, ForwardJob) else ASK_BUDGET_MS
+    held = HeldRequest(arrival, message, state.now_ms + budget_ms)
+    state.held_jobs.setdefault(hash_key(message.key), []).append(held)
+    state.settlement_due_ms = state.now_ms
+
+
+def _answer_absent(
+    state: EntryState, waiter: Waiter, message: JobAsked | CancelJob
+) -> None:
+    fate = settle_key(state, hash_key(message.key))
+    if fate is KeyFate.FREE:
+        answer_request(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+    elif fate is KeyFate.STARTED:
+        answer_request(state, waiter, lost_answer(message.key))
+    else:
+        hold_request(state, waiter.entry, message)
 
 
 def _admit(state: EntryState, key_hash: bytes, message: ForwardJob) -> JobRow:
@@ -120,13 +141,13 @@
     waiter = Waiter(arrival, message.request_id)
     job = state.jobs.get(hash_key(message.key))
     if job is None:
-        _answer(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        _answer_absent(state, waiter, message)
     elif job.answer is not None:
-        _answer(state, waiter, job.answer)
+        answer_request(state, waiter, job.answer)
     elif message.wait:
         job.waiters.append(waiter)
     else:
-        _answer(state, waiter, _progress(job))
+        answer_request(state, waiter, _progress(job))
 
 
 def cancel_job(state: EntryState, arrival: str, message: CancelJob) -> None:
@@ -134,10 +155,10 @@
     waiter = Waiter(arrival, message.request_id)
     job = state.jobs.get(hash_key(message.key))
     if job is None:
-        _answer(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        _answer_absent(state, waiter, message)
         return
     if job.answer is not None:
-        _answer(state, waiter, job.answer)
+        answer_request(state, waiter, job.answer)
         return
     job.waiters.append(waiter)
     stop_job(state, job, Reason.CANCELLED)
@@ -153,7 +174,8 @@
     )
 
 
-def _answer(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
+def answer_request(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
+    """Send an answer to the arrival entry that waits for it."""
     addressed = attrs.evolve(answer, request_id=waiter.request_id)
     if waiter.entry == state.name:
         state.local_answers.append(addressed)
@@ -303,7 +325,7 @@
         reason=str(answer.reason),
     )
     for waiter in job.waiters:
-        _answer(state, waiter, job.answer)
+        answer_request(state, waiter, job.answer)
     job.waiters.clear()
     retention_ms = state.settings.jobs.key_retention_ms
     state.job_due.set(job.key_hash, state.now_ms + retention_ms)
@@ -321,7 +343,7 @@
             0, job.key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST
         )
         for waiter in job.waiters:
-            _answer(state, waiter, answer)
+            answer_request(state, waiter, answer)
         state.jobs.remove(key_hash)
         state.job_due.cancel(key_hash)
     state.waiting.clear()
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -49,6 +49,7 @@
     life: int = 0
     inbox: list[Any] = attrs.field(factory=list)
     wake_at: int | None = None
+    due_at: int | None = None
     peers: dict[str, str] = attrs.field(factory=dict)
     reading: bool = False
 
@@ -86,6 +87,8 @@
         self.lose_append_answers = 0
         # Time until an append of a process reaches the log.
         self.append_delay: Callable[[str], int] = lambda process: 0
+        # When each record reached the log, by its id.
+        self.append_times: dict[str, int] = {}
         # Processes whose host is down: their address does not refuse connections.
         self.lost_hosts: set[str] = set()
         self.run_ms: Callable[[str, TaskStart], int] = lambda agent, start: 50
@@ -202,12 +205,21 @@
         for effect in node.core.step(self.now_ms, inbox):
             self._carry_out(node, effect)
         due_ms = node.core.next_due_ms()
-        if due_ms is not None:
-            self.at(max(due_ms, self.now_ms + 1), lambda: self._due(node))
-
-    def _due(self, node: Node) -> None:
-        due_ms = node.core.next_due_ms()
-        if node.wake_at is None and due_ms is not None and due_ms <= self.now_ms:
+        if due_ms is None:
+            return
+        due_at = max(due_ms, self.now_ms + 1)
+        # One pending wake is enough, or their number grows with each step.
+        if node.due_at is None or node.due_at > due_at:
+            node.due_at = due_at
+            self.at(due_at, lambda: self._due(node, due_at))
+
+    def _due(self, node: Node, due_at: int) -> None:
+        if node.due_at != due_at:
+            return
+        node.due_at = None
+        if not node.alive or node.paused:
+            return
+        if node.wake_at is None:
             self._step(node)
 
     def _carry_out(self, node: Node, effect: Any) -> None:
@@ -223,8 +235,12 @@
             case fx.Emit():
                 self.events.append((self.now_ms, node.process, effect))
             case fx.SetPeers(addresses):
+                # Others are retried at an interval; trying them at once, on each
+                # change of home, would never end while one is unreachable.
+                added = [name for name in addresses if name not in node.peers]
                 node.peers = dict(addresses)
-                self._connect_all(node)
+                for process in added:
+                    self._connect(node, process)
             case fx.CallUpstream(start):
                 self._call_upstream(node, start)
             case fx.AbortUpstream(start):
@@ -357,11 +373,11 @@
         if delay_ms:
             # The writer gives up waiting; the record arrives all the same.
             body = encode_record(record)
-            self.at(self.now_ms + delay_ms, lambda: self.log.append(body))
+            self.at(self.now_ms + delay_ms, lambda: self._to_log(record.id, body))
             lost = fx.AppendEnded(record.id, None, False, "timeout")
             self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, lost))
             return
-        offset = self.log.append(encode_record(record))
+        offset = self._to_log(record.id, encode_record(record))
         if self.lose_append_answers:
             self.lose_append_answers -= 1
             event = fx.AppendEnded(record.id, None, False, "timeout")
@@ -369,6 +385,10 @@
             event = fx.AppendEnded(record.id, offset, True)
         self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
 
+    def _to_log(self, record_id: str, body: bytes) -> int:
+        self.append_times.setdefault(record_id, self.now_ms)
+        return self.log.append(body)
+
     # Upstreams
 
     def _call_upstream(self, node: Node, start: TaskStart) -> None:
