Recover tasks after the loss of an agent, a home or a stream

Cause: a task sent to a home or agent whose stream broke, or that ended, stayed placed until the deadline of its job.

Ruled out: taking the end of a home as not_run, because the agent may have started the task; acknowledgements for each message, which cost a message a task.

Before: no repeat after a reconnect and no answer for ended agents. After: homes repeat unanswered starts to an agent that opens its stream again and answer for ended agents; an owner asks all agents to block an attempt whose home ended and places it again only after all of them did.

--- a/catkincross/_agent_tasks.py
+++ b/catkincross/_agent_tasks.py
@@ -5,10 +5,13 @@
 from ._agent_registry import AGENT
 from ._agent_state import AgentState, StartRow
 from ._effects import UpstreamAnswered
+from ._ids import Incarnation
 from ._messages import (
     CancelTasks,
     OwnedTask,
     Reason,
+    ReconcileReply,
+    ReconcileTasks,
     StartTasks,
     TaskResult,
     TaskStart,
@@ -57,9 +60,14 @@
 
 
 def _block(
-    state: AgentState, owned: OwnedTask, status: TaskStatus, reason: Reason
+    state: AgentState,
+    owned: OwnedTask,
+    status: TaskStatus,
+    reason: Reason,
+    *,
+    report: bool = True,
 ) -> None:
-    """Answer that an attempt has not run, and keep it from starting later.
+    """Keep an attempt from starting later, and answer that it has not run.
 
     Without the row a duplicate of the message could start the task after its owner
     was told that it has not run.
@@ -76,7 +84,8 @@
     row = StartRow(owned.owner, owned.task, owned.attempt, None, result, state.now_ms)
     state.starts.put(owned.task, row)
     _forget_later(state, row)
-    state.results.append(result)
+    if report:
+        state.results.append(result)
 
 
 def _answer_known(state: AgentState, row: StartRow, start: TaskStart) -> None:
@@ -108,6 +117,22 @@
             state.abort_upstream(row.start)
 
 
+@AGENT.handles(ReconcileTasks)
+def _reconcile(state: AgentState, sender: str, message: ReconcileTasks) -> None:
+    blocked: dict[Incarnation, list[OwnedTask]] = {}
+    for owned in message.tasks:
+        row = state.starts.get(owned.task)
+        if row is not None and row.start is not None:
+            if row.result is not None:
+                state.results.append(row.result)
+            continue
+        if row is None or row.attempt < owned.attempt:
+            _block(state, owned, TaskStatus.CANCELLED, Reason.REVOKED, report=False)
+        blocked.setdefault(owned.owner, []).append(owned)
+    for owner, tasks in blocked.items():
+        state.send(sender, ReconcileReply(state.me, owner, tasks))
+
+
 @AGENT.handles(UpstreamAnswered)
 def _upstream_answered(state: AgentState, sender: str, event: UpstreamAnswered) -> None:
     start = event.task_start
--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -13,6 +13,7 @@
     _home_agents,
     _membership,
     _owner,
+    _task_recovery,
 )
 from ._effects import Effect, Received
 from ._entry_registry import ENTRY
@@ -63,5 +64,6 @@
             state.retry_due_ms if state.waiting else None,
             state.job_due.next_due_ms(),
             state.home_due.next_due_ms(),
+            state.recovery.due_ms,
         ]
         return min(due_ms for due_ms in due if due_ms is not None)
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -39,6 +39,7 @@
     if role == "entry" and name in state.peers:
         state.peers.rows[name].connected = True
         state.peers.rows[name].refused = False
+        state.peers.touch(name)
         state.heartbeat_due_ms = state.now_ms
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = True
--- a/catkincross/_entry_rows.py
+++ b/catkincross/_entry_rows.py
@@ -56,6 +56,7 @@
 
     Attributes:
         home: Name of the home that has the task while it is placed.
+        home_number: Incarnation number of that home.
         maybe_started: A send of this task was not answered by `not_run`.
     """
 
@@ -63,6 +64,7 @@
     spec: TaskSpec
     phase: TaskPhase = TaskPhase.WAITING
     home: str = ""
+    home_number: int = 0
     placed_ms: int = 0
     attempts: int = 0
     maybe_started: bool = False
@@ -194,3 +196,19 @@
     heard_ms: int | None = None
     capacity: dict[tuple[str, str], CapacitySummary] = attrs.field(factory=dict)
     teams: dict[str, TeamUsage] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Recovery:
+    """Tasks whose home was lost while they were placed on it.
+
+    Attributes:
+        unaccounted: Agents that may still have a task, by attempt.
+        due_ms: When they are asked next, or None.
+        control_version: Control version up to which lost homes and agents were
+            handled.
+    """
+
+    unaccounted: dict[OwnedTask, set[Incarnation]] = attrs.field(factory=dict)
+    due_ms: int | None = None
+    control_version: int = 0
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -9,7 +9,7 @@
 
 from ._control_state import ControlState
 from ._effects import Append, Effect, Emit, Reply, Send
-from ._entry_rows import AgentRow, HomeTask, JobRow, PeerRow, RequestRow
+from ._entry_rows import AgentRow, HomeTask, JobRow, PeerRow, Recovery, RequestRow
 from ._freshness import Freshness
 from ._guards import ALL_GUARDS, Guards
 from ._ids import Incarnation, TaskId, entry_process
@@ -52,6 +52,8 @@
         agents: Agents whose home this entry is, by name.
         home_tasks: Tasks placed on this entry.
         home_queue: Tasks at this home without a slot, in order.
+        sent_tasks: Tasks of this home that an agent has, by name of the agent.
+        recovery: Tasks of this owner whose home was lost.
         peers: Other entries on the roster, by name.
         agent_results: Results from agents that this home has not handled yet.
         owner_results: Results that this owner has not handled yet.
@@ -79,6 +81,8 @@
     )
     home_queue: dict[OwnedTask, None] = attrs.field(factory=dict)
     home_due: DueQueue[OwnedTask] = attrs.field(factory=DueQueue)
+    sent_tasks: dict[str, dict[OwnedTask, None]] = attrs.field(factory=dict)
+    recovery: Recovery = attrs.field(factory=Recovery)
     peers: Table[str, PeerRow] = attrs.field(factory=lambda: Table("peers"))
     batches: Batches = attrs.field(factory=Batches)
     agent_results: list[tuple[str, TaskResult]] = attrs.field(factory=list)
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -92,11 +92,17 @@
 def _start(state: EntryState, row: HomeTask, agent: AgentRow) -> None:
     del state.home_queue[row.key]
     agent.held.add(row.key)
-    agent_now_ms = agent.agent_time_ms(state.now_ms)
-    budget_ms = row.deadline_ms - state.now_ms
     row.agent = agent.name
     row.agent_incarnation = agent.hello.agent
     row.sent_ms = state.now_ms
+    state.sent_tasks.setdefault(agent.name, {})[row.key] = None
+    send_start(state, row, agent)
+
+
+def send_start(state: EntryState, row: HomeTask, agent: AgentRow) -> None:
+    """Send a task to the agent that it was given to, for the first time or again."""
+    agent_now_ms = agent.agent_time_ms(state.now_ms)
+    budget_ms = row.deadline_ms - state.now_ms
     start = TaskStart(
         owner=row.placed.owner,
         task=row.placed.task,
@@ -141,11 +147,23 @@
     row.result = result
     row.ended_ms = state.now_ms
     state.home_queue.pop(row.key, None)
+    state.sent_tasks.get(row.agent, {}).pop(row.key, None)
     retention_ms = state.settings.jobs.key_retention_ms
     state.home_due.set(row.key, state.now_ms + retention_ms)
     send_result(state, row, result)
 
 
+def lost_result(row: HomeTask, reason: Reason) -> TaskResult:
+    """Return the result of a task that an agent has and will not answer."""
+    return TaskResult(
+        owner=row.placed.owner,
+        task=row.placed.task,
+        status=TaskStatus.FAILED,
+        reason=reason,
+        attempt=row.placed.attempt,
+    )
+
+
 def decline(state: EntryState, row: HomeTask, reason: Reason) -> None:
     """Give a task that no agent has back to its owner."""
     result = TaskResult(
@@ -192,4 +210,6 @@
             state.home_tasks.remove(key)
         elif not row.agent:
             decline(state, row, Reason.DEADLINE)
+        else:
+            finish(state, row, lost_result(row, Reason.DEADLINE))
     state.home_tasks.changed.clear()
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -519,6 +519,26 @@
     tasks: list[OwnedTask]
 
 
+@attrs.frozen
+class ReconcileTasks:
+    """Asks agents to block attempts whose home was lost, unless they started.
+
+    An owner sends it to homes, and each home to its agents of the service.
+    """
+
+    service: str
+    tasks: list[OwnedTask]
+
+
+@attrs.frozen
+class ReconcileReply:
+    """Attempts that an agent has blocked: it has not started them and never will."""
+
+    agent: Incarnation
+    owner: Incarnation
+    blocked: list[OwnedTask]
+
+
 Message = (
     AgentHello
     | AgentHeartbeat
@@ -540,4 +560,6 @@
     | KeyHandover
     | PlaceTasks
     | RecallTasks
+    | ReconcileTasks
+    | ReconcileReply
 )
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -74,6 +74,12 @@
     if job.answer is not None:
         _answer(state, waiter, job.answer)
     else:
+        _add_waiter(job, waiter)
+
+
+def _add_waiter(job: JobRow, waiter: Waiter) -> None:
+    # An arrival entry forwards a job again after a reconnect.
+    if waiter not in job.waiters:
         job.waiters.append(waiter)
 
 
@@ -124,7 +130,7 @@
     elif job.answer is not None:
         _answer(state, waiter, job.answer)
     elif message.wait:
-        job.waiters.append(waiter)
+        _add_waiter(job, waiter)
     else:
         _answer(state, waiter, _progress(job))
 
@@ -139,7 +145,7 @@
     if job.answer is not None:
         _answer(state, waiter, job.answer)
         return
-    job.waiters.append(waiter)
+    _add_waiter(job, waiter)
     stop_job(state, job, Reason.CANCELLED)
 
 
@@ -187,18 +193,20 @@
         job, row = found
         row.phase = TaskPhase.PLACED
         row.home = home
+        row.home_number = state.control.entries[home].number
         row.placed_ms = state.now_ms
         row.attempts += 1
         row.maybe_started = True
         job.state = JobState.RUNNING
-        placed.append(_placed_task(state, job, row))
+        placed.append(placed_task(state, job, row))
     if home == state.name:
         accept_tasks(state, state.process, placed)
     else:
         state.batches.placed[entry_process(home)].extend(placed)
 
 
-def _placed_task(state: EntryState, job: JobRow, row: TaskRow) -> PlacedTask:
+def placed_task(state: EntryState, job: JobRow, row: TaskRow) -> PlacedTask:
+    """Return the message part that sends the current attempt of a task."""
     assert state.me is not None
     return PlacedTask(
         owner=state.me,
@@ -233,12 +241,13 @@
             continue
         found = task_row(state, result.task)
         if found is not None:
-            _task_ended(state, *found, result)
+            task_ended(state, *found, result)
 
 
-def _task_ended(
+def task_ended(
     state: EntryState, job: JobRow, row: TaskRow, result: TaskResult
 ) -> None:
+    """Take the end of an attempt of a task that this entry owns."""
     if row.phase is TaskPhase.ENDED:
         return
     if result.not_run:
--- /dev/null
+++ b/catkincross/_task_recovery.py
@@ -0,0 +1,193 @@
+"""Recovery of tasks whose agent, home or stream was lost.
+
+A home repeats what an agent may have missed when the agent opens a stream again,
+and answers for the tasks of an agent that has ended. An owner repeats its
+placements when the stream to a home opens again. When a home has ended, the owner
+asks all agents that could have the task to block it; the task is placed again only
+after each of them has done so.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from ._arrival import forward
+from ._entry_registry import ENTRY
+from ._entry_rows import JobRow, TaskPhase, TaskRow
+from ._entry_state import EntryState
+from ._home import finish, lost_result, send_start
+from ._ids import Incarnation, agent_process, entry_process
+from ._messages import (
+    OwnedTask,
+    PlaceTasks,
+    Reason,
+    ReconcileReply,
+    ReconcileTasks,
+    TaskResult,
+    TaskStatus,
+)
+from ._owner import placed_task, task_ended, task_row
+
+RECONCILE_INTERVAL_MS = 500
+
+# The home's side
+
+
+@ENTRY.system(order=220)
+def _repeat_to_agents(state: EntryState) -> None:
+    for name in state.agents.take_changed():
+        agent = state.agents.rows[name]
+        for key in list(state.sent_tasks.get(name, ())):
+            row = state.home_tasks.get(key)
+            if row is None or row.result is not None:
+                continue
+            if row.agent_incarnation != agent.hello.agent:
+                finish(state, row, lost_result(row, Reason.AGENT_LOST))
+            elif key not in agent.held:
+                agent.held.add(key)
+                send_start(state, row, agent)
+
+
+@ENTRY.system(order=230)
+def _answer_for_ended(state: EntryState) -> None:
+    if state.recovery.control_version == state.control.version:
+        return
+    for name in list(state.sent_tasks):
+        for key in list(state.sent_tasks[name]):
+            row = state.home_tasks.get(key)
+            if row is None or row.agent_incarnation is None:
+                continue
+            if _has_ended(state, row.agent_incarnation):
+                finish(state, row, lost_result(row, Reason.AGENT_LOST))
+    for agent in list(state.agents):
+        if _has_ended(state, agent.hello.agent):
+            state.agents.remove(agent.name)
+
+
+def _has_ended(state: EntryState, agent: Incarnation) -> bool:
+    member = state.control.members.get(agent)
+    return member is not None and member.ended_ms is not None
+
+
+@ENTRY.handles(ReconcileTasks)
+def _reconcile_asked(state: EntryState, sender: str, message: ReconcileTasks) -> None:
+    for agent in state.agents:
+        if agent.hello.service == message.service:
+            state.send(agent_process(agent.name), message)
+
+
+@ENTRY.handles(ReconcileReply)
+def _reconcile_answered(
+    state: EntryState, sender: str, message: ReconcileReply
+) -> None:
+    if message.owner != state.me:
+        state.send(entry_process(message.owner.name), message)
+        return
+    for key in message.blocked:
+        waiting_for = state.recovery.unaccounted.get(key)
+        if waiting_for is None:
+            continue
+        waiting_for.discard(message.agent)
+        if not waiting_for:
+            _resolve(state, key, started=False)
+
+
+# The owner's side
+
+
+@ENTRY.system(order=350)
+def _repeat_to_homes(state: EntryState) -> None:
+    for name in state.peers.take_changed():
+        if not state.peers.rows[name].connected:
+            continue
+        placed = [
+            placed_task(state, job, row)
+            for job, row in _placed_rows(state)
+            if row.home == name
+        ]
+        if placed:
+            state.send(entry_process(name), PlaceTasks(placed))
+        for request in state.requests:
+            if request.submission is not None and request.owner == name:
+                forward(state, request)
+
+
+def _placed_rows(state: EntryState) -> list[tuple[JobRow, TaskRow]]:
+    return [
+        (job, row)
+        for job in state.jobs
+        if job.open_tasks and job.answer is None
+        for row in job.tasks
+        if row.phase is TaskPhase.PLACED
+    ]
+
+
+@ENTRY.system(order=360)
+def _find_lost(state: EntryState) -> None:
+    if state.recovery.control_version == state.control.version:
+        return
+    state.recovery.control_version = state.control.version
+    for key, agents in list(state.recovery.unaccounted.items()):
+        if any(_has_ended(state, agent) for agent in agents):
+            _resolve(state, key, started=True)
+    for job, row in _placed_rows(state):
+        home = Incarnation(row.home, row.home_number)
+        if not state.control.is_live(home):
+            _home_lost(state, job, row)
+
+
+def _home_lost(state: EntryState, job: JobRow, row: TaskRow) -> None:
+    key = OwnedTask(state.me, row.task, row.attempts)
+    if key in state.recovery.unaccounted:
+        return
+    agents = set()
+    for incarnation, member in state.control.members.items():
+        if member.registered.service != job.service:
+            continue
+        if member.ended_ms is None:
+            agents.add(incarnation)
+        elif member.ended_ms >= row.placed_ms:
+            _resolve(state, key, started=True)
+            return
+    state.recovery.unaccounted[key] = agents
+    state.recovery.due_ms = state.now_ms
+    state.emit("owner", "home lost", task=str(row.task), home=row.home)
+    if not agents:
+        _resolve(state, key, started=False)
+
+
+def _resolve(state: EntryState, key: OwnedTask, *, started: bool) -> None:
+    """End an attempt whose home was lost, once it is known whether it may have run."""
+    state.recovery.unaccounted.pop(key, None)
+    found = task_row(state, key.task)
+    if found is None:
+        return
+    result = TaskResult(
+        owner=key.owner,
+        task=key.task,
+        status=TaskStatus.FAILED if started else TaskStatus.REFUSED,
+        not_run=not started,
+        reason=Reason.AGENT_LOST if started else Reason.HOME_LOST,
+        attempt=key.attempt,
+    )
+    task_ended(state, *found, result)
+
+
+@ENTRY.system(order=370)
+def _ask_agents(state: EntryState) -> None:
+    recovery = state.recovery
+    if recovery.due_ms is None or state.now_ms < recovery.due_ms:
+        return
+    by_service: dict[str, list[OwnedTask]] = defaultdict(list)
+    for key in list(recovery.unaccounted):
+        found = task_row(state, key.task)
+        if found is None or found[1].phase is not TaskPhase.PLACED:
+            del recovery.unaccounted[key]
+        else:
+            by_service[found[0].service].append(key)
+    recovery.due_ms = state.now_ms + RECONCILE_INTERVAL_MS if by_service else None
+    for service, tasks in by_service.items():
+        message = ReconcileTasks(service, tasks)
+        _reconcile_asked(state, state.process, message)
+        for name in state.peers.rows:
+            state.send(entry_process(name), message)
