--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -19,7 +19,7 @@
 from catkincross._agent_state import AgentState
 from catkincross._entry_core import EntryCore
 from catkincross._entry_state import EntryState
-from catkincross._records import encode_record
+from catkincross._records import Record, ResourcePut, encode_record
 from catkincross.guards import ALL_GUARDS, Guards
 from catkincross.ids import agent_process, entry_process
 from catkincross.messages import JobAnswer, TaskStart, TaskStatus
@@ -93,9 +93,21 @@
         self.change_replies: dict[int, fx.ChangeReply] = {}
         self.events: list[tuple[int, str, fx.Emit]] = []
         self.sent: list[tuple[int, str, str, Any]] = []
-        self.drop: Callable[[str, str, Any], bool] = lambda sender, to, message: False
-        self.delay: Callable[[str, str], int] = lambda sender, to: MESSAGE_DELAY_MS
+        # Delays in ms of the copies of a message; an empty list loses it.
+        self.route: Callable[[str, str, Any], list[int]] = lambda sender, to, message: [
+            MESSAGE_DELAY_MS
+        ]
+        # Called with process, other process or "", and item before each event.
+        self.observers: list[Callable[[str, str, Any], None]] = []
         self.next_request = 0
+        self.submitted: dict[int, fx.JobSubmitted] = {}
+        self.submitted_ms: dict[int, int] = {}
+        self.submitted_at: dict[int, str] = {}
+        self.submitted_life: dict[int, int] = {}
+        self.answered_ms: dict[int, int] = {}
+        self.versions_seen: dict[str, list[int]] = {}
+        # Data centre, time of acceptance, time of restoration or None.
+        self.drains: list[tuple[str, int, int | None]] = []
 
     # Building
 
@@ -178,6 +190,11 @@
 
     # Steps
 
+    def observe(self, process: str, other: str, item: Any) -> None:
+        """Tell the observers of an event."""
+        for observer in list(self.observers):
+            observer(process, other, item)
+
     def deliver(self, node: Node, item: Any) -> None:
         """Put an item into a node's inbox and let it step."""
         if node.alive:
@@ -196,7 +213,13 @@
             return
         inbox, node.inbox = node.inbox, []
         for effect in node.core.step(self.now_ms, inbox):
-            self._carry_out(node, effect)
+            if node.alive:
+                self._carry_out(node, effect)
+        if isinstance(node.core, EntryCore):
+            seen = self.versions_seen.setdefault(f"{node.process}#{node.life}", [])
+            version = node.core.state.control.version
+            if not seen or seen[-1] != version:
+                seen.append(version)
         due_ms = node.core.next_due_ms()
         if due_ms is not None:
             self.at(max(due_ms, self.now_ms + 1), lambda: self._due(node))
@@ -214,6 +237,7 @@
                 self._append(node, record)
             case fx.Reply(request_id, answer):
                 self.answers[request_id] = answer
+                self.answered_ms[request_id] = self.now_ms
             case fx.ChangeReply():
                 self.change_replies[effect.request_id] = effect
             case fx.Emit():
@@ -259,13 +283,12 @@
         self.sent.append((self.now_ms, node.process, to, message))
         if not self._connected(node.process, to):
             return
-        if self.drop(node.process, to, message):
-            return
+        self.observe(node.process, to, message)
         item = fx.Received(node.process, message)
-        self.at(
-            self.now_ms + self.delay(node.process, to),
-            lambda: self._arrive(node.process, to, item),
-        )
+        for delay_ms in self.route(node.process, to, message):
+            self.at(
+                self.now_ms + delay_ms, lambda: self._arrive(node.process, to, item)
+            )
 
     def _arrive(self, sender: str, to: str, item: Any) -> None:
         if self._connected(sender, to):
@@ -344,7 +367,11 @@
         if self.log_down or node.process in self.log_cut:
             self.deliver(node, fx.AppendEnded(record.id, None, True, "unreachable"))
             return
+        self.observe(node.process, "", record)
+        if not node.alive:
+            return
         offset = self.log.append(encode_record(record))
+        self._note_drain(record.body)
         if self.lose_append_answers:
             self.lose_append_answers -= 1
             event = fx.AppendEnded(record.id, None, False, "timeout")
@@ -352,9 +379,23 @@
             event = fx.AppendEnded(record.id, offset, True)
         self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
 
+    def _note_drain(self, body: Any) -> None:
+        if not isinstance(body, ResourcePut) or body.kind != "datacentres":
+            return
+        if body.spec.get("drain"):
+            self.drains.append((body.name, self.now_ms, None))
+            return
+        self.drains = [
+            (name, since_ms, self.now_ms if name == body.name and end is None else end)
+            for name, since_ms, end in self.drains
+        ]
+
     # Upstreams
 
     def _call_upstream(self, node: Node, start: TaskStart) -> None:
+        self.observe(node.process, "", start)
+        if not node.alive:
+            return
         self.starts.append(Start(self.now_ms, node.process, start))
         run_ms = self.run_ms(node.process, start)
         status = self.outcome(node.process, start)
@@ -378,5 +419,33 @@
         self.next_request += 1
         request_id = self.next_request
         node = self.nodes[entry_process(entry)]
-        self.deliver(node, attrs.evolve(job, request_id=request_id))
+        job = attrs.evolve(job, request_id=request_id)
+        self.submitted[request_id] = job
+        self.submitted_ms[request_id] = self.now_ms
+        self.submitted_at[request_id] = node.process
+        self.submitted_life[request_id] = node.life
+        self.observe(node.process, "", job)
+        self.deliver(node, job)
         return request_id
+
+    # Operators
+
+    def change(self, entry: str, body: Any) -> int:
+        """Propose a change of a resource at an entry; return the request's number."""
+        self.next_request += 1
+        request_id = self.next_request
+        node = self.nodes[entry_process(entry)]
+        record_id = f"operator-{request_id}"
+        record = Record(record_id, node.core.state.me, body)
+        self.deliver(node, fx.ChangeProposed(request_id, record))
+        return request_id
+
+    def drain(self, entry: str, data_centre: str, *, drain: bool = True) -> int:
+        """Propose to drain or restore a data centre; return the request's number."""
+        resources = self.nodes[entry_process(entry)].core.state.control.resources
+        resource = resources.get(("datacentres", data_centre))
+        generation = resource.generation if resource else 0
+        spec = {"drain": drain}
+        return self.change(
+            entry, ResourcePut("datacentres", data_centre, generation, spec)
+        )
