Keep one pending wake-up a process in the driver, and test task recovery

Cause: a run of the test of an ended home did not end and took several gigabytes. A trace showed 206,550 pending events at one time: each refused connection made the agent name its peers again, and the driver tried the refused ones at once; and a past retry time of the owner was never cleared, so wake-ups multiplied.

Ruled out: a limit of steps in the driver alone, which would hide the owner's stale retry time.

Conclusion: the driver tries known peers after a delay only.

--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -177,6 +177,8 @@
 
 @ENTRY.system(order=400)
 def _place_waiting(state: EntryState) -> None:
+    if state.retry_due_ms is not None and state.retry_due_ms <= state.now_ms:
+        state.retry_due_ms = None
     if not state.waiting or not state.may_dispatch():
         return
     for home, tasks in choose_homes(state, list(state.waiting)).items():
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -49,6 +49,7 @@
     life: int = 0
     inbox: list[Any] = attrs.field(factory=list)
     wake_at: int | None = None
+    due_at: int | None = None
     peers: dict[str, str] = attrs.field(factory=dict)
     reading: bool = False
 
@@ -220,14 +221,23 @@
             version = node.core.state.control.version
             if not seen or seen[-1] != version:
                 seen.append(version)
-        due_ms = node.core.next_due_ms()
-        if due_ms is not None:
-            self.at(max(due_ms, self.now_ms + 1), lambda: self._due(node))
+        self._schedule_due(node)
 
-    def _due(self, node: Node) -> None:
+    def _schedule_due(self, node: Node) -> None:
         due_ms = node.core.next_due_ms()
-        if node.wake_at is None and due_ms is not None and due_ms <= self.now_ms:
-            self._step(node)
+        if due_ms is None:
+            return
+        due_ms = max(due_ms, self.now_ms + 1)
+        # One pending wake-up a node: more would multiply with every step.
+        if node.due_at is None or due_ms < node.due_at:
+            node.due_at = due_ms
+            self.at(due_ms, lambda: self._due(node, due_ms))
+
+    def _due(self, node: Node, due_ms: int) -> None:
+        if node.due_at != due_ms:
+            return
+        node.due_at = None
+        self._step(node)
 
     def _carry_out(self, node: Node, effect: Any) -> None:
         match effect:
@@ -243,8 +253,11 @@
             case fx.Emit():
                 self.events.append((self.now_ms, node.process, effect))
             case fx.SetPeers(addresses):
+                added = [peer for peer in addresses if peer not in node.peers]
                 node.peers = dict(addresses)
-                self._connect_all(node)
+                # Known peers without a stream are tried again after a delay.
+                for peer in added:
+                    self._connect(node, peer)
             case fx.CallUpstream(start):
                 self._call_upstream(node, start)
             case fx.AbortUpstream(start):
--- /dev/null
+++ b/tests/test_task_recovery.py
@@ -0,0 +1,112 @@
+"""Guards against lost or doubled tasks when an agent, a home or a stream is lost."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from catkincross.ids import entry_process
+from catkincross.messages import (
+    JobState,
+    PlaceTasks,
+    StartTasks,
+    TaskResults,
+    Truth,
+)
+from scenarios.driver import MESSAGE_DELAY_MS, Driver
+from scenarios.invariants import violations
+from scenarios.matrix import build, submit
+
+LIMIT_MS = 30_000
+
+
+def remote_home(driver: Driver) -> str:
+    """Return the process of the first home that takes tasks of another owner."""
+    homes = [to for _, _, to, message in driver.sent if isinstance(message, PlaceTasks)]
+    return homes[0]
+
+
+def lose_first(driver: Driver, kind: type) -> None:
+    """Break the stream under the first message of a kind."""
+
+    def observe(process: str, other: str, item: Any) -> None:
+        if isinstance(item, kind):
+            driver.observers.remove(observe)
+            driver.at(driver.now_ms, lambda: driver.break_stream(process, other))
+
+    driver.observers.append(observe)
+
+
+def answered(driver: Driver, request: int) -> JobState:
+    """Run until a request is answered and return the state of its job."""
+    assert driver.run_until(lambda: request in driver.answers, limit_ms=LIMIT_MS)
+    assert violations(driver) == []
+    return driver.answers[request].state
+
+
+def test_starts_lost_with_a_stream_are_repeated() -> None:
+    driver = build()
+    lose_first(driver, StartTasks)
+    assert answered(driver, submit(driver, "e1", "k")) is JobState.COMPLETE
+
+
+def test_results_lost_with_a_stream_are_repeated() -> None:
+    driver = build()
+    lose_first(driver, TaskResults)
+    assert answered(driver, submit(driver, "e1", "k")) is JobState.COMPLETE
+
+
+def test_placements_lost_with_a_stream_are_repeated() -> None:
+    driver = build()
+    lose_first(driver, PlaceTasks)
+    assert answered(driver, submit(driver, "e1", "k")) is JobState.COMPLETE
+
+
+def test_tasks_of_a_replaced_agent_may_have_run() -> None:
+    driver = build()
+    request = submit(driver, "e1", "k", 16)
+    driver.run_until(lambda: len(driver.starts) == 16)
+    driver.kill("agent/u1")
+    driver.run(500)
+    driver.add_agent("u1", "perth", slots=4)
+    assert answered(driver, request) is JobState.FAILED
+    assert driver.answers[request].truth is not Truth.NOT_RUN
+
+
+def test_late_refusal_of_an_earlier_attempt_does_not_place_the_task_again() -> None:
+    driver = build()
+    usual = driver.route
+
+    def twice(sender: str, to: str, message: Any) -> list[int]:
+        delays = usual(sender, to, message)
+        if isinstance(message, TaskResults):
+            return [*delays, MESSAGE_DELAY_MS + 30]
+        return delays
+
+    driver.route = twice
+    for node in driver.nodes.values():
+        if node.process.startswith("agent/"):
+            # Fewer slots than announced: the agents refuse what does not fit.
+            node.core.state.slots = 2
+    assert answered(driver, submit(driver, "e1", "k")) is JobState.COMPLETE
+
+
+def test_task_of_an_ended_home_is_placed_again_only_when_it_did_not_start() -> None:
+    driver = build()
+    request = submit(driver, "e3", "k", 40)
+    driver.run(2)
+    home = remote_home(driver)
+    owner = next(
+        sender
+        for _, sender, _, message in driver.sent
+        if isinstance(message, PlaceTasks)
+    )
+    driver.kill(home)
+    driver.run(1_000)
+    name = home.removeprefix("entry/")
+    data_centre = driver.nodes[home].core.state.settings.data_centre
+    driver.add_entry(name, data_centre)
+    assert home not in (owner, entry_process("e3"))
+    state = answered(driver, request)
+    assert state in (JobState.COMPLETE, JobState.FAILED)
+    if state is JobState.FAILED:
+        assert driver.answers[request].truth is not Truth.NOT_RUN
