Load and check the INI settings

Cause: the daemons need their settings from INI files, and an operator must see at once which key is wrong and what is allowed.

Ruled out: cattrs' own error texts, which name attribute paths and not sections, keys and bounds; cattrs still converts the single values.

Before: settings came from code only.

Conclusion: the daemons and check-config can use it.

--- /dev/null
+++ b/tests/test_ini.py
@@ -0,0 +1,118 @@
+"""Guards against settings that are wrong, mistyped or out of bounds at start."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import attrs
+import pytest
+from returns.result import Failure, Success
+
+from catkincross import _ini
+from catkincross._ini import detect_kind, load_settings
+from catkincross._settings import setting
+from catkincross.settings import AgentSettings, EntrySettings
+
+ENTRY = "[entry]\nname = e1\nregion = r\ndata_centre = perth\n"
+
+
+def _load(folder: Path, text: str, kind: type = EntrySettings) -> tuple[str, object]:
+    path = folder / "x.ini"
+    path.write_text(text)
+    return str(path), load_settings(path, kind)
+
+
+def test_sections_become_nested_settings(tmp_path: Path) -> None:
+    text = ENTRY + "[freshness]\nfreshness_ms = 1_500\n[http]\nmax_waiting=7\n"
+    _, result = _load(tmp_path, text)
+    settings = result.unwrap()
+    assert (settings.name, settings.freshness.freshness_ms) == ("e1", 1_500)
+    assert settings.http.max_waiting == 7
+    assert settings.jobs.key_retention_ms == 900_000
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        (ENTRY + "[fresh]\na=1\n", "[fresh]: is unknown; allowed are [entry], "),
+        (ENTRY + "speed = 1\n", "[entry] speed: is unknown; allowed are name, region"),
+        (ENTRY + "jobs = 1\n", "[entry] jobs: is unknown"),
+        (ENTRY + "[jobs]\nmax_task = 1\n", "[jobs] max_task: is unknown; allowed are"),
+        (
+            ENTRY + "[jobs]\nmax_tasks = many\n",
+            "[jobs] max_tasks: 'many' is not allowed; "
+            "allowed is a whole number from 1 to 100000 tasks",
+        ),
+        (
+            ENTRY + "[freshness]\nfreshness_ms = 50\n",
+            "[freshness] freshness_ms: 50 is out of bounds; "
+            "allowed is a whole number from 200 to 10000 ms",
+        ),
+        (
+            ENTRY + "[freshness]\noutage_quorum = some\n",
+            "[freshness] outage_quorum: 'some' is not allowed; "
+            "allowed is one of all, one_per_data_centre",
+        ),
+        ("[entry]\nname = e1\nregion = r\n", "[entry] data_centre: is missing"),
+        ("[entry]\nname =\n", "[entry] name: '' is not allowed; allowed is text"),
+        ("[DEFAULT]\nname = x\n" + ENTRY, "[DEFAULT]: is unknown"),
+        (ENTRY + "name = e2\n", "option 'name' in section 'entry' already exists"),
+        ("name = e1\n", "no section headers"),
+    ],
+)
+def test_a_fault_gives_one_line_with_its_place(
+    tmp_path: Path, text: str, named: str
+) -> None:
+    path, result = _load(tmp_path, text)
+    line = result.failure()
+    assert named in line
+    assert path in line and "\n" not in line
+
+
+def test_a_missing_or_binary_file_is_one_line_too(tmp_path: Path) -> None:
+    assert "cannot be read" in load_settings(tmp_path / "no", EntrySettings).failure()
+    (tmp_path / "b").write_bytes(b"\xff\xfe[entry]")
+    assert "not UTF-8" in load_settings(tmp_path / "b", EntrySettings).failure()
+
+
+def test_a_token_is_not_shown_in_a_message(tmp_path: Path) -> None:
+    _, result = _load(tmp_path, ENTRY + "[http]\ntoken = s3cret\ntokens = s3cret\n")
+    assert "s3cret" not in result.failure()
+
+
+@attrs.define
+class Probe:
+    """Section `[upstream]`."""
+
+    port: int = setting(80, low=1, high=65_535)
+
+
+@attrs.define
+class Both:
+    """Settings with a key and a section of the same name, and a free section."""
+
+    upstream: str = setting()
+    probe: Probe = attrs.field(
+        factory=Probe, kw_only=True, metadata={"section": "upstream"}
+    )
+    seeds: dict[str, str] = attrs.field(factory=dict, kw_only=True)
+
+
+def test_a_plain_key_and_a_section_may_share_a_name(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(_ini.TOP_SECTIONS, Both, "both")
+    text = "[both]\nupstream = u1\n[seeds]\ne1 = 127.0.0.1:7\n[upstream]\nport = "
+    _, result = _load(tmp_path, text + "81\n", Both)
+    assert result == Success(
+        Both(upstream="u1", probe=Probe(port=81), seeds={"e1": "127.0.0.1:7"})
+    )
+    _, result = _load(tmp_path, text + "0\n", Both)
+    assert "[upstream] port: 0 is out of bounds" in result.failure()
+
+
+def test_the_kind_is_found_by_its_top_section(tmp_path: Path) -> None:
+    (tmp_path / "a").write_text("[agent]\nname = u1\n")
+    (tmp_path / "both").write_text("[agent]\n[entry]\n")
+    assert detect_kind(tmp_path / "a") == Success(AgentSettings)
+    assert isinstance(detect_kind(tmp_path / "both"), Failure)
