--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -185,7 +185,7 @@
 
 
 @attrs.define
-class LogSettings:
+class EventLogSettings:
     """Section `[logs]`: JSON lines about what the process does."""
 
     target: str = setting(
@@ -208,7 +208,7 @@
     placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
     http: HttpSettings = attrs.field(factory=HttpSettings, kw_only=True)
     metrics: MetricsSettings = attrs.field(factory=MetricsSettings, kw_only=True)
-    logs: LogSettings = attrs.field(factory=LogSettings, kw_only=True)
+    logs: EventLogSettings = attrs.field(factory=EventLogSettings, kw_only=True)
 
 
 @attrs.define
@@ -236,4 +236,4 @@
     )
     jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
     metrics: MetricsSettings = attrs.field(factory=MetricsSettings, kw_only=True)
-    logs: LogSettings = attrs.field(factory=LogSettings, kw_only=True)
+    logs: EventLogSettings = attrs.field(factory=EventLogSettings, kw_only=True)
