--- a/catkincross/_http_app.py
+++ b/catkincross/_http_app.py
@@ -2,26 +2,34 @@
 
 from __future__ import annotations
 
+import time
+
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
+from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from ._gateway import EntryGateway
 from ._http_answers import RETRY_AFTER_MS, HttpReason, refusal
 from ._job_api import JobApi
 from ._messages import JobState, Reason, Truth
+from ._metrics import Metrics
 from ._resource_api import ResourceApi
 from ._settings import EntrySettings
 
 
-def build_app(gateway: EntryGateway, settings: EntrySettings) -> Starlette:
+def build_app(
+    gateway: EntryGateway, settings: EntrySettings, *, metrics: Metrics | None = None
+) -> Starlette:
     """Return the application with the APIs of callers and operators.
 
     Args:
         gateway: The running entry.
         settings: The entry's settings.
+        metrics: Where requests are counted and timed, if anywhere.
     """
 
     async def ready(request: Request) -> Response:
@@ -34,7 +42,39 @@
         *ResourceApi(gateway, settings).routes(),
     ]
     handlers = {HTTPException: _http_error, Exception: _internal_error}
-    return Starlette(routes=routes, exception_handlers=handlers)
+    middleware = [Middleware(RequestMetrics, metrics=metrics)] if metrics else []
+    return Starlette(routes=routes, exception_handlers=handlers, middleware=middleware)
+
+
+class RequestMetrics:
+    """Counts and times requests.
+
+    Args:
+        app: The application that answers them.
+        metrics: Where the numbers go.
+    """
+
+    def __init__(self, app: ASGIApp, metrics: Metrics) -> None:
+        self.app = app
+        self.metrics = metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer a request and report its status and duration."""
+        started_s, status = time.perf_counter(), 500
+
+        async def counted(message: Message) -> None:
+            nonlocal status
+            status = message.get("status", status)
+            await send(message)
+
+        try:
+            await self.app(scope, receive, counted)
+        finally:
+            # A path that is not known must not make a metric of its own.
+            parts = scope.get("path", "").split("/")[:3]
+            route = "other" if status in (404, 405) else "/".join(parts)
+            duration_ms = (time.perf_counter() - started_s) * 1_000
+            self.metrics.http(route, status, duration_ms)
 
 
 async def _alive(request: Request) -> Response:
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -191,6 +191,11 @@
     target: str = setting(
         "stdout", about="`stdout`, `stderr`, `none`, or a file to append to."
     )
+    events: str = setting(
+        "all",
+        allowed=("all", "changes"),
+        about="Events to write; `changes` leaves out those of single jobs and tasks.",
+    )
 
 
 @attrs.define
