Add the command line

Cause: callers and operators need commands with documented exit codes.

Ruled out: one module for all commands; a wait by a watch, which would miss a status seen by another entry only: the wait polls the resource instead.

Before: an empty command group. After: submit, request, cancel, get, watch, apply, delete, drain, restore, timeline and check-config work against a served application with a stand-in for the core.

Conclusion: the commands can be tried against the daemons once these exist.

--- a/catkincross/cli.py
+++ b/catkincross/cli.py
@@ -1,10 +1,27 @@
-"""Command line of the operators."""
+"""Command line of callers and operators."""
 
 from __future__ import annotations
 
 import click
 
+from . import __version__
+from ._cli_files import check_config, timeline
+from ._cli_jobs import cancel, request, submit
+from ._cli_output import EXIT_HELP
+from ._cli_resources import apply, delete, drain, get, restore, watch
 
-@click.group()
+
+@click.group(epilog=EXIT_HELP)
+@click.version_option(__version__)
 def main() -> None:
-    """Operate catkincross."""
+    """Submit work to catkincross and operate it."""
+
+
+for command in (submit, request, cancel, get, watch, apply, delete, drain, restore):
+    main.add_command(command)
+for command in (timeline, check_config):
+    main.add_command(command)
+
+
+if __name__ == "__main__":
+    main()
