--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -54,6 +54,76 @@
     )
 
 
+@attrs.define
+class HttpSettings:
+    """Section `[http]`: limits and access of the HTTP APIs."""
+
+    max_body_bytes: int = setting(
+        16_777_216,
+        unit="bytes",
+        low=1_024,
+        high=1_073_741_824,
+        about="Largest body of a caller's request.",
+    )
+    max_answer_bytes: int = setting(
+        16_777_216,
+        unit="bytes",
+        low=1_024,
+        high=1_073_741_824,
+        about="Largest answer that is sent whole; a larger one must be streamed.",
+    )
+    max_waiting: int = setting(
+        10_000,
+        unit="requests",
+        low=1,
+        high=1_000_000,
+        about="Callers' requests that wait for an answer at one time.",
+    )
+    change_wait_ms: int = setting(
+        5_000,
+        unit="ms",
+        low=100,
+        high=60_000,
+        about="How long a change waits for its outcome before it is answered 202.",
+    )
+    bookmark_ms: int = setting(
+        5_000,
+        unit="ms",
+        low=100,
+        high=60_000,
+        about="Interval of the bookmarks of a watch.",
+    )
+    token: str = setting(
+        "", about="Bearer token that changes of resources need; empty for none."
+    )
+
+
+@attrs.define
+class MetricsSettings:
+    """Section `[metrics]`: statsd over UDP."""
+
+    host: str = setting("", about="IP address of the statsd server; empty for none.")
+    port: int = setting(8_125, low=1, high=65_535, about="UDP port of the server.")
+    prefix: str = setting("catkincross", about="Prefix of all metric names.")
+    interval_ms: int = setting(
+        1_000, unit="ms", low=100, high=60_000, about="Interval of the gauges."
+    )
+
+
+@attrs.define
+class EventLogSettings:
+    """Section `[logs]`: JSON lines about what the process does."""
+
+    target: str = setting(
+        "stderr", about="`stdout`, `stderr`, `none`, or a file to append to."
+    )
+    events: str = setting(
+        "all",
+        allowed=("all", "changes"),
+        about="Events to write; `changes` leaves out those of single jobs and tasks.",
+    )
+
+
 @attrs.define
 class MembershipSettings:
     """Section `[membership]`."""
@@ -128,76 +198,6 @@
     seed: int = setting(0, low=0, about="Seed of random choices; 0 draws one.")
 
 
-@attrs.define
-class HttpSettings:
-    """Section `[http]`: limits and access of the HTTP APIs."""
-
-    max_body_bytes: int = setting(
-        16_777_216,
-        unit="bytes",
-        low=1_024,
-        high=1_073_741_824,
-        about="Largest body of a caller's request.",
-    )
-    max_answer_bytes: int = setting(
-        16_777_216,
-        unit="bytes",
-        low=1_024,
-        high=1_073_741_824,
-        about="Largest answer that is sent whole; a larger one must be streamed.",
-    )
-    max_waiting: int = setting(
-        10_000,
-        unit="requests",
-        low=1,
-        high=1_000_000,
-        about="Callers' requests that wait for an answer at one time.",
-    )
-    change_wait_ms: int = setting(
-        5_000,
-        unit="ms",
-        low=100,
-        high=60_000,
-        about="How long a change waits for its outcome before it is answered 202.",
-    )
-    bookmark_ms: int = setting(
-        5_000,
-        unit="ms",
-        low=100,
-        high=60_000,
-        about="Interval of the bookmarks of a watch.",
-    )
-    token: str = setting(
-        "", about="Bearer token that changes of resources need; empty for none."
-    )
-
-
-@attrs.define
-class MetricsSettings:
-    """Section `[metrics]`: statsd over UDP."""
-
-    host: str = setting("", about="IP address of the statsd server; empty for none.")
-    port: int = setting(8_125, low=1, high=65_535, about="UDP port of the server.")
-    prefix: str = setting("catkincross", about="Prefix of all metric names.")
-    interval_ms: int = setting(
-        1_000, unit="ms", low=100, high=60_000, about="Interval of the gauges."
-    )
-
-
-@attrs.define
-class EventLogSettings:
-    """Section `[logs]`: JSON lines about what the process does."""
-
-    target: str = setting(
-        "stdout", about="`stdout`, `stderr`, `none`, or a file to append to."
-    )
-    events: str = setting(
-        "all",
-        allowed=("all", "changes"),
-        about="Events to write; `changes` leaves out those of single jobs and tasks.",
-    )
-
-
 @attrs.define
 class EntrySettings:
     """All settings of an entry process."""
@@ -206,14 +206,14 @@
     region: str = setting(about="Region of the entry.")
     data_centre: str = setting(about="Data centre of the entry.")
     freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings, kw_only=True)
+    http: HttpSettings = attrs.field(factory=HttpSettings, kw_only=True)
+    metrics: MetricsSettings = attrs.field(factory=MetricsSettings, kw_only=True)
+    logs: EventLogSettings = attrs.field(factory=EventLogSettings, kw_only=True)
     membership: MembershipSettings = attrs.field(
         factory=MembershipSettings, kw_only=True
     )
     jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
     placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
-    http: HttpSettings = attrs.field(factory=HttpSettings, kw_only=True)
-    metrics: MetricsSettings = attrs.field(factory=MetricsSettings, kw_only=True)
-    logs: EventLogSettings = attrs.field(factory=EventLogSettings, kw_only=True)
 
 
 @attrs.define
@@ -236,9 +236,9 @@
     )
     accelerators: int = setting(0, low=0, high=1_024, about="Accelerators.")
     freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings, kw_only=True)
+    metrics: MetricsSettings = attrs.field(factory=MetricsSettings, kw_only=True)
+    logs: EventLogSettings = attrs.field(factory=EventLogSettings, kw_only=True)
     membership: MembershipSettings = attrs.field(
         factory=MembershipSettings, kw_only=True
     )
     jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
-    metrics: MetricsSettings = attrs.field(factory=MetricsSettings, kw_only=True)
-    logs: EventLogSettings = attrs.field(factory=EventLogSettings, kw_only=True)
