--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test unit scenarios format lint proto clean
+.PHONY: demo test unit scenarios format lint proto clean capacity
 
 $(STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv $(VENV) 2>/dev/null || python3 -m venv $(VENV)
@@ -36,5 +36,8 @@
 proto: $(STAMP)
 	$(PYTHON) -m grpc_tools.protoc -I proto --python_out=. --grpc_python_out=. proto/catkincross/wire_pb/catkincross.proto
 
+capacity: $(STAMP)
+	$(PYTHON) -m catkincross_bench.cli capacity
+
 clean:
 	rm -rf $(VENV) out
