Place tasks through indexes and learned run times

Cause: the home and the owner scanned all upstreams and homes for each task, so the cost of a placement grew with their number, and speed was a constant.

Ruled out: heaps with stale entries for the expected finish, since the order of one distance does not depend on the run time and a sorted list also serves the summaries.

Before: linear scan for each task. Results carry the capacity of their home; owners count what a report cannot know yet.

Conclusion: the cost of a step follows what changed.

--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -60,7 +60,9 @@
         state = self.state
         due = [
             state.heartbeat_due_ms,
-            state.retry_due_ms if state.waiting else None,
+            # Items that a late system left for the next step.
+            state.now_ms if state.owner_results or state.waiting else None,
+            state.dispatch.next_due_ms(),
             state.job_due.next_due_ms(),
             state.home_due.next_due_ms(),
         ]
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -6,6 +6,7 @@
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 from ._home_capacity import capacity_summaries
+from ._home_choice import peer_reported
 from ._ids import entry_process, split_process
 from ._messages import NO_EVIDENCE, PeerHeartbeat
 
@@ -21,6 +22,7 @@
     peer.refused = False
     peer.capacity = {(c.service, c.data_centre): c for c in message.capacity}
     peer.teams = {usage.team: usage for usage in message.teams}
+    peer_reported(state, message.sender.name)
     _take_evidence(state, message)
 
 
@@ -42,6 +44,7 @@
         state.heartbeat_due_ms = state.now_ms
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = True
+        state.agents.touch(name)
 
 
 @ENTRY.handles(Disconnected)
@@ -52,6 +55,7 @@
         state.peers.rows[name].refused = event.refused
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = False
+        state.agents.touch(name)
 
 
 @ENTRY.system(order=800)
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -8,12 +8,14 @@
 import attrs
 
 from ._control_state import ControlState
+from ._dispatch_state import Dispatch
 from ._effects import Append, Effect, Emit, Reply, Send
 from ._entry_rows import AgentRow, HomeTask, JobRow, PeerRow, RequestRow
 from ._freshness import Freshness
 from ._guards import ALL_GUARDS, Guards
 from ._ids import Incarnation, TaskId, entry_process
 from ._messages import (
+    CapacitySummary,
     JobAnswer,
     Message,
     OwnedTask,
@@ -31,13 +33,22 @@
 
 @attrs.define
 class Batches:
-    """Items that leave in one message for each addressee at the end of a step."""
+    """Items that leave in one message for each addressee at the end of a step.
+
+    Attributes:
+        result_services: Services of the results, by addressee.
+        capacity: What the results' message says of these services.
+    """
 
     placed: dict[str, list[PlacedTask]] = attrs.field(factory=lambda: defaultdict(list))
     starts: dict[str, list[TaskStart]] = attrs.field(factory=lambda: defaultdict(list))
     results: dict[str, list[TaskResult]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
+    result_services: dict[str, dict[str, None]] = attrs.field(
+        factory=lambda: defaultdict(dict)
+    )
+    capacity: dict[str, list[CapacitySummary]] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -48,7 +59,7 @@
         me: This incarnation, or None until its join is folded.
         requests: Callers' requests at this entry, by request id.
         jobs: Jobs that this entry owns, by key hash.
-        waiting: Tasks to place, in the order of their jobs' arrival.
+        waiting: Tasks to place that are not in the backlog of `dispatch` yet.
         agents: Agents whose home this entry is, by name.
         home_tasks: Tasks placed on this entry.
         home_queue: Tasks at this home without a slot, in order.
@@ -58,6 +69,7 @@
         local_answers: Answers of this owner to its own arrival part.
         views_version: Control version up to which changed views were sent.
         heartbeats_to_answer: Process and clock stamp of agents' heartbeats.
+        dispatch: State of the dispatch policies.
         stopping: A planned leave has begun.
     """
 
@@ -81,10 +93,12 @@
     home_due: DueQueue[OwnedTask] = attrs.field(factory=DueQueue)
     peers: Table[str, PeerRow] = attrs.field(factory=lambda: Table("peers"))
     batches: Batches = attrs.field(factory=Batches)
+    dispatch: Dispatch = attrs.Factory(
+        lambda state: Dispatch.from_settings(state.settings), takes_self=True
+    )
     agent_results: list[tuple[str, TaskResult]] = attrs.field(factory=list)
     owner_results: list[TaskResult] = attrs.field(factory=list)
     local_answers: list[JobAnswer] = attrs.field(factory=list)
-    retry_due_ms: int | None = None
     log_reachable: bool = False
     heartbeat_due_ms: int = 0
     views_version: int = 0
@@ -166,5 +180,6 @@
         for process, starts in self.batches.starts.items():
             self.send(process, StartTasks(starts))
         for process, results in self.batches.results.items():
-            self.send(process, TaskResults(results))
+            capacity = self.batches.capacity.get(process, [])
+            self.send(process, TaskResults(results, capacity))
         self.batches = Batches()
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from ._entry_registry import ENTRY
-from ._entry_rows import AgentRow, HomeTask
+from ._entry_rows import HomeTask
 from ._entry_state import EntryState
-from ._home_capacity import takes_work
+from ._home_slots import reindex_speed, release_slot
+from ._home_starts import dequeue, enqueue
 from ._ids import agent_process
 from ._messages import (
     CancelTasks,
@@ -15,10 +16,8 @@
     Reason,
     RecallTasks,
     TaskResult,
-    TaskStart,
     TaskStatus,
 )
-from ._placement import PLACEMENT_POLICIES, Candidate
 
 
 @ENTRY.handles(PlaceTasks)
@@ -56,60 +55,9 @@
             accepted_ms=state.now_ms,
         )
         state.home_tasks.add(key, row)
-        state.home_queue[key] = None
-        state.home_due.set(key, row.deadline_ms)
-
-
-@ENTRY.system(order=450)
-def _start_queued(state: EntryState) -> None:
-    if not state.home_queue or not state.may_dispatch():
-        return
-    policy = PLACEMENT_POLICIES[state.settings.placement.policy]
-    for key in list(state.home_queue):
-        row = state.home_tasks.rows[key]
-        candidates = _candidates(state, row.placed.service)
-        chosen = policy(candidates, row.placed.spec, state.rng)
-        if chosen is not None:
-            _start(state, row, state.agents.rows[chosen.name])
-
-
-def _candidates(state: EntryState, service: str) -> list[Candidate]:
-    return [
-        Candidate(
-            name=agent.name,
-            free=agent.free,
-            slots=agent.hello.slots,
-            speed=1.0,
-            distance_ms=0.0,
-        )
-        for agent in state.agents
-        if agent.hello.service == service
-        and agent.free > 0
-        and takes_work(state, agent)
-    ]
-
-
-def _start(state: EntryState, row: HomeTask, agent: AgentRow) -> None:
-    del state.home_queue[row.key]
-    agent.held.add(row.key)
-    agent_now_ms = agent.agent_time_ms(state.now_ms)
-    budget_ms = row.deadline_ms - state.now_ms
-    row.agent = agent.name
-    row.agent_incarnation = agent.hello.agent
-    row.sent_ms = state.now_ms
-    start = TaskStart(
-        owner=row.placed.owner,
-        task=row.placed.task,
-        service=row.placed.service,
-        spec=row.placed.spec,
-        grant_epoch=agent.hello.grant_epoch,
-        start_by_ms=agent_now_ms + min(budget_ms, state.settings.jobs.start_budget_ms),
-        deadline_ms=agent_now_ms + budget_ms,
-        version=state.control.version,
-        idempotent=row.placed.idempotent,
-        attempt=row.placed.attempt,
-    )
-    state.batches.starts[agent_process(agent.name)].append(start)
+        enqueue(state, row)
+        queue_ms = state.settings.queues.home_queue_ms
+        state.home_due.set(key, min(row.deadline_ms, state.now_ms + queue_ms))
 
 
 @ENTRY.system(order=300)
@@ -119,14 +67,28 @@
         key = OwnedTask(result.owner, result.task, result.attempt)
         agent = state.agents.get(name)
         if agent is not None:
-            agent.held.discard(key)
+            release_slot(state, agent, key)
         row = state.home_tasks.get(key)
         if row is None:
             _relay_unknown(state, result)
         elif row.result is None and row.agent == name:
+            _learn(state, row, result)
             finish(state, row, result)
 
 
+def _learn(state: EntryState, row: HomeTask, result: TaskResult) -> None:
+    """Take the run time of a task that ended well."""
+    if result.status is not TaskStatus.OK:
+        return
+    dispatch, placed = state.dispatch, row.placed
+    speeds = dispatch.upstream_speeds
+    expected_ms = dispatch.run_times.expect_ms(placed.service, placed.spec)
+    speed = speeds.speed(placed.service, row.agent)
+    dispatch.run_times.observe(placed.service, placed.spec, result.run_ms * speed)
+    speeds.observe(placed.service, row.agent, expected_ms, result.run_ms)
+    reindex_speed(state, placed.service, row.agent)
+
+
 def _relay_unknown(state: EntryState, result: TaskResult) -> None:
     """Pass on a result of a task that another home started."""
     if result.owner == state.me:
@@ -140,7 +102,7 @@
     """Record the end of a task at this home and tell its owner."""
     row.result = result
     row.ended_ms = state.now_ms
-    state.home_queue.pop(row.key, None)
+    dequeue(state, row)
     retention_ms = state.settings.jobs.key_retention_ms
     state.home_due.set(row.key, state.now_ms + retention_ms)
     send_result(state, row, result)
@@ -165,6 +127,7 @@
         state.owner_results.append(result)
     else:
         state.batches.results[row.owner_process].append(result)
+        state.batches.result_services[row.owner_process][row.placed.service] = None
 
 
 def cancel_tasks(state: EntryState, message: CancelTasks) -> None:
@@ -191,5 +154,6 @@
         if row.result is not None:
             state.home_tasks.remove(key)
         elif not row.agent:
-            decline(state, row, Reason.DEADLINE)
+            late = row.deadline_ms <= state.now_ms
+            decline(state, row, Reason.DEADLINE if late else Reason.NO_SLOT)
     state.home_tasks.changed.clear()
--- a/catkincross/_home_agents.py
+++ b/catkincross/_home_agents.py
@@ -56,6 +56,7 @@
     row.draining_confirmed = message.draining
     row.running_reported = message.running
     row.leaving = message.leaving
+    state.agents.touch(row.name)
     state.heartbeats_to_answer.append((sender, message.clock_ms))
 
 
@@ -90,6 +91,7 @@
         previous = row.sent_view
         if previous is None or _concerns(previous) != _concerns(view):
             row.sent_view = view
+            state.agents.touch(row.name)
             state.send(agent_process(row.name), view)
 
 
--- a/catkincross/_home_capacity.py
+++ b/catkincross/_home_capacity.py
@@ -2,38 +2,60 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-
-from ._entry_rows import AgentRow
+from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 from ._messages import CapacitySummary
-
-
-def takes_work(state: EntryState, agent: AgentRow) -> bool:
-    """Whether an agent may get new work at all."""
-    hello = agent.hello
-    return (
-        agent.connected
-        and not agent.leaving
-        and state.control.is_registered(hello.agent)
-        and not state.control.is_draining(hello.data_centre, hello.upstream)
-    )
+from ._upstream import class_speed
 
 
 def capacity_summaries(state: EntryState) -> list[CapacitySummary]:
     """Return one summary for each service and data centre with an agent."""
-    groups: dict[tuple[str, str], list[AgentRow]] = defaultdict(list)
-    for agent in state.agents:
-        if takes_work(state, agent):
-            groups[agent.hello.service, agent.hello.data_centre].append(agent)
     return [
-        CapacitySummary(
-            service=service,
-            data_centre=data_centre,
-            upstreams=len(agents),
-            slots=sum(agent.hello.slots for agent in agents),
-            free=sum(agent.free for agent in agents),
-            queued=len(state.home_queue),
-        )
-        for (service, data_centre), agents in groups.items()
+        summary
+        for service in state.dispatch.services
+        for summary in service_summaries(state, service)
     ]
+
+
+def service_summaries(state: EntryState, service: str) -> list[CapacitySummary]:
+    """Return the summaries of one service, one for each data centre.
+
+    `speed` is the mean over the slots in use, because results that an owner has seen
+    came from these; `best_speed` is that of the next slot.
+    """
+    slots = state.dispatch.services.get(service)
+    if slots is None:
+        return []
+    queued = state.dispatch.queued(service)
+    wait_ms = round(queued * state.dispatch.mean_run_ms(service) / max(1, slots.slots))
+    summaries = []
+    for data_centre, totals in slots.groups.items():
+        best = class_speed(max(totals.free_classes)) if totals.free_classes else 0.0
+        speed = totals.held_speed / totals.held if totals.held else best
+        summaries.append(
+            CapacitySummary(
+                service=service,
+                data_centre=data_centre,
+                upstreams=totals.upstreams,
+                slots=totals.slots,
+                free=totals.free,
+                queued=queued,
+                speed=speed,
+                best_speed=best,
+                wait_ms=wait_ms,
+            )
+        )
+    return summaries
+
+
+@ENTRY.system(order=990)
+def _report_with_results(state: EntryState) -> None:
+    """Add the capacity of their services to the results that leave in this step."""
+    summaries: dict[str, list[CapacitySummary]] = {}
+    for process, services in state.batches.result_services.items():
+        for service in services:
+            if service not in summaries:
+                summaries[service] = service_summaries(state, service)
+        state.batches.capacity[process] = [
+            summary for service in services for summary in summaries[service]
+        ]
--- /dev/null
+++ b/catkincross/_home_slots.py
@@ -0,0 +1,102 @@
+"""Use of the slots that agents granted to this home, kept in the placement index."""
+
+from __future__ import annotations
+
+import attrs
+
+from ._entry_registry import ENTRY
+from ._entry_rows import AgentRow
+from ._entry_state import EntryState
+from ._fit import TaskNeed
+from ._messages import OwnedTask
+from ._upstream import Upstream, speed_class
+
+NO_NEED = TaskNeed()
+
+
+def takes_work(state: EntryState, agent: AgentRow) -> bool:
+    """Whether an agent may get new work at all."""
+    hello = agent.hello
+    return (
+        agent.connected
+        and not agent.leaving
+        and state.control.is_registered(hello.agent)
+        and not state.control.is_draining(hello.data_centre, hello.upstream)
+    )
+
+
+def hold_slot(
+    state: EntryState, agent: AgentRow, key: OwnedTask, need: TaskNeed, end_ms: float
+) -> None:
+    """Give a slot of an agent to a task that is expected to end at a time."""
+    agent.held.add(key)
+    state.dispatch.needs[key] = need
+    slots = state.dispatch.service(agent.hello.service)
+    slots.forecast.add(key, slots.rows[agent.name].speed_class, end_ms)
+    slots.use(agent.name, 1, need.memory_mb, need.accelerators)
+
+
+def release_slot(state: EntryState, agent: AgentRow, key: OwnedTask) -> None:
+    """Take the slot back from a task that has ended or was refused."""
+    if key not in agent.held:
+        return
+    agent.held.discard(key)
+    need = state.dispatch.needs.pop(key, NO_NEED)
+    service = agent.hello.service
+    slots = state.dispatch.service(service)
+    slots.forecast.remove(key)
+    slots.use(agent.name, -1, -need.memory_mb, -need.accelerators)
+    state.dispatch.due_services[service] = None
+    state.dispatch.due_backlogs[service] = None
+
+
+@ENTRY.system(order=290)
+def _index_changed_agents(state: EntryState) -> None:
+    if not state.agents.changed:
+        return
+    for name in state.agents.take_changed():
+        index_agent(state, name)
+
+
+def index_agent(state: EntryState, name: str) -> None:
+    """Bring an agent's entry in the placement index up to date."""
+    agent = state.agents.get(name)
+    if agent is None:
+        for slots in state.dispatch.services.values():
+            slots.remove(name)
+        return
+    service = agent.hello.service
+    slots = state.dispatch.service(service)
+    if not takes_work(state, agent):
+        slots.remove(name)
+        return
+    slots.put(_upstream(state, agent))
+    state.dispatch.due_services[service] = None
+    state.dispatch.due_backlogs[service] = None
+
+
+def _upstream(state: EntryState, agent: AgentRow) -> Upstream:
+    hello, dispatch = agent.hello, state.dispatch
+    needs = [dispatch.needs[key] for key in agent.held if key in dispatch.needs]
+    speed = dispatch.upstream_speeds.speed(hello.service, agent.name)
+    return Upstream(
+        name=agent.name,
+        service=hello.service,
+        data_centre=hello.data_centre,
+        slots=min(hello.slots, hello.connections),
+        held=len(agent.held),
+        speed_class=speed_class(speed),
+        memory_free_mb=hello.memory_mb - sum(need.memory_mb for need in needs),
+        accelerators_free=hello.accelerators - sum(n.accelerators for n in needs),
+    )
+
+
+def reindex_speed(state: EntryState, service: str, name: str) -> None:
+    """Move an upstream in the index if its learned speed is in another class."""
+    slots = state.dispatch.service(service)
+    row = slots.rows.get(name)
+    if row is None:
+        return
+    number = speed_class(state.dispatch.upstream_speeds.speed(service, name))
+    if number != row.speed_class:
+        slots.put(attrs.evolve(row, speed_class=number))
--- /dev/null
+++ b/catkincross/_home_starts.py
@@ -0,0 +1,166 @@
+"""Starts of the tasks that wait at a home, on the slots that are free."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+
+from ._entry_registry import ENTRY
+from ._entry_rows import AgentRow, HomeTask
+from ._entry_state import EntryState
+from ._fair_queue import FairQueue, Turn
+from ._fit import TaskNeed
+from ._home_slots import hold_slot
+from ._ids import agent_process
+from ._messages import OwnedTask, PlacedTask, TaskStart
+from ._service_slots import ServiceSlots
+from ._upstream import Upstream, class_speed
+
+# Most tasks that wait for a faster slot in one pass over a queue.
+MAX_WAITING_FOR_SPEED = 32
+
+
+def need_of(state: EntryState, placed: PlacedTask) -> TaskNeed:
+    """Return what a task is expected to take."""
+    spec = placed.spec
+    run_ms = state.dispatch.run_times.expect_ms(placed.service, spec)
+    return TaskNeed(run_ms, spec.memory_mb, spec.accelerators)
+
+
+def enqueue(state: EntryState, row: HomeTask) -> None:
+    """Let a task wait for a slot."""
+    placed, dispatch = row.placed, state.dispatch
+    need = need_of(state, placed)
+    # Tasks of different need wait apart, so that one that fits nowhere now does not
+    # hold up the others. Classes of memory double in width.
+    lanes = dispatch.lanes.setdefault(placed.service, {})
+    key = (need.memory_mb.bit_length(), need.accelerators)
+    lane = lanes.get(key)
+    if lane is None:
+        lane = lanes[key] = dispatch.new_queue()
+    turn = Turn(placed.team, 1.0, need.run_ms, placed.interactive)
+    lane.push(row.key, turn)
+    state.home_queue[row.key] = None
+    dispatch.due_services[placed.service] = None
+
+
+def dequeue(state: EntryState, row: HomeTask) -> None:
+    """Remove a task from the queue; one that is not queued is ignored."""
+    if row.key not in state.home_queue:
+        return
+    del state.home_queue[row.key]
+    lanes = state.dispatch.lanes.get(row.placed.service, {})
+    for lane_key, lane in list(lanes.items()):
+        if lane.remove(row.key) and not lane:
+            del lanes[lane_key]
+
+
+@attrs.define
+class Pass:
+    """One pass over the queue of a service.
+
+    Attributes:
+        claims: Slots by speed class for which tasks wait.
+        aside: Tasks that wait for a faster slot.
+    """
+
+    slots: ServiceSlots
+    claims: Counter[int] = attrs.field(factory=Counter)
+    aside: list[tuple[FairQueue, OwnedTask, Turn]] = attrs.field(factory=list)
+
+
+@ENTRY.system(order=450)
+def _start_queued(state: EntryState) -> None:
+    dispatch = state.dispatch
+    if dispatch.queue_due_ms is not None and dispatch.queue_due_ms <= state.now_ms:
+        dispatch.queue_due_ms = None
+        dispatch.due_services.update(dict.fromkeys(dispatch.lanes))
+    if not dispatch.due_services or not state.may_dispatch():
+        return
+    due, dispatch.due_services = dispatch.due_services, {}
+    for service in due:
+        _start_service(state, service)
+
+
+def _start_service(state: EntryState, service: str) -> None:
+    dispatch = state.dispatch
+    lanes = dispatch.lanes.get(service)
+    if not lanes:
+        return
+    run = Pass(dispatch.service(service))
+    active = list(lanes.values())
+    while active and run.slots.free > 0:
+        active = [lane for lane in active if _start_next(state, run, lane)]
+    for lane, key, turn in reversed(run.aside):
+        lane.put_back(key, turn)
+    for lane_key in [key for key, lane in lanes.items() if not lane]:
+        del lanes[lane_key]
+
+
+def _start_next(state: EntryState, run: Pass, lane: FairQueue) -> bool:
+    """Start the next task of a lane; return whether it makes sense to go on."""
+    taken = lane.take()
+    if taken is None:
+        return False
+    key, turn = taken
+    row = state.home_tasks.get(key)
+    if row is None or key not in state.home_queue:
+        return True
+    need = need_of(state, row.placed)
+    upstream = run.slots.policy.choose(need, state.rng)
+    if upstream is None:
+        lane.put_back(key, turn)
+        return False
+    if _waits_for_speed(state, run, upstream, need):
+        run.aside.append((lane, key, turn))
+        return True
+    _start(state, row, state.agents.rows[upstream.name], upstream, need)
+    return True
+
+
+def _waits_for_speed(
+    state: EntryState, run: Pass, upstream: Upstream, need: TaskNeed
+) -> bool:
+    if len(run.aside) >= MAX_WAITING_FOR_SPEED:
+        return False
+    later_ms = run.slots.forecast.better_later(
+        state.now_ms, need.run_ms, upstream.speed_class, run.claims
+    )
+    if later_ms is None:
+        return False
+    due_ms = state.dispatch.queue_due_ms
+    wake_ms = int(later_ms) + 1
+    state.dispatch.queue_due_ms = wake_ms if due_ms is None else min(due_ms, wake_ms)
+    return True
+
+
+def _start(
+    state: EntryState,
+    row: HomeTask,
+    agent: AgentRow,
+    upstream: Upstream,
+    need: TaskNeed,
+) -> None:
+    key, placed = row.key, row.placed
+    del state.home_queue[key]
+    run_ms = need.run_ms / class_speed(upstream.speed_class)
+    hold_slot(state, agent, key, need, state.now_ms + run_ms)
+    agent_now_ms = agent.agent_time_ms(state.now_ms)
+    budget_ms = row.deadline_ms - state.now_ms
+    row.agent = agent.name
+    row.agent_incarnation = agent.hello.agent
+    row.sent_ms = state.now_ms
+    start = TaskStart(
+        owner=placed.owner,
+        task=placed.task,
+        service=placed.service,
+        spec=placed.spec,
+        grant_epoch=agent.hello.grant_epoch,
+        start_by_ms=agent_now_ms + min(budget_ms, state.settings.jobs.start_budget_ms),
+        deadline_ms=agent_now_ms + budget_ms,
+        version=state.control.version,
+        idempotent=placed.idempotent,
+        attempt=placed.attempt,
+    )
+    state.batches.starts[agent_process(agent.name)].append(start)
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -10,7 +10,13 @@
 from ._entry_rows import JobRow, TaskPhase, TaskRow, Waiter
 from ._entry_state import EntryState
 from ._home import accept_tasks, cancel_tasks
-from ._home_choice import choose_homes
+from ._home_choice import (
+    choose_homes,
+    learn_from_result,
+    left_home,
+    peer_reported,
+    unqueue,
+)
 from ._ids import TaskId, entry_process, hash_key, split_process
 from ._key_settlement import KeyFate, settle_key
 from ._messages import (
@@ -29,7 +35,6 @@
     Truth,
 )
 
-PLACE_RETRY_MS = 50
 UNSETTLED_RETRY_MS = 1_000
 
 
@@ -171,9 +176,9 @@
 
 @ENTRY.system(order=400)
 def _place_waiting(state: EntryState) -> None:
-    if not state.waiting or not state.may_dispatch():
+    if not state.dispatch.due_backlogs or not state.may_dispatch():
         return
-    for home, tasks in choose_homes(state, list(state.waiting)).items():
+    for home, tasks in choose_homes(state).items():
         _place(state, home, tasks)
 
 
@@ -181,7 +186,6 @@
     placed = []
     for task in tasks:
         found = task_row(state, task)
-        state.waiting.pop(task, None)
         if found is None:
             continue
         job, row = found
@@ -222,10 +226,11 @@
     peer = state.peers.get(name)
     if peer is not None:
         peer.capacity.update({(c.service, c.data_centre): c for c in message.capacity})
+        peer_reported(state, name)
     state.owner_results.extend(message.results)
 
 
-@ENTRY.system(order=500)
+@ENTRY.system(order=350)
 def _take_results(state: EntryState) -> None:
     results, state.owner_results = state.owner_results, []
     for result in results:
@@ -247,10 +252,12 @@
             return
         row.maybe_started = False
         if job.answer is None and not job.cancelling:
+            left_home(state, job, row)
             row.phase = TaskPhase.WAITING
             state.waiting[row.task] = None
-            state.retry_due_ms = state.now_ms + PLACE_RETRY_MS
             return
+    left_home(state, job, row)
+    learn_from_result(state, job, row, result)
     row.phase = TaskPhase.ENDED
     row.result = result
     job.open_tasks -= 1
@@ -268,7 +275,7 @@
     placed = defaultdict(list)
     for row in job.tasks:
         if row.phase is TaskPhase.WAITING:
-            state.waiting.pop(row.task, None)
+            unqueue(state, job, row)
             row.phase = TaskPhase.ENDED
             job.open_tasks -= 1
         elif row.phase is TaskPhase.PLACED:
--- /dev/null
+++ b/catkincross/_service_slots.py
@@ -0,0 +1,108 @@
+"""Slots of the upstreams of one service at a home, indexed for placement."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+
+from ._placement import PLACEMENT_POLICIES, PlacementPolicy
+from ._slot_forecast import SlotForecast
+from ._upstream import Upstream, class_speed
+
+
+@attrs.define
+class GroupTotals:
+    """Sums over the upstreams of one data centre.
+
+    Attributes:
+        free_classes: Upstreams with a free slot by speed class.
+        held_speed: Sum of the speeds of all slots in use.
+    """
+
+    upstreams: int = 0
+    slots: int = 0
+    held: int = 0
+    free: int = 0
+    free_classes: Counter[int] = attrs.field(factory=Counter)
+    held_speed: float = 0.0
+
+    def count(self, row: Upstream, sign: int) -> None:
+        """Add (sign 1) or take out (sign -1) an upstream."""
+        self.upstreams += sign
+        self.slots += sign * row.slots
+        self.held += sign * row.held
+        self.free += sign * row.free
+        self.held_speed += sign * row.held * class_speed(row.speed_class)
+        if row.free > 0:
+            self.count_free_class(row, sign)
+
+    def count_free_class(self, row: Upstream, sign: int) -> None:
+        """Add or take out an upstream as one with a free slot."""
+        self.free_classes[row.speed_class] += sign
+        if not self.free_classes[row.speed_class]:
+            del self.free_classes[row.speed_class]
+
+
+class ServiceSlots:
+    """Upstreams of one service that take work, in the index of a placement policy.
+
+    Args:
+        policy: Name of the placement policy.
+    """
+
+    def __init__(self, policy: str) -> None:
+        self.policy: PlacementPolicy = PLACEMENT_POLICIES[policy]()
+        self.rows: dict[str, Upstream] = {}
+        self.groups: dict[str, GroupTotals] = {}
+        self.forecast = SlotForecast()
+
+    def put(self, row: Upstream) -> None:
+        """Add an upstream or replace its values."""
+        self.remove(row.name)
+        self.rows[row.name] = row
+        self.groups.setdefault(row.data_centre, GroupTotals()).count(row, 1)
+        if row.free > 0:
+            self.policy.put(row)
+
+    def remove(self, name: str) -> None:
+        """Remove an upstream; unknown names are ignored."""
+        row = self.rows.pop(name, None)
+        if row is None:
+            return
+        self.policy.remove(name)
+        totals = self.groups[row.data_centre]
+        totals.count(row, -1)
+        if not totals.upstreams:
+            del self.groups[row.data_centre]
+
+    def use(self, name: str, slots: int, memory_mb: int, accelerators: int) -> None:
+        """Count slots and what their task takes; negative values give them back."""
+        row = self.rows.get(name)
+        if row is None:
+            return
+        totals = self.groups[row.data_centre]
+        before = row.free
+        row.held += slots
+        row.memory_free_mb -= memory_mb
+        row.accelerators_free -= accelerators
+        after = row.free
+        totals.held += slots
+        totals.held_speed += slots * class_speed(row.speed_class)
+        totals.free += after - before
+        if (before > 0) != (after > 0):
+            totals.count_free_class(row, 1 if after else -1)
+        if after > 0:
+            self.policy.put(row)
+        else:
+            self.policy.remove(name)
+
+    @property
+    def free(self) -> int:
+        """Free slots of all upstreams."""
+        return sum(totals.free for totals in self.groups.values())
+
+    @property
+    def slots(self) -> int:
+        """Slots of all upstreams."""
+        return sum(totals.slots for totals in self.groups.values())
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -128,6 +128,54 @@
     seed: int = setting(0, low=0, about="Seed of random choices; 0 draws one.")
 
 
+@attrs.define
+class EstimateSettings:
+    """Section `[estimates]`."""
+
+    default_run_ms: int = setting(
+        200,
+        unit="ms",
+        low=1,
+        high=600_000,
+        about="Run time expected of a task that declares none, until one has ended.",
+    )
+    run_decay: float = setting(
+        0.05, low=0.001, high=1, about="Weight of the newest run time of a service."
+    )
+    speed_decay: float = setting(
+        0.05, low=0.001, high=1, about="Weight of the newest run time of an upstream."
+    )
+
+
+@attrs.define
+class QueueSettings:
+    """Section `[queues]`."""
+
+    home_queue_ms: int = setting(
+        1_000,
+        unit="ms",
+        low=10,
+        high=600_000,
+        about="How long a home keeps a task without a slot before it declines it.",
+    )
+    home_queue_permille: int = setting(
+        250,
+        low=0,
+        high=10_000,
+        about="Tasks that an owner lets wait at a home, per 1,000 of its slots.",
+    )
+    batch_share: float = setting(
+        0.1, low=0, high=1, about="Least share of the turns for batch work."
+    )
+    burst_ms: int = setting(
+        2_000,
+        unit="ms",
+        low=0,
+        high=600_000,
+        about="Work by which a team that was idle may run ahead of the others.",
+    )
+
+
 @attrs.define
 class EntrySettings:
     """All settings of an entry process."""
@@ -141,6 +189,8 @@
     )
     jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
     placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
+    estimates: EstimateSettings = attrs.field(factory=EstimateSettings, kw_only=True)
+    queues: QueueSettings = attrs.field(factory=QueueSettings, kw_only=True)
 
 
 @attrs.define
--- /dev/null
+++ b/catkincross/_upstream.py
@@ -0,0 +1,66 @@
+"""What placement knows of an upstream."""
+
+from __future__ import annotations
+
+import math
+from functools import cache
+
+import attrs
+
+# Speeds within one class, 10 % wide, count as equal: their upstreams are chosen by
+# load, and the index is not reordered with each observation.
+SPEED_CLASS_LOG = math.log(1.1)
+
+
+def speed_class(speed: float) -> int:
+    """Return the class of a relative speed; 0 is the mean of the service."""
+    return round(math.log(speed) / SPEED_CLASS_LOG)
+
+
+@cache
+def class_speed(number: int) -> float:
+    """Return the relative speed in the middle of a class."""
+    return math.exp(number * SPEED_CLASS_LOG)
+
+
+@attrs.define
+class Upstream:
+    """An upstream in the placement index of a home.
+
+    Attributes:
+        name: Name of its agent.
+        slots: Slots that may be used now.
+        held: Slots in use.
+        speed_class: See `speed_class`.
+        distance_ms: One-way network time from the home.
+        memory_free_mb: Memory that new tasks may use.
+        accelerators_free: Accelerators that no running task uses.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    slots: int
+    held: int = 0
+    speed_class: int = 0
+    distance_ms: float = 0.0
+    memory_free_mb: int = 0
+    accelerators_free: int = 0
+
+    @property
+    def free(self) -> int:
+        """Free slots."""
+        return max(0, self.slots - self.held)
+
+    @property
+    def load_permille(self) -> int:
+        """Share of the slots in use."""
+        return 1_000 * self.held // max(1, self.slots)
+
+    def finish_ms(self, run_ms: float) -> float:
+        """Return the time until the answer of a task that is sent now.
+
+        Args:
+            run_ms: Run time on an upstream of mean speed.
+        """
+        return 2 * self.distance_ms + run_ms / class_speed(self.speed_class)
