--- a/catkincross/_dispatch_state.py
+++ b/catkincross/_dispatch_state.py
@@ -34,6 +34,7 @@
         homes: Homes by service, as this owner knows them.
         due_backlogs: Services whose backlog may have a task to place.
         needs: What the tasks with a slot at this home take.
+        changed_agents: Agents whose place in the index may be out of date.
         queue_due_ms: When the home must look at its queues again, or None.
     """
 
@@ -48,6 +49,7 @@
     homes: dict[str, HomeIndex] = attrs.field(factory=dict)
     due_backlogs: dict[str, None] = attrs.field(factory=dict)
     needs: dict[OwnedTask, TaskNeed] = attrs.field(factory=dict)
+    changed_agents: dict[str, None] = attrs.field(factory=dict)
     queue_due_ms: int | None = None
 
     @classmethod
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -41,10 +41,11 @@
     if role == "entry" and name in state.peers:
         state.peers.rows[name].connected = True
         state.peers.rows[name].refused = False
+        state.peers.touch(name)
         state.heartbeat_due_ms = state.now_ms
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = True
-        state.agents.touch(name)
+        state.dispatch.changed_agents[name] = None
 
 
 @ENTRY.handles(Disconnected)
@@ -55,7 +56,7 @@
         state.peers.rows[name].refused = event.refused
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = False
-        state.agents.touch(name)
+        state.dispatch.changed_agents[name] = None
 
 
 @ENTRY.system(order=800)
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -5,7 +5,7 @@
 from ._entry_registry import ENTRY
 from ._entry_rows import HomeTask
 from ._entry_state import EntryState
-from ._home_slots import reindex_speed, release_slot
+from ._home_slots import forget_running, reindex_speed, release_slot
 from ._home_starts import dequeue, enqueue
 from ._ids import agent_process
 from ._messages import (
@@ -103,11 +103,24 @@
     row.result = result
     row.ended_ms = state.now_ms
     dequeue(state, row)
+    state.sent_tasks.get(row.agent, {}).pop(row.key, None)
+    forget_running(state, row)
     retention_ms = state.settings.jobs.key_retention_ms
     state.home_due.set(row.key, state.now_ms + retention_ms)
     send_result(state, row, result)
 
 
+def lost_result(row: HomeTask, reason: Reason) -> TaskResult:
+    """Return the result of a task that an agent has and will not answer."""
+    return TaskResult(
+        owner=row.placed.owner,
+        task=row.placed.task,
+        status=TaskStatus.FAILED,
+        reason=reason,
+        attempt=row.placed.attempt,
+    )
+
+
 def decline(state: EntryState, row: HomeTask, reason: Reason) -> None:
     """Give a task that no agent has back to its owner."""
     result = TaskResult(
@@ -156,4 +169,8 @@
         elif not row.agent:
             late = row.deadline_ms <= state.now_ms
             decline(state, row, Reason.DEADLINE if late else Reason.NO_SLOT)
+        elif row.deadline_ms > state.now_ms:
+            state.home_due.set(key, row.deadline_ms)
+        else:
+            finish(state, row, lost_result(row, Reason.DEADLINE))
     state.home_tasks.changed.clear()
--- a/catkincross/_home_slots.py
+++ b/catkincross/_home_slots.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ._entry_registry import ENTRY
-from ._entry_rows import AgentRow
+from ._entry_rows import AgentRow, HomeTask
 from ._entry_state import EntryState
 from ._fit import TaskNeed
 from ._messages import OwnedTask
@@ -50,11 +50,18 @@
     state.dispatch.due_backlogs[service] = None
 
 
+def forget_running(state: EntryState, row: HomeTask) -> None:
+    """Forget what a task takes that has ended without the answer of its agent."""
+    agent = state.agents.get(row.agent)
+    if agent is None or row.key not in agent.held:
+        state.dispatch.needs.pop(row.key, None)
+        state.dispatch.service(row.placed.service).forecast.remove(row.key)
+
+
 @ENTRY.system(order=290)
 def _index_changed_agents(state: EntryState) -> None:
-    if not state.agents.changed:
-        return
-    for name in state.agents.take_changed():
+    changed, state.dispatch.changed_agents = state.dispatch.changed_agents, {}
+    for name in changed:
         index_agent(state, name)
 
 
--- a/catkincross/_home_starts.py
+++ b/catkincross/_home_starts.py
@@ -142,15 +142,22 @@
     upstream: Upstream,
     need: TaskNeed,
 ) -> None:
-    key, placed = row.key, row.placed
+    key = row.key
     del state.home_queue[key]
     run_ms = need.run_ms / class_speed(upstream.speed_class)
     hold_slot(state, agent, key, need, state.now_ms + run_ms)
-    agent_now_ms = agent.agent_time_ms(state.now_ms)
-    budget_ms = row.deadline_ms - state.now_ms
     row.agent = agent.name
     row.agent_incarnation = agent.hello.agent
     row.sent_ms = state.now_ms
+    state.sent_tasks.setdefault(agent.name, {})[key] = None
+    send_start(state, row, agent)
+
+
+def send_start(state: EntryState, row: HomeTask, agent: AgentRow) -> None:
+    """Send a task to the agent that it was given to, for the first time or again."""
+    placed = row.placed
+    agent_now_ms = agent.agent_time_ms(state.now_ms)
+    budget_ms = row.deadline_ms - state.now_ms
     start = TaskStart(
         owner=placed.owner,
         task=placed.task,
