--- a/catkincross/_task_recovery.py
+++ b/catkincross/_task_recovery.py
@@ -15,7 +15,8 @@
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow, TaskPhase, TaskRow
 from ._entry_state import EntryState
-from ._home import finish, lost_result, send_start
+from ._home import finish, lost_result
+from ._home_starts import send_start
 from ._ids import Incarnation, agent_process, entry_process
 from ._messages import (
     OwnedTask,
@@ -62,6 +63,7 @@
     for agent in list(state.agents):
         if _has_ended(state, agent.hello.agent):
             state.agents.remove(agent.name)
+            state.dispatch.changed_agents[agent.name] = None
 
 
 def _has_ended(state: EntryState, agent: Incarnation) -> bool:
