--- a/catkincross/_agent_membership.py
+++ b/catkincross/_agent_membership.py
@@ -24,6 +24,8 @@
 )
 from ._rendezvous import choose
 
+UNANSWERED_HEARTBEATS = 4
+
 
 @AGENT.handles(AgentView)
 def _view_received(state: AgentState, sender: str, view: AgentView) -> None:
@@ -155,7 +157,12 @@
         return
     interval_ms = state.settings.membership.agent_heartbeat_ms
     state.heartbeat_due_ms = state.now_ms + interval_ms
-    if state.home_process in state.connected:
+    if state.home_process not in state.connected:
+        return
+    # A home that does not answer may have dropped this agent; it needs a hello.
+    if state.now_ms - state.echoed_ms > UNANSWERED_HEARTBEATS * interval_ms:
+        state.send(state.home_process, _hello(state, granted=state.home_process))
+    else:
         state.send(state.home_process, _heartbeat(state))
 
 
--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -21,6 +21,7 @@
     _owner,
     _restrictions,
     _suspicion,
+    _task_recovery,
 )
 from ._effects import Effect, Received
 from ._entry_registry import ENTRY
@@ -69,10 +70,13 @@
         state = self.state
         due = [
             state.heartbeat_due_ms,
-            state.retry_due_ms if state.waiting else None,
+            # Items that a late system left for the next step.
+            state.now_ms if state.owner_results or state.waiting else None,
+            state.dispatch.next_due_ms(),
             state.request_due.next_due_ms(),
             state.job_due.next_due_ms(),
             state.home_due.next_due_ms(),
+            state.recovery.due_ms,
             state.timers.next_due_ms(),
         ]
         return min(due_ms for due_ms in due if due_ms is not None)
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -10,6 +10,7 @@
 from ._entry_state import EntryState
 from ._held_requests import send_relayed_again
 from ._home_capacity import capacity_summaries
+from ._home_choice import peer_reported
 from ._ids import entry_process, split_process
 from ._key_queries import send_key_list
 from ._messages import NO_EVIDENCE, PeerHeartbeat, RecordsTail
@@ -29,6 +30,7 @@
     peer.refused_ms = None
     peer.capacity = {(c.service, c.data_centre): c for c in message.capacity}
     peer.teams = {usage.team: usage for usage in message.teams}
+    peer_reported(state, message.sender.name)
     _take_evidence(state, message)
     _relay_records(state, peer)
 
@@ -65,12 +67,14 @@
     if role == "entry" and name in state.peers:
         state.peers.rows[name].connected = True
         state.peers.rows[name].refused_ms = None
+        state.peers.touch(name)
         state.heartbeat_due_ms = state.now_ms
         repeat_forwards(state, name)
         send_relayed_again(state, name)
         send_key_list(state, name)
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = True
+        state.dispatch.changed_agents[name] = None
 
 
 @ENTRY.handles(Disconnected)
@@ -85,6 +89,7 @@
             peer.refused_ms = state.now_ms
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = False
+        state.dispatch.changed_agents[name] = None
 
 
 @ENTRY.system(order=800)
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -601,6 +601,26 @@
     tasks: list[OwnedTask]
 
 
+@attrs.frozen
+class ReconcileTasks:
+    """Asks agents to block attempts whose home was lost, unless they started.
+
+    An owner sends it to homes, and each home to its agents of the service.
+    """
+
+    service: str
+    tasks: list[OwnedTask]
+
+
+@attrs.frozen
+class ReconcileReply:
+    """Attempts that an agent has blocked: it has not started them and never will."""
+
+    agent: Incarnation
+    owner: Incarnation
+    blocked: list[OwnedTask]
+
+
 Message = (
     AgentHello
     | AgentHeartbeat
@@ -625,4 +645,6 @@
     | ControlSnapshot
     | PlaceTasks
     | RecallTasks
+    | ReconcileTasks
+    | ReconcileReply
 )
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -10,7 +10,13 @@
 from ._entry_rows import JobRow, TaskPhase, TaskRow, Waiter
 from ._entry_state import EntryState
 from ._home import accept_tasks, cancel_tasks
-from ._home_choice import choose_homes
+from ._home_choice import (
+    choose_homes,
+    learn_from_result,
+    left_home,
+    peer_reported,
+    unqueue,
+)
 from ._ids import TaskId, entry_process, hash_key, split_process
 from ._key_settlement import KeyFate, settle_key
 from ._messages import (
@@ -30,7 +36,6 @@
 )
 from ._recovery_rows import HeldRequest
 
-PLACE_RETRY_MS = 50
 ASK_BUDGET_MS = 60_000
 
 
@@ -79,7 +84,13 @@
         return
     if job.answer is not None:
         answer_request(state, waiter, job.answer)
-    elif waiter not in job.waiters:
+    else:
+        _add_waiter(job, waiter)
+
+
+def _add_waiter(job: JobRow, waiter: Waiter) -> None:
+    # An arrival entry forwards a job again after a reconnect.
+    if waiter not in job.waiters:
         job.waiters.append(waiter)
 
 
@@ -145,7 +156,7 @@
     elif job.answer is not None:
         answer_request(state, waiter, job.answer)
     elif message.wait:
-        job.waiters.append(waiter)
+        _add_waiter(job, waiter)
     else:
         answer_request(state, waiter, _progress(job))
 
@@ -160,7 +171,7 @@
     if job.answer is not None:
         answer_request(state, waiter, job.answer)
         return
-    job.waiters.append(waiter)
+    _add_waiter(job, waiter)
     stop_job(state, job, Reason.CANCELLED)
 
 
@@ -193,9 +204,9 @@
 
 @ENTRY.system(order=400)
 def _place_waiting(state: EntryState) -> None:
-    if not state.waiting or not state.may_dispatch():
+    if not state.dispatch.due_backlogs or not state.may_dispatch():
         return
-    for home, tasks in choose_homes(state, list(state.waiting)).items():
+    for home, tasks in choose_homes(state).items():
         _place(state, home, tasks)
 
 
@@ -203,24 +214,25 @@
     placed = []
     for task in tasks:
         found = task_row(state, task)
-        state.waiting.pop(task, None)
         if found is None:
             continue
         job, row = found
         row.phase = TaskPhase.PLACED
         row.home = home
+        row.home_number = state.control.entries[home].number
         row.placed_ms = state.now_ms
         row.attempts += 1
         row.maybe_started = True
         job.state = JobState.RUNNING
-        placed.append(_placed_task(state, job, row))
+        placed.append(placed_task(state, job, row))
     if home == state.name:
         accept_tasks(state, state.process, placed)
     else:
         state.batches.placed[entry_process(home)].extend(placed)
 
 
-def _placed_task(state: EntryState, job: JobRow, row: TaskRow) -> PlacedTask:
+def placed_task(state: EntryState, job: JobRow, row: TaskRow) -> PlacedTask:
+    """Return the message part that sends the current attempt of a task."""
     assert state.me is not None
     return PlacedTask(
         owner=state.me,
@@ -244,10 +256,11 @@
     peer = state.peers.get(name)
     if peer is not None:
         peer.capacity.update({(c.service, c.data_centre): c for c in message.capacity})
+        peer_reported(state, name)
     state.owner_results.extend(message.results)
 
 
-@ENTRY.system(order=500)
+@ENTRY.system(order=350)
 def _take_results(state: EntryState) -> None:
     results, state.owner_results = state.owner_results, []
     for result in results:
@@ -255,12 +268,13 @@
             continue
         found = task_row(state, result.task)
         if found is not None:
-            _task_ended(state, *found, result)
+            task_ended(state, *found, result)
 
 
-def _task_ended(
+def task_ended(
     state: EntryState, job: JobRow, row: TaskRow, result: TaskResult
 ) -> None:
+    """Take the end of an attempt of a task that this entry owns."""
     if row.phase is TaskPhase.ENDED:
         return
     if result.not_run:
@@ -269,10 +283,12 @@
             return
         row.maybe_started = False
         if job.answer is None and not job.cancelling:
+            left_home(state, job, row)
             row.phase = TaskPhase.WAITING
             state.waiting[row.task] = None
-            state.retry_due_ms = state.now_ms + PLACE_RETRY_MS
             return
+    left_home(state, job, row)
+    learn_from_result(state, job, row, result)
     row.phase = TaskPhase.ENDED
     row.result = result
     job.open_tasks -= 1
@@ -290,7 +306,7 @@
     placed = defaultdict(list)
     for row in job.tasks:
         if row.phase is TaskPhase.WAITING:
-            state.waiting.pop(row.task, None)
+            unqueue(state, job, row)
             row.phase = TaskPhase.ENDED
             job.open_tasks -= 1
         elif row.phase is TaskPhase.PLACED:
