--- a/catkincross/_appends.py
+++ b/catkincross/_appends.py
@@ -152,6 +152,17 @@
             _settle(state, earlier, reply)
 
 
+def settle_snapshot(state: EntryState) -> None:
+    """Settle the appends that a loaded snapshot decides about.
+
+    A record that the snapshot does not name stays unknown. Its outcome may be older
+    than those that the snapshot keeps.
+    """
+    for row in list(state.appends.pending.values()):
+        if row.record.id in state.control.outcomes:
+            _settle(state, row, change_status(state, row.record.id))
+
+
 def drop_appends(state: EntryState) -> None:
     """Settle all appends of an incarnation that has ended: none can be kept now."""
     for row in list(state.appends.pending.values()):
--- a/catkincross/_control_state.py
+++ b/catkincross/_control_state.py
@@ -113,6 +113,8 @@
         outcomes: What folding did, by record id.
         roster_version: Offset of the last change of `entries`.
         history: Rosters within the retention window, newest last.
+        snapshot_version: Version of the newest snapshot that was noted.
+        since_snapshot: Records folded since that was noted.
         sequences: Sequence number of the last record of each live entry, by name.
     """
 
@@ -124,6 +126,8 @@
     outcomes: dict[str, RecordOutcome] = attrs.field(factory=dict)
     roster_version: int = 0
     history: list[RosterVersion] = attrs.field(factory=list)
+    snapshot_version: int = 0
+    since_snapshot: int = 0
     sequences: dict[str, int] = attrs.field(factory=dict)
 
     def is_live(self, incarnation: Incarnation) -> bool:
--- a/catkincross/_effects.py
+++ b/catkincross/_effects.py
@@ -131,6 +131,30 @@
     """A read of the control stream failed."""
 
 
+@attrs.frozen
+class SnapshotRead:
+    """The newest snapshot of the stream `snapshots`.
+
+    Attributes:
+        version: Version of the snapshot; 0 if the stream has none.
+    """
+
+    version: int
+    body: bytes = b""
+
+
+@attrs.frozen
+class SnapshotEnded:
+    """A `WriteSnapshot` has ended.
+
+    Attributes:
+        written: Whether it is certain that the stream holds the snapshot.
+    """
+
+    version: int
+    written: bool
+
+
 @attrs.frozen
 class AppendEnded:
     """An append has ended.
@@ -199,6 +223,28 @@
     record: Record
 
 
+@attrs.frozen
+class WriteSnapshot:
+    """Append a snapshot to the stream `snapshots`, and answer `SnapshotEnded`.
+
+    Attributes:
+        version: Version of the control state; stored beside the body.
+        body: JSON form of the state.
+    """
+
+    version: int
+    body: bytes
+
+
+@attrs.frozen
+class ReadSnapshot:
+    """Read the stream `snapshots`, and answer `SnapshotRead`.
+
+    The answer is the snapshot with the highest version, whatever its place in the
+    stream. If the log cannot be reached the answer is `LogUnreachable`.
+    """
+
+
 @attrs.frozen
 class Reply:
     """Answer a caller's request."""
@@ -272,6 +318,8 @@
 Effect = (
     Send
     | Append
+    | WriteSnapshot
+    | ReadSnapshot
     | Reply
     | ChangeReply
     | Emit
--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -20,6 +20,7 @@
     _outage,
     _owner,
     _restrictions,
+    _snapshots,
     _suspicion,
     _task_recovery,
 )
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -13,10 +13,13 @@
 from ._home_choice import peer_reported
 from ._ids import entry_process, split_process
 from ._key_queries import send_key_list
-from ._messages import NO_EVIDENCE, PeerHeartbeat, RecordsTail
+from ._messages import NO_EVIDENCE, PeerHeartbeat, RecordsTail, StateRequest
+from ._observations import drain_reports, observed_versions
 from ._records import encode_record
+from ._snapshots import send_state
 
 RELAYED_RECORDS = 200
+STATE_REPEAT_MS = 5_000
 
 
 @ENTRY.handles(PeerHeartbeat)
@@ -47,7 +50,12 @@
     if heartbeat.log_reachable and state.now_ms - state.folded_ms < wait_ms:
         return
     records = state.recent.following(heartbeat.version)
-    if records:
+    if records is None:
+        overdue = state.now_ms - peer.state_sent_ms >= STATE_REPEAT_MS
+        if not heartbeat.log_reachable and overdue:
+            peer.state_sent_ms = state.now_ms
+            send_state(state, entry_process(peer.incarnation.name), heartbeat.version)
+    elif records:
         tail = RecordsTail(records[:RELAYED_RECORDS], heartbeat.version)
         state.send(entry_process(peer.incarnation.name), tail)
 
@@ -64,6 +72,9 @@
 @ENTRY.handles(Connected)
 def _connected(state: EntryState, sender: str, event: Connected) -> None:
     role, name = split_process(event.process)
+    if role == "entry" and state.control.version == 0:
+        # Nothing is known yet; the log may be down.
+        state.send(event.process, StateRequest(0))
     if role == "entry" and name in state.peers:
         state.peers.rows[name].connected = True
         state.peers.rows[name].refused_ms = None
@@ -101,6 +112,7 @@
     if state.me is None:
         return
     capacity = capacity_summaries(state)
+    observed, drains = observed_versions(state), drain_reports(state)
     pending = [encode_record(record) for record in restrictive_pending(state)]
     for name, peer in state.peers.rows.items():
         echo_ms, delay_ms = NO_EVIDENCE, 0
@@ -118,5 +130,7 @@
             capacity=capacity,
             leaving=state.stopping,
             pending=pending,
+            observed=observed,
+            drains=drains,
         )
         state.send(entry_process(name), heartbeat)
--- a/catkincross/_entry_rows.py
+++ b/catkincross/_entry_rows.py
@@ -194,10 +194,12 @@
         capacity: Its capacity by service and data centre.
         refused_ms: Since when its address refuses connections, or None.
         known_ms: When this entry folded its join.
+        state_sent_ms: When it was sent the whole control state last.
     """
 
     incarnation: Incarnation
     known_ms: int = 0
+    state_sent_ms: int = -1_000_000
     connected: bool = False
     refused_ms: int | None = None
     heartbeat: PeerHeartbeat | None = None
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -69,6 +69,27 @@
     ended: set[Incarnation] = attrs.field(factory=set)
 
 
+@attrs.define
+class Snapshots:
+    """What this entry knows of snapshots.
+
+    Attributes:
+        asked_ms: When the newest snapshot was read last, or None.
+        writing: A snapshot is being written by this entry.
+        due_since_ms: Since when a new snapshot is due, or None.
+        noted_version: Newest snapshot that this entry has seen noted.
+        noted_ms: When it saw that.
+        prune_due_ms: When the control state is next pruned.
+    """
+
+    asked_ms: int | None = None
+    writing: bool = False
+    due_since_ms: int | None = None
+    noted_version: int = 0
+    noted_ms: int = 0
+    prune_due_ms: int = 0
+
+
 @attrs.define
 class Leave:
     """Progress of a planned leave.
@@ -129,6 +150,7 @@
         settlement_due_ms: When held requests are looked at again.
         arrival_version: Roster version for which requests were forwarded.
         relays: Number of requests passed on to earlier owners.
+        snapshots: What this entry knows of snapshots.
         leave: What this entry has done to leave.
         unregistered: Names of agents that the register does not assign to this home.
     """
@@ -185,6 +207,7 @@
     settlement_due_ms: int | None = None
     arrival_version: int = 0
     relays: int = 0
+    snapshots: Snapshots = attrs.field(factory=Snapshots)
     leave: Leave = attrs.field(factory=Leave)
     unregistered: dict[str, None] = attrs.field(factory=dict)
     internal_requests: int = 0
--- a/catkincross/_fold.py
+++ b/catkincross/_fold.py
@@ -27,6 +27,7 @@
     Record,
     ResourceDeleted,
     ResourcePut,
+    SnapshotNoted,
 )
 
 LOST_RACE = "lost_race"
@@ -70,6 +71,7 @@
         An empty string if the record was kept, or the reason why it is a no-op.
     """
     state.version = offset
+    state.since_snapshot += 1
     if record.id in state.outcomes:
         return DUPLICATE_ID
     reason = _fold_body(state, offset, record, now_ms)
@@ -168,6 +170,17 @@
     return ""
 
 
+@folds(SnapshotNoted)
+def _snapshot_noted(
+    state: ControlState, offset: int, record: Record, now_ms: int
+) -> str:
+    if record.body.version <= state.snapshot_version:
+        return NO_EFFECT
+    state.snapshot_version = record.body.version
+    state.since_snapshot = 1
+    return ""
+
+
 @folds(Barrier)
 def _barrier(state: ControlState, offset: int, record: Record, now_ms: int) -> str:
     return ""
--- a/catkincross/_leave.py
+++ b/catkincross/_leave.py
@@ -11,6 +11,7 @@
 from ._home import decline
 from ._ids import entry_process, hash_key
 from ._messages import FinishedKey, HandoverReceived, KeyHandover, Reason
+from ._observations import is_mine
 from ._owner import fail_jobs
 from ._records import EntryEnded, EntryLeaving, RecordBody
 from ._rendezvous import choose
@@ -69,7 +70,8 @@
         any(job.answer is None for job in state.jobs)
         or len(state.requests) > 0
         or bool(state.held_jobs)
-        or any(row.connected and row.held for row in state.agents)
+        # Agents that have another home by now send it their results.
+        or any(row.held and is_mine(state, row) for row in state.agents)
     )
 
 
--- a/catkincross/_records.py
+++ b/catkincross/_records.py
@@ -88,6 +88,13 @@
     expected_generation: int
 
 
+@attrs.frozen
+class SnapshotNoted:
+    """A snapshot of a version was written to the stream `snapshots`."""
+
+    version: int
+
+
 @attrs.frozen
 class Barrier:
     """Changes nothing; settles the earlier appends of its author once it is folded."""
@@ -102,6 +109,7 @@
     | ResourcePut
     | ResourceDeleted
     | Barrier
+    | SnapshotNoted
 )
 
 
--- /dev/null
+++ b/catkincross/_snapshots.py
@@ -0,0 +1,158 @@
+"""Snapshots of the control state: who writes them, and starting from one."""
+
+from __future__ import annotations
+
+from ._appends import settle_snapshot
+from ._effects import (
+    LogGap,
+    ReadSnapshot,
+    SnapshotEnded,
+    SnapshotRead,
+    WriteSnapshot,
+)
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
+from ._ids import Incarnation, entry_process
+from ._membership import roster_changed
+from ._messages import ControlSnapshot, StateRequest
+from ._records import SnapshotNoted
+from ._rendezvous import rank
+from ._snapshot_codec import decode_snapshot, encode_snapshot
+
+READ_REPEAT_MS = 1_000
+NEXT_WRITER_MS = 10_000
+PRUNE_MS = 10_000
+
+
+@ENTRY.system(order=860)
+def _write_snapshot(state: EntryState) -> None:
+    snapshots = state.snapshots
+    if not _is_due(state):
+        snapshots.due_since_ms = None
+        return
+    if snapshots.due_since_ms is None:
+        snapshots.due_since_ms = state.now_ms
+    if state.me is None or state.stopping or not state.log_reachable:
+        return
+    if snapshots.writing or not state.freshness.is_current(state.now_ms):
+        return
+    # Until the note of the last snapshot is folded, a new one seems to be due.
+    rows = state.appends.pending.values()
+    if any(isinstance(row.record.body, SnapshotNoted) for row in rows):
+        return
+    seed = f"snapshot {state.control.snapshot_version}".encode()
+    order = rank(seed, state.control.owners())
+    overdue_ms = state.now_ms - snapshots.due_since_ms
+    if state.name not in order or overdue_ms < NEXT_WRITER_MS * order.index(state.name):
+        return
+    snapshots.writing = True
+    version = state.control.version
+    body = encode_snapshot(state.control, state.now_ms)
+    state.emit("snapshots", "snapshot written", version=version, size=len(body))
+    state.effects.append(WriteSnapshot(version, body))
+
+
+def _is_due(state: EntryState) -> bool:
+    settings, control = state.settings.control, state.control
+    if control.since_snapshot >= settings.snapshot_records:
+        return True
+    age_ms = state.now_ms - state.snapshots.noted_ms
+    # The record that notes a snapshot follows it, so one record needs no new one.
+    return control.since_snapshot > 1 and age_ms >= settings.snapshot_interval_ms
+
+
+@ENTRY.handles(SnapshotEnded)
+def _snapshot_ended(state: EntryState, sender: str, event: SnapshotEnded) -> None:
+    state.snapshots.writing = False
+    if event.written and state.me is not None:
+        # The others learn by this record that no snapshot is due.
+        state.append(SnapshotNoted(event.version))
+    state.snapshots.due_since_ms = state.now_ms
+
+
+@ENTRY.system(order=870)
+def _note_snapshots(state: EntryState) -> None:
+    snapshots = state.snapshots
+    if snapshots.noted_version != state.control.snapshot_version:
+        snapshots.noted_version = state.control.snapshot_version
+        snapshots.noted_ms = state.now_ms
+
+
+@ENTRY.system(order=20)
+def _read_at_start(state: EntryState) -> None:
+    if state.snapshots.asked_ms is None:
+        _read_snapshot(state)
+
+
+@ENTRY.handles(LogGap)
+def _log_gap(state: EntryState, sender: str, event: LogGap) -> None:
+    if event.first <= state.control.version + 1:
+        return
+    asked_ms = state.snapshots.asked_ms
+    if asked_ms is None or state.now_ms - asked_ms >= READ_REPEAT_MS:
+        _read_snapshot(state)
+        for name in state.peers.rows:
+            state.send(entry_process(name), StateRequest(state.control.version))
+
+
+def _read_snapshot(state: EntryState) -> None:
+    state.snapshots.asked_ms = state.now_ms
+    state.effects.append(ReadSnapshot())
+
+
+@ENTRY.handles(SnapshotRead)
+def _snapshot_read(state: EntryState, sender: str, event: SnapshotRead) -> None:
+    if event.version > 0:
+        load_snapshot(state, event.version, event.body)
+
+
+@ENTRY.handles(StateRequest)
+def _state_requested(state: EntryState, sender: str, message: StateRequest) -> None:
+    send_state(state, sender, message.version)
+
+
+def send_state(state: EntryState, process: str, version: int) -> None:
+    """Send a process the control state if it is newer than a version."""
+    if state.control.version > version:
+        body = encode_snapshot(state.control, state.now_ms)
+        state.send(process, ControlSnapshot(state.control.version, body))
+
+
+@ENTRY.handles(ControlSnapshot)
+def _state_received(state: EntryState, sender: str, message: ControlSnapshot) -> None:
+    load_snapshot(state, message.version, message.body)
+
+
+def load_snapshot(state: EntryState, version: int, body: bytes) -> None:
+    """Replace the control state by a newer one; an older one is ignored.
+
+    Args:
+        state: The entry's state.
+        version: Version of the snapshot.
+        body: Its JSON form.
+    """
+    if version <= state.control.version:
+        return
+    state.control = decode_snapshot(body, state.now_ms)
+    state.recent.restart(version)
+    state.folded_ms = state.now_ms
+    state.emit("snapshots", "snapshot loaded", version=version)
+    joined = state.control.outcomes.get(state.join_record_id)
+    if state.me is None and joined is not None and not joined.reason:
+        me = Incarnation(state.name, joined.offset)
+        state.me = me if state.control.is_live(me) else None
+    settle_snapshot(state)
+    roster_changed(state)
+
+
+@ENTRY.system(order=880)
+def _prune(state: EntryState) -> None:
+    snapshots = state.snapshots
+    if state.now_ms < snapshots.prune_due_ms:
+        return
+    snapshots.prune_due_ms = state.now_ms + PRUNE_MS
+    jobs = state.settings.jobs
+    # A job may run to its deadline after its owner lost the key, and its end is
+    # known for the retention after that.
+    window_ms = jobs.key_retention_ms + jobs.max_deadline_ms
+    state.control.prune(state.now_ms - window_ms)
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -8,7 +8,9 @@
 
 from catkincross._appends import change_status
 from catkincross._records import ResourcePut
+from catkincross._resource_status import resource_document
 from catkincross.ids import entry_process
+from catkincross.settings import ControlSettings
 
 
 def entry_state(context: Any, name: str) -> Any:
@@ -92,3 +94,58 @@
             resource = node.core.state.control.resources.get((kind, name))
             assert resource is not None, node.process
             assert resource.generation == generation, (node.process, resource)
+
+
+@then("{kind} {name} is shown as drained at {entry}")
+def _shown_drained(context: Any, kind: str, name: str, entry: str) -> None:
+    document = resource_document(entry_state(context, entry), kind, name)
+    status = document["status"]
+    assert status["drained"] and status["agents"], status
+    assert status["observed"] == status["processes"], status
+    assert status["observed_generation"] == document["metadata"]["generation"], status
+
+
+@given("entries in {data_centres} with a snapshot every {count:d} records")
+def _entries(context: Any, data_centres: str, count: int) -> None:
+    for number, data_centre in enumerate(data_centres.split(", "), 1):
+        control = ControlSettings(snapshot_records=count)
+        context.driver.add_entry(f"e{number}", data_centre, control=control)
+    context.driver.run(1_000)
+
+
+@step("{count:d} changes of team {team} are made at {entry}")
+def _many(context: Any, count: int, team: str, entry: str) -> None:
+    for number in range(count):
+        change = f"many-{number}"
+        _put(context, change, entry, "teams", team, weight=number)
+        _answered(context, change, "accepted")
+
+
+@step("all records but the last {count:d} expire")
+def _expire(context: Any, count: int) -> None:
+    log = context.driver.log
+    log.expire(log.tail - count + 1)
+
+
+@step("entry {name} starts in {data_centre} and knows {other}")
+def _start_knowing(context: Any, name: str, data_centre: str, other: str) -> None:
+    node = context.driver.add_entry(name, data_centre)
+    process = entry_process(other)
+    node.peers = {process: context.driver.nodes[process].address}
+    context.driver._connect_all(node)
+
+
+@then("the state of {one} equals that of {other}")
+def _equal(context: Any, one: str, other: str) -> None:
+    documents = []
+    for name in (one, other):
+        control = entry_state(context, name).control
+        kept = {
+            "entries": sorted(control.entries),
+            "outcomes": control.outcomes,
+            "resources": control.resources,
+            "sequences": control.sequences,
+            "members": {str(agent): row.home for agent, row in control.members.items()},
+        }
+        documents.append(kept)
+    assert documents[0] == documents[1], documents
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -87,6 +87,7 @@
         self.lose_append_answers = 0
         # Time until an append of a process reaches the log.
         self.append_delay: Callable[[str], int] = lambda process: 0
+        self.snapshots: list[tuple[int, bytes]] = []
         # When each record reached the log, by its id.
         self.append_times: dict[str, int] = {}
         # Processes whose host is down: their address does not refuse connections.
@@ -271,6 +272,15 @@
                 self._answer_upstream(node, start, TaskStatus.CANCELLED, "cancelled")
             case fx.Stop():
                 self.kill(node.process)
+            case _:
+                self._carry_out_snapshot(node, effect)
+
+    def _carry_out_snapshot(self, node: Node, effect: Any) -> None:
+        match effect:
+            case fx.WriteSnapshot(version, body):
+                self._write_snapshot(node, version, body)
+            case fx.ReadSnapshot():
+                self._read_snapshot(node)
 
     # Network
 
@@ -426,6 +436,20 @@
             for name, since_ms, end in self.drains
         ]
 
+    def _write_snapshot(self, node: Node, version: int, body: bytes) -> None:
+        written = not self.log_down and node.process not in self.log_cut
+        if written:
+            self.snapshots.append((version, body))
+        event = fx.SnapshotEnded(version, written)
+        self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
+
+    def _read_snapshot(self, node: Node) -> None:
+        event: Any = fx.LogUnreachable()
+        if not self.log_down and node.process not in self.log_cut:
+            newest = max(self.snapshots, key=lambda item: item[0], default=(0, b""))
+            event = fx.SnapshotRead(*newest)
+        self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
+
     # Upstreams
 
     def _call_upstream(self, node: Node, start: TaskStart) -> None:
