--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -272,6 +272,11 @@
             or owner in self.restrictions.ended
         )
 
+    def number_of(self, name: str) -> int:
+        """Return the incarnation number of an entry on the roster, or 0."""
+        entry = self.control.entries.get(name)
+        return 0 if entry is None else entry.number
+
     def send(self, to: str, message: Message) -> None:
         """Send a message in this step."""
         self.effects.append(Send(to, message))
@@ -296,7 +301,8 @@
     def flush_batches(self) -> None:
         """Turn the collected items into one message for each addressee."""
         for process, placed in self.batches.placed.items():
-            self.send(process, PlaceTasks(placed))
+            number = self.number_of(process.partition("/")[2])
+            self.send(process, PlaceTasks(placed, number))
         for process, starts in self.batches.starts.items():
             self.send(process, StartTasks(starts))
         for process, results in self.batches.results.items():
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -22,6 +22,11 @@
 
 @ENTRY.handles(PlaceTasks)
 def _tasks_placed(state: EntryState, sender: str, message: PlaceTasks) -> None:
+    if message.home_number and not (
+        state.me is not None and state.me.number == message.home_number
+    ):
+        # The owner settles what an earlier incarnation had when it folds its end.
+        return
     accept_tasks(state, sender, message.tasks)
 
 
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -589,9 +589,15 @@
 
 @attrs.frozen
 class PlaceTasks:
-    """Tasks from their owner to a home."""
+    """Tasks from their owner to a home.
+
+    Attributes:
+        home_number: Incarnation number of the addressee. Another incarnation must not
+            answer: it does not know what the earlier one has started.
+    """
 
     tasks: list[PlacedTask]
+    home_number: int = 0
 
 
 @attrs.frozen
--- a/catkincross/_task_recovery.py
+++ b/catkincross/_task_recovery.py
@@ -108,7 +108,7 @@
             if row.home == name
         ]
         if placed:
-            state.send(entry_process(name), PlaceTasks(placed))
+            state.send(entry_process(name), PlaceTasks(placed, state.number_of(name)))
         for request in state.requests:
             if request.submission is not None and request.owner == name:
                 forward(state, request)
