--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -12,7 +12,7 @@
 from ._home_capacity import capacity_summaries
 from ._home_choice import peer_reported
 from ._ids import entry_process, split_process
-from ._key_queries import send_key_list
+from ._key_queries import send_key_lists
 from ._messages import NO_EVIDENCE, PeerHeartbeat, RecordsTail, StateRequest
 from ._observations import drain_reports, observed_versions
 from ._records import encode_record
@@ -82,7 +82,7 @@
         state.heartbeat_due_ms = state.now_ms
         repeat_forwards(state, name)
         send_relayed_again(state, name)
-        send_key_list(state, name)
+        send_key_lists(state, [name])
     if role == "agent" and name in state.agents:
         state.agents.rows[name].connected = True
         state.dispatch.changed_agents[name] = None
--- a/catkincross/_key_queries.py
+++ b/catkincross/_key_queries.py
@@ -12,7 +12,7 @@
 REPEAT_MS = 500
 
 # An owner with more keys sends no list after a roster change; it is asked instead.
-MOST_LISTED_KEYS = 20_000
+MOST_LISTED_KEYS = 5_000
 
 
 def ask_about(
@@ -116,16 +116,19 @@
         for owner, listed in queries.lists.items()
         if state.control.is_live(owner)
     }
-    for name, peer in state.peers.rows.items():
-        if peer.connected:
-            send_key_list(state, name)
+    connected = [name for name, row in state.peers.rows.items() if row.connected]
+    send_key_lists(state, connected)
 
 
-def send_key_list(state: EntryState, name: str) -> None:
-    """Send an entry the keys of its range that are known here, if they are few."""
+def send_key_lists(state: EntryState, names: list[str]) -> None:
+    """Send entries the keys of their ranges that are known here, if they are few."""
     if state.me is None or len(state.jobs) > MOST_LISTED_KEYS:
         return
     owners = state.control.owners()
-    known = [key for key in state.jobs.rows if choose(key, owners) == name]
+    known: dict[str | None, list[bytes]] = {name: [] for name in names}
+    for key in state.jobs.rows:
+        known.setdefault(choose(key, owners), []).append(key)
     version = state.control.roster_version
-    state.send(entry_process(name), KeyReply([], known, version, complete=True))
+    for name in names:
+        reply = KeyReply([], known[name], version, complete=True)
+        state.send(entry_process(name), reply)
--- a/catkincross/_restrictions.py
+++ b/catkincross/_restrictions.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
+
 from ._appends import restrictive_pending
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState, Restrictions
@@ -17,7 +19,7 @@
     records = list(restrictive_pending(state))
     for peer in state.peers:
         if peer.heartbeat is not None:
-            records += [decode_record(body) for body in peer.heartbeat.pending]
+            records += [_decode(body) for body in peer.heartbeat.pending]
     found = Restrictions()
     for record in records:
         _add(state, found, record)
@@ -34,6 +36,10 @@
         state.heartbeat_due_ms = state.now_ms
 
 
+# A heartbeat is looked at in each step until the next one.
+_decode = lru_cache(maxsize=256)(decode_record)
+
+
 def _add(state: EntryState, found: Restrictions, record: Record) -> None:
     if record.id in state.control.outcomes:
         return
