--- a/features/changes.feature
+++ b/features/changes.feature
@@ -39,3 +39,22 @@
     Then change "c1" is known as refused not_appended at e1
     When 30 seconds pass
     Then change "c1" is known as refused overtaken at e2
+
+  Scenario: A new entry accepts no change that an entry without the log cannot see
+    When e3 is cut from the log
+    And 1 seconds pass
+    And e3 is cut from e4
+    And entry e4 starts in perth
+    And 1 seconds pass
+    And change "c1" sets team a to weight 2 at e4
+    Then change "c1" is answered refused not_ready
+    When the network is whole again
+    And 2 seconds pass
+    And change "c2" sets team a to weight 2 at e4
+    Then change "c2" is answered accepted
+
+  Scenario: A burst of changes stays within the append budget
+    When 200 changes of one team each are made at e1 at once
+    And 5 seconds pass
+    Then at most 120 records were appended in the last 5 seconds
+    And at least 100 records were appended in the last 5 seconds
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -108,3 +108,30 @@
     And 1 seconds pass
     And job "k1" owned by e3 of 4 tasks is submitted at e1 for 3 seconds
     Then the last request for "k1" is answered unknown recovering
+
+  Scenario: An agent that was ended returns after a hold and takes work again
+    When u1 is paused
+    And 20 seconds pass
+    Then agent u1 is not registered at e2
+    When u1 resumes
+    And 4 seconds pass
+    Then agent u1 is registered at e2
+    When jobs of 40 tasks arrive at e1, e2, e3 for 2 seconds
+    And 4 seconds pass
+    Then agent u1 started a task in the last 4 seconds
+
+  Scenario: An entry that ends again and again is held back for longer
+    When e2 is paused
+    And 10 seconds pass
+    And e2 resumes
+    And 3 seconds pass
+    Then e2 is present on the roster of e1
+    When e2 is paused
+    And 10 seconds pass
+    And e2 resumes
+    And 3 seconds pass
+    And e2 is paused
+    And 10 seconds pass
+    And e2 resumes
+    And 1 seconds pass
+    Then the hold of e2 is 4 seconds
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -149,3 +149,27 @@
         }
         documents.append(kept)
     assert documents[0] == documents[1], documents
+
+
+@step("{count:d} changes of one team each are made at {entry} at once")
+def _burst(context: Any, count: int, entry: str) -> None:
+    for number in range(count):
+        _put(context, f"burst-{number}", entry, "teams", f"t{number}", weight=1)
+
+
+def _appended(context: Any, seconds: int) -> int:
+    driver = context.driver
+    since_ms = driver.now_ms - seconds * 1_000
+    return sum(time_ms >= since_ms for time_ms in driver.append_times.values())
+
+
+@then("at most {count:d} records were appended in the last {seconds:d} seconds")
+def _at_most(context: Any, count: int, seconds: int) -> None:
+    found = _appended(context, seconds)
+    assert found <= count, found
+
+
+@then("at least {count:d} records were appended in the last {seconds:d} seconds")
+def _at_least(context: Any, count: int, seconds: int) -> None:
+    found = _appended(context, seconds)
+    assert found >= count, found
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -235,3 +235,39 @@
 @given("the upstreams fail everything")
 def _fail(context: Any) -> None:
     context.driver.outcome = lambda agent, start: TaskStatus.FAILED
+
+
+@then("agent {name} is registered at {entry}")
+def _registered(context: Any, name: str, entry: str) -> None:
+    assert _is_registered(context, name, entry)
+
+
+@then("agent {name} is not registered at {entry}")
+def _not_registered(context: Any, name: str, entry: str) -> None:
+    assert not _is_registered(context, name, entry)
+
+
+def _is_registered(context: Any, name: str, entry: str) -> bool:
+    nodes = context.driver.nodes
+    control = nodes[process_name(entry)].core.state.control
+    return control.is_registered(nodes[process_name(name)].core.state.me)
+
+
+@then("agent {name} started a task in the last {seconds:d} seconds")
+def _agent_started(context: Any, name: str, seconds: int) -> None:
+    driver = context.driver
+    since_ms = driver.now_ms - seconds * 1_000
+    agents = {item.agent for item in driver.starts if item.at_ms >= since_ms}
+    assert process_name(name) in agents, agents
+
+
+@then("the hold of {name} is {seconds:d} seconds")
+def _hold(context: Any, name: str, seconds: int) -> None:
+    driver = context.driver
+    control = driver.nodes["entry/e1"].core.state.control
+    ended_ms = max(row.folded_ms for row in control.ended.values())
+    joined = driver.run_until(lambda: name in control.entries, limit_ms=60_000)
+    state = driver.nodes[process_name(name)].core.state
+    own_ms = max(row.folded_ms for row in state.control.ended.values())
+    held_ms = driver.now_ms - max(own_ms, ended_ms)
+    assert joined and seconds * 1_000 <= held_ms <= seconds * 1_000 + 600, held_ms
