--- a/catkincross/_cli_jobs.py
+++ b/catkincross/_cli_jobs.py
@@ -143,11 +143,12 @@
     elif answer.status >= 400 or "results" not in job:
         print_refusal(job)
     else:
-        _print_job(job, wide=output == "wide")
+        print_job(job, wide=output == "wide")
     raise SystemExit(int(code))
 
 
-def _print_job(job: dict[str, Any], *, wide: bool) -> None:
+def print_job(job: dict[str, Any], *, wide: bool) -> None:
+    """Print a job's state or end, with its results."""
     facts = [f"job {job['key']}: {job['state']}"]
     facts.append(f"{job['tasks_done']} of {job['tasks']} tasks ended")
     facts += [f"{name} {job[name]}" for name in ("truth", "reason") if job.get(name)]
--- a/catkincross/_timeline.py
+++ b/catkincross/_timeline.py
@@ -76,9 +76,21 @@
 
 def parse_lines(lines: Iterable[str]) -> Iterator[TimelineEvent]:
     """Yield the events of a log; other lines and a cut last line are left out."""
+    yield from events_of(_values(lines))
+
+
+def _values(lines: Iterable[str]) -> Iterator[Any]:
     for line in lines:
         try:
-            fields = json.loads(line)
+            yield json.loads(line)
+        except ValueError:
+            continue
+
+
+def events_of(values: Iterable[Any]) -> Iterator[TimelineEvent]:
+    """Yield the events among the values of log lines."""
+    for fields in values:
+        try:
             event = _event(fields)
         except (ValueError, KeyError, TypeError, AttributeError):
             continue
@@ -123,6 +135,12 @@
     return (time if time.tzinfo else time.replace(tzinfo=UTC)).timestamp()
 
 
+def details_text(event: TimelineEvent) -> str:
+    """Return the details of an event that say something."""
+    shown = {k: v for k, v in event.details.items() if v not in ("", None)}
+    return " ".join(f"{name}={value}" for name, value in shown.items())
+
+
 def text_lines(events: list[TimelineEvent]) -> Iterator[str]:
     """Yield the time line as text: milliseconds since the first event, and details."""
     if not events:
@@ -133,7 +151,7 @@
     for event in events:
         offset_ms = (event.time_s - start_s) * 1_000
         subject = event.task or event.job
-        details = " ".join(f"{k}={v}" for k, v in event.details.items())
+        details = details_text(event)
         what = f"{event.part}: {event.event}"
         line = f"{offset_ms:>10.1f} ms  {event.process:<{width}}  {what:<28}"
         yield f"{line}  {subject:<16}  {details}".rstrip()
--- a/catkincross/_timeline_svg.py
+++ b/catkincross/_timeline_svg.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ._timeline import TimelineEvent
+from ._timeline import TimelineEvent, details_text
 
 LANE_PX, LABEL_PX, WIDTH_PX, HEAD_PX, BAR_PX = 34, 130, 1_200, 40, 7
 ROWS = 3
@@ -130,7 +130,7 @@
     def _draw_event(self, event: TimelineEvent) -> None:
         if event.event in ("task started", "task ended"):
             return
-        details = " ".join(f"{k}={v}" for k, v in event.details.items())
+        details = details_text(event)
         subject = event.task or event.job
         self.add(
             "circle",
