--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -49,6 +49,7 @@
     life: int = 0
     inbox: list[Any] = attrs.field(factory=list)
     wake_at: int | None = None
+    due_at: int | None = None
     peers: dict[str, str] = attrs.field(factory=dict)
     reading: bool = False
 
@@ -84,6 +85,10 @@
         self.log_cut: set[str] = set()
         self.log_delay_ms = LOG_DELAY_MS
         self.lose_append_answers = 0
+        # Time until an append of a process reaches the log.
+        self.append_delay: Callable[[str], int] = lambda process: 0
+        # Processes whose host is down: their address does not refuse connections.
+        self.lost_hosts: set[str] = set()
         self.run_ms: Callable[[str, TaskStart], int] = lambda agent, start: 50
         self.outcome: Callable[[str, TaskStart], TaskStatus] = lambda agent, start: (
             TaskStatus.OK
@@ -220,14 +225,23 @@
             version = node.core.state.control.version
             if not seen or seen[-1] != version:
                 seen.append(version)
-        due_ms = node.core.next_due_ms()
-        if due_ms is not None:
-            self.at(max(due_ms, self.now_ms + 1), lambda: self._due(node))
+        self._schedule_due(node)
 
-    def _due(self, node: Node) -> None:
+    def _schedule_due(self, node: Node) -> None:
         due_ms = node.core.next_due_ms()
-        if node.wake_at is None and due_ms is not None and due_ms <= self.now_ms:
-            self._step(node)
+        if due_ms is None:
+            return
+        due_ms = max(due_ms, self.now_ms + 1)
+        # One pending wake-up a node: more would multiply with every step.
+        if node.due_at is None or due_ms < node.due_at:
+            node.due_at = due_ms
+            self.at(due_ms, lambda: self._due(node, due_ms))
+
+    def _due(self, node: Node, due_ms: int) -> None:
+        if node.due_at != due_ms:
+            return
+        node.due_at = None
+        self._step(node)
 
     def _carry_out(self, node: Node, effect: Any) -> None:
         match effect:
@@ -243,8 +257,11 @@
             case fx.Emit():
                 self.events.append((self.now_ms, node.process, effect))
             case fx.SetPeers(addresses):
+                added = [peer for peer in addresses if peer not in node.peers]
                 node.peers = dict(addresses)
-                self._connect_all(node)
+                # Known peers without a stream are tried again after a delay.
+                for peer in added:
+                    self._connect(node, peer)
             case fx.CallUpstream(start):
                 self._call_upstream(node, start)
             case fx.AbortUpstream(start):
@@ -267,7 +284,7 @@
         if pair in self.streams or process == node.process:
             return
         if peer is None or not peer.alive or pair in self.cuts:
-            refused = peer is not None and not peer.alive
+            refused = peer is not None and self._refuses(process)
             self.deliver(node, fx.Disconnected(process, refused))
             self.at(self.now_ms + 500, lambda: self._reconnect(node, process))
             return
@@ -302,7 +319,7 @@
         self.streams.discard(pair)
         for process, peer in ((one, other), (other, one)):
             node = self.nodes[process]
-            refused = not self.nodes[peer].alive
+            refused = self._refuses(peer)
             self.deliver(node, fx.Disconnected(peer, refused))
             if peer in node.peers:
                 self.at(
@@ -322,9 +339,14 @@
         self.cuts.clear()
         self.log_cut.clear()
 
-    def kill(self, process: str) -> None:
-        """End a process at once."""
+    def _refuses(self, process: str) -> bool:
+        return not self.nodes[process].alive and process not in self.lost_hosts
+
+    def kill(self, process: str, *, with_host: bool = False) -> None:
+        """End a process at once; without its host, its address refuses connections."""
         node = self.nodes[process]
+        if with_host:
+            self.lost_hosts.add(process)
         node.alive = False
         node.inbox.clear()
         for pair in [pair for pair in self.streams if process in pair]:
@@ -370,8 +392,15 @@
         self.observe(node.process, "", record)
         if not node.alive:
             return
-        offset = self.log.append(encode_record(record))
-        self._note_drain(record.body)
+        delay_ms = self.append_delay(node.process)
+        if delay_ms:
+            # The writer gives up waiting; the record arrives all the same.
+            self.at(self.now_ms + delay_ms, lambda: self._log_append(record))
+            lost = fx.AppendEnded(record.id, None, False, "timeout")
+            self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, lost))
+            return
+            return
+        offset = self._log_append(record)
         if self.lose_append_answers:
             self.lose_append_answers -= 1
             event = fx.AppendEnded(record.id, None, False, "timeout")
@@ -379,6 +408,10 @@
             event = fx.AppendEnded(record.id, offset, True)
         self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
 
+    def _log_append(self, record: Any) -> int:
+        self._note_drain(record.body)
+        return self.log.append(encode_record(record))
+
     def _note_drain(self, body: Any) -> None:
         if not isinstance(body, ResourcePut) or body.kind != "datacentres":
             return
@@ -414,6 +447,15 @@
 
     # Callers
 
+    def propose(self, entry: str, body: Any, *, record_id: str = "") -> int:
+        """Propose a change of a resource at an entry; return the request's number."""
+        self.next_request += 1
+        request_id = self.next_request
+        record = Record(record_id or f"change-{request_id}", None, body)
+        node = self.nodes[entry_process(entry)]
+        self.deliver(node, fx.ChangeProposed(request_id, record))
+        return request_id
+
     def submit(self, entry: str, job: fx.JobSubmitted) -> int:
         """Submit a job at an entry and return the request's number."""
         self.next_request += 1
