Answer changes from the outcomes that the core keeps

Cause: the core now settles appends, so an open change must be asked for there and not in the folded outcomes alone.

Ruled out: a second time limit of the HTTP layer for changes; the core's change_answer_ms decides, and the layer waits a second longer.

Before: GET /v1/changes said unknown for a change that can never take effect.

Conclusion: 202 is answered only while the outcome is open.

--- a/catkincross/_resource_api.py
+++ b/catkincross/_resource_api.py
@@ -11,6 +11,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from ._appends import ACCEPTED, REFUSED, UNKNOWN, change_status
 from ._checked import Problem
 from ._effects import ChangeProposed, ChangeReply
 from ._fold import LOST_RACE
@@ -35,10 +36,10 @@
 from ._resource_watch import ResourceFeed, watch_lines
 from ._settings import EntrySettings
 
-ACCEPTED, REFUSED, UNKNOWN = "accepted", "refused", "unknown"
 NOT_APPLIED, APPLIED, MAY_APPLY = "not_applied", "applied", "may_be_applied"
-# The append limit of an entry, section 8 of the design.
-LIMIT_REASONS = {Reason.OVERLOADED, Reason.QUOTA, "append_limit"}
+LIMIT_REASONS = {Reason.OVERLOADED, Reason.QUOTA}
+# The core answers by itself; this is for an answer that is late.
+ANSWER_GRACE_MS = 1_000
 CHANGE_ID = re.compile(r"[A-Za-z0-9._-]{1,200}")
 
 
@@ -202,7 +203,7 @@
         record = Record(_change_id(state.name), state.me, change)
         asking = self.gateway.ask(
             lambda number: ChangeProposed(number, record),
-            timeout_ms=self.settings.http.change_wait_ms,
+            timeout_ms=self.settings.control.change_answer_ms + ANSWER_GRACE_MS,
         )
         reply = await unless_disconnected(request, asking)
         if reply is None:
@@ -258,18 +259,18 @@
     async def get_change(self, request: Request) -> Response:
         """Answer what has become of a change."""
         change_id = request.path_params["id"]
-        outcome = self.gateway.state.control.outcomes.get(change_id)
-        if outcome is None:
-            if CHANGE_ID.fullmatch(change_id):
-                return _pending(change_id)
+        if not CHANGE_ID.fullmatch(change_id):
             detail = "no change can have this id"
             return _refused(404, HttpReason.UNKNOWN_CHANGE, detail)
+        known = change_status(self.gateway.state, change_id)
+        if known.outcome == UNKNOWN:
+            return _pending(change_id)
         body = {
-            "state": REFUSED if outcome.reason else ACCEPTED,
-            "truth": NOT_APPLIED if outcome.reason else APPLIED,
-            "reason": outcome.reason,
+            "state": known.outcome,
+            "truth": APPLIED if known.outcome == ACCEPTED else NOT_APPLIED,
+            "reason": known.reason,
             "id": change_id,
-            "resource_version": outcome.offset,
+            "resource_version": known.version,
         }
         return JSONResponse(body)
 
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -79,13 +79,6 @@
         high=1_000_000,
         about="Callers' requests that wait for an answer at one time.",
     )
-    change_wait_ms: int = setting(
-        5_000,
-        unit="ms",
-        low=100,
-        high=60_000,
-        about="How long a change waits for its outcome before it is answered 202.",
-    )
     bookmark_ms: int = setting(
         5_000,
         unit="ms",
--- a/features/steps/http_api.py
+++ b/features/steps/http_api.py
@@ -6,16 +6,12 @@
 
 from behave import given, then, when
 
-from catkincross._http_app import build_app
 from catkincross.messages import TaskStatus
-from scenarios.gateway import DriverGateway
-from tests.asgi import call
+from scenarios.gateway import call_entry
 
 
-def _call(context: Any, entry: str, method: str, target: str, *args: Any) -> None:
-    gateway = DriverGateway(context.driver, entry)
-    app = build_app(gateway, gateway.state.settings)
-    context.answer = call(app, method, target, *args)
+def _call(context: Any, entry: str, *arguments: Any) -> None:
+    context.answer = call_entry(context.driver, entry, *arguments)
 
 
 @given("each task runs for {run_ms:d} ms")
--- a/scenarios/gateway.py
+++ b/scenarios/gateway.py
@@ -7,9 +7,11 @@
 
 from catkincross._entry_state import EntryState
 from catkincross._gateway import EntryGateway
+from catkincross._http_app import build_app
 from catkincross.effects import CallerGone
 from catkincross.ids import entry_process
 
+from .asgi import Answer, call
 from .driver import Driver
 
 
@@ -51,3 +53,12 @@
         control = self.state.control
         self.driver.run_until(lambda: control.version != version, limit_ms=timeout_ms)
         return control.version
+
+
+def call_entry(
+    driver: Driver, entry: str, method: str, target: str, *arguments: Any
+) -> Answer:
+    """Send a request to an entry of a driver; see `call` for the arguments."""
+    gateway = DriverGateway(driver, entry)
+    app = build_app(gateway, gateway.state.settings)
+    return call(app, method, target, *arguments)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,8 +22,8 @@
 from catkincross.ids import Incarnation, TaskId
 from catkincross.messages import TaskResult, TaskStatus
 from catkincross.settings import HttpSettings
+from scenarios.asgi import FakeGateway
 
-from .asgi import FakeGateway
 from .test_resource_api import LogGateway
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -18,8 +18,7 @@
     Truth,
 )
 from catkincross.settings import HttpSettings, JobSettings
-
-from .asgi import Answer, FakeGateway, call
+from scenarios.asgi import Answer, FakeGateway, call
 
 KEY = {"Idempotency-Key": "k1"}
 JOB = {"service": "s", "team": "t", "tasks": [{"payload": "a", "run_ms": 5}, {}]}
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -14,8 +14,7 @@
 from catkincross._metrics import Metrics
 from catkincross.effects import Emit
 from catkincross.settings import AgentSettings, MetricsSettings
-
-from .asgi import FakeGateway, call
+from scenarios.asgi import FakeGateway, call
 
 AGENT = AgentSettings(
     name="u1", region="r", data_centre="perth", upstream="up1", service="s"
