--- a/catkincross/_cli_files.py
+++ b/catkincross/_cli_files.py
@@ -8,16 +8,24 @@
 import click
 from returns.result import Failure, Success
 
-from ._cli_output import ExitCode, fail, print_json
+from ._cli_output import ExitCode, fail, print_json, print_table
 from ._ini import TOP_SECTIONS, detect_kind, load_settings
+from ._settings_list import setting_rows
 from ._timeline import TimelineFilter, merge, parse_lines, parse_time, text_lines
 from ._timeline_svg import svg_picture
 
 
 @click.command("check-config")
-@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
-def check_config(files: tuple[str, ...]) -> None:
+@click.argument("files", nargs=-1, type=click.Path(dir_okay=False))
+@click.option("--list", "listed", is_flag=True, help="List all settings instead.")
+def check_config(files: tuple[str, ...], listed: bool) -> None:
     """Check INI files of entries and agents."""
+    if listed:
+        rows = [attrs.astuple(row) for row in setting_rows()]
+        print_table(["SECTION", "KEY", "DEFAULT", "ALLOWED", "MEANING"], rows)
+        return
+    if not files:
+        fail(ExitCode.USAGE, "name the files to check, or give --list")
     failed = False
     for file in files:
         match detect_kind(file).bind(lambda kind, file=file: load_settings(file, kind)):
--- /dev/null
+++ b/catkincross/_settings_list.py
@@ -0,0 +1,47 @@
+"""List of all settings with default, bounds and meaning."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+from ._checked import allowed_text, fields_of
+from ._ini import TOP_SECTIONS
+
+
+@attrs.frozen
+class SettingRow:
+    """A key of the INI files.
+
+    Attributes:
+        default: Its value if the key is absent, or `needed`.
+    """
+
+    section: str
+    key: str
+    default: str
+    allowed: str
+    about: str
+
+
+def setting_rows() -> Iterator[SettingRow]:
+    """Yield the keys of entries and agents, each section once."""
+    seen = set()
+    for kind, top in TOP_SECTIONS.items():
+        sections: dict[str, dict[str, attrs.Attribute]] = {top: {}}
+        for key, field in fields_of(kind).items():
+            if isinstance(field.type, type) and attrs.has(field.type):
+                sections[key.strip("[]")] = fields_of(field.type)
+            else:
+                sections[top][key] = field
+        for section, fields in sections.items():
+            if section not in seen:
+                seen.add(section)
+                yield from (_row(section, key, fields[key]) for key in fields)
+
+
+def _row(section: str, key: str, field: attrs.Attribute) -> SettingRow:
+    default = "needed" if field.default is attrs.NOTHING else str(field.default)
+    about = field.metadata.get("about", "")
+    return SettingRow(section, key, default or "empty", allowed_text(field), about)
--- a/tests/test_ini.py
+++ b/tests/test_ini.py
@@ -11,6 +11,7 @@
 from catkincross import _ini
 from catkincross._ini import detect_kind, load_settings
 from catkincross._settings import setting
+from catkincross._settings_list import setting_rows
 from catkincross.settings import AgentSettings, EntrySettings
 
 ENTRY = "[entry]\nname = e1\nregion = r\ndata_centre = perth\n"
@@ -116,3 +117,19 @@
     (tmp_path / "both").write_text("[agent]\n[entry]\n")
     assert detect_kind(tmp_path / "a") == Success(AgentSettings)
     assert isinstance(detect_kind(tmp_path / "both"), Failure)
+
+
+def test_the_operators_page_gives_the_settings_as_they_are() -> None:
+    page = (Path(__file__).parent.parent / "docs" / "operations.md").read_text()
+    block = page.partition("<!-- settings -->")[2].partition("<!-- /settings -->")[0]
+    rows = {(row.section, row.key): row for row in setting_rows()}
+    section, documented = "", 0
+    for line in block.splitlines():
+        if line.startswith("`["):
+            section = line.strip("`[]")
+        elif line.startswith("| `"):
+            key, default, allowed = (cell.strip(" `") for cell in line.split("|")[1:4])
+            row = rows[section, key]
+            assert (default, allowed) == (row.default, row.allowed), (section, key)
+            documented += 1
+    assert documented > 50
