Let submit send again with its key while the outcome is open

Cause: a caller whose connection broke, or who met an owner's recovery, had to repeat the command by hand.

Ruled out: repeats of requests without a key and of changes, which the entries would not recognize.

Before: exit code 6 after one try. After: five tries by default, also at the next server; a connection that is refused after a lost answer is still reported as an open outcome. Two tests guard this.

Conclusion: one command is enough across the loss of an entry.

--- a/catkincross/_cli_client.py
+++ b/catkincross/_cli_client.py
@@ -19,6 +19,7 @@
 
 CONNECT_S = 5
 TOTAL_S = 900
+RETRY_MS = 1_000
 DEFAULT_SERVER = "http://127.0.0.1:8080"
 
 
@@ -60,9 +61,43 @@
         body: Any = None,
         *,
         headers: dict[str, str] | None = None,
+        tries: int = 1,
     ) -> ApiAnswer:
-        """Send one request and return the answer; ends the program on failure."""
-        return self.run(lambda: self._call(method, path, body, headers or {}))
+        """Send a request and return the answer; ends the program on failure.
+
+        Args:
+            method: HTTP method.
+            path: Path with query.
+            body: JSON value of the body, or None.
+            headers: Headers besides the token.
+            tries: How often to send it while the outcome is not known; more than
+                once only for what the entries recognize by its key.
+        """
+        return self.run(lambda: self._repeat(method, path, body, headers or {}, tries))
+
+    async def _repeat(
+        self, method: str, path: str, body: Any, headers: dict[str, str], tries: int
+    ) -> ApiAnswer:
+        lost: Exception | None = None
+        for left in reversed(range(tries)):
+            pause_ms = RETRY_MS
+            try:
+                answer = await self._call(method, path, body, headers)
+                if not left or not _is_open(answer):
+                    return answer
+                pause_ms = answer.body.get("retry_after_ms", RETRY_MS)
+            except aiohttp.ClientConnectorError:
+                # An earlier try may have been received although its answer was lost.
+                if not left and lost is not None:
+                    raise lost from None
+                if not left:
+                    raise
+            except (aiohttp.ClientError, ValueError) as error:
+                lost = error
+                if not left:
+                    raise
+            await asyncio.sleep(pause_ms / 1_000)
+        raise AssertionError("there is at least one try")
 
     def run(self, make: Callable[[], Any]) -> Any:
         """Run a coroutine; a failed connection ends the program with one line."""
@@ -113,6 +148,12 @@
         raise AssertionError("there is at least one server")
 
 
+def _is_open(answer: ApiAnswer) -> bool:
+    """Whether another try may tell the outcome."""
+    open_state = isinstance(answer.body, dict) and answer.body.get("state") == "unknown"
+    return open_state and (answer.status < 400 or answer.status >= 500)
+
+
 async def read_answer(response: aiohttp.ClientResponse) -> ApiAnswer:
     """Return the JSON value, or the values of the JSON lines, of a response.
 
--- a/catkincross/_cli_jobs.py
+++ b/catkincross/_cli_jobs.py
@@ -36,6 +36,9 @@
 @click.option("--interactive", is_flag=True, help="A person waits for the job.")
 @click.option("-f", "--file", type=click.Path(dir_okay=False), help="Body as JSON.")
 @click.option("--wait/--no-wait", default=True, help="Wait for the job's end.")
+@click.option(
+    "--tries", default=5, show_default=True, help="Sends while the outcome is open."
+)
 @output_option
 @client_options
 def submit(
@@ -44,6 +47,7 @@
     file: str | None,
     count: int,
     wait: bool,
+    tries: int,
     output: str,
     **fields: Any,
 ) -> None:
@@ -65,7 +69,8 @@
         click.echo(f"key {key}", err=True)
     path = "/v1/jobs" if wait else "/v1/jobs?wait=0"
     headers = STREAMED | {"Idempotency-Key": key}
-    show_job(client.call("POST", path, body, headers=headers), output, wait=wait)
+    answer = client.call("POST", path, body, headers=headers, tries=max(1, tries))
+    show_job(answer, output, wait=wait)
 
 
 @click.command()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -129,10 +129,23 @@
     run: Run, gateway: LogGateway, state: Any, truth: Any, reason: Any, code: int
 ) -> None:
     gateway.reply = lambda item: JobAnswer(0, "t/k1", state, truth, reason)
-    shown = run(*SUBMIT)
+    shown = run(*SUBMIT, "--tries", "1")
     assert (shown.exit_code, str(reason) in shown.output) == (code, True)
 
 
+def test_a_job_with_an_open_outcome_is_sent_again_with_its_key(
+    run: Run, gateway: LogGateway
+) -> None:
+    open_outcome = JobAnswer(
+        0, "t/k1", JobState.UNKNOWN, reason=Reason.RECOVERING, retry_after_ms=1
+    )
+    gateway.reply = lambda item: (
+        open_outcome if len(gateway.items) < 3 else _complete(item)
+    )
+    assert run(*SUBMIT).exit_code == 0
+    assert [item.key for item in gateway.items] == ["t/k1"] * 3
+
+
 def test_a_job_that_goes_on_is_no_failure_without_wait(
     run: Run, gateway: LogGateway
 ) -> None:
@@ -266,3 +279,22 @@
     assert (shown.exit_code, "owner: x" in shown.output) == (0, True)
     assert picture.read_text().startswith("<svg")
     assert run("timeline", str(tmp_path / "none")).exit_code == 2
+
+
+def test_a_lost_answer_is_not_reported_as_never_sent(run: Run) -> None:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+
+        def take_and_close() -> None:
+            connection, _ = listener.accept()
+            listener.close()
+            with connection:
+                connection.recv(65_536)
+
+        thread = threading.Thread(target=take_and_close)
+        thread.start()
+        shown = run(*SUBMIT, "--server", url, "--tries", "2")
+        thread.join()
+    assert (shown.exit_code, "its outcome is open" in shown.output) == (6, True)
