--- a/catkincross/_agent_membership.py
+++ b/catkincross/_agent_membership.py
@@ -24,6 +24,8 @@
 )
 from ._rendezvous import choose
 
+UNANSWERED_HEARTBEATS = 4
+
 
 @AGENT.handles(AgentView)
 def _view_received(state: AgentState, sender: str, view: AgentView) -> None:
@@ -38,6 +40,8 @@
 
 @AGENT.handles(HeartbeatReply)
 def _heartbeat_answered(state: AgentState, sender: str, reply: HeartbeatReply) -> None:
+    if sender == state.home_process:
+        state.echoed_ms = max(state.echoed_ms, reply.echo_ms)
     if reply.evidence_age_ms == NO_EVIDENCE or state.view is None:
         return
     # A view that was lost with a broken stream must not be vouched for.
@@ -153,11 +157,20 @@
         return
     interval_ms = state.settings.membership.agent_heartbeat_ms
     state.heartbeat_due_ms = state.now_ms + interval_ms
-    if state.home_process in state.connected:
+    if state.home_process not in state.connected:
+        return
+    # A home that does not answer may have dropped this agent; it needs a hello.
+    if state.now_ms - state.echoed_ms > UNANSWERED_HEARTBEATS * interval_ms:
+        state.send(state.home_process, _hello(state, granted=state.home_process))
+    else:
         state.send(state.home_process, _heartbeat(state))
 
 
 @AGENT.system(order=900)
 def _stop_when_idle(state: AgentState) -> None:
-    if state.leaving and not state.running and not state.results:
+    if not state.leaving or state.running or state.results:
+        return
+    # Results may be under way. The home has them when it answers a later stamp.
+    answered = state.echoed_ms > state.results_sent_ms
+    if answered or state.home_process not in state.connected:
         state.effects.append(Stop("left"))
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -19,6 +19,7 @@
     AgentHello,
     CapacitySummary,
     JobAnswer,
+    KeyHandover,
     Message,
     OwnedTask,
     PlacedTask,
@@ -30,6 +31,7 @@
 )
 from ._recent_records import RecentRecords
 from ._records import Record, RecordBody
+from ._recovery_rows import Censuses, HeldRequest, KeyQueries
 from ._settings import EntrySettings
 from ._tables import DueQueue, Table
 
@@ -67,6 +69,49 @@
     ended: set[Incarnation] = attrs.field(factory=set)
 
 
+@attrs.define
+class Snapshots:
+    """What this entry knows of snapshots.
+
+    Attributes:
+        asked_ms: When the newest snapshot was read last, or None.
+        writing: A snapshot is being written by this entry.
+        due_since_ms: Since when a new snapshot is due, or None.
+        noted_version: Newest snapshot that this entry has seen noted.
+        noted_ms: When it saw that.
+        prune_due_ms: When the control state is next pruned.
+    """
+
+    asked_ms: int | None = None
+    writing: bool = False
+    due_since_ms: int | None = None
+    noted_version: int = 0
+    noted_ms: int = 0
+    prune_due_ms: int = 0
+
+
+@attrs.define
+class Leave:
+    """Progress of a planned leave.
+
+    Attributes:
+        due_ms: When open jobs are given up.
+        batches: Addressee and message of batches that are not confirmed.
+        roster_version: Roster version for which the batches were made; 0 before.
+        send_due_ms: When unconfirmed batches are sent again.
+        gave_up: Open jobs were given up; their keys were not handed over.
+        stopped: The process was told that it may end.
+    """
+
+    due_ms: int = 0
+    batches: dict[int, tuple[str, KeyHandover]] = attrs.field(factory=dict)
+    batch_count: int = 0
+    roster_version: int = 0
+    send_due_ms: int = 0
+    gave_up: bool = False
+    stopped: bool = False
+
+
 @attrs.define
 class EntryState:
     """Tables and settings of an entry; see `EntryCore`.
@@ -98,6 +143,15 @@
         last_step_ms: Time of the last step.
         watch_ms: Silence of other processes counts from here at the earliest.
         agent_scan_due_ms: When agents are next checked for silence.
+        fenced: Owner incarnations that a census named as ended.
+        censuses: What is known of the starts of ended owners.
+        key_queries: Questions about keys to and from other owners.
+        held_jobs: Requests whose key is not settled, by key hash.
+        settlement_due_ms: When held requests are looked at again.
+        arrival_version: Roster version for which requests were forwarded.
+        relays: Number of requests passed on to earlier owners.
+        snapshots: What this entry knows of snapshots.
+        leave: What this entry has done to leave.
         unregistered: Names of agents that the register does not assign to this home.
     """
 
@@ -112,6 +166,7 @@
     control: ControlState = attrs.field(factory=ControlState)
     requests: Table[int, RequestRow] = attrs.field(factory=lambda: Table("requests"))
     jobs: Table[bytes, JobRow] = attrs.field(factory=lambda: Table("jobs"))
+    request_due: DueQueue[int] = attrs.field(factory=DueQueue)
     job_due: DueQueue[bytes] = attrs.field(factory=DueQueue)
     waiting: dict[TaskId, None] = attrs.field(factory=dict)
     agents: Table[str, AgentRow] = attrs.field(factory=lambda: Table("agents"))
@@ -145,6 +200,15 @@
     last_step_ms: int = 0
     watch_ms: int = 0
     agent_scan_due_ms: int = 0
+    fenced: set[Incarnation] = attrs.field(factory=set)
+    censuses: Censuses = attrs.field(factory=Censuses)
+    key_queries: KeyQueries = attrs.field(factory=KeyQueries)
+    held_jobs: dict[bytes, list[HeldRequest]] = attrs.field(factory=dict)
+    settlement_due_ms: int | None = None
+    arrival_version: int = 0
+    relays: int = 0
+    snapshots: Snapshots = attrs.field(factory=Snapshots)
+    leave: Leave = attrs.field(factory=Leave)
     unregistered: dict[str, None] = attrs.field(factory=dict)
     internal_requests: int = 0
     effects: list[Effect] = attrs.field(factory=list)
@@ -202,7 +266,16 @@
 
     def is_fenced(self, owner: Incarnation) -> bool:
         """Whether an owner incarnation has ended, as far as this entry has heard."""
-        return not self.control.is_live(owner) or owner in self.restrictions.ended
+        return (
+            not self.control.is_live(owner)
+            or owner in self.fenced
+            or owner in self.restrictions.ended
+        )
+
+    def number_of(self, name: str) -> int:
+        """Return the incarnation number of an entry on the roster, or 0."""
+        entry = self.control.entries.get(name)
+        return 0 if entry is None else entry.number
 
     def send(self, to: str, message: Message) -> None:
         """Send a message in this step."""
@@ -228,7 +301,8 @@
     def flush_batches(self) -> None:
         """Turn the collected items into one message for each addressee."""
         for process, placed in self.batches.placed.items():
-            self.send(process, PlaceTasks(placed))
+            number = self.number_of(process.partition("/")[2])
+            self.send(process, PlaceTasks(placed, number))
         for process, starts in self.batches.starts.items():
             self.send(process, StartTasks(starts))
         for process, results in self.batches.results.items():
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -87,6 +87,9 @@
         self.lose_append_answers = 0
         # Time until an append of a process reaches the log.
         self.append_delay: Callable[[str], int] = lambda process: 0
+        self.snapshots: list[tuple[int, bytes]] = []
+        # When each record reached the log, by its id.
+        self.append_times: dict[str, int] = {}
         # Processes whose host is down: their address does not refuse connections.
         self.lost_hosts: set[str] = set()
         self.run_ms: Callable[[str, TaskStart], int] = lambda agent, start: 50
@@ -241,7 +244,8 @@
         if node.due_at != due_ms:
             return
         node.due_at = None
-        self._step(node)
+        if node.wake_at is None:
+            self._step(node)
 
     def _carry_out(self, node: Node, effect: Any) -> None:
         match effect:
@@ -268,6 +272,15 @@
                 self._answer_upstream(node, start, TaskStatus.CANCELLED, "cancelled")
             case fx.Stop():
                 self.kill(node.process)
+            case _:
+                self._carry_out_snapshot(node, effect)
+
+    def _carry_out_snapshot(self, node: Node, effect: Any) -> None:
+        match effect:
+            case fx.WriteSnapshot(version, body):
+                self._write_snapshot(node, version, body)
+            case fx.ReadSnapshot():
+                self._read_snapshot(node)
 
     # Network
 
@@ -399,7 +412,6 @@
             lost = fx.AppendEnded(record.id, None, False, "timeout")
             self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, lost))
             return
-            return
         offset = self._log_append(record)
         if self.lose_append_answers:
             self.lose_append_answers -= 1
@@ -409,6 +421,7 @@
         self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
 
     def _log_append(self, record: Any) -> int:
+        self.append_times.setdefault(record.id, self.now_ms)
         self._note_drain(record.body)
         return self.log.append(encode_record(record))
 
@@ -423,6 +436,20 @@
             for name, since_ms, end in self.drains
         ]
 
+    def _write_snapshot(self, node: Node, version: int, body: bytes) -> None:
+        written = not self.log_down and node.process not in self.log_cut
+        if written:
+            self.snapshots.append((version, body))
+        event = fx.SnapshotEnded(version, written)
+        self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
+
+    def _read_snapshot(self, node: Node) -> None:
+        event: Any = fx.LogUnreachable()
+        if not self.log_down and node.process not in self.log_cut:
+            newest = max(self.snapshots, key=lambda item: item[0], default=(0, b""))
+            event = fx.SnapshotRead(*newest)
+        self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
+
     # Upstreams
 
     def _call_upstream(self, node: Node, start: TaskStart) -> None:
