Select the home by streams and answers, and show that each guard is needed

Cause: an agent knew only streams. With a paused home whose stream stayed open it kept its slots there, and each short break of a stream raised the grant epoch (11 instead of 1 after five breaks).

Ruled out: leaving the home on the first break, which moves work back and forth.

Before: test_agents_of_a_lost_home_work_for_another[pause] and test_a_short_break_does_not_change_the_home failed. After: the agent leaves a home after 1,000 ms without a stream or 2,500 ms without an answer, and returns after 2,000 ms of a stream that answers.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test unit scenarios format lint proto clean capacity
+.PHONY: demo test unit matrix guards scenarios format lint proto clean capacity
 
 $(STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv $(VENV) 2>/dev/null || python3 -m venv $(VENV)
@@ -22,6 +22,12 @@
 unit: $(STAMP)
 	$(PYTHON) -m pytest
 
+matrix: $(STAMP)
+	$(PYTHON) -m scenarios.matrix
+
+guards: $(STAMP)
+	$(PYTHON) -m scenarios.guard_runs
+
 scenarios: $(STAMP)
 	$(PYTHON) -m behave --format plain --no-capture features
 
--- a/catkincross/_agent_membership.py
+++ b/catkincross/_agent_membership.py
@@ -9,11 +9,11 @@
     Connected,
     Disconnected,
     LeaveRequested,
-    SetPeers,
     Stop,
     UpstreamAnnounced,
     WorkerUsage,
 )
+from ._home_selection import ranked_entries, select_home, set_peers
 from ._ids import entry_process
 from ._messages import (
     NO_EVIDENCE,
@@ -22,7 +22,6 @@
     AgentView,
     HeartbeatReply,
 )
-from ._rendezvous import choose
 
 UNANSWERED_HEARTBEATS = 4
 
@@ -40,6 +39,7 @@
 
 @AGENT.handles(HeartbeatReply)
 def _heartbeat_answered(state: AgentState, sender: str, reply: HeartbeatReply) -> None:
+    state.links.heard_ms[sender] = state.now_ms
     if sender == state.home_process:
         state.echoed_ms = max(state.echoed_ms, reply.echo_ms)
     if reply.evidence_age_ms == NO_EVIDENCE or state.view is None:
@@ -54,6 +54,7 @@
 @AGENT.handles(Connected)
 def _connected(state: AgentState, sender: str, event: Connected) -> None:
     state.connected.add(event.process)
+    state.links.opened(event.process, state.now_ms)
     state.send(event.process, _hello(state, granted=event.process))
     _choose_home(state)
     if event.process == state.home_process:
@@ -63,6 +64,7 @@
 @AGENT.handles(Disconnected)
 def _disconnected(state: AgentState, sender: str, event: Disconnected) -> None:
     state.connected.discard(event.process)
+    state.links.closed(event.process, state.now_ms, refused=event.refused)
     _choose_home(state)
 
 
@@ -93,24 +95,20 @@
 def _choose_home(state: AgentState) -> None:
     if state.view is None:
         return
-    entries = [entry for entry in state.view.entries if not entry.leaving]
-    local = [
-        entry for entry in entries if entry.data_centre == state.settings.data_centre
-    ]
-    addresses = {entry_process(entry.name): entry.address for entry in entries}
-    preferred = choose(
-        state.settings.name.encode(), [entry.name for entry in local or entries]
+    entries = {entry.name: entry for entry in state.view.entries if not entry.leaving}
+    ranked = ranked_entries(
+        state.settings.name,
+        state.settings.data_centre,
+        [(entry.name, entry.data_centre) for entry in entries.values()],
     )
-    reachable = [
-        entry.name for entry in entries if entry_process(entry.name) in state.connected
-    ]
-    local_reachable = [entry.name for entry in local if entry.name in reachable]
-    home = choose(state.settings.name.encode(), local_reachable or reachable) or ""
-    wanted = {entry_process(name) for name in (preferred, home) if name}
-    peers = {process: addresses[process] for process in wanted if process in addresses}
-    state.effects.append(SetPeers(peers))
+    home, wanted = select_home(state.links, ranked, state.home, state.now_ms)
+    addresses = {entry_process(name): entries[name].address for name in wanted}
+    change = set_peers(state.links, addresses)
+    if change is not None:
+        state.effects.append(change)
     if home and home != state.home:
         state.home = home
+        state.links.use_home(state.home_process, state.now_ms)
         state.grant_epoch += 1
         state.emit("home chosen", home=home, grant_epoch=state.grant_epoch)
         state.send(state.home_process, _hello(state, granted=state.home_process))
@@ -157,6 +155,7 @@
         return
     interval_ms = state.settings.membership.agent_heartbeat_ms
     state.heartbeat_due_ms = state.now_ms + interval_ms
+    _choose_home(state)
     if state.home_process not in state.connected:
         return
     # A home that does not answer may have dropped this agent; it needs a hello.
--- a/catkincross/_agent_state.py
+++ b/catkincross/_agent_state.py
@@ -7,6 +7,7 @@
 from ._effects import AbortUpstream, CallUpstream, Effect, Emit, Send
 from ._freshness import Freshness
 from ._guards import ALL_GUARDS, Guards
+from ._home_selection import EntryLinks
 from ._ids import Incarnation, TaskId, entry_process
 from ._messages import AgentView, Message, OwnedTask, TaskResult, TaskStart
 from ._settings import AgentSettings
@@ -44,6 +45,7 @@
         fenced: Owner incarnations that a census named as ended.
         home: Name of the entry that holds the grant, or an empty string.
         connected: Processes with an open stream.
+        links: Times of the streams to entries.
         results_sent_ms: When results were sent to the home last.
         echoed_ms: Newest stamp of this agent that its home has answered.
     """
@@ -62,6 +64,7 @@
     grant_epoch: int = 0
     heartbeat_due_ms: int = 0
     connected: set[str] = attrs.field(factory=set)
+    links: EntryLinks = attrs.field(factory=EntryLinks)
     leaving: bool = False
     upstream_leaving: bool = False
     results_sent_ms: int = -1
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -266,7 +266,7 @@
 
     def is_fenced(self, owner: Incarnation) -> bool:
         """Whether an owner incarnation has ended, as far as this entry has heard."""
-        return (
+        return self.guards.fence and (
             not self.control.is_live(owner)
             or owner in self.fenced
             or owner in self.restrictions.ended
--- /dev/null
+++ b/catkincross/_home_selection.py
@@ -0,0 +1,155 @@
+"""The agent's choice of its home among the entries of its view."""
+
+from __future__ import annotations
+
+import attrs
+
+from ._effects import SetPeers
+from ._ids import entry_process
+from ._rendezvous import rank
+
+# A stream that breaks for less than this time does not move the agent's slots.
+REHOME_MS = 1_000
+# A better entry must have kept its stream for this time before the agent returns.
+RETURN_MS = 2_000
+# A home that answers no heartbeat for this time counts as unreachable.
+SILENT_MS = 2_500
+
+
+@attrs.define
+class EntryLinks:
+    """What the agent knows of its streams to entries.
+
+    Attributes:
+        since_ms: When each open stream was opened, by process.
+        lost_ms: When each stream that is wanted was lost, by process.
+        refused: Processes whose address refuses connections.
+        heard_ms: When a heartbeat was answered last, by process.
+        wanted: Processes to which streams are kept open.
+        home: Process of the home, which answers heartbeats; others answer only the
+            first message of a stream.
+    """
+
+    since_ms: dict[str, int] = attrs.field(factory=dict)
+    lost_ms: dict[str, int] = attrs.field(factory=dict)
+    refused: set[str] = attrs.field(factory=set)
+    heard_ms: dict[str, int] = attrs.field(factory=dict)
+    wanted: dict[str, str] = attrs.field(factory=dict)
+    home: str = ""
+
+    def opened(self, process: str, now_ms: int) -> None:
+        """Note that a stream is open."""
+        self.since_ms[process] = now_ms
+        self.lost_ms.pop(process, None)
+        self.refused.discard(process)
+
+    def closed(self, process: str, now_ms: int, *, refused: bool) -> None:
+        """Note that a stream is lost or cannot be opened."""
+        self.since_ms.pop(process, None)
+        self.lost_ms.setdefault(process, now_ms)
+        if refused:
+            self.refused.add(process)
+
+    def use_home(self, process: str, now_ms: int) -> None:
+        """Note which process is the home from now on."""
+        if self.is_silent(self.home, now_ms):
+            # Its next answer, not an old one, makes it eligible again.
+            self.heard_ms.pop(self.home, None)
+        self.home = process
+        self.heard_ms[process] = now_ms
+
+    def is_silent(self, process: str, now_ms: int) -> bool:
+        """Whether an open stream has brought no answer for too long."""
+        since_ms = self.since_ms.get(process)
+        if since_ms is None:
+            return False
+        heard_ms = self.heard_ms.get(process, 0)
+        if process != self.home and heard_ms >= since_ms:
+            return False
+        return now_ms - max(since_ms, heard_ms) > SILENT_MS
+
+    def is_down(self, process: str, now_ms: int) -> bool:
+        """Whether to look for another entry than this one."""
+        if process in self.since_ms:
+            return self.is_silent(process, now_ms)
+        lost_ms = self.lost_ms.get(process)
+        if lost_ms is None:
+            return False
+        return process in self.refused or now_ms - lost_ms >= REHOME_MS
+
+    def is_steady(self, process: str, now_ms: int) -> bool:
+        """Whether a stream is open and has been for long enough to return to it."""
+        since_ms = self.since_ms.get(process)
+        if since_ms is None or self.heard_ms.get(process, 0) < since_ms:
+            return False
+        return now_ms - since_ms >= RETURN_MS
+
+
+def ranked_entries(
+    agent: str, data_centre: str, entries: list[tuple[str, str]]
+) -> list[str]:
+    """Return the names of entries in the order in which an agent prefers them.
+
+    Args:
+        agent: Name of the agent.
+        data_centre: Its data centre; entries there come first.
+        entries: Name and data centre of each entry.
+    """
+    local = [name for name, centre in entries if centre == data_centre]
+    remote = [name for name, centre in entries if centre != data_centre]
+    key = agent.encode()
+    return rank(key, local) + rank(key, remote)
+
+
+def select_home(
+    links: EntryLinks, ranked: list[str], current: str, now_ms: int
+) -> tuple[str, list[str]]:
+    """Return the home, and the entries to which streams are wanted.
+
+    Args:
+        links: The agent's streams.
+        ranked: Names of the entries, the preferred one first.
+        current: Name of the current home, or an empty string.
+        now_ms: The agent's clock.
+
+    Returns:
+        The home's name, the current one if no better one is known, and the names
+        from the first in rank to the first that is not down.
+    """
+    wanted = []
+    for name in ranked:
+        wanted.append(name)
+        if not links.is_down(entry_process(name), now_ms):
+            break
+    usable = [
+        name
+        for name in wanted
+        if entry_process(name) in links.since_ms
+        and not links.is_silent(entry_process(name), now_ms)
+    ]
+    current_usable = current in ranked and not links.is_down(
+        entry_process(current), now_ms
+    )
+    if not current_usable:
+        return (usable[0] if usable else current), wanted
+    if current not in wanted:
+        wanted.append(current)
+    better = [
+        name
+        for name in usable
+        if ranked.index(name) < ranked.index(current)
+        and links.is_steady(entry_process(name), now_ms)
+    ]
+    return (better[0] if better else current), wanted
+
+
+def set_peers(links: EntryLinks, addresses: dict[str, str]) -> SetPeers | None:
+    """Return the effect that changes the wanted streams, or None if none changes."""
+    if addresses == links.wanted:
+        return None
+    links.wanted = addresses
+    for process in list(links.lost_ms):
+        if process not in addresses:
+            del links.lost_ms[process]
+            links.refused.discard(process)
+    return SetPeers(addresses)
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -261,11 +261,7 @@
             case fx.Emit():
                 self.events.append((self.now_ms, node.process, effect))
             case fx.SetPeers(addresses):
-                added = [peer for peer in addresses if peer not in node.peers]
-                node.peers = dict(addresses)
-                # Known peers without a stream are tried again after a delay.
-                for peer in added:
-                    self._connect(node, peer)
+                self._set_peers(node, addresses)
             case fx.CallUpstream(start):
                 self._call_upstream(node, start)
             case fx.AbortUpstream(start):
@@ -305,6 +301,17 @@
         self.deliver(node, fx.Connected(process))
         self.deliver(peer, fx.Connected(node.process))
 
+    def _set_peers(self, node: Node, addresses: dict[str, str]) -> None:
+        added = [peer for peer in addresses if peer not in node.peers]
+        removed = [peer for peer in node.peers if peer not in addresses]
+        node.peers = dict(addresses)
+        for peer in removed:
+            if node.process not in self.nodes[peer].peers:
+                self.break_stream(node.process, peer)
+        # Known peers without a stream are tried again after a delay.
+        for peer in added:
+            self._connect(node, peer)
+
     def _reconnect(self, node: Node, process: str) -> None:
         if node.alive and process in node.peers:
             self._connect(node, process)
