--- /dev/null
+++ b/catkincross/_agent_http.py
@@ -0,0 +1,52 @@
+"""HTTP application of an agent, on loopback, for the upstream beside it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import cattrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from ._agent_state import AgentState
+from ._effects import UpstreamAnnounced
+
+
+def build_agent_app(state: AgentState, post: Callable[[Any], None]) -> Starlette:
+    """Return the application.
+
+    Args:
+        state: The agent's state; it is only read.
+        post: Takes inbox items of the core.
+    """
+
+    async def healthz(request: Request) -> Response:
+        return PlainTextResponse("ok")
+
+    async def readyz(request: Request) -> Response:
+        registered = state.view is not None and state.view.registered
+        ready = registered and state.freshness.is_current(state.now_ms)
+        return PlainTextResponse(
+            "ready" if ready else "not ready", 200 if ready else 503
+        )
+
+    async def announce(request: Request) -> Response:
+        try:
+            event = cattrs.structure(await request.json(), UpstreamAnnounced)
+        except Exception as error:
+            return JSONResponse({"reason": cattrs.transform_error(error)}, 400)
+        if event.slots < 0 or event.connections < 0:
+            return JSONResponse({"reason": "slots and connections are counts"}, 400)
+        post(event)
+        return JSONResponse({"running": len(state.running)})
+
+    return Starlette(
+        routes=[
+            Route("/healthz", healthz),
+            Route("/readyz", readyz),
+            Route("/v1/upstream", announce, methods=["PUT"]),
+        ]
+    )
--- /dev/null
+++ b/catkincross/_embedded_log.py
@@ -0,0 +1,92 @@
+"""An in-memory log with the interface of the log service's client."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from ._log_client import Accepted, AppendOutcome, Gap, ReadOutcome, Records
+from ._messages import LogRecord
+
+
+@attrs.define
+class Stream:
+    """A stream of records with offsets from 1.
+
+    Attributes:
+        first: Oldest offset that is kept.
+        records: All records that are kept, oldest first.
+    """
+
+    first: int = 1
+    records: list[LogRecord] = attrs.field(factory=list)
+
+    @property
+    def tail(self) -> int:
+        """Offset of the last record; `first - 1` if none is kept."""
+        return self.first + len(self.records) - 1
+
+    def append(self, body: bytes) -> int:
+        """Append a record and return its offset."""
+        offset = self.tail + 1
+        self.records.append(LogRecord(offset, body))
+        return offset
+
+    def read(self, from_offset: int, limit: int) -> list[LogRecord] | None:
+        """Return records from an offset on, or None if it has expired."""
+        if from_offset < self.first:
+            return None
+        start = from_offset - self.first
+        return self.records[start : start + limit]
+
+    def expire(self, before: int) -> None:
+        """Remove the records with a lower offset."""
+        count = max(0, min(before, self.tail + 1) - self.first)
+        del self.records[:count]
+        self.first += count
+
+
+class EmbeddedLog:
+    """A log for processes that share one loop.
+
+    Attributes:
+        streams: Streams by name.
+    """
+
+    def __init__(self) -> None:
+        self.streams: dict[str, Stream] = {}
+        self._appended = asyncio.Condition()
+
+    def stream(self, name: str) -> Stream:
+        """Return a stream, which is empty at first."""
+        return self.streams.setdefault(name, Stream())
+
+    async def append(self, stream: str, record: bytes) -> AppendOutcome:
+        """Append a record."""
+        offset = self.stream(stream).append(record)
+        async with self._appended:
+            self._appended.notify_all()
+        return Accepted(offset)
+
+    async def read(
+        self, stream: str, from_offset: int, *, limit: int, wait_ms: int
+    ) -> ReadOutcome:
+        """Read records from an offset on."""
+        rows = self.stream(stream)
+        if rows.tail < from_offset and wait_ms:
+            try:
+                await asyncio.wait_for(self._wait(rows, from_offset), wait_ms / 1_000)
+            except TimeoutError:
+                pass
+        records = rows.read(from_offset, limit)
+        if records is None:
+            return Gap(rows.first)
+        return Records(records, rows.tail, rows.first)
+
+    async def _wait(self, rows: Stream, from_offset: int) -> None:
+        async with self._appended:
+            await self._appended.wait_for(lambda: rows.tail >= from_offset)
+
+    async def close(self) -> None:
+        """Release nothing; the log outlives its clients."""
--- /dev/null
+++ b/catkincross/_entry_daemon.py
@@ -0,0 +1,217 @@
+"""The entry process: an entry core with its HTTP, gRPC and log connections."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from . import _effects as fx
+from ._clock import Clock, SystemClock
+from ._entry_core import EntryCore
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
+from ._event_log import write_event
+from ._http_app import build_app
+from ._http_server import HttpServer
+from ._ids import Incarnation
+from ._log_client import HttpLogClient, LogClient
+from ._log_feed import LogFeed
+from ._messages import NO_EVIDENCE, JobAnswer, Message, PeerHeartbeat
+from ._runner import CoreRunner
+from ._settings import EntrySettings
+from ._transport import Transport
+
+FLUSH_LIMIT_S = 2.0
+
+
+class EntryDaemon:
+    """A running entry; the `EntryGateway` of its HTTP applications.
+
+    Args:
+        settings: The entry's settings.
+        clock: The process's clock.
+        log_client: Client of the log; one for the settings' URL by default.
+
+    Attributes:
+        state: State of the core.
+        leaving: The process was asked to stop.
+        stopped: Set when the core or the time limit lets the process end.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        *,
+        clock: Clock | None = None,
+        log_client: LogClient | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.rng = random.SystemRandom()
+        self.leaving = False
+        self.stopped = asyncio.Event()
+        self.state = EntryState.from_settings(
+            settings, address=settings.listen.grpc_address, seed=self._seed()
+        )
+        self.runner = CoreRunner(EntryCore(self.state), self.clock, self._carry_out)
+        self.transport = Transport(
+            process=self.state.process,
+            greeting=self._greeting,
+            post=self.runner.post,
+            tls=settings.tls,
+            seed=self._seed(),
+        )
+        self.log_feed = LogFeed(
+            log_client or HttpLogClient(settings.log),
+            self.clock,
+            version=lambda: self.state.control.version,
+            post=self.runner.post,
+            wait_ms=settings.log.wait_ms,
+            seed=self._seed(),
+        )
+        self.http = HttpServer(
+            build_app(self, settings),
+            settings.listen.http_address,
+            stop_limit_s=max(1, settings.listen.stop_limit_ms // 1_000),
+        )
+        self._asked: dict[int, asyncio.Future[Any]] = {}
+        self._last_request = 0
+        self._version_waiters: set[asyncio.Future[None]] = set()
+        self._seen_version = 0
+
+    def __repr__(self) -> str:
+        return f"<EntryDaemon {self.state.name} at {self.state.address}>"
+
+    def _seed(self) -> int:
+        return self.rng.getrandbits(62)
+
+    def _greeting(self) -> Message:
+        return PeerHeartbeat(
+            sender=self.state.me or Incarnation(self.state.name, 0),
+            sent_ms=self.clock.now_ms(),
+            echo_ms=NO_EVIDENCE,
+            echo_delay_ms=0,
+            version=0,
+            log_reachable=False,
+            evidence_age_ms=NO_EVIDENCE,
+        )
+
+    async def start(self) -> None:
+        """Listen, join the roster, and serve."""
+        self.state.address = await self.transport.serve(
+            self.settings.listen.grpc_address
+        )
+        self.runner.start()
+        self.log_feed.start()
+        self.http.start()
+
+    # Effects
+
+    def _carry_out(self, effects: list[fx.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case fx.Send(to, message):
+                    self.transport.send(to, message)
+                case fx.Reply(request_id, answer):
+                    self._answer(request_id, answer)
+                case fx.ChangeReply(request_id):
+                    self._answer(request_id, effect)
+                case fx.Append(record):
+                    self.log_feed.append(record)
+                case fx.SetPeers(addresses):
+                    self.transport.set_peers(addresses)
+                case fx.Emit():
+                    write_event(self.state.process, effect)
+                case fx.Stop():
+                    self.stopped.set()
+        if self.state.control.version != self._seen_version:
+            self._seen_version = self.state.control.version
+            for waiter in self._version_waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
+
+    def _answer(self, request_id: int, answer: JobAnswer | fx.ChangeReply) -> None:
+        waiter = self._asked.get(request_id)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(answer)
+
+    # Gateway of the HTTP applications
+
+    async def ask(
+        self, make_item: Callable[[int], Any], *, timeout_ms: int
+    ) -> JobAnswer | fx.ChangeReply | None:
+        """Post an inbox item and wait for its reply; see `EntryGateway`."""
+        self._last_request += 1
+        request_id = self._last_request
+        waiter = asyncio.get_running_loop().create_future()
+        self._asked[request_id] = waiter
+        self.runner.post(make_item(request_id))
+        try:
+            return await asyncio.wait_for(waiter, timeout_ms / 1_000)
+        except TimeoutError:
+            return None
+        finally:
+            del self._asked[request_id]
+            if waiter.cancelled():
+                self.runner.post(fx.CallerGone(request_id))
+
+    async def changed(self, version: int, *, timeout_ms: int) -> int:
+        """Wait until the control version differs; see `EntryGateway`."""
+        if self.state.control.version == version:
+            waiter = asyncio.get_running_loop().create_future()
+            self._version_waiters.add(waiter)
+            try:
+                await asyncio.wait_for(waiter, timeout_ms / 1_000)
+            except TimeoutError:
+                pass
+            finally:
+                self._version_waiters.discard(waiter)
+        return self.state.control.version
+
+    # Stop
+
+    async def run(self) -> None:
+        """Serve until the process may end.
+
+        Raises:
+            Exception: What a step of the core raised.
+        """
+        stopped = asyncio.create_task(self.stopped.wait())
+        try:
+            await asyncio.wait(
+                {stopped, self.runner.failed}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if self.runner.failed.done():
+                self.runner.failed.result()
+        finally:
+            stopped.cancel()
+            await self._close()
+
+    async def leave(self) -> None:
+        """Stop gracefully: announce the leave, finish requests, and end."""
+        if self.leaving:
+            return
+        self.leaving = True
+        limit_s = self.settings.listen.stop_limit_ms / 1_000
+        try:
+            await asyncio.wait_for(self._leave(), limit_s)
+        except TimeoutError:
+            write_event(self.state.process, fx.Emit("daemon", "stop limit reached"))
+        self.stopped.set()
+
+    async def _leave(self) -> None:
+        if fx.LeaveRequested in ENTRY.handlers:
+            self.runner.post(fx.LeaveRequested())
+        # The load balancer needs time to notice that this entry is not ready.
+        await asyncio.sleep(self.settings.listen.unready_ms / 1_000)
+        await self.http.stop()
+        if fx.LeaveRequested in ENTRY.handlers:
+            await self.stopped.wait()
+
+    async def _close(self) -> None:
+        await self.http.stop()
+        await self.transport.close(FLUSH_LIMIT_S)
+        self.runner.stop()
+        await self.log_feed.close()
--- /dev/null
+++ b/catkincross/_log_client.py
@@ -0,0 +1,162 @@
+"""Client of the platform's log service."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import aiohttp
+import attrs
+
+from ._messages import LogRecord
+from ._settings import LogSettings
+
+CONNECT_TIMEOUT_S = 0.5
+
+
+@attrs.frozen
+class Accepted:
+    """The record was appended."""
+
+    offset: int
+
+
+@attrs.frozen
+class Refused:
+    """The record was not appended and never will be."""
+
+    reason: str
+
+
+@attrs.frozen
+class Unknown:
+    """The record may have been appended."""
+
+    reason: str
+
+
+@attrs.frozen
+class Records:
+    """Records from an offset on.
+
+    Attributes:
+        tail: Offset of the last record of the stream.
+        first: Oldest offset that is kept.
+    """
+
+    records: list[LogRecord]
+    tail: int
+    first: int
+
+
+@attrs.frozen
+class Gap:
+    """Records that were asked for have expired."""
+
+    first: int
+
+
+@attrs.frozen
+class Unreachable:
+    """The log did not answer in time, or answered with an error."""
+
+    reason: str
+
+
+AppendOutcome = Accepted | Refused | Unknown
+ReadOutcome = Records | Gap | Unreachable
+
+
+class LogClient(Protocol):
+    """An append-only log with streams."""
+
+    async def append(self, stream: str, record: bytes) -> AppendOutcome:
+        """Append a record."""
+
+    async def read(
+        self, stream: str, from_offset: int, *, limit: int, wait_ms: int
+    ) -> ReadOutcome:
+        """Read records from an offset on.
+
+        Args:
+            stream: Name of the stream.
+            from_offset: Offset of the first record wanted.
+            limit: Most records to return.
+            wait_ms: How long to wait if there are none.
+        """
+
+    async def close(self) -> None:
+        """Release the connections."""
+
+
+class HttpLogClient:
+    """Log service over HTTP.
+
+    Args:
+        settings: Address and time limits.
+    """
+
+    def __init__(self, settings: LogSettings) -> None:
+        self.url = settings.url.rstrip("/")
+        self.timeout_s = settings.timeout_ms / 1_000
+        self._session = aiohttp.ClientSession()
+
+    async def append(self, stream: str, record: bytes) -> AppendOutcome:
+        """Append a record."""
+        try:
+            async with self._session.post(
+                f"{self.url}/streams/{stream}/records",
+                data=record,
+                headers={"Content-Type": "application/json"},
+                timeout=self._timeout(0),
+                allow_redirects=False,
+            ) as response:
+                return await _append_outcome(response)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Refused(f"log_unreachable: {type(error).__name__}")
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            return Unknown(type(error).__name__)
+
+    async def read(
+        self, stream: str, from_offset: int, *, limit: int, wait_ms: int
+    ) -> ReadOutcome:
+        """Read records from an offset on."""
+        query = {"from": from_offset, "limit": limit, "wait_ms": wait_ms}
+        try:
+            async with self._session.get(
+                f"{self.url}/streams/{stream}/records",
+                params=query,
+                timeout=self._timeout(wait_ms),
+                allow_redirects=False,
+            ) as response:
+                return await _read_outcome(response)
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            return Unreachable(type(error).__name__)
+
+    def _timeout(self, wait_ms: int) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(
+            total=self.timeout_s + wait_ms / 1_000, connect=CONNECT_TIMEOUT_S
+        )
+
+    async def close(self) -> None:
+        """Release the connections."""
+        await self._session.close()
+
+
+async def _append_outcome(response: aiohttp.ClientResponse) -> AppendOutcome:
+    if response.status == 200:
+        return Accepted(int((await response.json())["offset"]))
+    if 400 <= response.status < 500:
+        return Refused(f"status {response.status}")
+    return Unknown(f"status {response.status}")
+
+
+async def _read_outcome(response: aiohttp.ClientResponse) -> ReadOutcome:
+    if response.status not in (200, 410):
+        return Unreachable(f"status {response.status}")
+    body = await response.json()
+    if response.status == 410:
+        return Gap(int(body["first"]))
+    records = [
+        LogRecord(int(row["offset"]), row["body"].encode()) for row in body["records"]
+    ]
+    return Records(records, int(body["tail"]), int(body["first"]))
--- /dev/null
+++ b/catkincross/_log_feed.py
@@ -0,0 +1,110 @@
+"""Feeds an entry's core from the control stream and appends its records."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from ._clock import Clock
+from ._effects import AppendEnded, LogGap, LogRead, LogUnreachable
+from ._log_client import Accepted, Gap, LogClient, Records, Refused, Unreachable
+from ._records import Record, encode_record
+
+CONTROL_STREAM = "control"
+READ_LIMIT = 1_000
+RETRY_MS = 200
+MAX_QUEUED_APPENDS = 1_000
+
+
+class LogFeed:
+    """Reader and appender of the control stream.
+
+    Args:
+        client: Client of the log.
+        clock: The process's clock.
+        version: Returns the offset up to which the core has folded.
+        post: Takes inbox items of the core.
+        wait_ms: Longest wait of a read for new records.
+        seed: Seed of the jitter of retries.
+    """
+
+    def __init__(
+        self,
+        client: LogClient,
+        clock: Clock,
+        *,
+        version: Callable[[], int],
+        post: Callable[[Any], None],
+        wait_ms: int,
+        seed: int,
+    ) -> None:
+        self.client = client
+        self.clock = clock
+        self.version = version
+        self.post = post
+        self.wait_ms = wait_ms
+        self.rng = random.Random(seed)
+        self._appends: asyncio.Queue[Record] = asyncio.Queue(MAX_QUEUED_APPENDS)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin to read and append."""
+        self._tasks = [
+            asyncio.create_task(self._read_forever()),
+            asyncio.create_task(self._append_forever()),
+        ]
+
+    def append(self, record: Record) -> None:
+        """Append a record after those that wait."""
+        try:
+            self._appends.put_nowait(record)
+        except asyncio.QueueFull:
+            self.post(AppendEnded(record.id, None, True, "overloaded"))
+
+    async def close(self) -> None:
+        """Stop reading and appending."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.client.close()
+
+    async def _read_forever(self) -> None:
+        wait_ms = 0
+        while True:
+            answered = await self._read(wait_ms)
+            # The first read after a fault does not wait: its evidence is needed now.
+            wait_ms = self.wait_ms if answered else 0
+            if not answered:
+                await asyncio.sleep(RETRY_MS * self.rng.uniform(0.5, 1.0) / 1_000)
+
+    async def _read(self, wait_ms: int) -> bool:
+        asked_ms = self.clock.now_ms()
+        outcome = await self.client.read(
+            CONTROL_STREAM, self.version() + 1, limit=READ_LIMIT, wait_ms=wait_ms
+        )
+        match outcome:
+            case Records(records, tail, _):
+                self.post(LogRead(asked_ms, records, tail))
+                # The core folds in the next turn of the loop.
+                await asyncio.sleep(0)
+                return True
+            case Gap(first):
+                self.post(LogGap(first))
+            case Unreachable():
+                self.post(LogUnreachable())
+        return False
+
+    async def _append_forever(self) -> None:
+        # One at a time: the order of the records in the log is that of the appends.
+        while True:
+            record = await self._appends.get()
+            outcome = await self.client.append(CONTROL_STREAM, encode_record(record))
+            match outcome:
+                case Accepted(offset):
+                    self.post(AppendEnded(record.id, offset, True))
+                case Refused(reason):
+                    self.post(AppendEnded(record.id, None, True, reason))
+                case _:
+                    self.post(AppendEnded(record.id, None, False, outcome.reason))
--- /dev/null
+++ b/catkincross/_main.py
@@ -0,0 +1,48 @@
+"""What the console mains of both daemons share."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from ._event_log import start_event_log
+
+
+class Daemon(Protocol):
+    """A daemon of either role."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def run(self) -> None:
+        """Serve until the process may end."""
+
+    async def leave(self) -> None:
+        """Stop gracefully."""
+
+
+async def run_daemon(daemon: Daemon) -> None:
+    """Run a daemon until SIGTERM or SIGINT has stopped it.
+
+    Args:
+        daemon: A daemon that was started.
+    """
+    loop = asyncio.get_running_loop()
+    background: set[asyncio.Task[None]] = set()
+
+    def leave() -> None:
+        task = loop.create_task(daemon.leave())
+        background.add(task)
+        task.add_done_callback(background.discard)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leave)
+    await daemon.run()
+
+
+def run_main(main: Coroutine[Any, Any, None]) -> None:
+    """Run the coroutine of a console main."""
+    start_event_log()
+    asyncio.run(main)
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -128,6 +128,93 @@
     seed: int = setting(0, low=0, about="Seed of random choices; 0 draws one.")
 
 
+@attrs.define
+class ListenSettings:
+    """Section `[listen]`: where the process serves, and how it stops."""
+
+    grpc_address: str = setting(
+        "127.0.0.1:0",
+        about="IP:port of the gRPC server; other processes use the same address.",
+    )
+    http_address: str = setting(
+        "127.0.0.1:0",
+        about="IP:port of the HTTP server; an agent listens on loopback only.",
+    )
+    unready_ms: int = setting(
+        1_000,
+        unit="ms",
+        low=0,
+        high=60_000,
+        about="How long a leaving entry answers /readyz with 503 before it stops "
+        "to listen; longer than the probe interval of the load balancer.",
+    )
+    stop_limit_ms: int = setting(
+        30_000,
+        unit="ms",
+        low=100,
+        high=3_600_000,
+        about="Longest time from SIGTERM to the end of the process.",
+    )
+
+
+@attrs.define
+class LogSettings:
+    """Section `[log]`: the platform's log service."""
+
+    url: str = setting("", about="Base URL of the log service.")
+    timeout_ms: int = setting(
+        1_500,
+        unit="ms",
+        low=50,
+        high=60_000,
+        about="Longest time for an answer, in addition to the wait of a read.",
+    )
+    wait_ms: int = setting(
+        400,
+        unit="ms",
+        low=10,
+        high=10_000,
+        about="Longest wait of a read for new records; well below half of "
+        "`freshness_ms`, since evidence is dated by the sending of a read.",
+    )
+
+
+@attrs.define
+class TlsSettings:
+    """Section `[tls]`: all three files, or none for plain connections."""
+
+    certificate: str = setting("", about="File with the certificate chain, PEM.")
+    key: str = setting("", about="File with the private key, PEM.")
+    ca: str = setting("", about="File with the CA of all processes, PEM.")
+
+
+@attrs.define
+class SeedSettings:
+    """Section `[seeds]`: where an agent finds its first entry."""
+
+    entries: str = setting("", about="gRPC addresses, IP:port, separated by commas.")
+
+
+@attrs.define
+class UpstreamSettings:
+    """Section `[upstream]`: the upstream beside the agent."""
+
+    url: str = setting("", about="URL that takes tasks by POST.")
+    connect_timeout_ms: int = setting(
+        500, unit="ms", low=10, high=60_000, about="Longest time to connect."
+    )
+
+
+@attrs.define
+class WorkerSettings:
+    """Section `[worker]`: the worker's interface."""
+
+    url: str = setting("", about="Base URL of the worker's interface; may be empty.")
+    poll_ms: int = setting(
+        1_000, unit="ms", low=50, high=60_000, about="Interval of usage reports."
+    )
+
+
 @attrs.define
 class EntrySettings:
     """All settings of an entry process."""
@@ -141,6 +228,9 @@
     )
     jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
     placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
+    listen: ListenSettings = attrs.field(factory=ListenSettings, kw_only=True)
+    tls: TlsSettings = attrs.field(factory=TlsSettings, kw_only=True)
+    log: LogSettings = attrs.field(factory=LogSettings, kw_only=True)
 
 
 @attrs.define
@@ -167,3 +257,10 @@
         factory=MembershipSettings, kw_only=True
     )
     jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
+    listen: ListenSettings = attrs.field(factory=ListenSettings, kw_only=True)
+    tls: TlsSettings = attrs.field(factory=TlsSettings, kw_only=True)
+    seeds: SeedSettings = attrs.field(factory=SeedSettings, kw_only=True)
+    upstream_http: UpstreamSettings = attrs.field(
+        factory=UpstreamSettings, kw_only=True, metadata={"section": "upstream"}
+    )
+    worker: WorkerSettings = attrs.field(factory=WorkerSettings, kw_only=True)
--- /dev/null
+++ b/catkincross/_stream_link.py
@@ -0,0 +1,155 @@
+"""The calling side of a stream to one process, reopened until it is closed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any, Protocol
+
+import grpc
+
+from ._messages import Message
+from ._outbox import Outbox, OutboxFullError
+from ._stream_server import PROCESS_METADATA
+from ._wire import decode_frame, encode_frame
+from .wire_pb import catkincross_pb2_grpc as pb_grpc
+
+OPEN_TIMEOUT_S = 3.0
+FIRST_BACKOFF_MS = 50
+MAX_BACKOFF_MS = 1_000
+
+
+class LinkOwner(Protocol):
+    """What a link reports to."""
+
+    def greeting(self) -> Message:
+        """Return the message that names this process."""
+
+    def channel(self, address: str) -> grpc.aio.Channel:
+        """Return a new channel to an address."""
+
+    def link_opened(self, link: Link, process: str) -> bool:
+        """Take note of an open stream; False if it is not wanted."""
+
+    def link_closed(self, link: Link, refused: bool) -> None:
+        """Take note of a stream that ended or could not be opened."""
+
+    def link_received(self, link: Link, messages: list[Message]) -> None:
+        """Take messages of the stream."""
+
+
+class Link:
+    """Keeps a stream to an address open.
+
+    Args:
+        owner: Gets the messages and changes of state.
+        process: Expected process name; an empty string accepts any.
+        address: `IP:port`.
+        rng: Source of the jitter of retries.
+
+    Attributes:
+        process: Process name that the other side gave, once open.
+        outbox: Messages to write, or None while the stream is not open.
+    """
+
+    def __init__(
+        self, owner: LinkOwner, process: str, address: str, rng: random.Random
+    ) -> None:
+        self.owner = owner
+        self.process = process
+        self.address = address
+        self.rng = rng
+        self.outbox: Outbox | None = None
+        self.closing = False
+        self.task = asyncio.create_task(self._run())
+
+    def __repr__(self) -> str:
+        return f"<Link to {self.process or '?'} at {self.address}>"
+
+    def close(self) -> None:
+        """End the stream after what waits is written; open it no more."""
+        self.closing = True
+        if self.outbox is not None:
+            self.outbox.close()
+        else:
+            self.task.cancel()
+
+    async def _run(self) -> None:
+        backoff_ms = FIRST_BACKOFF_MS
+        while not self.closing:
+            refused, was_open = await self._try_once()
+            self.owner.link_closed(self, refused)
+            if self.closing:
+                return
+            backoff_ms = FIRST_BACKOFF_MS if was_open else backoff_ms * 2
+            backoff_ms = min(backoff_ms, MAX_BACKOFF_MS)
+            await asyncio.sleep(backoff_ms * self.rng.uniform(0.5, 1.0) / 1_000)
+
+    async def _try_once(self) -> tuple[bool, bool]:
+        was_open = False
+        async with self.owner.channel(self.address) as channel:
+            call = pb_grpc.ExchangeStub(channel).Stream()
+            try:
+                name = await asyncio.wait_for(self._open(call), OPEN_TIMEOUT_S)
+                self.outbox = Outbox()
+                self.outbox.put(self.owner.greeting())
+                was_open = self._accepted(name)
+                if was_open:
+                    await self._exchange(call, self.outbox)
+            except grpc.aio.AioRpcError as error:
+                return is_refused(error), was_open
+            except (TimeoutError, OutboxFullError, asyncio.InvalidStateError):
+                return False, was_open
+            finally:
+                self.outbox = None
+                call.cancel()
+        return False, was_open
+
+    async def _open(self, call: Any) -> str:
+        metadata = await call.initial_metadata()
+        name = dict(metadata).get(PROCESS_METADATA, b"").decode()
+        if not name:
+            # A call that found no connection has empty metadata; reading raises why.
+            await call.read()
+        return name
+
+    def _accepted(self, name: str) -> bool:
+        # An address may have passed to another process since it was published.
+        if not name or self.process not in ("", name):
+            return False
+        return self.owner.link_opened(self, name)
+
+    async def _exchange(self, call: Any, outbox: Outbox) -> None:
+        writer = asyncio.create_task(_write(call, outbox))
+        reader = asyncio.create_task(self._read(call))
+        try:
+            await asyncio.wait({reader, writer}, return_when=asyncio.FIRST_COMPLETED)
+            if writer.done():
+                writer.result()
+            # After the last write the other side ends the stream, which shows that
+            # it has received everything.
+            await reader
+        finally:
+            reader.cancel()
+            writer.cancel()
+
+    async def _read(self, call: Any) -> None:
+        while True:
+            frame = await call.read()
+            if frame is grpc.aio.EOF:
+                return
+            self.owner.link_received(self, decode_frame(frame))
+
+
+async def _write(call: Any, outbox: Outbox) -> None:
+    while messages := await outbox.take():
+        await call.write(encode_frame(messages))
+    await call.done_writing()
+
+
+def is_refused(error: grpc.aio.AioRpcError) -> bool:
+    """Whether the address refused the connection: no process listens there."""
+    details = (error.details() or "").lower()
+    return (
+        error.code() is grpc.StatusCode.UNAVAILABLE and "connection refused" in details
+    )
--- /dev/null
+++ b/catkincross/_stream_server.py
@@ -0,0 +1,126 @@
+"""The serving side of streams between processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import grpc
+
+from ._effects import Connected, Disconnected, Received
+from ._ids import agent_process, entry_process
+from ._messages import AgentHello, Message, PeerHeartbeat
+from ._outbox import Outbox, OutboxFullError
+from ._wire import decode_frame, encode_frame
+
+PROCESS_METADATA = "catkincross-process-bin"
+
+
+def caller_process(greeting: list[Message]) -> str:
+    """Return the process name in the first frame of a stream, or an empty string."""
+    match greeting[:1]:
+        case [AgentHello(agent=agent)]:
+            return agent_process(agent.name)
+        case [PeerHeartbeat(sender=sender)]:
+            return entry_process(sender.name)
+    return ""
+
+
+class StreamServicer:
+    """Accepts streams and passes their messages on.
+
+    Args:
+        process: Process name of this process, sent to each caller.
+        post: Takes inbox items.
+
+    Attributes:
+        outboxes: Outbox of each agent's stream, by process name.
+    """
+
+    def __init__(self, process: str, post: Callable[[Any], None]) -> None:
+        self.process = process
+        self.post = post
+        self.outboxes: dict[str, Outbox] = {}
+        self._streams: dict[str, asyncio.Task[Any]] = {}
+
+    async def Stream(self, request_iterator: Any, context: Any) -> None:
+        """Serve one stream until either side ends it."""
+        # The caller greets only after it has seen where the stream leads, so a stream
+        # that it does not want replaces none.
+        await context.send_initial_metadata(
+            ((PROCESS_METADATA, self.process.encode()),)
+        )
+        first = await context.read()
+        if first is grpc.aio.EOF:
+            return
+        greeting = decode_frame(first)
+        caller = caller_process(greeting)
+        if not caller:
+            await context.abort(
+                grpc.StatusCode.INVALID_ARGUMENT, "the first message names no process"
+            )
+        outbox = self._opened(caller)
+        # The first frame may hold more messages than the greeting.
+        for message in greeting[1:]:
+            self.post(Received(caller, message))
+        writer = asyncio.create_task(_write(context, outbox))
+        reader = asyncio.create_task(self._read(caller, context))
+        try:
+            done, _ = await asyncio.wait(
+                {reader, writer}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if reader in done and not reader.exception():
+                outbox.close()
+                await writer
+        finally:
+            reader.cancel()
+            writer.cancel()
+            self._closed(caller, outbox)
+
+    def _opened(self, caller: str) -> Outbox:
+        previous = self._streams.get(caller)
+        if previous is not None:
+            self._closed(caller, self.outboxes[caller])
+            previous.cancel()
+        outbox = Outbox()
+        self.outboxes[caller] = outbox
+        task = asyncio.current_task()
+        assert task is not None
+        self._streams[caller] = task
+        if caller.startswith("agent/"):
+            self.post(Connected(caller))
+        return outbox
+
+    def _closed(self, caller: str, outbox: Outbox) -> None:
+        if self.outboxes.get(caller) is not outbox:
+            return
+        del self.outboxes[caller]
+        del self._streams[caller]
+        # The state of a peer entry is that of the stream which this entry opened.
+        if caller.startswith("agent/"):
+            self.post(Disconnected(caller))
+
+    async def _read(self, caller: str, context: Any) -> None:
+        while True:
+            frame = await context.read()
+            if frame is grpc.aio.EOF:
+                return
+            for message in decode_frame(frame):
+                self.post(Received(caller, message))
+
+    def close(self) -> None:
+        """Let every stream end after what waits for it is written."""
+        for outbox in self.outboxes.values():
+            outbox.close()
+
+
+async def _write(context: Any, outbox: Outbox) -> None:
+    while True:
+        try:
+            messages = await outbox.take()
+        except OutboxFullError:
+            return
+        if not messages:
+            return
+        await context.write(encode_frame(messages))
--- /dev/null
+++ b/catkincross/_transport.py
@@ -0,0 +1,204 @@
+"""Streams of frames between the processes of the system, over gRPC.
+
+An agent opens a stream to its home, which both sides write to. Each of two
+entries opens a stream to the other and writes only to that one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import grpc
+
+from ._effects import Connected, Disconnected, Received
+from ._messages import Message
+from ._outbox import Outbox
+from ._settings import TlsSettings
+from ._stream_link import Link
+from ._stream_server import StreamServicer
+from .wire_pb import catkincross_pb2_grpc as pb_grpc
+
+OPTIONS = [
+    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+    ("grpc.max_send_message_length", 64 * 1024 * 1024),
+    # A host that vanished closes no connection; only a ping shows its loss.
+    ("grpc.keepalive_time_ms", 5_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+]
+CHANNEL_OPTIONS = [
+    *OPTIONS,
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+]
+SERVER_OPTIONS = [
+    *OPTIONS,
+    ("grpc.so_reuseport", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", 1_000),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 1_000),
+]
+
+
+class Transport:
+    """Streams of one process.
+
+    Args:
+        process: Process name, such as `entry/e1`.
+        greeting: Builds the first message of a stream, which names this process.
+        post: Takes `Connected`, `Disconnected` and `Received` items.
+        tls: Files for encrypted connections.
+        seed: Seed of the jitter of retries.
+    """
+
+    def __init__(
+        self,
+        *,
+        process: str,
+        greeting: Callable[[], Message],
+        post: Callable[[Any], None],
+        tls: TlsSettings,
+        seed: int,
+    ) -> None:
+        self.process = process
+        self.greeting = greeting
+        self.post = post
+        self.tls = tls
+        self.rng = random.Random(seed)
+        self.servicer = StreamServicer(process, post)
+        self.server: grpc.aio.Server | None = None
+        self.links: dict[str, Link] = {}
+        self.open_links: dict[str, Link] = {}
+        self.closing: set[asyncio.Task[None]] = set()
+
+    async def serve(self, address: str) -> str:
+        """Accept streams.
+
+        Args:
+            address: `IP:port`; port 0 takes a free one.
+
+        Returns:
+            The address with the port in use.
+        """
+        server = grpc.aio.server(options=SERVER_OPTIONS)
+        pb_grpc.add_ExchangeServicer_to_server(self.servicer, server)
+        if self.tls.certificate:
+            port = server.add_secure_port(address, self._server_credentials())
+        else:
+            port = server.add_insecure_port(address)
+        await server.start()
+        self.server = server
+        return f"{address.rpartition(':')[0]}:{port}"
+
+    def set_peers(self, addresses: dict[str, str]) -> None:
+        """Keep streams open to exactly these processes.
+
+        Args:
+            addresses: Address by process name; a name that starts with `seed/`
+                accepts whichever process answers.
+        """
+        for key in list(self.links):
+            link = self.links[key]
+            if addresses.get(key) != link.address:
+                self._drop(key, adopt=addresses)
+        for process, address in addresses.items():
+            if process not in self.links and process != self.process:
+                expected = "" if process.startswith("seed/") else process
+                self.links[process] = Link(self, expected, address, self.rng)
+
+    def _drop(self, key: str, *, adopt: dict[str, str]) -> None:
+        link = self.links.pop(key)
+        process = link.process
+        # A stream that a seed address led to is kept under its process's name.
+        if adopt.get(process) == link.address and process not in self.links:
+            self.links[process] = link
+            return
+        link.close()
+        self._forget(link)
+        if not link.task.done():
+            self.closing.add(link.task)
+            link.task.add_done_callback(self.closing.discard)
+
+    def send(self, to: str, message: Message) -> None:
+        """Send a message; it is lost if no stream is open."""
+        outbox = self._outbox(to)
+        if outbox is not None:
+            outbox.put(message)
+
+    def _outbox(self, process: str) -> Outbox | None:
+        link = self.open_links.get(process)
+        if link is not None:
+            return link.outbox
+        if process.startswith("agent/"):
+            return self.servicer.outboxes.get(process)
+        return None
+
+    def link_opened(self, link: Link, process: str) -> bool:
+        """Report an open stream, unless the process has one already."""
+        if process in self.open_links or process == self.process:
+            return False
+        link.process = process
+        self.open_links[process] = link
+        self.post(Connected(process))
+        return True
+
+    def link_closed(self, link: Link, refused: bool) -> None:
+        """Report the end of a stream or a failed attempt to open one."""
+        if self._forget(link, refused=refused):
+            return
+        if link.process and not link.closing and link.process not in self.open_links:
+            self.post(Disconnected(link.process, refused))
+
+    def _forget(self, link: Link, *, refused: bool = False) -> bool:
+        if self.open_links.get(link.process) is not link:
+            return False
+        del self.open_links[link.process]
+        self.post(Disconnected(link.process, refused))
+        return True
+
+    def link_received(self, link: Link, messages: list[Message]) -> None:
+        """Pass on messages of a stream that this process opened."""
+        for message in messages:
+            self.post(Received(link.process, message))
+
+    async def close(self, limit_s: float) -> None:
+        """End all streams after what waits is written.
+
+        Args:
+            limit_s: Longest time for it, in seconds.
+        """
+        for key in list(self.links):
+            self._drop(key, adopt={})
+        self.servicer.close()
+        if self.closing:
+            _, late = await asyncio.wait(set(self.closing), timeout=limit_s)
+            for task in late:
+                task.cancel()
+        if self.server is not None:
+            await self.server.stop(limit_s)
+
+    def channel(self, address: str) -> grpc.aio.Channel:
+        """Return a new channel to an address."""
+        if not self.tls.certificate:
+            return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+        credentials = grpc.ssl_channel_credentials(
+            root_certificates=Path(self.tls.ca).read_bytes(),
+            private_key=Path(self.tls.key).read_bytes(),
+            certificate_chain=Path(self.tls.certificate).read_bytes(),
+        )
+        return grpc.aio.secure_channel(address, credentials, options=CHANNEL_OPTIONS)
+
+    def _server_credentials(self) -> grpc.ServerCredentials:
+        pair = (
+            Path(self.tls.key).read_bytes(),
+            Path(self.tls.certificate).read_bytes(),
+        )
+        return grpc.ssl_server_credentials(
+            [pair],
+            root_certificates=Path(self.tls.ca).read_bytes(),
+            require_client_auth=True,
+        )
--- /dev/null
+++ b/catkincross/_upstream_client.py
@@ -0,0 +1,146 @@
+"""Calls the upstream beside the agent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+
+from ._clock import Clock
+from ._effects import UpstreamAnswered
+from ._ids import TaskId
+from ._messages import Reason, TaskStart, TaskStatus
+from ._settings import UpstreamSettings
+
+KEY_HEADER = "Catkincross-Key"
+INDEX_HEADER = "Catkincross-Index"
+OWNER_HEADER = "Catkincross-Owner"
+DEADLINE_HEADER = "Catkincross-Deadline-Ms"
+# A connection that the upstream closes while a task is written to it leaves the
+# outcome open, so idle connections are closed on this side first.
+IDLE_CONNECTION_S = 5
+
+
+class UpstreamClient:
+    """Sends tasks to the upstream over a bounded set of connections.
+
+    Args:
+        settings: Address and time limits of the upstream.
+        clock: The agent's clock.
+        connections: Most connections at a time.
+        may_start: Whether a task may still start, asked right before it is sent;
+            returns the reason against it or `Reason.NONE`.
+        post: Takes the answers.
+    """
+
+    def __init__(
+        self,
+        settings: UpstreamSettings,
+        clock: Clock,
+        *,
+        connections: int,
+        may_start: Callable[[TaskStart], Reason],
+        post: Callable[[Any], None],
+    ) -> None:
+        self.url = settings.url
+        self.connect_timeout_s = settings.connect_timeout_ms / 1_000
+        self.clock = clock
+        self.may_start = may_start
+        self.post = post
+        connector = aiohttp.TCPConnector(
+            limit=connections, keepalive_timeout=IDLE_CONNECTION_S
+        )
+        self._session = aiohttp.ClientSession(connector=connector)
+        self._calls: dict[TaskId, asyncio.Task[None]] = {}
+
+    def call(self, start: TaskStart) -> None:
+        """Send a task; its end is posted as `UpstreamAnswered`."""
+        task = asyncio.create_task(self._call(start))
+        self._calls[start.task] = task
+        task.add_done_callback(lambda done: self._ended(start, done))
+
+    def abort(self, start: TaskStart) -> None:
+        """Close the connection of a task, which tells the upstream to stop it."""
+        task = self._calls.get(start.task)
+        if task is not None:
+            task.cancel()
+
+    async def close(self) -> None:
+        """Abort all tasks and close the connections."""
+        for task in list(self._calls.values()):
+            task.cancel()
+        await self._session.close()
+
+    def _ended(self, start: TaskStart, task: asyncio.Task[None]) -> None:
+        if self._calls.get(start.task) is task:
+            del self._calls[start.task]
+        if task.cancelled():
+            self._post(start, TaskStatus.CANCELLED, Reason.CANCELLED)
+        elif task.exception() is not None:
+            self._post(start, TaskStatus.FAILED, Reason.UPSTREAM_FAILED)
+
+    async def _call(self, start: TaskStart) -> None:
+        reason = self.may_start(start)
+        if reason:
+            self._post(start, TaskStatus.REFUSED, reason, started=False)
+            return
+        try:
+            await self._exchange(start)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            # No connection was made, so no byte of the task has left.
+            self._post(
+                start, TaskStatus.FAILED, Reason.UPSTREAM_UNREACHABLE, started=False
+            )
+        except TimeoutError:
+            self._post(start, TaskStatus.FAILED, Reason.DEADLINE)
+        except aiohttp.ClientError:
+            self._post(start, TaskStatus.FAILED, Reason.UPSTREAM_FAILED)
+
+    async def _exchange(self, start: TaskStart) -> None:
+        remaining_s = max(0.001, (start.deadline_ms - self.clock.now_ms()) / 1_000)
+        timeout = aiohttp.ClientTimeout(
+            total=remaining_s, sock_connect=self.connect_timeout_s
+        )
+        async with self._session.post(
+            self.url,
+            data=start.spec.payload,
+            headers=_headers(start, remaining_s),
+            timeout=timeout,
+            allow_redirects=False,
+        ) as response:
+            payload = await response.read()
+            if response.status != 200:
+                self._post(start, TaskStatus.FAILED, Reason.UPSTREAM_FAILED)
+            elif not _answers(response, start.task):
+                self._post(start, TaskStatus.FAILED, Reason.ANSWER_MISMATCH)
+            else:
+                self._post(start, TaskStatus.OK, Reason.NONE, payload)
+
+    def _post(
+        self,
+        start: TaskStart,
+        status: TaskStatus,
+        reason: Reason,
+        payload: bytes = b"",
+        *,
+        started: bool = True,
+    ) -> None:
+        self.post(UpstreamAnswered(start, status, payload, reason, started))
+
+
+def _headers(start: TaskStart, remaining_s: float) -> dict[str, str]:
+    return {
+        KEY_HEADER: start.task.key_hash.hex(),
+        INDEX_HEADER: str(start.task.index),
+        OWNER_HEADER: str(start.owner),
+        DEADLINE_HEADER: str(int(remaining_s * 1_000)),
+        "Content-Type": "application/octet-stream",
+    }
+
+
+def _answers(response: aiohttp.ClientResponse, task: TaskId) -> bool:
+    return response.headers.get(
+        KEY_HEADER
+    ) == task.key_hash.hex() and response.headers.get(INDEX_HEADER) == str(task.index)
--- /dev/null
+++ b/catkincross/_worker_client.py
@@ -0,0 +1,70 @@
+"""Polls the worker's interface."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+
+from ._effects import WorkerUsage
+from ._settings import WorkerSettings
+
+TIMEOUT_S = 2.0
+
+
+class WorkerClient:
+    """Reads the usage reports and leases of the worker.
+
+    Args:
+        settings: Address and interval.
+        post: Takes `WorkerUsage` items.
+
+    Attributes:
+        leases: Remaining time of each lease in milliseconds, by name, as of the
+            last report.
+    """
+
+    def __init__(self, settings: WorkerSettings, post: Callable[[Any], None]) -> None:
+        self.url = settings.url.rstrip("/")
+        self.poll_s = settings.poll_ms / 1_000
+        self.post = post
+        self.leases: dict[str, int] = {}
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S)
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to poll, if the worker has an address."""
+        if self.url:
+            self._task = asyncio.create_task(self._poll_forever())
+
+    async def close(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+        await self._session.close()
+
+    async def _poll_forever(self) -> None:
+        while True:
+            try:
+                await self._poll()
+            except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
+                # Reports lag anyway; the next one makes up for a lost one.
+                pass
+            await asyncio.sleep(self.poll_s)
+
+    async def _poll(self) -> None:
+        usage = await self._get("usage")
+        self.post(WorkerUsage(int(usage["memory_used_mb"]), int(usage["cpu_permille"])))
+        leases = await self._get("leases")
+        self.leases = {
+            row["name"]: int(row["remaining_ms"]) for row in leases["leases"]
+        }
+
+    async def _get(self, path: str) -> dict[str, Any]:
+        async with self._session.get(f"{self.url}/{path}") as response:
+            response.raise_for_status()
+            return await response.json()
--- /dev/null
+++ b/catkincross/agent.py
@@ -0,0 +1,35 @@
+"""Console main of the agent process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from ._agent_daemon import AgentDaemon
+from ._ini_reader import read_settings
+from ._main import run_daemon, run_main
+from ._settings import AgentSettings
+
+
+@click.command()
+@click.option(
+    "--config",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="INI file with the settings of the agent.",
+)
+def main(config: Path) -> None:
+    """Run an agent process."""
+    run_main(_run(read_settings(config, AgentSettings, "agent")))
+
+
+async def _run(settings: AgentSettings) -> None:
+    daemon = AgentDaemon(settings)
+    await daemon.start()
+    click.echo(f"listening http=http://{daemon.http.address}")
+    await run_daemon(daemon)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/_serve.py
@@ -0,0 +1,28 @@
+"""Serves a stand-in's application and prints its address."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import Any
+
+import click
+
+from catkincross._http_server import HttpServer
+
+
+def serve(app: Any, port: int) -> None:
+    """Serve on loopback until SIGTERM or SIGINT."""
+    asyncio.run(_serve(app, port))
+
+
+async def _serve(app: Any, port: int) -> None:
+    server = HttpServer(app, f"127.0.0.1:{port}", stop_limit_s=1)
+    server.start()
+    click.echo(f"listening http=http://{server.address}")
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await server.stop()
--- /dev/null
+++ b/standins/log_service.py
@@ -0,0 +1,125 @@
+"""Stand-in of the platform's log service, in memory, with faults on request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+import cattrs
+import click
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from catkincross._embedded_log import EmbeddedLog
+from catkincross._log_client import Accepted, Gap, Records
+
+from ._serve import serve
+
+
+@attrs.define
+class Faults:
+    """Faults, set by `PUT /control`.
+
+    Attributes:
+        down: Every request is answered with status 503.
+        delay_ms: Added to every answer.
+        lose_answers: How many appends take effect and are answered with 500.
+        lose_requests: How many appends are answered with 500 without effect.
+    """
+
+    down: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    lose_requests: int = 0
+
+
+class LogService:
+    """The service's state and HTTP routes."""
+
+    def __init__(self) -> None:
+        self.log = EmbeddedLog()
+        self.faults = Faults()
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        records = "/streams/{name}/records"
+        return Starlette(
+            routes=[
+                Route(records, self.append, methods=["POST"]),
+                Route(records, self.read, methods=["GET"]),
+                Route("/control", self.control, methods=["PUT"]),
+                Route("/streams/{name}/expire", self.expire, methods=["POST"]),
+            ]
+        )
+
+    async def append(self, request: Request) -> Response:
+        """Append the request's body."""
+        body = await request.body()
+        await asyncio.sleep(self.faults.delay_ms / 1_000)
+        if self.faults.down:
+            return JSONResponse({}, 503)
+        if self.faults.lose_requests:
+            self.faults.lose_requests -= 1
+            return JSONResponse({}, 500)
+        outcome = await self.log.append(request.path_params["name"], body)
+        assert isinstance(outcome, Accepted)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            return JSONResponse({}, 500)
+        return JSONResponse({"offset": outcome.offset})
+
+    async def read(self, request: Request) -> Response:
+        """Return records from an offset on, waiting for the first."""
+        query = request.query_params
+        await asyncio.sleep(self.faults.delay_ms / 1_000)
+        if self.faults.down:
+            return JSONResponse({}, 503)
+        outcome = await self.log.read(
+            request.path_params["name"],
+            int(query["from"]),
+            limit=int(query["limit"]),
+            wait_ms=int(query["wait_ms"]),
+        )
+        # A read that was waiting when the fault began must not succeed either.
+        if self.faults.down:
+            return JSONResponse({}, 503)
+        if isinstance(outcome, Gap):
+            return JSONResponse({"first": outcome.first}, 410)
+        assert isinstance(outcome, Records)
+        return JSONResponse(_records_body(outcome))
+
+    async def control(self, request: Request) -> Response:
+        """Set the faults; those left out are cleared."""
+        self.faults = cattrs.structure(await request.json(), Faults)
+        return JSONResponse(attrs.asdict(self.faults))
+
+    async def expire(self, request: Request) -> Response:
+        """Remove the records before an offset."""
+        body = await request.json()
+        stream = self.log.stream(request.path_params["name"])
+        stream.expire(int(body["before"]))
+        return JSONResponse({"first": stream.first, "tail": stream.tail})
+
+
+def _records_body(outcome: Records) -> dict[str, Any]:
+    return {
+        "records": [
+            {"offset": row.offset, "body": row.body.decode()} for row in outcome.records
+        ],
+        "tail": outcome.tail,
+        "first": outcome.first,
+    }
+
+
+@click.command()
+@click.option("--port", default=0, help="Port on loopback; 0 takes a free one.")
+def main(port: int) -> None:
+    """Run the log stand-in."""
+    serve(LogService().app(), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,133 @@
+"""Stand-in of an upstream: runs tasks by sleeping, with faults on request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import attrs
+import cattrs
+import click
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from catkincross._upstream_client import INDEX_HEADER, KEY_HEADER
+
+from ._serve import serve
+
+
+@attrs.define
+class Behaviour:
+    """How the upstream runs tasks, set by `PUT /control`.
+
+    Attributes:
+        speed: Divides the run time that a payload names.
+        fail_all: Every task is answered with status 500.
+        late_ms: Added to each answer after the task has run.
+        cross: Each answer carries the id of another task.
+    """
+
+    speed: float = 1.0
+    fail_all: bool = False
+    late_ms: int = 0
+    cross: bool = False
+
+
+class Upstream:
+    """The upstream's state and HTTP routes.
+
+    Attributes:
+        starts: Number of starts by (key, index).
+        most_running: Most tasks that ran at a time.
+    """
+
+    def __init__(self, behaviour: Behaviour) -> None:
+        self.behaviour = behaviour
+        self.starts: Counter[tuple[str, str]] = Counter()
+        self.running = 0
+        self.most_running = 0
+        self.stopped = 0
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/tasks", self.run, methods=["POST"]),
+                Route("/starts", self.report, methods=["GET"]),
+                Route("/control", self.control, methods=["PUT"]),
+            ]
+        )
+
+    async def run(self, request: Request) -> Response:
+        """Run a task, whether it fits or not, until its connection is closed."""
+        payload = await request.body()
+        key, index = request.headers[KEY_HEADER], request.headers[INDEX_HEADER]
+        self.starts[key, index] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            if not await self._run(request, payload):
+                self.stopped += 1
+                return Response(status_code=499)
+        finally:
+            self.running -= 1
+        if self.behaviour.fail_all:
+            return Response(status_code=500)
+        if self.behaviour.cross:
+            index = str(int(index) + 1)
+        return Response(payload, headers={KEY_HEADER: key, INDEX_HEADER: index})
+
+    async def _run(self, request: Request, payload: bytes) -> bool:
+        run_ms = _run_ms(payload) / self.behaviour.speed + self.behaviour.late_ms
+        gone = asyncio.create_task(_disconnected(request))
+        try:
+            done, _ = await asyncio.wait({gone}, timeout=run_ms / 1_000)
+        finally:
+            gone.cancel()
+        return not done
+
+    async def report(self, request: Request) -> Response:
+        """Return how often each task was started."""
+        rows = [
+            {"key": key, "index": int(index), "count": count}
+            for (key, index), count in self.starts.items()
+        ]
+        return JSONResponse(
+            {
+                "starts": rows,
+                "running": self.running,
+                "most_running": self.most_running,
+                "stopped": self.stopped,
+            }
+        )
+
+    async def control(self, request: Request) -> Response:
+        """Set the behaviour; what is left out gets its default."""
+        self.behaviour = cattrs.structure(await request.json(), Behaviour)
+        return JSONResponse(attrs.asdict(self.behaviour))
+
+
+async def _disconnected(request: Request) -> None:
+    while (await request.receive())["type"] != "http.disconnect":
+        pass
+
+
+def _run_ms(payload: bytes) -> float:
+    """Return the run time that a payload names, as in `run_ms=50 text`."""
+    first = payload.split(b" ", 1)[0]
+    name, _, value = first.partition(b"=")
+    return float(value) if name == b"run_ms" else 0.0
+
+
+@click.command()
+@click.option("--port", default=0, help="Port on loopback; 0 takes a free one.")
+@click.option("--speed", default=1.0, help="Divides the run time of each task.")
+def main(port: int, speed: float) -> None:
+    """Run the upstream stand-in."""
+    serve(Upstream(Behaviour(speed=speed)).app(), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,129 @@
+"""Stand-in of a worker's interface: leases, lagging usage, control of tasks."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+
+import attrs
+import cattrs
+import click
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from ._serve import serve
+
+ACTIONS = ("checkpoint", "throttle", "stop")
+
+
+@attrs.frozen
+class Usage:
+    """Use of the worker at one time."""
+
+    memory_used_mb: int = 0
+    cpu_permille: int = 0
+
+
+@attrs.define
+class Lease:
+    """A lease under which a holder's tasks run.
+
+    Attributes:
+        until_s: When it expires, on the worker's monotonic clock.
+    """
+
+    name: str
+    until_s: float
+
+
+class Worker:
+    """The worker's state and HTTP routes.
+
+    Args:
+        lag_ms: Age of the usage that is reported.
+
+    Attributes:
+        actions: Requests to act on tasks, as (task, action), in order.
+    """
+
+    def __init__(self, lag_ms: int) -> None:
+        self.lag_s = lag_ms / 1_000
+        self.history: deque[tuple[float, Usage]] = deque([(0.0, Usage())])
+        self.leases: dict[str, Lease] = {}
+        self.actions: list[tuple[str, str]] = []
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/usage", self.report_usage, methods=["GET"]),
+                Route("/usage", self.set_usage, methods=["PUT"]),
+                Route("/leases", self.report_leases, methods=["GET"]),
+                Route("/leases/{name}", self.renew_lease, methods=["PUT"]),
+                Route("/tasks/{task:path}/{action}", self.act, methods=["POST"]),
+                Route("/actions", self.report_actions, methods=["GET"]),
+            ]
+        )
+
+    async def report_usage(self, request: Request) -> Response:
+        """Return the usage as it was before the lag."""
+        seen_s = time.monotonic() - self.lag_s
+        while len(self.history) > 1 and self.history[1][0] <= seen_s:
+            self.history.popleft()
+        return JSONResponse(attrs.asdict(self.history[0][1]))
+
+    async def set_usage(self, request: Request) -> Response:
+        """Set the usage; reports show it after the lag."""
+        usage = cattrs.structure(await request.json(), Usage)
+        self.history.append((time.monotonic(), usage))
+        return JSONResponse(attrs.asdict(usage))
+
+    async def report_leases(self, request: Request) -> Response:
+        """Return the leases with their remaining time; 0 if expired."""
+        now_s = time.monotonic()
+        rows = [
+            {
+                "name": lease.name,
+                "remaining_ms": max(0, int((lease.until_s - now_s) * 1_000)),
+            }
+            for lease in self.leases.values()
+        ]
+        return JSONResponse({"leases": rows})
+
+    async def renew_lease(self, request: Request) -> Response:
+        """Grant or renew a lease; one that has expired cannot be renewed."""
+        name = request.path_params["name"]
+        ttl_s = int((await request.json())["ttl_ms"]) / 1_000
+        now_s = time.monotonic()
+        lease = self.leases.get(name)
+        if lease is not None and lease.until_s <= now_s:
+            return JSONResponse({"reason": "expired"}, 409)
+        self.leases[name] = Lease(name, now_s + ttl_s)
+        return JSONResponse({"remaining_ms": int(ttl_s * 1_000)})
+
+    async def act(self, request: Request) -> Response:
+        """Take a request to checkpoint, throttle or stop a task."""
+        action = request.path_params["action"]
+        if action not in ACTIONS:
+            return JSONResponse({"reason": "unknown action"}, 404)
+        self.actions.append((request.path_params["task"], action))
+        return JSONResponse({})
+
+    async def report_actions(self, request: Request) -> Response:
+        """Return all requests to act on tasks."""
+        rows = [{"task": task, "action": action} for task, action in self.actions]
+        return JSONResponse({"actions": rows})
+
+
+@click.command()
+@click.option("--port", default=0, help="Port on loopback; 0 takes a free one.")
+@click.option("--lag-ms", default=2_000, help="Age of the usage that is reported.")
+def main(port: int, lag_ms: int) -> None:
+    """Run the worker stand-in."""
+    serve(Worker(lag_ms).app(), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,158 @@
+"""Guards against streams that lose messages or break each other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from catkincross._transport import Transport
+from catkincross.effects import Connected, Disconnected, Received
+from catkincross.ids import Incarnation
+from catkincross.messages import (
+    NO_EVIDENCE,
+    AgentHello,
+    CancelTasks,
+    HeartbeatReply,
+    Message,
+    PeerHeartbeat,
+)
+from catkincross.settings import TlsSettings
+
+LIMIT_S = 20.0
+
+
+@attrs.define
+class Side:
+    """A transport and what it posted."""
+
+    transport: Transport
+    posted: list[Any]
+
+    def of(self, *kinds: type) -> list[Any]:
+        """Return the posted items of some kinds."""
+        return [item for item in self.posted if isinstance(item, kinds)]
+
+    def messages(self) -> list[Message]:
+        """Return the received messages."""
+        return [item.message for item in self.of(Received)]
+
+
+def make_side(process: str) -> Side:
+    role, _, name = process.partition("/")
+    posted: list[Any] = []
+    greeting = hello(name) if role == "agent" else heartbeat(name)
+    transport = Transport(
+        process=process,
+        greeting=lambda: greeting,
+        post=posted.append,
+        tls=TlsSettings(),
+        seed=1,
+    )
+    return Side(transport, posted)
+
+
+def hello(name: str) -> AgentHello:
+    return AgentHello(
+        Incarnation(name, 1), name, "s", "r1", "d1", "", 1, 1, 1, 1, 0, 0, 0
+    )
+
+
+def heartbeat(name: str) -> PeerHeartbeat:
+    return PeerHeartbeat(Incarnation(name, 1), 0, NO_EVIDENCE, 0, 0, False, NO_EVIDENCE)
+
+
+def reply(number: int) -> HeartbeatReply:
+    return HeartbeatReply(Incarnation("e1", 1), number, 0, 0)
+
+
+async def until(condition: Callable[[], Any]) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_a_second_way_to_the_same_process_does_not_break_its_stream() -> None:
+    """A seed address that leads to the home made the streams end each other."""
+
+    async def run() -> None:
+        entry, agent = make_side("entry/e1"), make_side("agent/u1")
+        address = await entry.transport.serve("127.0.0.1:0")
+        agent.transport.set_peers({"entry/e1": address})
+        await until(lambda: agent.of(Connected))
+        seeds = {f"seed/{number}": address for number in range(3)}
+        agent.transport.set_peers({"entry/e1": address, **seeds})
+        for number in range(200):
+            entry.transport.send("agent/u1", reply(number))
+            await asyncio.sleep(0.002)
+        await until(lambda: len(agent.messages()) == 200)
+        assert agent.of(Connected, Disconnected) == [Connected("entry/e1")]
+        assert entry.of(Connected, Disconnected) == [Connected("agent/u1")]
+        await agent.transport.close(1.0)
+        await entry.transport.close(1.0)
+
+    asyncio.run(run())
+
+
+def test_messages_sent_before_a_close_arrive() -> None:
+    """A leaving agent's last results must not be lost with its stream."""
+
+    async def run() -> None:
+        entry, agent = make_side("entry/e1"), make_side("agent/u1")
+        address = await entry.transport.serve("127.0.0.1:0")
+        agent.transport.set_peers({"entry/e1": address})
+        await until(lambda: agent.of(Connected))
+        for _ in range(3_000):
+            agent.transport.send("entry/e1", CancelTasks([]))
+        await agent.transport.close(LIMIT_S)
+        assert len(entry.messages()) == 3_000
+        await until(lambda: entry.of(Disconnected))
+        await entry.transport.close(1.0)
+
+    asyncio.run(run())
+
+
+def test_a_message_sent_at_once_on_a_new_stream_arrives() -> None:
+    """It shared the frame of the greeting, which the server took for itself."""
+
+    async def run() -> None:
+        entry, agent = make_side("entry/e1"), make_side("agent/u1")
+        address = await entry.transport.serve("127.0.0.1:0")
+
+        def post(item: object) -> None:
+            if isinstance(item, Connected):
+                agent.transport.send(item.process, CancelTasks([]))
+
+        agent.transport.post = post
+        agent.transport.set_peers({"entry/e1": address})
+        await until(lambda: entry.messages() == [CancelTasks([])])
+        await agent.transport.close(1.0)
+        await entry.transport.close(1.0)
+
+    asyncio.run(run())
+
+
+def test_a_refused_address_is_told_from_a_stranger_at_it() -> None:
+    """Only a refusal shows that a process is gone; see the outage rule."""
+
+    async def run() -> None:
+        stranger, entry = make_side("entry/e9"), make_side("entry/e1")
+        gone = make_side("entry/e3")
+        address = await stranger.transport.serve("127.0.0.1:0")
+        free = await gone.transport.serve("127.0.0.1:0")
+        await gone.transport.close(0)
+        entry.transport.set_peers({"entry/e2": address, "entry/e3": free})
+        await until(lambda: {item.process for item in entry.posted} >= EXPECTED)
+        states = {item.process: item for item in entry.of(Disconnected)}
+        assert states["entry/e2"].refused is False
+        assert states["entry/e3"].refused is True
+        assert entry.of(Connected) == []
+        await entry.transport.close(1.0)
+        await stranger.transport.close(1.0)
+
+    asyncio.run(run())
+
+
+EXPECTED = {"entry/e2", "entry/e3"}
