--- a/catkincross/_http_server.py
+++ b/catkincross/_http_server.py
@@ -10,6 +10,8 @@
 
 import uvicorn
 
+BACKLOG = 2_048
+
 
 class _Server(uvicorn.Server):
     @contextlib.contextmanager
@@ -24,13 +26,12 @@
     Args:
         app: The application.
         address: `IP:port`; port 0 takes a free one.
-        stop_limit_s: Longest time for requests to finish after `stop`, in seconds.
 
     Attributes:
         address: The address with the port in use.
     """
 
-    def __init__(self, app: Any, address: str, *, stop_limit_s: int) -> None:
+    def __init__(self, app: Any, address: str) -> None:
         host, _, port = address.rpartition(":")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         # asyncio sends small writes at once only on sockets that name their protocol;
@@ -45,17 +46,26 @@
             lifespan="off",
             log_config=None,
             access_log=False,
-            timeout_graceful_shutdown=stop_limit_s,
         )
         self._server = _Server(config)
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Begin to serve."""
+        """Begin to serve; connections are accepted from now on."""
+        self._socket.listen(BACKLOG)
         self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
 
-    async def stop(self) -> None:
-        """Accept no connection, let running requests finish, and end."""
+    async def stop(self, limit_s: float) -> None:
+        """Accept no connection, let running requests finish, and end.
+
+        Args:
+            limit_s: Time after which the connections that are left are closed.
+        """
         self._server.should_exit = True
-        if self._task is not None:
-            await self._task
+        if self._task is None:
+            return
+        # Waiting this way does not cancel the server if the waiter is cancelled.
+        _, late = await asyncio.wait({self._task}, timeout=limit_s)
+        if late:
+            self._server.force_exit = True
+            await asyncio.wait(late, timeout=limit_s)
