--- a/catkincross/_entry_daemon.py
+++ b/catkincross/_entry_daemon.py
@@ -10,7 +10,6 @@
 from . import _effects as fx
 from ._clock import Clock, SystemClock
 from ._entry_core import EntryCore
-from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 from ._http_app import build_app
 from ._http_server import HttpServer
@@ -79,6 +78,7 @@
             build_app(self, settings, metrics=self.metrics),
             settings.listen.http_address,
         )
+        self._actions = self._make_actions()
         self._asked: dict[int, asyncio.Future[Any]] = {}
         self._last_request = 0
         self._version_waiters: set[asyncio.Future[None]] = set()
@@ -114,27 +114,29 @@
 
     def _carry_out(self, effects: list[fx.Effect]) -> None:
         for effect in effects:
-            match effect:
-                case fx.Send(to, message):
-                    self.transport.send(to, message)
-                case fx.Reply(request_id, answer):
-                    self._answer(request_id, answer)
-                case fx.ChangeReply(request_id):
-                    self._answer(request_id, effect)
-                case fx.Append(record):
-                    self.log_feed.append(record)
-                case fx.SetPeers(addresses):
-                    self.transport.set_peers(addresses)
-                case fx.Emit():
-                    self._record(effect)
-                case fx.Stop():
-                    self.stopped.set()
+            self._actions[type(effect)](effect)
         if self.state.control.version != self._seen_version:
             self._seen_version = self.state.control.version
             for waiter in self._version_waiters:
                 if not waiter.done():
                     waiter.set_result(None)
 
+    def _make_actions(self) -> dict[type, Callable[[Any], None]]:
+        transport, log = self.transport, self.log_feed
+        return {
+            fx.Send: lambda effect: transport.send(effect.to, effect.message),
+            fx.SetPeers: lambda effect: transport.set_peers(effect.addresses),
+            fx.Append: lambda effect: log.append(effect.record),
+            fx.WriteSnapshot: lambda effect: log.write_snapshot(
+                effect.version, effect.body
+            ),
+            fx.ReadSnapshot: lambda effect: log.read_snapshot(),
+            fx.Reply: lambda effect: self._answer(effect.request_id, effect.answer),
+            fx.ChangeReply: lambda effect: self._answer(effect.request_id, effect),
+            fx.Emit: self._record,
+            fx.Stop: lambda effect: self.stopped.set(),
+        }
+
     def _record(self, event: fx.Emit) -> None:
         self.events.write(event)
         self.metrics.event(event)
@@ -216,13 +218,11 @@
         self.stopped.set()
 
     async def _leave(self) -> None:
-        if fx.LeaveRequested in ENTRY.handlers:
-            self.runner.post(fx.LeaveRequested())
+        self.runner.post(fx.LeaveRequested())
         # The load balancer needs time to notice that this entry is not ready.
         await asyncio.sleep(self.settings.listen.unready_ms / 1_000)
         await self.http.stop(self.settings.listen.stop_limit_ms / 1_000)
-        if fx.LeaveRequested in ENTRY.handlers:
-            await self.stopped.wait()
+        await self.stopped.wait()
 
     async def _close(self) -> None:
         await self.http.stop(FLUSH_LIMIT_S)
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -548,11 +548,14 @@
 
     Attributes:
         roster_version: Version of the query that is answered.
+        complete: `known` holds all keys known to the sender that the addressee owns
+            on the roster of this version; sent unasked after a roster change.
     """
 
     keys: list[bytes]
     known: list[bytes]
     roster_version: int = 0
+    complete: bool = False
 
 
 @attrs.frozen
@@ -586,9 +589,15 @@
 
 @attrs.frozen
 class PlaceTasks:
-    """Tasks from their owner to a home."""
+    """Tasks from their owner to a home.
+
+    Attributes:
+        home_number: Incarnation number of the addressee. Another incarnation must not
+            answer: it does not know what the earlier one has started.
+    """
 
     tasks: list[PlacedTask]
+    home_number: int = 0
 
 
 @attrs.frozen
