--- a/catkincross/_entry_daemon.py
+++ b/catkincross/_entry_daemon.py
@@ -10,20 +10,21 @@
 from . import _effects as fx
 from ._clock import Clock, SystemClock
 from ._entry_core import EntryCore
-from ._entry_registry import ENTRY
 from ._entry_state import EntryState
-from ._event_log import write_event
 from ._http_app import build_app
 from ._http_server import HttpServer
 from ._ids import Incarnation
 from ._log_client import HttpLogClient, LogClient
 from ._log_feed import LogFeed
+from ._logs import EventLog
 from ._messages import NO_EVIDENCE, JobAnswer, Message, PeerHeartbeat
+from ._metrics import Metrics
 from ._runner import CoreRunner
 from ._settings import EntrySettings
 from ._transport import Transport
 
 FLUSH_LIMIT_S = 2.0
+GAUGES_INTERVAL_S = 10.0
 
 
 class EntryDaemon:
@@ -71,11 +72,13 @@
             wait_ms=settings.log.wait_ms,
             seed=self._seed(),
         )
+        self.events = EventLog.from_settings(settings)
+        self.metrics = Metrics.from_settings(settings.metrics, self.state.process)
         self.http = HttpServer(
-            build_app(self, settings),
+            build_app(self, settings, metrics=self.metrics),
             settings.listen.http_address,
-            stop_limit_s=max(1, settings.listen.stop_limit_ms // 1_000),
         )
+        self._actions = self._make_actions()
         self._asked: dict[int, asyncio.Future[Any]] = {}
         self._last_request = 0
         self._version_waiters: set[asyncio.Future[None]] = set()
@@ -111,27 +114,33 @@
 
     def _carry_out(self, effects: list[fx.Effect]) -> None:
         for effect in effects:
-            match effect:
-                case fx.Send(to, message):
-                    self.transport.send(to, message)
-                case fx.Reply(request_id, answer):
-                    self._answer(request_id, answer)
-                case fx.ChangeReply(request_id):
-                    self._answer(request_id, effect)
-                case fx.Append(record):
-                    self.log_feed.append(record)
-                case fx.SetPeers(addresses):
-                    self.transport.set_peers(addresses)
-                case fx.Emit():
-                    write_event(self.state.process, effect)
-                case fx.Stop():
-                    self.stopped.set()
+            self._actions[type(effect)](effect)
         if self.state.control.version != self._seen_version:
             self._seen_version = self.state.control.version
             for waiter in self._version_waiters:
                 if not waiter.done():
                     waiter.set_result(None)
 
+    def _make_actions(self) -> dict[type, Callable[[Any], None]]:
+        transport, log = self.transport, self.log_feed
+        return {
+            fx.Send: lambda effect: transport.send(effect.to, effect.message),
+            fx.SetPeers: lambda effect: transport.set_peers(effect.addresses),
+            fx.Append: lambda effect: log.append(effect.record),
+            fx.WriteSnapshot: lambda effect: log.write_snapshot(
+                effect.version, effect.body
+            ),
+            fx.ReadSnapshot: lambda effect: log.read_snapshot(),
+            fx.Reply: lambda effect: self._answer(effect.request_id, effect.answer),
+            fx.ChangeReply: lambda effect: self._answer(effect.request_id, effect),
+            fx.Emit: self._record,
+            fx.Stop: lambda effect: self.stopped.set(),
+        }
+
+    def _record(self, event: fx.Emit) -> None:
+        self.events.write(event)
+        self.metrics.event(event)
+
     def _answer(self, request_id: int, answer: JobAnswer | fx.ChangeReply) -> None:
         waiter = self._asked.get(request_id)
         if waiter is not None and not waiter.done():
@@ -179,6 +188,7 @@
             Exception: What a step of the core raised.
         """
         stopped = asyncio.create_task(self.stopped.wait())
+        gauges = asyncio.create_task(self._send_gauges())
         try:
             await asyncio.wait(
                 {stopped, self.runner.failed}, return_when=asyncio.FIRST_COMPLETED
@@ -187,8 +197,14 @@
                 self.runner.failed.result()
         finally:
             stopped.cancel()
+            gauges.cancel()
             await self._close()
 
+    async def _send_gauges(self) -> None:
+        while True:
+            self.metrics.entry_gauges(self.state)
+            await asyncio.sleep(GAUGES_INTERVAL_S)
+
     async def leave(self) -> None:
         """Stop gracefully: announce the leave, finish requests, and end."""
         if self.leaving:
@@ -198,20 +214,18 @@
         try:
             await asyncio.wait_for(self._leave(), limit_s)
         except TimeoutError:
-            write_event(self.state.process, fx.Emit("daemon", "stop limit reached"))
+            self._record(fx.Emit("daemon", "stop limit reached"))
         self.stopped.set()
 
     async def _leave(self) -> None:
-        if fx.LeaveRequested in ENTRY.handlers:
-            self.runner.post(fx.LeaveRequested())
+        self.runner.post(fx.LeaveRequested())
         # The load balancer needs time to notice that this entry is not ready.
         await asyncio.sleep(self.settings.listen.unready_ms / 1_000)
-        await self.http.stop()
-        if fx.LeaveRequested in ENTRY.handlers:
-            await self.stopped.wait()
+        await self.http.stop(self.settings.listen.stop_limit_ms / 1_000)
+        await self.stopped.wait()
 
     async def _close(self) -> None:
-        await self.http.stop()
+        await self.http.stop(FLUSH_LIMIT_S)
         await self.transport.close(FLUSH_LIMIT_S)
         self.runner.stop()
         await self.log_feed.close()
--- a/catkincross/_stream_link.py
+++ b/catkincross/_stream_link.py
@@ -92,6 +92,7 @@
             try:
                 name = await asyncio.wait_for(self._open(call), OPEN_TIMEOUT_S)
                 self.outbox = Outbox()
+                self.outbox.put(self.owner.greeting())
                 was_open = self._accepted(name)
                 if was_open:
                     await self._exchange(call, self.outbox)
@@ -105,9 +106,12 @@
         return False, was_open
 
     async def _open(self, call: Any) -> str:
-        await call.write(encode_frame([self.owner.greeting()]))
         metadata = await call.initial_metadata()
-        return dict(metadata).get(PROCESS_METADATA, b"").decode()
+        name = dict(metadata).get(PROCESS_METADATA, b"").decode()
+        if not name:
+            # A call that found no connection has empty metadata; reading raises why.
+            await call.read()
+        return name
 
     def _accepted(self, name: str) -> bool:
         # An address may have passed to another process since it was published.
--- a/catkincross/entry.py
+++ b/catkincross/entry.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 
 import click
 
 from ._entry_daemon import EntryDaemon
 from ._ini import settings_or_exit
-from ._main import run_daemon, run_main
+from ._logs import start_logs
+from ._main import run_daemon
 from ._settings import EntrySettings
 
 
@@ -21,7 +23,9 @@
 )
 def main(config: Path) -> None:
     """Run an entry process."""
-    run_main(_run(settings_or_exit(config, EntrySettings)))
+    settings = settings_or_exit(config, EntrySettings)
+    start_logs(settings.logs)
+    asyncio.run(_run(settings))
 
 
 async def _run(settings: EntrySettings) -> None:
