Compare documents once for all watches of a kind

Cause: each watch listed all documents each second, and the status of a document is not cheap at thousands of upstreams.

Ruled out: watches without status changes, since operators wait for them.

Before: one listing for each watch and second. After: one a second for each kind, and one for each new version. The picture of the time line shows 8 tasks of an upstream side by side.

Conclusion: the number of watches no longer matters for the entry's load.

--- a/catkincross/_resource_watch.py
+++ b/catkincross/_resource_watch.py
@@ -44,6 +44,8 @@
     Attributes:
         sequence: Number of the last change noticed.
         expired: Changes up to this one may lack deletions.
+        version: Control version at the last refresh.
+        refreshed_ms: The entry's clock at the last refresh.
         sequences: Sequence at which a control version was first shown.
     """
 
@@ -55,10 +57,21 @@
         self.live: dict[str, Seen] = {}
         self.deleted: OrderedDict[str, Seen] = OrderedDict()
         self.sequences: OrderedDict[int, int] = OrderedDict()
+        self.version = -1
+        self.refreshed_ms = 0
+
+    def poll(self) -> int:
+        """Refresh unless another watch has just done so; return the version."""
+        state = self.gateway.state
+        age_ms = state.now_ms - self.refreshed_ms
+        if state.control.version == self.version and age_ms < STATUS_INTERVAL_MS:
+            return self.version
+        return self.refresh()
 
     def refresh(self) -> int:
         """Notice what has changed; return the control version that is now shown."""
-        version = self.gateway.state.control.version
+        self.version = version = self.gateway.state.control.version
+        self.refreshed_ms = self.gateway.state.now_ms
         listed = list_documents(self.gateway.state, self.kind)
         current = {document["metadata"]["name"]: document for document in listed}
         for name in [name for name in self.live if name not in current]:
@@ -115,7 +128,7 @@
     """
     loop, cursor, bookmark_due = asyncio.get_running_loop(), after, 0.0
     while not feed.gateway.state.stopping:
-        version = feed.refresh()
+        version = feed.poll()
         if 0 <= cursor < feed.expired:
             yield _line("expired", kind=feed.kind)
             return
--- a/catkincross/_timeline_svg.py
+++ b/catkincross/_timeline_svg.py
@@ -8,8 +8,9 @@
 
 from ._timeline import TimelineEvent, details_text
 
-LANE_PX, LABEL_PX, WIDTH_PX, HEAD_PX, BAR_PX = 34, 130, 1_200, 40, 7
-ROWS = 3
+LANE_PX, LABEL_PX, WIDTH_PX, HEAD_PX = 44, 130, 1_200, 40
+# An upstream with 8 slots shows each of its tasks in a row of its own.
+ROWS, BAR_PX, ROW_PX = 8, 3, 4
 TICKS = 10
 PART_COLORS = {
     "owner": "#1b6ca8",
@@ -103,7 +104,7 @@
         for process in self.lanes:
             y = self.y(process)
             self.add("line", x1=0, x2=WIDTH_PX, y1=y, y2=y, stroke="#cccccc")
-            self.add("text", process, x=6, y=y + 20, fill="#222222")
+            self.add("text", process, x=6, y=y + 25, fill="#222222")
         self._draw_bars()
         for event in self.events:
             self._draw_event(event)
@@ -121,7 +122,7 @@
                 "rect",
                 title=f"{bar.task}: {status}, {run_ms:.1f} ms",
                 x=x,
-                y=self.y(bar.process) + 5 + row * (BAR_PX + 2),
+                y=self.y(bar.process) + 5 + row * ROW_PX,
                 width=max(1.0, round(end - x, 1)),
                 height=BAR_PX,
                 fill=END_COLORS.get(bar.status, OPEN_COLOR),
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -258,3 +258,31 @@
     app = build_app(gateway, gateway.settings)
     answer = call(app, "GET", "/v1/datacentres?watch=true")
     assert [line["event"] for line in answer.lines] == ["bookmark"]
+
+
+def test_a_watch_sends_a_changed_status_though_no_record_was_added(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    gateway = LogGateway()
+    _call(gateway, "PUT", PERTH, DRAIN)
+    drained, listings = [False], []
+
+    def listed(state: Any, kind: str) -> list[Any]:
+        listings.append(kind)
+        metadata = {"name": "perth", "generation": 1, "resource_version": 2}
+        status = {"drained": drained[0]}
+        return [{"metadata": metadata, "spec": {}, "status": status}]
+
+    monkeypatch.setattr("catkincross._resource_watch.list_documents", listed)
+
+    def drain_ends() -> None:
+        drained[0] = True
+        gateway.state.now_ms += 1_000
+
+    gateway.on_wait = [lambda: None, lambda: None, drain_ends]
+    app = build_app(gateway, gateway.settings)
+    lines = call(app, "GET", "/v1/datacentres?watch=true", until_lines=3).lines
+    puts = [line["resource"]["status"] for line in lines if line["event"] == "put"]
+    assert puts == [{"drained": False}, {"drained": True}]
+    # The waits without a change of version or time compared nothing.
+    assert len(listings) == 2
