Show resources with their state and how many processes observed them

Cause: the table printed the whole status as text, too wide for a terminal.

Before: one column of fields. After: columns for observed processes and state; -o wide adds the whole status.

Conclusion: an operator sees at a glance whether a drain is complete.

--- a/catkincross/_cli_resources.py
+++ b/catkincross/_cli_resources.py
@@ -286,21 +286,27 @@
 
 def print_documents(documents: list[dict[str, Any]], *, wide: bool) -> None:
     """Print resources as a table."""
-    titles = ["NAME", "GENERATION", "SPEC", "STATUS"]
-    if wide:
-        titles.insert(2, "VERSION")
+    titles = ["NAME", "GENERATION", "OBSERVED", "STATE", "SPEC"]
+    titles += ["VERSION", "STATUS"] if wide else []
     rows = []
     for document in documents:
         metadata, status = document["metadata"], document.get("status", {})
-        shown = status if wide else _short_status(status)
-        row = [metadata["name"], metadata.get("generation", "-")]
-        row += [metadata.get("resource_version", "-")] if wide else []
-        rows.append([*row, _facts(document.get("spec", {})), _facts(shown)])
+        observed = f"{status.get('observed', '?')}/{status.get('processes', '?')}"
+        row = [metadata["name"], metadata["generation"], observed, _state(status)]
+        row.append(_facts(document.get("spec", {})))
+        row += [metadata["resource_version"], _facts(status)] if wide else []
+        rows.append(row)
     print_table(titles, rows)
 
 
-def _short_status(status: dict[str, Any]) -> dict[str, Any]:
-    return {k: v for k, v in status.items() if not isinstance(v, list | dict)}
+def _state(status: dict[str, Any]) -> str:
+    """Return what a status says in a word or two."""
+    for flag in ("drained", "draining", "leaving"):
+        if status.get(flag):
+            return flag
+    if "current" in status:
+        return "current" if status["current"] else "not current"
+    return "in service" if "drained" in status else "-"
 
 
 def _facts(fields: dict[str, Any]) -> str:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -183,8 +183,8 @@
     shown = json.loads(run("get", "teams", "confirmations", "-o", "json").stdout)
     assert shown["spec"] == {"weight": 2.5, "limits": {"running": 40}}
     table = run("get", "datacentres").output.splitlines()
-    assert table[0].split() == ["NAME", "GENERATION", "SPEC", "STATUS"]
-    assert table[1].split()[:3] == ["perth", "1", "drain=false"]
+    assert table[0].split() == ["NAME", "GENERATION", "OBSERVED", "STATE", "SPEC"]
+    assert table[1].split() == ["perth", "1", "1/1", "in", "service", "drain=false"]
     conflict = run("delete", "teams", "confirmations", "--generation", "7")
     assert conflict.exit_code == 4
     assert run("delete", "teams", "confirmations").exit_code == 0
