Keep tasks within memory and accelerators, and fail what fits nowhere

Cause: a free slot was taken for free memory, and a job that no upstream can run waited until its deadline.

Ruled out: one queue with a bounded look past tasks that do not fit; forty of them in front held up everybody (seen in the new test). Need classes have their own queues.

Before: starts regardless of memory. After: memory in use is the baseline, the learned surplus of the last report and the needs of running tasks; jobs without a fitting upstream fail as not_run after unplaced_ms.

--- a/catkincross/_dispatch_state.py
+++ b/catkincross/_dispatch_state.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
 from ._estimates import RunTimes, Speeds
-from ._fair_queue import FairQueue
-from ._fit import TaskNeed
+from ._fit import MemoryUse, TaskNeed
 from ._home_index import HomeIndex
 from ._ids import TaskId
+from ._lanes import Lanes
 from ._messages import OwnedTask
 from ._service_slots import ServiceSlots
 from ._settings import EntrySettings
-
-if TYPE_CHECKING:
-    from collections.abc import Hashable
+from ._tables import DueQueue
 
 
 @attrs.define
@@ -28,13 +24,16 @@
         upstream_speeds: Speeds of this home's upstreams by service.
         home_speeds: Speeds of homes by service, as this owner sees them.
         services: Slots of this home by service.
-        lanes: Queues of this home by service and by what their tasks need.
+        lanes: Queues of this home by service.
         due_services: Services whose queue may have a task to start.
         backlog: Tasks of this owner without a home, by service.
         homes: Homes by service, as this owner knows them.
         due_backlogs: Services whose backlog may have a task to place.
         needs: What the tasks with a slot at this home take.
         changed_agents: Agents whose place in the index may be out of date.
+        memory: Memory that tasks take at this home.
+        unfit_homes: Homes that declined a job because it fits nowhere there.
+        unplaced: Jobs that no home can take, until they are checked again.
         queue_due_ms: When the home must look at its queues again, or None.
     """
 
@@ -43,13 +42,16 @@
     upstream_speeds: Speeds
     home_speeds: Speeds
     services: dict[str, ServiceSlots] = attrs.field(factory=dict)
-    lanes: dict[str, dict[Hashable, FairQueue[OwnedTask]]] = attrs.field(factory=dict)
+    lanes: dict[str, Lanes[OwnedTask]] = attrs.field(factory=dict)
     due_services: dict[str, None] = attrs.field(factory=dict)
-    backlog: dict[str, FairQueue[TaskId]] = attrs.field(factory=dict)
+    backlog: dict[str, Lanes[TaskId]] = attrs.field(factory=dict)
     homes: dict[str, HomeIndex] = attrs.field(factory=dict)
     due_backlogs: dict[str, None] = attrs.field(factory=dict)
     needs: dict[OwnedTask, TaskNeed] = attrs.field(factory=dict)
     changed_agents: dict[str, None] = attrs.field(factory=dict)
+    memory: MemoryUse = attrs.field(factory=MemoryUse)
+    unfit_homes: dict[bytes, set[str]] = attrs.field(factory=dict)
+    unplaced: DueQueue[bytes] = attrs.field(factory=DueQueue)
     queue_due_ms: int | None = None
 
     @classmethod
@@ -71,14 +73,19 @@
             self.services[name] = slots
         return slots
 
-    def new_queue(self) -> FairQueue:
-        """Return an empty queue with the limits of the settings."""
-        queues = self.settings.queues
-        return FairQueue(batch_share=queues.batch_share, burst_cost=queues.burst_ms)
+    def queue(self, queues: dict[str, Lanes], service: str) -> Lanes:
+        """Return the queue of a service, empty for a new one."""
+        lanes = queues.get(service)
+        if lanes is None:
+            limits = self.settings.queues
+            lanes = queues[service] = Lanes(
+                batch_share=limits.batch_share, burst_cost=limits.burst_ms
+            )
+        return lanes
 
     def queued(self, service: str) -> int:
         """Return how many tasks of a service wait at this home."""
-        return sum(len(lane) for lane in self.lanes.get(service, {}).values())
+        return len(self.lanes.get(service, ()))
 
     def mean_run_ms(self, service: str) -> float:
         """Return the mean run time of a service's tasks."""
@@ -86,4 +93,5 @@
 
     def next_due_ms(self) -> int | None:
         """Return when the policies must run again without an event, or None."""
-        return self.queue_due_ms
+        due = (self.queue_due_ms, self.unplaced.next_due_ms())
+        return min((due_ms for due_ms in due if due_ms is not None), default=None)
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -6,7 +6,7 @@
 from ._entry_rows import HomeTask
 from ._entry_state import EntryState
 from ._home_slots import forget_running, reindex_speed, release_slot
-from ._home_starts import dequeue, enqueue
+from ._home_starts import dequeue, enqueue, fits_nowhere_here
 from ._ids import agent_process
 from ._messages import (
     CancelTasks,
@@ -55,6 +55,9 @@
             accepted_ms=state.now_ms,
         )
         state.home_tasks.add(key, row)
+        if fits_nowhere_here(state, placed):
+            decline(state, row, Reason.FITS_NOWHERE)
+            continue
         enqueue(state, row)
         queue_ms = state.settings.queues.home_queue_ms
         state.home_due.set(key, min(row.deadline_ms, state.now_ms + queue_ms))
--- a/catkincross/_home_capacity.py
+++ b/catkincross/_home_capacity.py
@@ -27,6 +27,7 @@
     if slots is None:
         return []
     queued = state.dispatch.queued(service)
+    memory_mb, accelerators = slots.sizes.largest()
     wait_ms = round(queued * state.dispatch.mean_run_ms(service) / max(1, slots.slots))
     summaries = []
     for data_centre, totals in slots.groups.items():
@@ -43,6 +44,8 @@
                 speed=speed,
                 best_speed=best,
                 wait_ms=wait_ms,
+                memory_mb=memory_mb,
+                accelerators=accelerators,
             )
         )
     return summaries
--- a/catkincross/_home_choice.py
+++ b/catkincross/_home_choice.py
@@ -7,15 +7,13 @@
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow, PeerRow, TaskPhase, TaskRow
 from ._entry_state import EntryState
-from ._fair_queue import FairQueue, Turn
+from ._fair_queue import Turn
+from ._fit import TaskNeed
 from ._home_capacity import service_summaries
-from ._home_index import HomeIndex, HomeRow
+from ._home_index import NONE, HomeIndex, HomeRow
 from ._ids import TaskId
-from ._messages import CapacitySummary, TaskResult, TaskStatus
-
-# Tasks that fit no home with room now and are passed over in one pass, so that they
-# do not hold up those behind them.
-MAX_PASSED_OVER = 32
+from ._lanes import Lanes
+from ._messages import CapacitySummary, Reason, TaskResult, TaskStatus
 
 
 def home_index(state: EntryState, service: str) -> HomeIndex:
@@ -71,6 +69,8 @@
     row.slots = sum(summary.slots for summary in summaries)
     row.free = sum(summary.free for summary in summaries)
     row.queued = max(summary.queued for summary in summaries)
+    row.memory_mb = max(summary.memory_mb for summary in summaries)
+    row.accelerators = max(summary.accelerators for summary in summaries)
     row.wait_ms = max(summary.wait_ms for summary in summaries)
     permille = state.settings.queues.home_queue_permille
     row.queue_limit = -(-row.slots * permille // 1_000)
@@ -110,14 +110,19 @@
 
 def _queue_job(state: EntryState, job: JobRow, rows: list[TaskRow]) -> None:
     dispatch, service = state.dispatch, job.service
-    queue = dispatch.backlog.get(service)
-    if queue is None:
-        queue = dispatch.backlog[service] = dispatch.new_queue()
+    lanes = dispatch.queue(dispatch.backlog, service)
     expect_ms = dispatch.run_times.expect_ms
     costs = {row.task: expect_ms(service, row.spec) for row in rows}
     # A long task that starts last would delay the whole answer.
     for row in sorted(rows, key=lambda row: -costs[row.task]):
-        queue.push(row.task, Turn(job.team, 1.0, costs[row.task], job.interactive))
+        cost = costs[row.task]
+        turn = Turn(job.team, 1.0, cost, job.interactive)
+        need = TaskNeed(cost, row.spec.memory_mb, row.spec.accelerators)
+        lanes.push(row.task, turn, need)
+    index = home_index(state, service)
+    specs = [row.spec for row in rows]
+    for memory_mb, accelerators in {(s.memory_mb, s.accelerators) for s in specs}:
+        _note_unplaced(state, index, job, TaskNeed(0, memory_mb, accelerators))
     dispatch.due_backlogs[service] = None
 
 
@@ -127,6 +132,7 @@
     queue = state.dispatch.backlog.get(job.service)
     if queue is not None:
         queue.remove(row.task)
+        state.dispatch.due_backlogs[job.service] = None
 
 
 def choose_homes(state: EntryState) -> dict[str, list[TaskId]]:
@@ -148,32 +154,74 @@
 
 def _choose_for_service(
     state: EntryState,
-    queue: FairQueue[TaskId],
+    lanes: Lanes[TaskId],
     index: HomeIndex,
     chosen: dict[str, list[TaskId]],
 ) -> None:
-    passed_over: list[tuple[TaskId, Turn]] = []
-    while len(passed_over) < MAX_PASSED_OVER:
-        taken = queue.take()
-        if taken is None:
-            break
-        task, turn = taken
-        job = state.jobs.get(task.key_hash)
-        if job is None or job.tasks[task.index].phase is not TaskPhase.WAITING:
-            continue
-        home = _best_home(state, index)
-        if home is None:
-            passed_over.append(taken)
-            break
-        index.use(home, state.now_ms)
-        chosen[home.name].append(task)
-    for task, turn in reversed(passed_over):
-        queue.put_back(task, turn)
-
-
-def _best_home(state: EntryState, index: HomeIndex) -> HomeRow | None:
+    active = lanes.waiting()
+    while active and index.order:
+        active = [
+            lane for lane in active if _choose_next(state, lanes, lane, index, chosen)
+        ]
+
+
+def _choose_next(
+    state: EntryState,
+    lanes: Lanes[TaskId],
+    lane: tuple[int, int],
+    index: HomeIndex,
+    chosen: dict[str, list[TaskId]],
+) -> bool:
+    """Choose a home for the next task of a lane; return whether to go on."""
+    taken = lanes.take(lane)
+    if taken is None:
+        return False
+    task, turn = taken
+    job = state.jobs.get(task.key_hash)
+    if job is None or job.tasks[task.index].phase is not TaskPhase.WAITING:
+        return True
+    spec = job.tasks[task.index].spec
+    need = TaskNeed(turn.cost, spec.memory_mb, spec.accelerators)
+    home = _best_home(state, index, job, need)
+    if home is None:
+        lanes.put_back(lane, task, turn)
+        _note_unplaced(state, index, job, need)
+        return False
+    index.use(home, state.now_ms)
+    chosen[home.name].append(task)
+    return True
+
+
+def _note_unplaced(
+    state: EntryState, index: HomeIndex, job: JobRow, need: TaskNeed
+) -> None:
+    """Have a job checked later if no home could take a task of it even when idle."""
+    unplaced = state.dispatch.unplaced
+    unfit = state.dispatch.unfit_homes.get(job.key_hash, NONE)
+    if job.key_hash not in unplaced.due and not index.fits_somewhere(need, unfit):
+        wait_ms = state.settings.queues.unplaced_ms
+        unplaced.set(job.key_hash, state.now_ms + wait_ms)
+
+
+def unplaceable(state: EntryState, job: JobRow) -> Reason:
+    """Return why no home can ever take a waiting task of a job, or `NONE`."""
+    index = home_index(state, job.service)
+    if not index.rows:
+        return Reason.NO_UPSTREAM
+    unfit = state.dispatch.unfit_homes.get(job.key_hash, NONE)
+    specs = [row.spec for row in job.tasks if row.phase is TaskPhase.WAITING]
+    needs = {TaskNeed(0, spec.memory_mb, spec.accelerators) for spec in specs}
+    if all(index.fits_somewhere(need, unfit) for need in needs):
+        return Reason.NONE
+    return Reason.FITS_NOWHERE
+
+
+def _best_home(
+    state: EntryState, index: HomeIndex, job: JobRow, need: TaskNeed
+) -> HomeRow | None:
+    unfit = state.dispatch.unfit_homes.get(job.key_hash, NONE)
     while True:
-        home = index.best()
+        home = index.best(need, unfit)
         if home is None or home.own:
             return home
         peer = state.peers.get(home.name)
--- a/catkincross/_home_index.py
+++ b/catkincross/_home_index.py
@@ -4,12 +4,16 @@
 
 import math
 from collections import deque
+from collections.abc import Set
 
 import attrs
 from sortedcontainers import SortedList
 
+from ._fit import TaskNeed
+
 # Finish times within 5 % count as equal; then the load decides, which spreads a burst.
 FINISH_CLASS_LOG = math.log(1.05)
+NONE: frozenset[str] = frozenset()
 
 
 @attrs.define
@@ -23,6 +27,8 @@
         wait_ms: Expected wait of a new task there when it reported.
         distance_ms: One-way network time.
         speed: Speed of its next free slot relative to the other homes.
+        memory_mb: Memory of its largest upstream.
+        accelerators: Most accelerators of one of its upstreams.
         own: The home is in this process.
         outstanding: Tasks of this owner that are there.
         fair_part: Tasks that this owner may have there even if the queue is full, so
@@ -38,6 +44,8 @@
     wait_ms: float = 0.0
     distance_ms: float = 0.0
     speed: float = 1.0
+    memory_mb: int = 0
+    accelerators: int = 0
     own: bool = False
     outstanding: int = 0
     fair_part: int = 0
@@ -49,6 +57,12 @@
         places = self.free + self.queue_limit - self.queued - len(self.placed)
         return max(places, self.fair_part - self.outstanding)
 
+    def could_fit(self, need: TaskNeed) -> bool:
+        """Whether its largest upstream could run a task if it were idle."""
+        return (
+            self.memory_mb >= need.memory_mb and self.accelerators >= need.accelerators
+        )
+
     def key(self, run_ms: float) -> tuple:
         """Return the sort key of the home, the best first."""
         left = self.free - self.queued - len(self.placed)
@@ -95,9 +109,24 @@
             key = self.keys[row.name] = row.key(self.run_ms)
             self.order.add(key)
 
-    def best(self) -> HomeRow | None:
-        """Return the home where a task ends first, or None if no home has room."""
-        return self.rows[self.order[0][-1]] if self.order else None
+    def best(self, need: TaskNeed, unfit: Set[str] = NONE) -> HomeRow | None:
+        """Return the home where a task ends first, or None if no home has room.
+
+        Args:
+            need: What the task takes.
+            unfit: Homes that have said that the task fits nowhere there.
+        """
+        for key in self.order:
+            row = self.rows[key[-1]]
+            if row.could_fit(need) and row.name not in unfit:
+                return row
+        return None
+
+    def fits_somewhere(self, need: TaskNeed, unfit: Set[str] = NONE) -> bool:
+        """Whether a task could run at a home that is idle."""
+        return any(
+            row.could_fit(need) and row.name not in unfit for row in self.rows.values()
+        )
 
     def use(self, row: HomeRow, now_ms: int) -> None:
         """Count a task that is sent to a home until a later report includes it."""
--- a/catkincross/_home_slots.py
+++ b/catkincross/_home_slots.py
@@ -71,6 +71,7 @@
     if agent is None:
         for slots in state.dispatch.services.values():
             slots.remove(name)
+        state.dispatch.memory.forget(name)
         return
     service = agent.hello.service
     slots = state.dispatch.service(service)
@@ -85,6 +86,10 @@
 def _upstream(state: EntryState, agent: AgentRow) -> Upstream:
     hello, dispatch = agent.hello, state.dispatch
     needs = [dispatch.needs[key] for key in agent.held if key in dispatch.needs]
+    needs_mb = sum(need.memory_mb for need in needs)
+    dispatch.memory.observe(
+        hello.service, agent.name, agent.heard_ms, agent.memory_used_mb, needs_mb
+    )
     speed = dispatch.upstream_speeds.speed(hello.service, agent.name)
     return Upstream(
         name=agent.name,
@@ -93,7 +98,9 @@
         slots=min(hello.slots, hello.connections),
         held=len(agent.held),
         speed_class=speed_class(speed),
-        memory_free_mb=hello.memory_mb - sum(need.memory_mb for need in needs),
+        memory_mb=hello.memory_mb,
+        accelerators=hello.accelerators,
+        memory_free_mb=hello.memory_mb - dispatch.memory.used_mb(agent.name, needs_mb),
         accelerators_free=hello.accelerators - sum(n.accelerators for n in needs),
     )
 
--- a/catkincross/_home_starts.py
+++ b/catkincross/_home_starts.py
@@ -9,10 +9,11 @@
 from ._entry_registry import ENTRY
 from ._entry_rows import AgentRow, HomeTask
 from ._entry_state import EntryState
-from ._fair_queue import FairQueue, Turn
+from ._fair_queue import Turn
 from ._fit import TaskNeed
 from ._home_slots import hold_slot
 from ._ids import agent_process
+from ._lanes import Lanes
 from ._messages import OwnedTask, PlacedTask, TaskStart
 from ._service_slots import ServiceSlots
 from ._upstream import Upstream, class_speed
@@ -25,22 +26,29 @@
     """Return what a task is expected to take."""
     spec = placed.spec
     run_ms = state.dispatch.run_times.expect_ms(placed.service, spec)
-    return TaskNeed(run_ms, spec.memory_mb, spec.accelerators)
+    if not spec.memory_mb:
+        return TaskNeed(run_ms, 0, spec.accelerators)
+    largest_mb, _ = state.dispatch.service(placed.service).sizes.largest()
+    memory_mb = state.dispatch.memory.need_mb(placed.service, spec, largest_mb)
+    return TaskNeed(run_ms, memory_mb, spec.accelerators)
+
+
+def fits_nowhere_here(state: EntryState, placed: PlacedTask) -> bool:
+    """Whether no upstream of this home could run a task even if it were idle."""
+    slots = state.dispatch.services.get(placed.service)
+    if slots is None or not slots.rows:
+        return False
+    spec = placed.spec
+    declared = TaskNeed(0, spec.memory_mb, spec.accelerators)
+    return slots.sizes.roomiest(declared) is None
 
 
 def enqueue(state: EntryState, row: HomeTask) -> None:
     """Let a task wait for a slot."""
     placed, dispatch = row.placed, state.dispatch
     need = need_of(state, placed)
-    # Tasks of different need wait apart, so that one that fits nowhere now does not
-    # hold up the others. Classes of memory double in width.
-    lanes = dispatch.lanes.setdefault(placed.service, {})
-    key = (need.memory_mb.bit_length(), need.accelerators)
-    lane = lanes.get(key)
-    if lane is None:
-        lane = lanes[key] = dispatch.new_queue()
     turn = Turn(placed.team, 1.0, need.run_ms, placed.interactive)
-    lane.push(row.key, turn)
+    dispatch.queue(dispatch.lanes, placed.service).push(row.key, turn, need)
     state.home_queue[row.key] = None
     dispatch.due_services[placed.service] = None
 
@@ -50,10 +58,7 @@
     if row.key not in state.home_queue:
         return
     del state.home_queue[row.key]
-    lanes = state.dispatch.lanes.get(row.placed.service, {})
-    for lane_key, lane in list(lanes.items()):
-        if lane.remove(row.key) and not lane:
-            del lanes[lane_key]
+    state.dispatch.lanes[row.placed.service].remove(row.key)
 
 
 @attrs.define
@@ -66,8 +71,9 @@
     """
 
     slots: ServiceSlots
+    lanes: Lanes[OwnedTask]
     claims: Counter[int] = attrs.field(factory=Counter)
-    aside: list[tuple[FairQueue, OwnedTask, Turn]] = attrs.field(factory=list)
+    aside: list[tuple[tuple[int, int], OwnedTask, Turn]] = attrs.field(factory=list)
 
 
 @ENTRY.system(order=450)
@@ -88,19 +94,17 @@
     lanes = dispatch.lanes.get(service)
     if not lanes:
         return
-    run = Pass(dispatch.service(service))
-    active = list(lanes.values())
+    run = Pass(dispatch.service(service), lanes)
+    active = lanes.waiting()
     while active and run.slots.free > 0:
         active = [lane for lane in active if _start_next(state, run, lane)]
     for lane, key, turn in reversed(run.aside):
-        lane.put_back(key, turn)
-    for lane_key in [key for key, lane in lanes.items() if not lane]:
-        del lanes[lane_key]
+        lanes.put_back(lane, key, turn)
 
 
-def _start_next(state: EntryState, run: Pass, lane: FairQueue) -> bool:
+def _start_next(state: EntryState, run: Pass, lane: tuple[int, int]) -> bool:
     """Start the next task of a lane; return whether it makes sense to go on."""
-    taken = lane.take()
+    taken = run.lanes.take(lane)
     if taken is None:
         return False
     key, turn = taken
@@ -110,7 +114,7 @@
     need = need_of(state, row.placed)
     upstream = run.slots.policy.choose(need, state.rng)
     if upstream is None:
-        lane.put_back(key, turn)
+        run.lanes.put_back(lane, key, turn)
         return False
     if _waits_for_speed(state, run, upstream, need):
         run.aside.append((lane, key, turn))
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -188,6 +188,8 @@
         speed: Mean learned speed of the upstreams, 1.0 being the service's mean.
         best_speed: Speed of the fastest upstream with a free slot, 0 if none.
         wait_ms: Expected wait of a new task.
+        memory_mb: Memory of the largest upstream.
+        accelerators: Most accelerators of an upstream.
     """
 
     service: str
@@ -199,6 +201,8 @@
     speed: float = 1.0
     best_speed: float = 1.0
     wait_ms: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
 
 
 @attrs.frozen
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -15,6 +15,7 @@
     learn_from_result,
     left_home,
     peer_reported,
+    unplaceable,
     unqueue,
 )
 from ._ids import TaskId, entry_process, hash_key, split_process
@@ -262,6 +263,9 @@
         row.maybe_started = False
         if job.answer is None and not job.cancelling:
             left_home(state, job, row)
+            if result.reason is Reason.FITS_NOWHERE:
+                unfit = state.dispatch.unfit_homes.setdefault(job.key_hash, set())
+                unfit.add(row.home)
             row.phase = TaskPhase.WAITING
             state.waiting[row.task] = None
             return
@@ -310,6 +314,7 @@
         answer, tasks=len(job.tasks), tasks_done=len(job.tasks) - job.open_tasks
     )
     job.state = answer.state
+    state.dispatch.unfit_homes.pop(job.key_hash, None)
     state.emit(
         "owner",
         "job ended",
@@ -335,6 +340,17 @@
     return Truth.NOT_RUN
 
 
+@ENTRY.system(order=380)
+def _fail_unplaceable(state: EntryState) -> None:
+    for key_hash in state.dispatch.unplaced.pop_due(state.now_ms):
+        job = state.jobs.get(key_hash)
+        if job is None or job.answer is not None:
+            continue
+        reason = unplaceable(state, job)
+        if reason and not job.cancelling:
+            stop_job(state, job, reason)
+
+
 @ENTRY.system(order=520)
 def _expire_jobs(state: EntryState) -> None:
     for key_hash in state.job_due.pop_due(state.now_ms):
--- a/catkincross/_placement.py
+++ b/catkincross/_placement.py
@@ -13,7 +13,7 @@
 
 from sortedcontainers import SortedList
 
-from ._fit import TaskNeed, fits
+from ._fit import MemoryOrder, TaskNeed, fits
 from ._upstream import Upstream
 
 # Candidates that are examined in order of preference before the search goes on in
@@ -47,43 +47,6 @@
     return register
 
 
-class MemoryOrder:
-    """Upstreams in order of free memory, by number of free accelerators."""
-
-    def __init__(self) -> None:
-        self.groups: dict[int, SortedList] = {}
-        self.keys: dict[str, tuple[int, tuple[int, str]]] = {}
-
-    def put(self, upstream: Upstream) -> None:
-        """Add an upstream or move it to its new place."""
-        group = upstream.accelerators_free
-        key = (upstream.memory_free_mb, upstream.name)
-        if self.keys.get(upstream.name) == (group, key):
-            return
-        self.remove(upstream.name)
-        self.groups.setdefault(group, SortedList()).add(key)
-        self.keys[upstream.name] = (group, key)
-
-    def remove(self, name: str) -> None:
-        """Remove an upstream; unknown names are ignored."""
-        place = self.keys.pop(name, None)
-        if place is None:
-            return
-        group, key = place
-        self.groups[group].remove(key)
-        if not self.groups[group]:
-            del self.groups[group]
-
-    def roomiest(self, need: TaskNeed) -> str | None:
-        """Return the name with the most memory that fits a task, or None."""
-        names = [
-            order[-1]
-            for accelerators, order in self.groups.items()
-            if accelerators >= need.accelerators and order[-1][0] >= need.memory_mb
-        ]
-        return max(names)[1] if names else None
-
-
 class FreeUpstreams:
     """Upstreams by name, with random access and the order of free memory."""
 
@@ -102,7 +65,9 @@
             self.positions[upstream.name] = len(self.names)
             self.names.append(upstream.name)
         self.rows[upstream.name] = upstream
-        self.memory.put(upstream)
+        self.memory.put(
+            upstream.name, upstream.memory_free_mb, upstream.accelerators_free
+        )
 
     def remove(self, name: str) -> None:
         """Remove an upstream; unknown names are ignored."""
--- a/catkincross/_service_slots.py
+++ b/catkincross/_service_slots.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ._fit import MemoryOrder
 from ._placement import PLACEMENT_POLICIES, PlacementPolicy
 from ._slot_forecast import SlotForecast
 from ._upstream import Upstream, class_speed
@@ -56,11 +57,13 @@
         self.rows: dict[str, Upstream] = {}
         self.groups: dict[str, GroupTotals] = {}
         self.forecast = SlotForecast()
+        self.sizes = MemoryOrder()
 
     def put(self, row: Upstream) -> None:
         """Add an upstream or replace its values."""
         self.remove(row.name)
         self.rows[row.name] = row
+        self.sizes.put(row.name, row.memory_mb, row.accelerators)
         self.groups.setdefault(row.data_centre, GroupTotals()).count(row, 1)
         if row.free > 0:
             self.policy.put(row)
@@ -71,6 +74,7 @@
         if row is None:
             return
         self.policy.remove(name)
+        self.sizes.remove(name)
         totals = self.groups[row.data_centre]
         totals.count(row, -1)
         if not totals.upstreams:
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -167,6 +167,13 @@
     batch_share: float = setting(
         0.1, low=0, high=1, about="Least share of the turns for batch work."
     )
+    unplaced_ms: int = setting(
+        2_000,
+        unit="ms",
+        low=10,
+        high=600_000,
+        about="Wait of a job that no upstream can take before it fails.",
+    )
     burst_ms: int = setting(
         2_000,
         unit="ms",
--- a/catkincross/_upstream.py
+++ b/catkincross/_upstream.py
@@ -33,6 +33,8 @@
         held: Slots in use.
         speed_class: See `speed_class`.
         distance_ms: One-way network time from the home.
+        memory_mb: All memory of its worker.
+        accelerators: All accelerators of its worker.
         memory_free_mb: Memory that new tasks may use.
         accelerators_free: Accelerators that no running task uses.
     """
@@ -44,6 +46,8 @@
     held: int = 0
     speed_class: int = 0
     distance_ms: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
     memory_free_mb: int = 0
     accelerators_free: int = 0
 
--- /dev/null
+++ b/scenarios/loads.py
@@ -0,0 +1,58 @@
+"""Drivers and jobs for tests of dispatch under load."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from catkincross.effects import JobSubmitted
+from catkincross.messages import JobAnswer, TaskSpec
+
+from .driver import Driver
+
+DATA_CENTRES = ("perth", "stirling", "dundee")
+
+
+def cluster(
+    agents: int = 4, *, entries: int = 3, seed: int = 1, **agent: Any
+) -> Driver:
+    """Return a driver with entries and agents in three data centres, all ready."""
+    driver = Driver(seed=seed)
+    for number in range(entries):
+        driver.add_entry(f"e{number + 1}", DATA_CENTRES[number % 3])
+    driver.run(1_000)
+    for number in range(agents):
+        driver.add_agent(f"u{number + 1}", DATA_CENTRES[number % 3], **agent)
+    driver.run(2_000)
+    return driver
+
+
+def submit(
+    driver: Driver,
+    key: str,
+    tasks: int | list[TaskSpec] = 1,
+    *,
+    entry: str = "e1",
+    team: str = "team",
+    service: str = "s",
+    deadline_ms: int = 60_000,
+    **flags: bool,
+) -> int:
+    """Submit a job of equal or given tasks; return the request's number."""
+    specs = [TaskSpec(b"x")] * tasks if isinstance(tasks, int) else tasks
+    job = JobSubmitted(
+        request_id=0,
+        key=f"{team}/{key}" if key else "",
+        digest=key.encode(),
+        team=team,
+        service=service,
+        tasks=specs,
+        deadline_ms=deadline_ms,
+        **flags,
+    )
+    return driver.submit(entry, job)
+
+
+def answer(driver: Driver, request: int, *, limit_ms: int = 60_000) -> JobAnswer:
+    """Run until a request is answered and return its answer."""
+    assert driver.run_until(lambda: request in driver.answers, limit_ms=limit_ms)
+    return driver.answers[request]
