--- a/catkincross/_dispatch_state.py
+++ b/catkincross/_dispatch_state.py
@@ -10,6 +10,7 @@
 from ._ids import TaskId
 from ._lanes import Lanes
 from ._messages import OwnedTask
+from ._quotas import TeamTable
 from ._service_slots import ServiceSlots
 from ._settings import EntrySettings
 from ._tables import DueQueue
@@ -34,6 +35,9 @@
         memory: Memory that tasks take at this home.
         unfit_homes: Homes that declined a job because it fits nowhere there.
         unplaced: Jobs that no home can take, until they are checked again.
+        teams: Use of the teams.
+        open_tasks: Tasks of jobs that this owner has not answered.
+        open_bytes: Payload of these tasks.
         queue_due_ms: When the home must look at its queues again, or None.
     """
 
@@ -52,6 +56,9 @@
     memory: MemoryUse = attrs.field(factory=MemoryUse)
     unfit_homes: dict[bytes, set[str]] = attrs.field(factory=dict)
     unplaced: DueQueue[bytes] = attrs.field(factory=DueQueue)
+    teams: TeamTable = attrs.field(factory=TeamTable)
+    open_tasks: int = 0
+    open_bytes: int = 0
     queue_due_ms: int | None = None
 
     @classmethod
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -68,6 +68,7 @@
     if state.me is None:
         return
     capacity = capacity_summaries(state)
+    teams = state.dispatch.teams.report()
     for name, peer in state.peers.rows.items():
         echo_ms, delay_ms = NO_EVIDENCE, 0
         if peer.heartbeat is not None and peer.heard_ms is not None:
@@ -82,6 +83,7 @@
             log_reachable=state.log_reachable,
             evidence_age_ms=state.freshness.age_ms(state.now_ms),
             capacity=capacity,
+            teams=teams,
             leaving=state.stopping,
         )
         state.send(entry_process(name), heartbeat)
--- a/catkincross/_estimates.py
+++ b/catkincross/_estimates.py
@@ -67,6 +67,10 @@
         row = self.rows.get(self._key(service, spec))
         return row or Average(float(spec.run_ms or self.default_ms))
 
+    def is_known(self, service: str, spec: TaskSpec) -> bool:
+        """Whether a task like this one has ended."""
+        return self._key(service, spec) in self.rows
+
     def expect_ms(self, service: str, spec: TaskSpec) -> float:
         """Return the expected run time in milliseconds, at least 1."""
         row = self.rows.get(self._key(service, spec))
--- a/catkincross/_fair_queue.py
+++ b/catkincross/_fair_queue.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import deque
-from collections.abc import Hashable, Iterator
+from collections.abc import Hashable, Iterator, Set
 from typing import Generic, TypeVar
 
 import attrs
@@ -46,10 +46,12 @@
 
     Args:
         burst_cost: Work by which a team that was idle may run ahead of the others.
+        held: Teams at their limit, whose items are passed over.
     """
 
-    def __init__(self, burst_cost: float) -> None:
+    def __init__(self, burst_cost: float, held: Set[str]) -> None:
         self.burst_cost = burst_cost
+        self.held = held
         self.virtual = 0.0
         self.sequence = 0
         self.lines: dict[str, TeamLine] = {}
@@ -95,6 +97,8 @@
             if line.head_tag != tag:
                 continue
             line.head_tag = None
+            if team in self.held:
+                continue
             found = self._first(line)
             if found is None:
                 continue
@@ -119,6 +123,16 @@
                 return item, known[1]
         return None
 
+    def resume(self, team: str) -> None:
+        """Take up a team again that was at its limit."""
+        line = self.lines.get(team)
+        if line is None or line.head_tag is not None or not line.items:
+            return
+        for _, item in line.items:
+            if item in self.turns:
+                self._enter(self.turns[item][1], line)
+                return
+
     def charge(self, team: str, cost: float) -> None:
         """Count work of a team that another entry did."""
         line = self.lines.get(team)
@@ -133,13 +147,20 @@
     Args:
         batch_share: Least share of the turns that batch work gets while it waits.
         burst_cost: Work by which a team that was idle may run ahead of the others.
+        held: Teams at their limit, whose items are passed over.
     """
 
-    def __init__(self, *, batch_share: float = 0.1, burst_cost: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        batch_share: float = 0.1,
+        burst_cost: float = 0.0,
+        held: Set[str] = frozenset(),
+    ) -> None:
         self.batch_share = batch_share
         self.batch_credit = 0.0
-        self.interactive: ClassQueue[Item] = ClassQueue(burst_cost)
-        self.batch: ClassQueue[Item] = ClassQueue(burst_cost)
+        self.interactive: ClassQueue[Item] = ClassQueue(burst_cost, held)
+        self.batch: ClassQueue[Item] = ClassQueue(burst_cost, held)
 
     def __len__(self) -> int:
         return len(self.interactive) + len(self.batch)
@@ -176,8 +197,13 @@
         self.batch_credit += self.batch_share
         if self.batch_credit >= 1.0:
             self.batch_credit -= 1.0
-            return self.batch.take()
-        return self.interactive.take()
+            return self.batch.take() or self.interactive.take()
+        return self.interactive.take() or self.batch.take()
+
+    def resume(self, team: str) -> None:
+        """Take up a team again that was at its limit."""
+        self.interactive.resume(team)
+        self.batch.resume(team)
 
     def charge(self, team: str, cost: float) -> None:
         """Count work of a team that another entry did."""
--- a/catkincross/_home_choice.py
+++ b/catkincross/_home_choice.py
@@ -14,6 +14,7 @@
 from ._ids import TaskId
 from ._lanes import Lanes
 from ._messages import CapacitySummary, Reason, TaskResult, TaskStatus
+from ._quotas import team_limits
 
 
 def home_index(state: EntryState, service: str) -> HomeIndex:
@@ -29,6 +30,7 @@
     peer = state.peers.get(name)
     if peer is None:
         return
+    _count_teams(state, peer, name)
     reports: dict[str, list[CapacitySummary]] = defaultdict(list)
     for summary in peer.capacity.values():
         reports[summary.service].append(summary)
@@ -111,12 +113,13 @@
 def _queue_job(state: EntryState, job: JobRow, rows: list[TaskRow]) -> None:
     dispatch, service = state.dispatch, job.service
     lanes = dispatch.queue(dispatch.backlog, service)
+    weight = team_limits(state.control, job.team).weight
     expect_ms = dispatch.run_times.expect_ms
     costs = {row.task: expect_ms(service, row.spec) for row in rows}
     # A long task that starts last would delay the whole answer.
     for row in sorted(rows, key=lambda row: -costs[row.task]):
         cost = costs[row.task]
-        turn = Turn(job.team, 1.0, cost, job.interactive)
+        turn = Turn(job.team, weight, cost, job.interactive)
         need = TaskNeed(cost, row.spec.memory_mb, row.spec.accelerators)
         lanes.push(row.task, turn, need)
     index = home_index(state, service)
@@ -188,6 +191,10 @@
         _note_unplaced(state, index, job, need)
         return False
     index.use(home, state.now_ms)
+    use = state.dispatch.teams.use(job.team)
+    use.running += 1
+    use.started += 1
+    limit_team(state, job.team)
     chosen[home.name].append(task)
     return True
 
@@ -230,8 +237,39 @@
         index.remove(home.name)
 
 
+def limit_team(state: EntryState, team: str) -> None:
+    """Hold back a team at its limit of running tasks, or take it up again."""
+    dispatch = state.dispatch
+    most = team_limits(state.control, team).max_running
+    if most is not None and dispatch.teams.running(team) >= most:
+        for lanes in dispatch.backlog.values():
+            lanes.hold(team)
+        return
+    for service, lanes in dispatch.backlog.items():
+        if team in lanes.held:
+            lanes.resume(team)
+            dispatch.due_backlogs[service] = None
+
+
+def _count_teams(state: EntryState, peer: PeerRow, name: str) -> None:
+    """Charge the teams for what they started through another owner."""
+    dispatch = state.dispatch
+    started = dispatch.teams.peer_reported(name, peer.teams)
+    for team, count in started.items():
+        weight = team_limits(state.control, team).weight
+        for service, lanes in dispatch.backlog.items():
+            if lanes:
+                lanes.charge(team, count * dispatch.mean_run_ms(service) / weight)
+    for team in {team for lanes in dispatch.backlog.values() for team in lanes.held}:
+        limit_team(state, team)
+
+
 def left_home(state: EntryState, job: JobRow, row: TaskRow) -> None:
     """Note that a task of this owner is no longer at its home."""
+    if row.phase is not TaskPhase.PLACED:
+        return
+    state.dispatch.teams.use(job.team).running -= 1
+    limit_team(state, job.team)
     index = state.dispatch.homes.get(job.service)
     home = index.rows.get(row.home) if index else None
     if index is not None and home is not None:
--- a/catkincross/_home_starts.py
+++ b/catkincross/_home_starts.py
@@ -15,6 +15,7 @@
 from ._ids import agent_process
 from ._lanes import Lanes
 from ._messages import OwnedTask, PlacedTask, TaskStart
+from ._quotas import team_limits
 from ._service_slots import ServiceSlots
 from ._upstream import Upstream, class_speed
 
@@ -47,7 +48,8 @@
     """Let a task wait for a slot."""
     placed, dispatch = row.placed, state.dispatch
     need = need_of(state, placed)
-    turn = Turn(placed.team, 1.0, need.run_ms, placed.interactive)
+    weight = team_limits(state.control, placed.team).weight
+    turn = Turn(placed.team, weight, need.run_ms, placed.interactive)
     dispatch.queue(dispatch.lanes, placed.service).push(row.key, turn, need)
     state.home_queue[row.key] = None
     dispatch.due_services[placed.service] = None
--- a/catkincross/_lanes.py
+++ b/catkincross/_lanes.py
@@ -27,7 +27,9 @@
         self.batch_share = batch_share
         self.burst_cost = burst_cost
         self.queues: dict[tuple[int, int], FairQueue[Item]] = {}
-        self.places: dict[Item, tuple[int, int]] = {}
+        self.places: dict[Item, tuple[tuple[int, int], Turn]] = {}
+        self.costs = {False: 0.0, True: 0.0}
+        self.held: set[str] = set()
 
     def __len__(self) -> int:
         return len(self.places)
@@ -43,15 +45,27 @@
         queue = self.queues.get(key)
         if queue is None:
             queue = self.queues[key] = FairQueue(
-                batch_share=self.batch_share, burst_cost=self.burst_cost
+                batch_share=self.batch_share,
+                burst_cost=self.burst_cost,
+                held=self.held,
             )
-        self.places[item] = key
+        self._add(item, key, turn)
         queue.push(item, turn)
 
+    def _add(self, item: Item, key: tuple[int, int], turn: Turn) -> None:
+        self.places[item] = (key, turn)
+        self.costs[turn.interactive] += turn.cost
+
+    def cost(self, *, interactive: bool) -> float:
+        """Return the work that waits in one class, in milliseconds of a slot."""
+        return self.costs[interactive]
+
     def remove(self, item: Item) -> None:
         """Remove an item; unknown ones are ignored."""
-        key = self.places.pop(item, None)
-        if key is not None:
+        place = self.places.pop(item, None)
+        if place is not None:
+            key, turn = place
+            self.costs[turn.interactive] -= turn.cost
             self.queues[key].remove(item)
 
     def take(self, key: tuple[int, int]) -> tuple[Item, Turn] | None:
@@ -59,11 +73,12 @@
         taken = self.queues[key].take()
         if taken is not None:
             del self.places[taken[0]]
+            self.costs[taken[1].interactive] -= taken[1].cost
         return taken
 
     def put_back(self, key: tuple[int, int], item: Item, turn: Turn) -> None:
         """Undo the `take` of an item."""
-        self.places[item] = key
+        self._add(item, key, turn)
         self.queues[key].put_back(item, turn)
 
     def waiting(self) -> list[tuple[int, int]]:
@@ -75,6 +90,17 @@
             (key for key, queue in self.queues.items() if queue), reverse=True
         )
 
+    def hold(self, team: str) -> None:
+        """Pass over the items of a team until `resume`."""
+        self.held.add(team)
+
+    def resume(self, team: str) -> None:
+        """Take up a team again."""
+        if team in self.held:
+            self.held.discard(team)
+            for queue in self.queues.values():
+                queue.resume(team)
+
     def charge(self, team: str, cost: float) -> None:
         """Count work of a team that another entry did."""
         for queue in self.queues.values():
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ._admission import job_closed, job_opened, refusal
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow, TaskPhase, TaskRow, Waiter
 from ._entry_state import EntryState
@@ -70,6 +71,10 @@
         if fate is not KeyFate.FREE:
             _answer(state, waiter, _unsettled(message.key, fate))
             return
+        reason = refusal(state, message)
+        if reason:
+            _answer(state, waiter, _refused(message, reason))
+            return
         job = _admit(state, key_hash, message)
     elif job.digest != message.digest:
         conflict = JobAnswer(
@@ -101,6 +106,19 @@
     )
 
 
+def _refused(message: ForwardJob, reason: Reason) -> JobAnswer:
+    # No row is kept: the caller may submit the same key again.
+    return JobAnswer(
+        0,
+        message.key,
+        JobState.FAILED,
+        Truth.NOT_RUN,
+        reason,
+        tasks=len(message.tasks),
+        retry_after_ms=UNSETTLED_RETRY_MS,
+    )
+
+
 def _admit(state: EntryState, key_hash: bytes, message: ForwardJob) -> JobRow:
     tasks = [
         TaskRow(TaskId(key_hash, index), spec)
@@ -120,6 +138,7 @@
         open_tasks=len(tasks),
     )
     state.jobs.add(key_hash, job)
+    job_opened(state, job)
     state.job_due.set(key_hash, job.deadline_ms)
     for row in tasks:
         state.waiting[row.task] = None
@@ -315,6 +334,7 @@
     )
     job.state = answer.state
     state.dispatch.unfit_homes.pop(job.key_hash, None)
+    job_closed(state, job)
     state.emit(
         "owner",
         "job ended",
@@ -358,6 +378,8 @@
         if job is None:
             continue
         if job.answer is not None:
+            for row in job.tasks:
+                left_home(state, job, row)
             state.jobs.remove(key_hash)
             continue
         stop_job(state, job, Reason.DEADLINE)
--- /dev/null
+++ b/catkincross/_quotas.py
@@ -0,0 +1,113 @@
+"""Teams' shares and limits, and their use at all entries."""
+
+from __future__ import annotations
+
+import attrs
+
+from ._control_state import ControlState
+from ._messages import TeamUsage
+
+LOWEST_WEIGHT = 0.001
+
+
+@attrs.frozen
+class TeamLimits:
+    """The declared limits of a team.
+
+    Attributes:
+        weight: Share of the slots relative to other teams that have work.
+        max_running: Most tasks at a time at all entries, or None.
+        max_open: Most tasks that have not ended at one owner, or None.
+    """
+
+    weight: float = 1.0
+    max_running: int | None = None
+    max_open: int | None = None
+
+
+DEFAULT_LIMITS = TeamLimits()
+
+
+def team_limits(control: ControlState, team: str) -> TeamLimits:
+    """Return the limits that the `teams` resource declares, or the defaults."""
+    resource = control.resources.get(("teams", team))
+    if resource is None:
+        return DEFAULT_LIMITS
+    spec = resource.spec
+    return TeamLimits(
+        weight=max(LOWEST_WEIGHT, float(spec.get("weight", 1.0))),
+        max_running=spec.get("max_running"),
+        max_open=spec.get("max_open"),
+    )
+
+
+@attrs.define
+class OwnUse:
+    """Use of a team through this owner.
+
+    Attributes:
+        open_tasks: Tasks that have not ended.
+        running: Tasks that are placed on a home.
+        started: Tasks placed since the entry's start.
+    """
+
+    open_tasks: int = 0
+    running: int = 0
+    started: int = 0
+
+
+@attrs.define
+class TeamTable:
+    """Use of the teams here and at the other entries.
+
+    No message is sent for a task: the use of the others comes with heartbeats.
+
+    Attributes:
+        own: Use through this owner by team.
+        others: Running tasks at other entries by team, from their last heartbeats.
+        reports: Last report of each peer by team.
+    """
+
+    own: dict[str, OwnUse] = attrs.field(factory=dict)
+    others: dict[str, int] = attrs.field(factory=dict)
+    reports: dict[str, dict[str, TeamUsage]] = attrs.field(factory=dict)
+
+    def use(self, team: str) -> OwnUse:
+        """Return the use of a team through this owner."""
+        use = self.own.get(team)
+        if use is None:
+            use = self.own[team] = OwnUse()
+        return use
+
+    def running(self, team: str) -> int:
+        """Return the running tasks of a team at all entries."""
+        use = self.own.get(team)
+        return self.others.get(team, 0) + (use.running if use else 0)
+
+    def report(self) -> list[TeamUsage]:
+        """Return the use through this owner for a heartbeat."""
+        return [
+            TeamUsage(team, use.running, use.started) for team, use in self.own.items()
+        ]
+
+    def peer_reported(self, peer: str, teams: dict[str, TeamUsage]) -> dict[str, int]:
+        """Take a peer's report; an empty one forgets the peer.
+
+        Returns:
+            Tasks that the peer started since its last report, by team.
+        """
+        before = self.reports.get(peer, {})
+        started = {}
+        for team in before.keys() | teams.keys():
+            old, new = before.get(team), teams.get(team)
+            change = (new.running if new else 0) - (old.running if old else 0)
+            self.others[team] = self.others.get(team, 0) + change
+            if not self.others[team]:
+                del self.others[team]
+            if old and new and new.started > old.started:
+                started[team] = new.started - old.started
+        if teams:
+            self.reports[peer] = teams
+        else:
+            self.reports.pop(peer, None)
+        return started
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -183,6 +183,32 @@
     )
 
 
+@attrs.define
+class AdmissionSettings:
+    """Section `[admission]`."""
+
+    max_open_tasks: int = setting(
+        200_000,
+        unit="tasks",
+        low=1,
+        high=10_000_000,
+        about="Most tasks that an owner keeps at a time.",
+    )
+    max_open_bytes: int = setting(
+        64_000_000,
+        unit="bytes",
+        low=1_000,
+        high=10_000_000_000,
+        about="Most payload bytes that an owner keeps at a time.",
+    )
+    deadline_favour: float = setting(
+        1.5,
+        low=1,
+        high=100,
+        about="Factor by which work may be faster than expected, for a refusal.",
+    )
+
+
 @attrs.define
 class EntrySettings:
     """All settings of an entry process."""
@@ -197,6 +223,7 @@
     jobs: JobSettings = attrs.field(factory=JobSettings, kw_only=True)
     placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
     estimates: EstimateSettings = attrs.field(factory=EstimateSettings, kw_only=True)
+    admission: AdmissionSettings = attrs.field(factory=AdmissionSettings, kw_only=True)
     queues: QueueSettings = attrs.field(factory=QueueSettings, kw_only=True)
 
 
--- /dev/null
+++ b/tests/test_dispatch_admission.py
@@ -0,0 +1,147 @@
+"""Guards against unbounded queues, late refusals and unfair shares."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from catkincross._fair_queue import FairQueue, Turn
+from catkincross._quotas import TeamTable
+from catkincross.messages import Reason, TaskSpec, TeamUsage, Truth
+from catkincross.records import ResourcePut
+from catkincross.settings import AdmissionSettings
+from scenarios.driver import Driver
+from scenarios.loads import answer, cluster, submit
+
+
+@settings(derandomize=True)
+@given(
+    weights=st.lists(st.integers(1, 5), min_size=2, max_size=4),
+    costs=st.lists(st.integers(1, 50), min_size=4, max_size=4),
+)
+def test_busy_teams_get_work_in_proportion_to_their_weights(
+    weights: list[int], costs: list[int]
+) -> None:
+    # Guards against shares by number of tasks, which favour teams with long tasks.
+    queue: FairQueue[tuple[int, int]] = FairQueue()
+    for team, weight in enumerate(weights):
+        for number in range(600):
+            turn = Turn(str(team), float(weight), float(costs[team]))
+            queue.push((team, number), turn)
+    work: Counter[int] = Counter()
+    while sum(work.values()) < 2_000:
+        (team, _), turn = queue.take()
+        work[team] += turn.cost
+    for team, weight in enumerate(weights):
+        fair = sum(work.values()) * weight / sum(weights)
+        assert abs(work[team] - fair) <= 2 * max(costs) * len(weights)
+
+
+@settings(derandomize=True)
+@given(
+    actions=st.lists(
+        st.tuples(st.sampled_from("put take remove back".split()), st.integers(0, 9)),
+        max_size=80,
+    )
+)
+def test_a_queue_neither_loses_nor_repeats_an_item(actions: list) -> None:
+    # Guards against tasks that wait for ever or are placed twice.
+    queue: FairQueue[int] = FairQueue(batch_share=0.3, burst_cost=5)
+    expected: set[int] = set()
+    for action, item in actions:
+        turn = Turn(f"t{item % 3}", 1.0, 1.0 + item, item % 2 == 0)
+        if action == "put":
+            queue.push(item, turn)
+            expected.add(item)
+        elif action == "remove":
+            assert queue.remove(item) == (item in expected)
+            expected.discard(item)
+        else:
+            taken = queue.take()
+            assert (taken is None) == (not expected)
+            if taken is not None and action == "back":
+                queue.put_back(*taken)
+            elif taken is not None:
+                expected.remove(taken[0])
+    assert set(queue) == expected and len(queue) == len(expected)
+
+
+def test_batch_work_keeps_its_share_behind_interactive_work() -> None:
+    # Guards against a rebuild job that starves while callers wait all the time.
+    queue: FairQueue[int] = FairQueue(batch_share=0.1)
+    for number in range(200):
+        queue.push(number, Turn("a", interactive=number < 150))
+    batch = sum(queue.take()[0] >= 150 for _ in range(100))
+    assert batch == pytest.approx(10, abs=1)
+
+
+def test_use_at_other_entries_counts_until_the_peer_is_forgotten() -> None:
+    # Guards against a limit that applies for each entry instead of in total.
+    table = TeamTable()
+    table.peer_reported("e2", {"a": TeamUsage("a", 5, 10)})
+    started = table.peer_reported("e2", {"a": TeamUsage("a", 3, 14)})
+    assert (table.running("a"), started) == (3, {"a": 4})
+    table.peer_reported("e2", {})
+    assert table.running("a") == 0
+
+
+def test_a_team_never_runs_more_than_its_limit() -> None:
+    # Guards against a quota that only delays, and against teams held up by another.
+    driver = cluster(agents=6)
+    driver.change("e1", ResourcePut("teams", "small", 0, {"max_running": 2}))
+    driver.run(500)
+    limited = submit(driver, "j", 10, team="small")
+    other = submit(driver, "j", 40, team="big")
+    assert answer(driver, other, limit_ms=500).state == "complete"
+    assert answer(driver, limited).state == "complete"
+    starts = [s.at_ms for s in driver.starts if s.start.task.key_hash not in ()]
+    owner = next(iter(driver.starts)).start.owner
+    assert owner and starts
+    events = sorted(
+        (event.at_ms + end, 1 - 2 * bool(end))
+        for event in driver.starts
+        if event.start.spec.payload == b"x" and _team(driver, event.start) == "small"
+        for end in (0, 50)
+    )
+    running = most = 0
+    for _, change in events:
+        running += change
+        most = max(most, running)
+    assert most <= 2
+
+
+def _team(driver: Driver, start: object) -> str:
+    for node in driver.nodes.values():
+        jobs = getattr(node.core.state, "jobs", None)
+        job = jobs.get(start.task.key_hash) if jobs is not None else None
+        if job is not None:
+            return job.team
+    return ""
+
+
+def test_what_cannot_meet_its_deadline_is_refused_at_once() -> None:
+    # Guards against work that is started although its answer will be too late.
+    driver = cluster()
+    spec = TaskSpec(run_ms=5_000)
+    ended = answer(driver, submit(driver, "late", [spec], deadline_ms=1_000))
+    assert (ended.reason, ended.truth) == (Reason.DEADLINE_TOO_SHORT, Truth.NOT_RUN)
+    assert not driver.starts
+    retried = submit(driver, "late", [spec], deadline_ms=20_000)
+    assert answer(driver, retried).state == "complete"
+
+
+@pytest.mark.parametrize("limit", [{"max_open_tasks": 50}, {"max_open_bytes": 50}])
+def test_a_full_queue_refuses_and_recovers(limit: dict[str, int]) -> None:
+    # Guards against queues that grow without bound, and counters that leak.
+    driver = Driver(seed=1)
+    driver.add_entry("e1", "perth", admission=AdmissionSettings(**limit))
+    driver.run(1_000)
+    driver.add_agent("u1", "perth")
+    driver.run(2_000)
+    first = submit(driver, "one", 40)
+    refused = answer(driver, submit(driver, "two", 40))
+    assert (refused.reason, refused.truth) == (Reason.OVERLOADED, Truth.NOT_RUN)
+    assert answer(driver, first).state == "complete"
+    assert answer(driver, submit(driver, "two", 40)).state == "complete"
