--- a/catkincross/_admission.py
+++ b/catkincross/_admission.py
@@ -5,15 +5,19 @@
 from ._entry_rows import JobRow
 from ._entry_state import EntryState
 from ._messages import ForwardJob, Reason
-from ._quotas import team_limits
+from ._quotas import team_share
 
 
 def refusal(state: EntryState, message: ForwardJob) -> Reason:
     """Return why a new job cannot be taken, or `Reason.NONE`."""
     dispatch, limits = state.dispatch, state.settings.admission
-    team = team_limits(state.control, message.team)
-    open_tasks = dispatch.teams.use(message.team).open_tasks
-    if team.max_open is not None and open_tasks + len(message.tasks) > team.max_open:
+    share, use = (
+        team_share(state.control, message.team),
+        dispatch.teams.use(message.team),
+    )
+    if share.waiting and use.waiting + len(message.tasks) > share.waiting:
+        return Reason.QUOTA
+    if share.waiting_bytes and use.waiting_bytes + _size(message) > share.waiting_bytes:
         return Reason.QUOTA
     if dispatch.open_tasks + len(message.tasks) > limits.max_open_tasks:
         return Reason.OVERLOADED
@@ -62,7 +66,6 @@
     dispatch = state.dispatch
     dispatch.open_tasks += len(job.tasks)
     dispatch.open_bytes += sum(len(row.spec.payload) for row in job.tasks)
-    dispatch.teams.use(job.team).open_tasks += len(job.tasks)
 
 
 def job_closed(state: EntryState, job: JobRow) -> None:
@@ -70,4 +73,3 @@
     dispatch = state.dispatch
     dispatch.open_tasks -= len(job.tasks)
     dispatch.open_bytes -= sum(len(row.spec.payload) for row in job.tasks)
-    dispatch.teams.use(job.team).open_tasks -= len(job.tasks)
--- a/catkincross/_fair_queue.py
+++ b/catkincross/_fair_queue.py
@@ -18,12 +18,14 @@
 
     Attributes:
         cost: Work of the item, in milliseconds of a slot.
+        burst: Work by which its team may run ahead, beside that of the queue.
     """
 
     team: str
     weight: float = 1.0
     cost: float = 1.0
     interactive: bool = False
+    burst: float = 0.0
 
 
 @attrs.define
@@ -67,8 +69,7 @@
         self.turns[item] = (self.sequence, turn)
         line = self.lines.get(turn.team)
         if line is None:
-            start = self.virtual - self.burst_cost / turn.weight
-            line = self.lines[turn.team] = TeamLine(start)
+            line = self.lines[turn.team] = TeamLine(self._floor(turn))
         if front:
             line.items.appendleft((self.sequence, item))
             line.finish -= turn.cost / turn.weight
@@ -77,10 +78,12 @@
         if line.head_tag is None or front:
             self._enter(turn, line)
 
+    def _floor(self, turn: Turn) -> float:
+        return self.virtual - (self.burst_cost + turn.burst) / turn.weight
+
     def _enter(self, turn: Turn, line: TeamLine) -> None:
         # An idle team keeps no claim to the time that it did not use, but for a burst.
-        floor = self.virtual - self.burst_cost / turn.weight
-        line.finish = max(line.finish, floor)
+        line.finish = max(line.finish, self._floor(turn))
         line.head_tag = line.finish
         self.sequence += 1
         heapq.heappush(self.heap, (line.head_tag, self.sequence, turn.team))
--- a/catkincross/_home_choice.py
+++ b/catkincross/_home_choice.py
@@ -14,7 +14,7 @@
 from ._ids import TaskId
 from ._lanes import Lanes
 from ._messages import CapacitySummary, Reason, TaskResult, TaskStatus
-from ._quotas import team_limits
+from ._quotas import team_share
 
 
 def home_index(state: EntryState, service: str) -> HomeIndex:
@@ -113,15 +113,19 @@
 def _queue_job(state: EntryState, job: JobRow, rows: list[TaskRow]) -> None:
     dispatch, service = state.dispatch, job.service
     lanes = dispatch.queue(dispatch.backlog, service)
-    weight = team_limits(state.control, job.team).weight
+    share = team_share(state.control, job.team)
+    use = dispatch.teams.use(job.team)
+    burst_ms = share.burst * dispatch.mean_run_ms(service)
     expect_ms = dispatch.run_times.expect_ms
     costs = {row.task: expect_ms(service, row.spec) for row in rows}
     # A long task that starts last would delay the whole answer.
     for row in sorted(rows, key=lambda row: -costs[row.task]):
         cost = costs[row.task]
-        turn = Turn(job.team, weight, cost, job.interactive)
+        turn = Turn(job.team, share.weight, cost, job.interactive, burst_ms)
         need = TaskNeed(cost, row.spec.memory_mb, row.spec.accelerators)
         lanes.push(row.task, turn, need)
+        use.waiting += 1
+        use.waiting_bytes += len(row.spec.payload)
     index = home_index(state, service)
     specs = [row.spec for row in rows]
     for memory_mb, accelerators in {(s.memory_mb, s.accelerators) for s in specs}:
@@ -132,9 +136,12 @@
 def unqueue(state: EntryState, job: JobRow, row: TaskRow) -> None:
     """Remove a task from the backlog."""
     state.waiting.pop(row.task, None)
-    queue = state.dispatch.backlog.get(job.service)
-    if queue is not None:
-        queue.remove(row.task)
+    lanes = state.dispatch.backlog.get(job.service)
+    if lanes is not None and row.task in lanes:
+        lanes.remove(row.task)
+        use = state.dispatch.teams.use(job.team)
+        use.waiting -= 1
+        use.waiting_bytes -= len(row.spec.payload)
         state.dispatch.due_backlogs[job.service] = None
 
 
@@ -192,6 +199,8 @@
         return False
     index.use(home, state.now_ms)
     use = state.dispatch.teams.use(job.team)
+    use.waiting -= 1
+    use.waiting_bytes -= len(spec.payload)
     use.running += 1
     use.started += 1
     limit_team(state, job.team)
@@ -240,8 +249,8 @@
 def limit_team(state: EntryState, team: str) -> None:
     """Hold back a team at its limit of running tasks, or take it up again."""
     dispatch = state.dispatch
-    most = team_limits(state.control, team).max_running
-    if most is not None and dispatch.teams.running(team) >= most:
+    most = team_share(state.control, team).running
+    if most and dispatch.teams.running(team) >= most:
         for lanes in dispatch.backlog.values():
             lanes.hold(team)
         return
@@ -256,7 +265,7 @@
     dispatch = state.dispatch
     started = dispatch.teams.peer_reported(name, peer.teams)
     for team, count in started.items():
-        weight = team_limits(state.control, team).weight
+        weight = team_share(state.control, team).weight
         for service, lanes in dispatch.backlog.items():
             if lanes:
                 lanes.charge(team, count * dispatch.mean_run_ms(service) / weight)
--- a/catkincross/_quotas.py
+++ b/catkincross/_quotas.py
@@ -11,33 +11,40 @@
 
 
 @attrs.frozen
-class TeamLimits:
-    """The declared limits of a team.
+class Share:
+    """What a team may use; 0 means that there is no limit.
 
     Attributes:
         weight: Share of the slots relative to other teams that have work.
-        max_running: Most tasks at a time at all entries, or None.
-        max_open: Most tasks that have not ended at one owner, or None.
+        burst: Tasks by which the team may run ahead after it was idle.
+        running: Most tasks at a time at all entries.
+        waiting: Most tasks that wait at one owner.
+        waiting_bytes: Most payload bytes of these tasks.
     """
 
     weight: float = 1.0
-    max_running: int | None = None
-    max_open: int | None = None
+    burst: int = 0
+    running: int = 0
+    waiting: int = 0
+    waiting_bytes: int = 0
 
 
-DEFAULT_LIMITS = TeamLimits()
+DEFAULT_SHARE = Share()
 
 
-def team_limits(control: ControlState, team: str) -> TeamLimits:
-    """Return the limits that the `teams` resource declares, or the defaults."""
+def team_share(control: ControlState, team: str) -> Share:
+    """Return what the `teams` resource declares for a team, or the default."""
     resource = control.resources.get(("teams", team))
     if resource is None:
-        return DEFAULT_LIMITS
+        return DEFAULT_SHARE
     spec = resource.spec
-    return TeamLimits(
+    limits = spec.get("limits", {})
+    return Share(
         weight=max(LOWEST_WEIGHT, float(spec.get("weight", 1.0))),
-        max_running=spec.get("max_running"),
-        max_open=spec.get("max_open"),
+        burst=int(spec.get("burst", 0)),
+        running=int(limits.get("running", 0)),
+        waiting=int(limits.get("waiting", 0)),
+        waiting_bytes=int(limits.get("waiting_bytes", 0)),
     )
 
 
@@ -46,12 +53,14 @@
     """Use of a team through this owner.
 
     Attributes:
-        open_tasks: Tasks that have not ended.
+        waiting: Tasks in the backlog.
+        waiting_bytes: Payload bytes of these tasks.
         running: Tasks that are placed on a home.
         started: Tasks placed since the entry's start.
     """
 
-    open_tasks: int = 0
+    waiting: int = 0
+    waiting_bytes: int = 0
     running: int = 0
     started: int = 0
 
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -4,8 +4,10 @@
 
 from typing import Any
 
+from catkincross._records import encode_record
 from catkincross.effects import JobSubmitted
 from catkincross.messages import JobAnswer, TaskSpec
+from catkincross.records import Record, ResourcePut
 
 from .driver import Driver
 
@@ -52,6 +54,14 @@
     return driver.submit(entry, job)
 
 
+def declare(driver: Driver, kind: str, name: str, spec: dict[str, Any]) -> None:
+    """Append the first version of a resource to the log and let all entries read it."""
+    author = driver.nodes["entry/e1"].core.state.me
+    body = ResourcePut(kind, name, 0, spec)
+    driver.log.append(encode_record(Record(f"declare {kind} {name}", author, body)))
+    driver.run(500)
+
+
 def answer(driver: Driver, request: int, *, limit_ms: int = 60_000) -> JobAnswer:
     """Run until a request is answered and return its answer."""
     assert driver.run_until(lambda: request in driver.answers, limit_ms=limit_ms)
