Limit upstreams by latency, failures and restores

Cause: an upstream that fails everything fast attracted the most tasks, an overloaded one stayed at all its slots, and a restored data centre took a burst at once.

Ruled out: ejection by failures of one job, since a faulty job fails everywhere.

Before: all announced slots at all times. After: a latency limit, ejection of at most a third with probes, a ramp after a restore, and a pause after refusals.

--- a/catkincross/_dispatch_state.py
+++ b/catkincross/_dispatch_state.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+from ._ejection import Ejections
 from ._estimates import RunTimes, Speeds
 from ._fit import MemoryUse, TaskNeed
 from ._home_index import HomeIndex
@@ -15,6 +18,9 @@
 from ._settings import EntrySettings
 from ._tables import DueQueue
 
+if TYPE_CHECKING:
+    from ._upstream_health import Health
+
 
 @attrs.define
 class Dispatch:
@@ -38,6 +44,9 @@
         teams: Use of the teams.
         open_tasks: Tasks of jobs that this owner has not answered.
         open_bytes: Payload of these tasks.
+        health: What limits the use of each upstream, by agent.
+        health_due: When the usable slots of an agent change by time.
+        ejections: Standing of the upstreams by service.
         queue_due_ms: When the home must look at its queues again, or None.
     """
 
@@ -59,6 +68,9 @@
     teams: TeamTable = attrs.field(factory=TeamTable)
     open_tasks: int = 0
     open_bytes: int = 0
+    health: dict[str, Health] = attrs.field(factory=dict)
+    health_due: DueQueue[str] = attrs.field(factory=DueQueue)
+    ejections: dict[str, Ejections] = attrs.field(factory=dict)
     queue_due_ms: int | None = None
 
     @classmethod
@@ -100,5 +112,9 @@
 
     def next_due_ms(self) -> int | None:
         """Return when the policies must run again without an event, or None."""
-        due = (self.queue_due_ms, self.unplaced.next_due_ms())
+        due = (
+            self.queue_due_ms,
+            self.unplaced.next_due_ms(),
+            self.health_due.next_due_ms(),
+        )
         return min((due_ms for due_ms in due if due_ms is not None), default=None)
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -18,6 +18,7 @@
     TaskResult,
     TaskStatus,
 )
+from ._upstream_health import note_result
 
 
 @ENTRY.handles(PlaceTasks)
@@ -75,6 +76,8 @@
         if row is None:
             _relay_unknown(state, result)
         elif row.result is None and row.agent == name:
+            if agent is not None:
+                note_result(state, agent, row, result)
             _learn(state, row, result)
             finish(state, row, result)
 
--- a/catkincross/_home_choice.py
+++ b/catkincross/_home_choice.py
@@ -222,8 +222,14 @@
 def unplaceable(state: EntryState, job: JobRow) -> Reason:
     """Return why no home can ever take a waiting task of a job, or `NONE`."""
     index = home_index(state, job.service)
-    if not index.rows:
+    members = state.control.members.values()
+    if not any(
+        member.registered.service == job.service and member.ended_ms is None
+        for member in members
+    ):
         return Reason.NO_UPSTREAM
+    if not index.rows:
+        return Reason.NONE
     unfit = state.dispatch.unfit_homes.get(job.key_hash, NONE)
     specs = [row.spec for row in job.tasks if row.phase is TaskPhase.WAITING]
     needs = {TaskNeed(0, spec.memory_mb, spec.accelerators) for spec in specs}
--- a/catkincross/_home_slots.py
+++ b/catkincross/_home_slots.py
@@ -10,6 +10,7 @@
 from ._fit import TaskNeed
 from ._messages import OwnedTask
 from ._upstream import Upstream, speed_class
+from ._upstream_health import usable_slots
 
 NO_NEED = TaskNeed()
 
@@ -71,19 +72,32 @@
     if agent is None:
         for slots in state.dispatch.services.values():
             slots.remove(name)
-        state.dispatch.memory.forget(name)
+        _forget_agent(state, name)
         return
     service = agent.hello.service
     slots = state.dispatch.service(service)
-    if not takes_work(state, agent):
+    if not agent.connected or not state.control.is_registered(agent.hello.agent):
         slots.remove(name)
         return
-    slots.put(_upstream(state, agent))
+    # An upstream that is out of service stays in the index without slots, since what
+    # fits there can still run once it is restored.
+    usable = usable_slots(state, agent, takes_work=takes_work(state, agent))
+    slots.put(_upstream(state, agent, usable))
     state.dispatch.due_services[service] = None
     state.dispatch.due_backlogs[service] = None
 
 
-def _upstream(state: EntryState, agent: AgentRow) -> Upstream:
+def _forget_agent(state: EntryState, name: str) -> None:
+    dispatch = state.dispatch
+    dispatch.memory.forget(name)
+    dispatch.health.pop(name, None)
+    dispatch.health_due.cancel(name)
+    for service, ejections in dispatch.ejections.items():
+        ejections.forget(name)
+        dispatch.upstream_speeds.forget(service, name)
+
+
+def _upstream(state: EntryState, agent: AgentRow, slots: int) -> Upstream:
     hello, dispatch = agent.hello, state.dispatch
     needs = [dispatch.needs[key] for key in agent.held if key in dispatch.needs]
     needs_mb = sum(need.memory_mb for need in needs)
@@ -95,7 +109,7 @@
         name=agent.name,
         service=hello.service,
         data_centre=hello.data_centre,
-        slots=min(hello.slots, hello.connections),
+        slots=slots,
         held=len(agent.held),
         speed_class=speed_class(speed),
         memory_mb=hello.memory_mb,
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -279,6 +279,58 @@
     )
 
 
+@attrs.define
+class ConcurrencySettings:
+    """Section `[concurrency]`."""
+
+    window: int = setting(
+        16, unit="tasks", low=1, high=10_000, about="Results for each adjustment."
+    )
+    tolerance: float = setting(
+        1.5, low=1, high=100, about="Run time over the usual one that lowers the limit."
+    )
+    decrease: float = setting(
+        0.8, low=0.1, high=1, about="Factor that lowers the limit of an upstream."
+    )
+
+
+@attrs.define
+class EjectionSettings:
+    """Section `[ejection]`."""
+
+    decay: float = setting(
+        0.2, low=0.001, high=1, about="Weight of the newest task in the failure rate."
+    )
+    excess: float = setting(
+        0.4, low=0, high=1, about="Failure rate above the peers' that ejects."
+    )
+    jobs: int = setting(
+        2, unit="jobs", low=1, high=100, about="Jobs that must fail on an upstream."
+    )
+    eject_ms: int = setting(
+        2_000, unit="ms", low=10, high=600_000, about="Duration of a first ejection."
+    )
+    longest_ms: int = setting(
+        60_000, unit="ms", low=10, high=3_600_000, about="Longest ejection."
+    )
+    probes: int = setting(
+        3, unit="tasks", low=1, high=100, about="Successes that end an ejection."
+    )
+
+
+@attrs.define
+class RampSettings:
+    """Section `[ramp]`."""
+
+    ramp_ms: int = setting(
+        5_000,
+        unit="ms",
+        low=1,
+        high=600_000,
+        about="Time in which a restored upstream gets all its slots.",
+    )
+
+
 @attrs.define
 class EntrySettings:
     """All settings of an entry process."""
@@ -297,6 +349,11 @@
     placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
     estimates: EstimateSettings = attrs.field(factory=EstimateSettings, kw_only=True)
     admission: AdmissionSettings = attrs.field(factory=AdmissionSettings, kw_only=True)
+    concurrency: ConcurrencySettings = attrs.field(
+        factory=ConcurrencySettings, kw_only=True
+    )
+    ejection: EjectionSettings = attrs.field(factory=EjectionSettings, kw_only=True)
+    ramp: RampSettings = attrs.field(factory=RampSettings, kw_only=True)
     queues: QueueSettings = attrs.field(factory=QueueSettings, kw_only=True)
 
 
--- /dev/null
+++ b/catkincross/_upstream_health.py
@@ -0,0 +1,137 @@
+"""Slots of an upstream that may be used, by its latency, failures and restores."""
+
+from __future__ import annotations
+
+import attrs
+
+from ._concurrency import ConcurrencyLimit
+from ._dispatch_state import Dispatch
+from ._ejection import Ejections, Standing
+from ._entry_registry import ENTRY
+from ._entry_rows import AgentRow, HomeTask
+from ._entry_state import EntryState
+from ._messages import Reason, TaskResult, TaskStatus
+from ._ramp import next_step_ms, ramp_slots
+
+UPSTREAM_FAILURES = {
+    Reason.UPSTREAM_FAILED,
+    Reason.UPSTREAM_UNREACHABLE,
+    Reason.ANSWER_MISMATCH,
+}
+# A refusing agent refuses the next task as well, until its view or its slots change.
+FIRST_PAUSE_MS = 20
+LONGEST_PAUSE_MS = 1_000
+
+
+@attrs.define
+class Health:
+    """What limits the use of one upstream.
+
+    Attributes:
+        drained: It was seen out of service, so its return is a restore.
+        restored_ms: When it was restored, or None.
+        paused_until_ms: End of the pause after a refusal.
+        refusals: Refusals in a row.
+    """
+
+    concurrency: ConcurrencyLimit
+    drained: bool = False
+    restored_ms: int | None = None
+    paused_until_ms: int = 0
+    refusals: int = 0
+
+
+def health_of(state: EntryState, agent: AgentRow) -> Health:
+    """Return the health of an agent's upstream, a good one for a new one."""
+    health = state.dispatch.health.get(agent.name)
+    if health is None:
+        settings = state.settings.concurrency
+        limit = ConcurrencyLimit(settings, float(_announced(agent)))
+        health = state.dispatch.health[agent.name] = Health(limit)
+    return health
+
+
+def _announced(agent: AgentRow) -> int:
+    return min(agent.hello.slots, agent.hello.connections)
+
+
+def ejections_of(dispatch: Dispatch, service: str) -> Ejections:
+    """Return the standing of a service's upstreams."""
+    ejections = dispatch.ejections.get(service)
+    if ejections is None:
+        ejections = Ejections(dispatch.settings.ejection)
+        dispatch.ejections[service] = ejections
+    return ejections
+
+
+def usable_slots(state: EntryState, agent: AgentRow, *, takes_work: bool) -> int:
+    """Return how many slots of an agent may be used now."""
+    health, now_ms = health_of(state, agent), state.now_ms
+    if not takes_work:
+        health.drained = True
+        return 0
+    if health.drained:
+        health.drained, health.restored_ms = False, now_ms
+    ejections = ejections_of(state.dispatch, agent.hello.service)
+    ejections.begin_probe(agent.name, now_ms)
+    record = ejections.record(agent.name)
+    if record.standing is Standing.EJECTED:
+        state.dispatch.health_due.set(agent.name, record.until_ms)
+        return 0
+    if now_ms < health.paused_until_ms:
+        state.dispatch.health_due.set(agent.name, health.paused_until_ms)
+        return 0
+    if record.standing is Standing.PROBING:
+        return 1
+    slots = min(_announced(agent), max(1, int(health.concurrency.limit)))
+    ramp_ms = state.settings.ramp.ramp_ms
+    if health.restored_ms is not None:
+        due_ms = next_step_ms(health.restored_ms, now_ms, ramp_ms)
+        if due_ms is not None:
+            state.dispatch.health_due.set(agent.name, due_ms)
+    return ramp_slots(slots, health.restored_ms, now_ms, ramp_ms)
+
+
+def note_result(
+    state: EntryState, agent: AgentRow, row: HomeTask, result: TaskResult
+) -> None:
+    """Take what the end of a task says about its upstream."""
+    dispatch, name = state.dispatch, agent.name
+    health = health_of(state, agent)
+    if result.not_run and result.status is TaskStatus.REFUSED:
+        _pause(state, health, name)
+        return
+    health.refusals = 0
+    failed = result.reason in UPSTREAM_FAILURES
+    if not failed and result.status is not TaskStatus.OK:
+        return
+    ejections = ejections_of(dispatch, agent.hello.service)
+    changed = ejections.observe(
+        name, result.task.key_hash, failed=failed, now_ms=state.now_ms
+    )
+    if changed:
+        standing = ejections.record(name).standing
+        if standing is Standing.GOOD:
+            health.restored_ms = state.now_ms
+        state.emit("home", "upstream standing changed", agent=name, standing=standing)
+    if not failed:
+        placed = row.placed
+        expected_ms = dispatch.run_times.expect_ms(placed.service, placed.spec)
+        changed |= health.concurrency.observe(
+            expected_ms, result.run_ms, len(agent.held) + 1, _announced(agent)
+        )
+    if changed:
+        dispatch.changed_agents[name] = None
+
+
+def _pause(state: EntryState, health: Health, name: str) -> None:
+    pause_ms = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** min(health.refusals, 10))
+    health.refusals += 1
+    health.paused_until_ms = state.now_ms + pause_ms
+    state.dispatch.changed_agents[name] = None
+
+
+@ENTRY.system(order=280)
+def _health_due(state: EntryState) -> None:
+    for name in state.dispatch.health_due.pop_due(state.now_ms):
+        state.dispatch.changed_agents[name] = None
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -54,11 +54,14 @@
     return driver.submit(entry, job)
 
 
-def declare(driver: Driver, kind: str, name: str, spec: dict[str, Any]) -> None:
-    """Append the first version of a resource to the log and let all entries read it."""
+def declare(
+    driver: Driver, kind: str, name: str, spec: dict[str, Any], *, generation: int = 0
+) -> None:
+    """Append a version of a resource to the log and let all entries read it."""
     author = driver.nodes["entry/e1"].core.state.me
-    body = ResourcePut(kind, name, 0, spec)
-    driver.log.append(encode_record(Record(f"declare {kind} {name}", author, body)))
+    body = ResourcePut(kind, name, generation, spec)
+    record = Record(f"{kind} {name} {generation}", author, body)
+    driver.log.append(encode_record(record))
     driver.run(500)
 
 
