Recall, revoke, retry, hedge and cancel in batches

Cause: tasks stayed queued at a home while another was idle, a frozen agent kept work that it had not started, one slow upstream decided the slowest answers, and each cancelled task cost a message.

Ruled out: recalls decided by the home, since the owner alone numbers the attempts; a hedge at the same agent, which would answer it as a duplicate.

Before: tasks waited where they were. After: owners recall the tasks placed last, agents that make no progress while others do are asked to block what they have not started, idempotent single requests are retried and hedged within budgets, and cancellations leave in one message for each addressee and step.

--- /dev/null
+++ b/catkincross/_cancellation.py
@@ -0,0 +1,42 @@
+"""Cancellations: queued tasks end at once, others in one message for each agent."""
+
+from __future__ import annotations
+
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
+from ._home import decline
+from ._ids import agent_process, entry_process
+from ._messages import CancelTasks, OwnedTask, Reason
+
+
+@ENTRY.handles(CancelTasks)
+def _tasks_cancelled(state: EntryState, sender: str, message: CancelTasks) -> None:
+    cancel_here(state, message.tasks, revoke=message.revoke)
+
+
+def cancel_at(state: EntryState, home: str, tasks: list[OwnedTask]) -> None:
+    """Cancel tasks of this owner at their home."""
+    if home == state.name:
+        cancel_here(state, tasks)
+    else:
+        state.batches.cancels[entry_process(home), False].extend(tasks)
+
+
+def cancel_here(
+    state: EntryState, tasks: list[OwnedTask], *, revoke: bool = False
+) -> None:
+    """Cancel tasks at this home: queued ones at once, others at their agents.
+
+    Args:
+        state: The entry's state.
+        tasks: Tasks that owners placed here; others are ignored.
+        revoke: Only prevent the start; a running task goes on.
+    """
+    for owned in tasks:
+        row = state.home_tasks.get(owned)
+        if row is None or row.result is not None:
+            continue
+        if row.agent:
+            state.batches.cancels[agent_process(row.agent), revoke].append(owned)
+        else:
+            decline(state, row, Reason.CANCELLED)
--- a/catkincross/_dispatch_state.py
+++ b/catkincross/_dispatch_state.py
@@ -14,11 +14,13 @@
 from ._lanes import Lanes
 from ._messages import OwnedTask
 from ._quotas import TeamTable
+from ._retry_budget import RetryBudget
 from ._service_slots import ServiceSlots
 from ._settings import EntrySettings
 from ._tables import DueQueue
 
 if TYPE_CHECKING:
+    from ._hedging import EarlierAttempt, Quantile
     from ._upstream_health import Health
 
 
@@ -47,6 +49,16 @@
         health: What limits the use of each upstream, by agent.
         health_due: When the usable slots of an agent change by time.
         ejections: Standing of the upstreams by service.
+        reported: Services of which a peer reported its capacity in this step.
+        slotless: Services with a queue but no slot in service at this home.
+        overdue: When the tasks that agents have are checked for a stall.
+        progress: When a task of a service ended last at this home.
+        retries: Budget of retries of failed requests.
+        hedge_budget: Budget of hedges.
+        delayed: Tasks that wait before they are placed again.
+        hedge_due: When a placed request is hedged.
+        hedges: Earlier attempts of the requests that were hedged.
+        latencies: Percentile of the time from placement to answer, by service.
         queue_due_ms: When the home must look at its queues again, or None.
     """
 
@@ -54,6 +66,8 @@
     run_times: RunTimes
     upstream_speeds: Speeds
     home_speeds: Speeds
+    retries: RetryBudget
+    hedge_budget: RetryBudget
     services: dict[str, ServiceSlots] = attrs.field(factory=dict)
     lanes: dict[str, Lanes[OwnedTask]] = attrs.field(factory=dict)
     due_services: dict[str, None] = attrs.field(factory=dict)
@@ -71,6 +85,14 @@
     health: dict[str, Health] = attrs.field(factory=dict)
     health_due: DueQueue[str] = attrs.field(factory=DueQueue)
     ejections: dict[str, Ejections] = attrs.field(factory=dict)
+    reported: dict[str, None] = attrs.field(factory=dict)
+    slotless: dict[str, None] = attrs.field(factory=dict)
+    overdue: DueQueue[OwnedTask] = attrs.field(factory=DueQueue)
+    progress: dict[str, int] = attrs.field(factory=dict)
+    delayed: DueQueue[TaskId] = attrs.field(factory=DueQueue)
+    hedge_due: DueQueue[TaskId] = attrs.field(factory=DueQueue)
+    hedges: dict[TaskId, EarlierAttempt] = attrs.field(factory=dict)
+    latencies: dict[str, Quantile] = attrs.field(factory=dict)
     queue_due_ms: int | None = None
 
     @classmethod
@@ -82,6 +104,8 @@
             run_times=RunTimes(estimates.run_decay, estimates.default_run_ms),
             upstream_speeds=Speeds(estimates.speed_decay),
             home_speeds=Speeds(estimates.speed_decay),
+            retries=RetryBudget(settings.retries.retry_share),
+            hedge_budget=RetryBudget(settings.retries.hedge_share),
         )
 
     def service(self, name: str) -> ServiceSlots:
@@ -116,5 +140,8 @@
             self.queue_due_ms,
             self.unplaced.next_due_ms(),
             self.health_due.next_due_ms(),
+            self.overdue.next_due_ms(),
+            self.delayed.next_due_ms(),
+            self.hedge_due.next_due_ms(),
         )
         return min((due_ms for due_ms in due if due_ms is not None), default=None)
--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -13,6 +13,8 @@
     _home_agents,
     _membership,
     _owner,
+    _recall,
+    _stragglers,
     _task_recovery,
 )
 from ._effects import Effect, Received
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -15,6 +15,7 @@
 from ._guards import ALL_GUARDS, Guards
 from ._ids import Incarnation, TaskId, entry_process
 from ._messages import (
+    CancelTasks,
     CapacitySummary,
     JobAnswer,
     Message,
@@ -36,6 +37,7 @@
     """Items that leave in one message for each addressee at the end of a step.
 
     Attributes:
+        cancels: Tasks to cancel, by addressee and whether to revoke only.
         result_services: Services of the results, by addressee.
         capacity: What the results' message says of these services.
     """
@@ -45,6 +47,9 @@
     results: dict[str, list[TaskResult]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
+    cancels: dict[tuple[str, bool], list[OwnedTask]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
     result_services: dict[str, dict[str, None]] = attrs.field(
         factory=lambda: defaultdict(dict)
     )
@@ -183,6 +188,8 @@
             self.send(process, PlaceTasks(placed))
         for process, starts in self.batches.starts.items():
             self.send(process, StartTasks(starts))
+        for (process, revoke), tasks in self.batches.cancels.items():
+            self.send(process, CancelTasks(tasks, revoke))
         for process, results in self.batches.results.items():
             capacity = self.batches.capacity.get(process, [])
             self.send(process, TaskResults(results, capacity))
--- /dev/null
+++ b/catkincross/_hedging.py
@@ -0,0 +1,163 @@
+"""Retries and hedges of single idempotent requests, and backoff after refusals."""
+
+from __future__ import annotations
+
+import attrs
+
+from ._cancellation import cancel_at
+from ._entry_registry import ENTRY
+from ._entry_rows import JobRow, TaskPhase, TaskRow
+from ._entry_state import EntryState
+from ._home_choice import left_home
+from ._messages import OwnedTask, TaskResult, TaskStatus
+from ._retry_budget import backoff_ms
+
+# Weight of one answer in the learned percentile, relative to its value.
+QUANTILE_STEP = 0.02
+
+
+@attrs.define
+class Quantile:
+    """Running estimate of a percentile.
+
+    Attributes:
+        share: Share of the values below the estimate, from 0 to 1.
+        count: Values seen.
+    """
+
+    share: float
+    value: float = 0.0
+    count: int = 0
+
+    def add(self, value: float) -> None:
+        """Take a value."""
+        self.count += 1
+        if self.count == 1:
+            self.value = value
+            return
+        step = max(1.0, self.value) * max(QUANTILE_STEP, 1.0 / self.count)
+        self.value += step * (self.share - (value <= self.value))
+        self.value = max(0.0, self.value)
+
+
+@attrs.frozen
+class EarlierAttempt:
+    """An attempt that still runs while a hedge of the same request does."""
+
+    home: str
+    attempt: int
+
+
+def is_single(job: JobRow) -> bool:
+    """Whether a job is one request that may run more than once."""
+    return job.idempotent and len(job.tasks) == 1
+
+
+def attempt_placed(state: EntryState, job: JobRow, row: TaskRow) -> None:
+    """Note that an attempt was sent to a home."""
+    if not is_single(job) or row.task in state.dispatch.hedges:
+        return
+    latency = state.dispatch.latencies.get(job.service)
+    settings = state.settings.retries
+    if latency is not None and latency.count >= settings.hedge_samples:
+        due_ms = state.now_ms + round(latency.value) + 1
+        state.dispatch.hedge_due.set(row.task, due_ms)
+
+
+def place_again(state: EntryState, row: TaskRow, refusals: int) -> None:
+    """Let a task wait for a home, at once after its first refusal."""
+    row.phase = TaskPhase.WAITING
+    settings = state.settings.retries
+    if refusals <= 1:
+        state.waiting[row.task] = None
+        return
+    wait_ms = backoff_ms(
+        refusals - 1, settings.backoff_ms, settings.longest_backoff_ms, state.rng
+    )
+    state.dispatch.delayed.set(row.task, state.now_ms + wait_ms)
+
+
+def retries_failure(
+    state: EntryState, job: JobRow, row: TaskRow, result: TaskResult
+) -> bool:
+    """Return whether a failed request is tried again, and arrange for it."""
+    if job.cancelling or job.answer is not None or not is_single(job):
+        return False
+    if result.status is not TaskStatus.FAILED:
+        return False
+    earlier = state.dispatch.hedges.get(row.task)
+    if earlier is not None and result.attempt == earlier.attempt:
+        # The other attempt may still succeed.
+        del state.dispatch.hedges[row.task]
+        row.result = result
+        return True
+    if row.phase is not TaskPhase.PLACED or result.attempt != row.attempts:
+        return True
+    if not state.dispatch.retries.spend():
+        return False
+    row.result = result
+    left_home(state, job, row)
+    place_again(state, row, row.attempts + 1)
+    return True
+
+
+def drop_refused(state: EntryState, row: TaskRow, result: TaskResult) -> None:
+    """Forget an earlier attempt that turned out not to have run."""
+    earlier = state.dispatch.hedges.get(row.task)
+    if earlier is not None and result.attempt == earlier.attempt:
+        del state.dispatch.hedges[row.task]
+
+
+def request_ended(
+    state: EntryState, job: JobRow, row: TaskRow, result: TaskResult
+) -> None:
+    """Cancel the attempts that did not win and learn from the one that did."""
+    dispatch = state.dispatch
+    if result.status is TaskStatus.OK:
+        dispatch.retries.earn()
+        dispatch.hedge_budget.earn()
+    if not is_single(job):
+        return
+    if result.status is TaskStatus.OK and result.attempt == row.attempts:
+        latency = dispatch.latencies.get(job.service)
+        if latency is None:
+            share = state.settings.retries.hedge_percentile / 100
+            latency = dispatch.latencies[job.service] = Quantile(share)
+        latency.add(state.now_ms - row.placed_ms)
+    cancel_attempts(state, row, besides=result.attempt)
+
+
+def cancel_attempts(state: EntryState, row: TaskRow, *, besides: int = 0) -> None:
+    """Cancel the attempts of a request that are under way, except for one."""
+    dispatch = state.dispatch
+    dispatch.hedge_due.cancel(row.task)
+    dispatch.delayed.cancel(row.task)
+    earlier = dispatch.hedges.pop(row.task, None)
+    if earlier is None:
+        return
+    if earlier.attempt != besides:
+        owned = OwnedTask(state.me, row.task, earlier.attempt)
+        cancel_at(state, earlier.home, [owned])
+    if row.phase is TaskPhase.PLACED and row.attempts != besides:
+        owned = OwnedTask(state.me, row.task, row.attempts)
+        cancel_at(state, row.home, [owned])
+
+
+@ENTRY.system(order=385)
+def _hedge(state: EntryState) -> None:
+    """Place a second attempt of the requests whose answer is overdue."""
+    dispatch = state.dispatch
+    for task in dispatch.delayed.pop_due(state.now_ms):
+        state.waiting[task] = None
+    for task in dispatch.hedge_due.pop_due(state.now_ms):
+        job = state.jobs.get(task.key_hash)
+        if job is None or job.answer is not None or job.cancelling:
+            continue
+        row = job.tasks[task.index]
+        if row.phase is not TaskPhase.PLACED or not dispatch.hedge_budget.spend():
+            continue
+        dispatch.hedges[task] = EarlierAttempt(row.home, row.attempts)
+        left_home(state, job, row)
+        row.phase = TaskPhase.WAITING
+        state.waiting[task] = None
+        state.emit("owner", "request hedged", task=str(task), home=row.home)
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -7,14 +7,11 @@
 from ._entry_state import EntryState
 from ._home_slots import forget_running, reindex_speed, release_slot
 from ._home_starts import dequeue, enqueue, fits_nowhere_here
-from ._ids import agent_process
 from ._messages import (
-    CancelTasks,
     OwnedTask,
     PlacedTask,
     PlaceTasks,
     Reason,
-    RecallTasks,
     TaskResult,
     TaskStatus,
 )
@@ -26,18 +23,6 @@
     accept_tasks(state, sender, message.tasks)
 
 
-@ENTRY.handles(CancelTasks)
-def _tasks_cancelled(state: EntryState, sender: str, message: CancelTasks) -> None:
-    cancel_tasks(state, message)
-
-
-@ENTRY.handles(RecallTasks)
-def _tasks_recalled(state: EntryState, sender: str, message: RecallTasks) -> None:
-    for owned in message.tasks:
-        if owned in state.home_queue:
-            decline(state, state.home_tasks.rows[owned], Reason.RECALLED)
-
-
 def accept_tasks(
     state: EntryState, owner_process: str, tasks: list[PlacedTask]
 ) -> None:
@@ -149,21 +134,6 @@
         state.batches.result_services[row.owner_process][row.placed.service] = None
 
 
-def cancel_tasks(state: EntryState, message: CancelTasks) -> None:
-    """Cancel tasks at this home: queued ones at once, others at their agents."""
-    by_agent: dict[str, list[OwnedTask]] = {}
-    for owned in message.tasks:
-        row = state.home_tasks.get(owned)
-        if row is None or row.result is not None:
-            continue
-        if row.agent:
-            by_agent.setdefault(row.agent, []).append(owned)
-        else:
-            decline(state, row, Reason.CANCELLED)
-    for agent, tasks in by_agent.items():
-        state.send(agent_process(agent), CancelTasks(tasks, message.revoke))
-
-
 @ENTRY.system(order=460)
 def _expire_home_tasks(state: EntryState) -> None:
     for key in state.home_due.pop_due(state.now_ms):
--- a/catkincross/_home_choice.py
+++ b/catkincross/_home_choice.py
@@ -50,6 +50,7 @@
         _take_report(state, service, row, summaries)
         index.put(row)
         state.dispatch.due_backlogs[service] = None
+        state.dispatch.reported[service] = None
 
 
 def _measure_distance(row: HomeRow, peer: PeerRow) -> None:
@@ -84,7 +85,8 @@
     row.speed = learned * ratio
 
 
-def _refresh_own(state: EntryState, service: str, index: HomeIndex) -> None:
+def refresh_own(state: EntryState, service: str, index: HomeIndex) -> None:
+    """Bring this home's own entry in the index up to date."""
     summaries = service_summaries(state, service)
     if not summaries:
         index.remove(state.name)
@@ -157,7 +159,7 @@
         queue = state.dispatch.backlog.get(service)
         if queue:
             index = home_index(state, service)
-            _refresh_own(state, service, index)
+            refresh_own(state, service, index)
             _choose_for_service(state, queue, index, chosen)
     return chosen
 
@@ -197,7 +199,7 @@
         lanes.put_back(lane, task, turn)
         _note_unplaced(state, index, job, need)
         return False
-    index.use(home, state.now_ms)
+    index.use(home, task, state.now_ms)
     use = state.dispatch.teams.use(job.team)
     use.waiting -= 1
     use.waiting_bytes -= len(spec.payload)
@@ -242,6 +244,9 @@
     state: EntryState, index: HomeIndex, job: JobRow, need: TaskNeed
 ) -> HomeRow | None:
     unfit = state.dispatch.unfit_homes.get(job.key_hash, NONE)
+    earlier = state.dispatch.hedges.get(TaskId(job.key_hash, 0))
+    if earlier is not None and index.best(need, unfit | {earlier.home}):
+        unfit = unfit | {earlier.home}
     while True:
         home = index.best(need, unfit)
         if home is None or home.own:
@@ -288,7 +293,7 @@
     index = state.dispatch.homes.get(job.service)
     home = index.rows.get(row.home) if index else None
     if index is not None and home is not None:
-        index.release(home)
+        index.release(home, row.task)
         state.dispatch.due_backlogs[job.service] = None
 
 
--- a/catkincross/_home_index.py
+++ b/catkincross/_home_index.py
@@ -10,6 +10,7 @@
 from sortedcontainers import SortedList
 
 from ._fit import TaskNeed
+from ._ids import TaskId
 
 # Finish times within 5 % count as equal; then the load decides, which spreads a burst.
 FINISH_CLASS_LOG = math.log(1.05)
@@ -30,7 +31,8 @@
         memory_mb: Memory of its largest upstream.
         accelerators: Most accelerators of one of its upstreams.
         own: The home is in this process.
-        outstanding: Tasks of this owner that are there.
+        tasks: Tasks of this owner that are there, in order of placement, with the
+            attempt that was recalled, or 0.
         fair_part: Tasks that this owner may have there even if the queue is full, so
             that the owners that report later are not shut out.
         placed: Times of the placements that the last report cannot know of.
@@ -47,15 +49,19 @@
     memory_mb: int = 0
     accelerators: int = 0
     own: bool = False
-    outstanding: int = 0
+    tasks: dict[TaskId, int] = attrs.field(factory=dict)
     fair_part: int = 0
     placed: deque[int] = attrs.field(factory=deque)
 
+    @property
+    def unused(self) -> int:
+        """Free slots that no task on its way or in the queue will take."""
+        return self.free - self.queued - len(self.placed)
+
     @property
     def room(self) -> int:
         """Tasks that may be sent now: free slots, and then places in the queue."""
-        places = self.free + self.queue_limit - self.queued - len(self.placed)
-        return max(places, self.fair_part - self.outstanding)
+        return max(self.unused + self.queue_limit, self.fair_part - len(self.tasks))
 
     def could_fit(self, need: TaskNeed) -> bool:
         """Whether its largest upstream could run a task if it were idle."""
@@ -65,7 +71,7 @@
 
     def key(self, run_ms: float) -> tuple:
         """Return the sort key of the home, the best first."""
-        left = self.free - self.queued - len(self.placed)
+        left = self.unused
         finish_ms = 2 * self.distance_ms + run_ms / self.speed
         if left <= 0:
             # Each task that waits ahead takes its share of the slots for a run time.
@@ -128,13 +134,13 @@
             row.could_fit(need) and row.name not in unfit for row in self.rows.values()
         )
 
-    def use(self, row: HomeRow, now_ms: int) -> None:
+    def use(self, row: HomeRow, task: TaskId, now_ms: int) -> None:
         """Count a task that is sent to a home until a later report includes it."""
         row.placed.append(now_ms)
-        row.outstanding += 1
+        row.tasks[task] = 0
         self._place(row)
 
-    def release(self, row: HomeRow) -> None:
+    def release(self, row: HomeRow, task: TaskId) -> None:
         """Count a task that has left a home."""
-        row.outstanding = max(0, row.outstanding - 1)
+        row.tasks.pop(task, None)
         self._place(row)
--- a/catkincross/_home_slots.py
+++ b/catkincross/_home_slots.py
@@ -42,6 +42,7 @@
     if key not in agent.held:
         return
     agent.held.discard(key)
+    state.dispatch.overdue.cancel(key)
     need = state.dispatch.needs.pop(key, NO_NEED)
     service = agent.hello.service
     slots = state.dispatch.service(service)
@@ -49,6 +50,7 @@
     slots.use(agent.name, -1, -need.memory_mb, -need.accelerators)
     state.dispatch.due_services[service] = None
     state.dispatch.due_backlogs[service] = None
+    state.dispatch.reported[service] = None
 
 
 def forget_running(state: EntryState, row: HomeTask) -> None:
--- a/catkincross/_home_starts.py
+++ b/catkincross/_home_starts.py
@@ -17,6 +17,7 @@
 from ._messages import OwnedTask, PlacedTask, TaskStart
 from ._quotas import team_share
 from ._service_slots import ServiceSlots
+from ._stragglers import watch
 from ._upstream import Upstream, class_speed
 
 # Most tasks that wait for a faster slot in one pass over a queue.
@@ -97,6 +98,9 @@
     if not lanes:
         return
     run = Pass(dispatch.service(service), lanes)
+    if not run.slots.slots:
+        dispatch.slotless[service] = None
+        return
     active = lanes.waiting()
     while active and run.slots.free > 0:
         active = [lane for lane in active if _start_next(state, run, lane)]
@@ -114,7 +118,7 @@
     if row is None or key not in state.home_queue:
         return True
     need = need_of(state, row.placed)
-    upstream = run.slots.policy.choose(need, state.rng)
+    upstream = _choose(state, run, row, need)
     if upstream is None:
         run.lanes.put_back(lane, key, turn)
         return False
@@ -125,6 +129,25 @@
     return True
 
 
+def _choose(
+    state: EntryState, run: Pass, row: HomeTask, need: TaskNeed
+) -> Upstream | None:
+    policy, placed = run.slots.policy, row.placed
+    earlier = None
+    if placed.attempt > 1:
+        key = OwnedTask(placed.owner, placed.task, placed.attempt - 1)
+        earlier = state.home_tasks.get(key)
+    taken_out = run.slots.rows.get(earlier.agent) if earlier is not None else None
+    if taken_out is None or not taken_out.free:
+        return policy.choose(need, state.rng)
+    # Another upstream may be able to do what this one did not.
+    policy.remove(taken_out.name)
+    chosen = policy.choose(need, state.rng)
+    policy.put(taken_out)
+    hedged = earlier is not None and earlier.result is None
+    return chosen if chosen or hedged else policy.choose(need, state.rng)
+
+
 def _waits_for_speed(
     state: EntryState, run: Pass, upstream: Upstream, need: TaskNeed
 ) -> bool:
@@ -156,6 +179,7 @@
     row.agent_incarnation = agent.hello.agent
     row.sent_ms = state.now_ms
     state.sent_tasks.setdefault(agent.name, {})[key] = None
+    watch(state, row, run_ms)
     send_start(state, row, agent)
 
 
--- /dev/null
+++ b/catkincross/_job_end.py
@@ -0,0 +1,113 @@
+"""Ends of jobs at their owner: cancellation, deadline, answer and its truth."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import attrs
+
+from ._admission import job_closed
+from ._cancellation import cancel_at
+from ._entry_registry import ENTRY
+from ._entry_rows import JobRow, TaskPhase, Waiter
+from ._entry_state import EntryState
+from ._hedging import cancel_attempts
+from ._home_choice import left_home, unplaceable, unqueue
+from ._ids import entry_process
+from ._messages import JobAnswer, JobState, OwnedTask, Reason, Truth
+
+
+def answer_waiter(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
+    """Send an answer to the arrival entry of a request."""
+    addressed = attrs.evolve(answer, request_id=waiter.request_id)
+    if waiter.entry == state.name:
+        state.local_answers.append(addressed)
+    else:
+        state.send(entry_process(waiter.entry), addressed)
+
+
+def stop_job(state: EntryState, job: JobRow, reason: Reason) -> None:
+    """Cancel all that is left of a job; it ends when its tasks have ended."""
+    job.cancelling = job.cancelling or reason
+    placed = defaultdict(list)
+    for row in job.tasks:
+        if row.phase is TaskPhase.WAITING:
+            unqueue(state, job, row)
+            cancel_attempts(state, row)
+            row.phase = TaskPhase.ENDED
+            job.open_tasks -= 1
+        elif row.phase is TaskPhase.PLACED:
+            cancel_attempts(state, row, besides=row.attempts)
+            placed[row.home].append(OwnedTask(state.me, row.task, row.attempts))
+    for home, tasks in placed.items():
+        cancel_at(state, home, tasks)
+    if job.open_tasks == 0:
+        finish_job(state, job)
+
+
+def finish_job(state: EntryState, job: JobRow) -> None:
+    """Answer a job whose tasks have ended, or whose time is over."""
+    if job.answer is not None:
+        return
+    if job.cancelling:
+        answer = JobAnswer(0, job.key, JobState.FAILED, job_truth(job), job.cancelling)
+    else:
+        results = [row.result for row in job.tasks if row.result is not None]
+        answer = JobAnswer(0, job.key, JobState.COMPLETE, results=results)
+    job.answer = attrs.evolve(
+        answer, tasks=len(job.tasks), tasks_done=len(job.tasks) - job.open_tasks
+    )
+    job.state = answer.state
+    state.dispatch.unfit_homes.pop(job.key_hash, None)
+    job_closed(state, job)
+    state.emit(
+        "owner",
+        "job ended",
+        job=job.key_hash.hex(),
+        state=str(answer.state),
+        truth=str(answer.truth),
+        reason=str(answer.reason),
+    )
+    for waiter in job.waiters:
+        answer_waiter(state, waiter, job.answer)
+    job.waiters.clear()
+    retention_ms = state.settings.jobs.key_retention_ms
+    state.job_due.set(job.key_hash, state.now_ms + retention_ms)
+
+
+def job_truth(job: JobRow) -> Truth:
+    """Return what is known about the execution of a job that failed."""
+    started = [row for row in job.tasks if row.result and not row.result.not_run]
+    if any(row.result.reason is not Reason.AGENT_LOST for row in started):
+        return Truth.FAILED
+    if started or any(row.maybe_started for row in job.tasks):
+        return Truth.MAY_HAVE_RUN
+    return Truth.NOT_RUN
+
+
+@ENTRY.system(order=380)
+def _fail_unplaceable(state: EntryState) -> None:
+    for key_hash in state.dispatch.unplaced.pop_due(state.now_ms):
+        job = state.jobs.get(key_hash)
+        if job is None or job.answer is not None:
+            continue
+        reason = unplaceable(state, job)
+        if reason and not job.cancelling:
+            stop_job(state, job, reason)
+
+
+@ENTRY.system(order=520)
+def _expire_jobs(state: EntryState) -> None:
+    for key_hash in state.job_due.pop_due(state.now_ms):
+        job = state.jobs.get(key_hash)
+        if job is None:
+            continue
+        if job.answer is not None:
+            for row in job.tasks:
+                left_home(state, job, row)
+            state.jobs.remove(key_hash)
+            continue
+        stop_job(state, job, Reason.DEADLINE)
+        # Tasks whose end is not known by now are answered as such.
+        finish_job(state, job)
+    state.jobs.changed.clear()
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -2,33 +2,34 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-
-import attrs
-
-from ._admission import job_closed, job_opened, refusal
+from ._admission import job_opened, refusal
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow, TaskPhase, TaskRow, Waiter
 from ._entry_state import EntryState
-from ._home import accept_tasks, cancel_tasks
+from ._hedging import (
+    attempt_placed,
+    drop_refused,
+    place_again,
+    request_ended,
+    retries_failure,
+)
+from ._home import accept_tasks
 from ._home_choice import (
     choose_homes,
     learn_from_result,
     left_home,
     peer_reported,
-    unplaceable,
     unqueue,
 )
 from ._ids import TaskId, entry_process, hash_key, split_process
+from ._job_end import answer_waiter, finish_job, stop_job
 from ._key_settlement import KeyFate, settle_key
 from ._messages import (
     CancelJob,
-    CancelTasks,
     ForwardJob,
     JobAnswer,
     JobAsked,
     JobState,
-    OwnedTask,
     PlacedTask,
     Reason,
     TaskResult,
@@ -69,21 +70,21 @@
     if job is None:
         fate = settle_key(state, key_hash)
         if fate is not KeyFate.FREE:
-            _answer(state, waiter, _unsettled(message.key, fate))
+            answer_waiter(state, waiter, _unsettled(message.key, fate))
             return
         reason = refusal(state, message)
         if reason:
-            _answer(state, waiter, _refused(message, reason))
+            answer_waiter(state, waiter, _refused(message, reason))
             return
         job = _admit(state, key_hash, message)
     elif job.digest != message.digest:
         conflict = JobAnswer(
             0, message.key, JobState.FAILED, Truth.NONE, Reason.KEY_CONFLICT
         )
-        _answer(state, waiter, conflict)
+        answer_waiter(state, waiter, conflict)
         return
     if job.answer is not None:
-        _answer(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
     else:
         _add_waiter(job, waiter)
 
@@ -151,13 +152,13 @@
     waiter = Waiter(arrival, message.request_id)
     job = state.jobs.get(hash_key(message.key))
     if job is None:
-        _answer(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        answer_waiter(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
     elif job.answer is not None:
-        _answer(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
     elif message.wait:
         _add_waiter(job, waiter)
     else:
-        _answer(state, waiter, _progress(job))
+        answer_waiter(state, waiter, _progress(job))
 
 
 def cancel_job(state: EntryState, arrival: str, message: CancelJob) -> None:
@@ -165,10 +166,10 @@
     waiter = Waiter(arrival, message.request_id)
     job = state.jobs.get(hash_key(message.key))
     if job is None:
-        _answer(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        answer_waiter(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
         return
     if job.answer is not None:
-        _answer(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
         return
     _add_waiter(job, waiter)
     stop_job(state, job, Reason.CANCELLED)
@@ -184,14 +185,6 @@
     )
 
 
-def _answer(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
-    addressed = attrs.evolve(answer, request_id=waiter.request_id)
-    if waiter.entry == state.name:
-        state.local_answers.append(addressed)
-    else:
-        state.send(entry_process(waiter.entry), addressed)
-
-
 def task_row(state: EntryState, task: TaskId) -> tuple[JobRow, TaskRow] | None:
     """Return the job and the row of a task that this entry owns, or None."""
     job = state.jobs.get(task.key_hash)
@@ -222,6 +215,7 @@
         row.attempts += 1
         row.maybe_started = True
         job.state = JobState.RUNNING
+        attempt_placed(state, job, row)
         placed.append(placed_task(state, job, row))
     if home == state.name:
         accept_tasks(state, state.process, placed)
@@ -278,18 +272,23 @@
     if result.not_run:
         if row.phase is not TaskPhase.PLACED or result.attempt != row.attempts:
             # A late answer to an earlier attempt says nothing about the current one.
+            drop_refused(state, row, result)
             return
-        row.maybe_started = False
+        row.maybe_started = row.task in state.dispatch.hedges
         if job.answer is None and not job.cancelling:
             left_home(state, job, row)
             if result.reason is Reason.FITS_NOWHERE:
                 unfit = state.dispatch.unfit_homes.setdefault(job.key_hash, set())
                 unfit.add(row.home)
-            row.phase = TaskPhase.WAITING
-            state.waiting[row.task] = None
+            place_again(state, row, row.attempts)
             return
+    if retries_failure(state, job, row, result):
+        return
+    if row.phase is TaskPhase.WAITING:
+        unqueue(state, job, row)
     left_home(state, job, row)
     learn_from_result(state, job, row, result)
+    request_ended(state, job, row, result)
     row.phase = TaskPhase.ENDED
     row.result = result
     job.open_tasks -= 1
@@ -298,91 +297,4 @@
     if result.status is not TaskStatus.OK and not job.cancelling:
         stop_job(state, job, Reason.TASK_FAILED)
     if job.open_tasks == 0:
-        _finish(state, job)
-
-
-def stop_job(state: EntryState, job: JobRow, reason: Reason) -> None:
-    """Cancel all that is left of a job; it ends when its tasks have ended."""
-    job.cancelling = job.cancelling or reason
-    placed = defaultdict(list)
-    for row in job.tasks:
-        if row.phase is TaskPhase.WAITING:
-            unqueue(state, job, row)
-            row.phase = TaskPhase.ENDED
-            job.open_tasks -= 1
-        elif row.phase is TaskPhase.PLACED:
-            placed[row.home].append(OwnedTask(state.me, row.task, row.attempts))
-    for home, tasks in placed.items():
-        if home == state.name:
-            cancel_tasks(state, CancelTasks(tasks))
-        else:
-            state.send(entry_process(home), CancelTasks(tasks))
-    if job.open_tasks == 0:
-        _finish(state, job)
-
-
-def _finish(state: EntryState, job: JobRow) -> None:
-    if job.answer is not None:
-        return
-    if job.cancelling:
-        answer = JobAnswer(0, job.key, JobState.FAILED, job_truth(job), job.cancelling)
-    else:
-        results = [row.result for row in job.tasks if row.result is not None]
-        answer = JobAnswer(0, job.key, JobState.COMPLETE, results=results)
-    job.answer = attrs.evolve(
-        answer, tasks=len(job.tasks), tasks_done=len(job.tasks) - job.open_tasks
-    )
-    job.state = answer.state
-    state.dispatch.unfit_homes.pop(job.key_hash, None)
-    job_closed(state, job)
-    state.emit(
-        "owner",
-        "job ended",
-        job=job.key_hash.hex(),
-        state=str(answer.state),
-        truth=str(answer.truth),
-        reason=str(answer.reason),
-    )
-    for waiter in job.waiters:
-        _answer(state, waiter, job.answer)
-    job.waiters.clear()
-    retention_ms = state.settings.jobs.key_retention_ms
-    state.job_due.set(job.key_hash, state.now_ms + retention_ms)
-
-
-def job_truth(job: JobRow) -> Truth:
-    """Return what is known about the execution of a job that failed."""
-    started = [row for row in job.tasks if row.result and not row.result.not_run]
-    if any(row.result.reason is not Reason.AGENT_LOST for row in started):
-        return Truth.FAILED
-    if started or any(row.maybe_started for row in job.tasks):
-        return Truth.MAY_HAVE_RUN
-    return Truth.NOT_RUN
-
-
-@ENTRY.system(order=380)
-def _fail_unplaceable(state: EntryState) -> None:
-    for key_hash in state.dispatch.unplaced.pop_due(state.now_ms):
-        job = state.jobs.get(key_hash)
-        if job is None or job.answer is not None:
-            continue
-        reason = unplaceable(state, job)
-        if reason and not job.cancelling:
-            stop_job(state, job, reason)
-
-
-@ENTRY.system(order=520)
-def _expire_jobs(state: EntryState) -> None:
-    for key_hash in state.job_due.pop_due(state.now_ms):
-        job = state.jobs.get(key_hash)
-        if job is None:
-            continue
-        if job.answer is not None:
-            for row in job.tasks:
-                left_home(state, job, row)
-            state.jobs.remove(key_hash)
-            continue
-        stop_job(state, job, Reason.DEADLINE)
-        # Tasks whose end is not known by now are answered as such.
-        _finish(state, job)
-    state.jobs.changed.clear()
+        finish_job(state, job)
--- /dev/null
+++ b/catkincross/_stragglers.py
@@ -0,0 +1,53 @@
+"""Stalled upstreams: those that make no progress while others do."""
+
+from __future__ import annotations
+
+from ._entry_registry import ENTRY
+from ._entry_rows import AgentRow, HomeTask
+from ._entry_state import EntryState
+from ._ids import agent_process
+from ._messages import OwnedTask
+from ._upstream_health import health_of
+
+
+def watch(state: EntryState, row: HomeTask, expected_ms: float) -> None:
+    """Check a task that was sent if its result is overdue."""
+    settings = state.settings.stragglers
+    limit_ms = max(settings.least_ms, round(settings.factor * expected_ms))
+    state.dispatch.overdue.set(row.key, state.now_ms + limit_ms)
+
+
+@ENTRY.system(order=430)
+def _check_overdue(state: EntryState) -> None:
+    for key in state.dispatch.overdue.pop_due(state.now_ms):
+        row = state.home_tasks.get(key)
+        agent = state.agents.get(row.agent) if row is not None else None
+        if row is None or agent is None or row.result is not None:
+            continue
+        if key not in agent.held:
+            continue
+        if _is_stalled(state, row, agent):
+            _stop_using(state, agent)
+        else:
+            waited_ms = state.now_ms - row.sent_ms
+            state.dispatch.overdue.set(key, state.now_ms + waited_ms)
+
+
+def _is_stalled(state: EntryState, row: HomeTask, agent: AgentRow) -> bool:
+    """Whether an upstream ended nothing since a task was sent, but another one did."""
+    if health_of(state, agent).progress_ms > row.sent_ms:
+        return False
+    newest = state.dispatch.progress.get(row.placed.service)
+    return newest is not None and newest > row.sent_ms
+
+
+def _stop_using(state: EntryState, agent: AgentRow) -> None:
+    health = health_of(state, agent)
+    if health.stalled:
+        return
+    health.stalled = True
+    state.dispatch.changed_agents[agent.name] = None
+    state.emit("home", "upstream stalled", agent=agent.name, held=len(agent.held))
+    # What the agent has not started can be placed elsewhere once it has agreed.
+    sent: list[OwnedTask] = list(state.sent_tasks.get(agent.name, ()))
+    state.batches.cancels[agent_process(agent.name), True].extend(sent)
--- a/catkincross/_upstream_health.py
+++ b/catkincross/_upstream_health.py
@@ -30,6 +30,8 @@
     Attributes:
         drained: It was seen out of service, so its return is a restore.
         restored_ms: When it was restored, or None.
+        progress_ms: When a task ended there last.
+        stalled: It makes no progress while others do.
         paused_until_ms: End of the pause after a refusal.
         refusals: Refusals in a row.
     """
@@ -37,6 +39,8 @@
     concurrency: ConcurrencyLimit
     drained: bool = False
     restored_ms: int | None = None
+    progress_ms: int = 0
+    stalled: bool = False
     paused_until_ms: int = 0
     refusals: int = 0
 
@@ -75,6 +79,8 @@
     ejections = ejections_of(state.dispatch, agent.hello.service)
     ejections.begin_probe(agent.name, now_ms)
     record = ejections.record(agent.name)
+    if health.stalled:
+        return 0
     if record.standing is Standing.EJECTED:
         state.dispatch.health_due.set(agent.name, record.until_ms)
         return 0
@@ -98,6 +104,7 @@
     """Take what the end of a task says about its upstream."""
     dispatch, name = state.dispatch, agent.name
     health = health_of(state, agent)
+    _note_progress(state, health, agent, result)
     if result.not_run and result.status is TaskStatus.REFUSED:
         _pause(state, health, name)
         return
@@ -124,6 +131,17 @@
         dispatch.changed_agents[name] = None
 
 
+def _note_progress(
+    state: EntryState, health: Health, agent: AgentRow, result: TaskResult
+) -> None:
+    if not result.not_run:
+        health.progress_ms = state.now_ms
+        state.dispatch.progress[agent.hello.service] = state.now_ms
+    if health.stalled:
+        health.stalled, health.restored_ms = False, state.now_ms
+        state.dispatch.changed_agents[agent.name] = None
+
+
 def _pause(state: EntryState, health: Health, name: str) -> None:
     pause_ms = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** min(health.refusals, 10))
     health.refusals += 1
--- /dev/null
+++ b/tests/test_dispatch_recall.py
@@ -0,0 +1,94 @@
+"""Guards against work that stays with a home or an upstream that does not run it."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from catkincross.effects import JobCancelRequested
+from catkincross.messages import CancelTasks, RecallTasks, Truth
+from scenarios.driver import Driver
+from scenarios.loads import answer, cluster, declare, submit
+
+
+def started_once(driver: Driver) -> bool:
+    """Return whether no task was started twice."""
+    counts = Counter(start.start.task for start in driver.starts)
+    return set(counts.values()) == {1}
+
+
+def test_a_queue_moves_to_a_home_with_free_slots() -> None:
+    # Guards against tasks that wait at one home while another has nothing to do.
+    driver = cluster(agents=2, entries=2)
+    slow = {"agent/u2"}
+    driver.run_ms = lambda agent, start: 2_000 if agent in slow else 100
+    request = submit(driver, "j", 24)
+    assert answer(driver, request, limit_ms=2_300).state == "complete"
+    recalls = [m for *_, m in driver.sent if isinstance(m, RecallTasks)]
+    assert 0 < sum(len(recall.tasks) for recall in recalls) <= 4
+    assert started_once(driver)
+
+
+def test_a_frozen_agent_keeps_no_work_that_it_has_not_started() -> None:
+    # Guards against jobs that wait for a frozen agent, and against second starts.
+    driver = cluster(agents=3, entries=1)
+    driver.pause("agent/u1")
+    request = submit(driver, "j", 60)
+    driver.run(4_000)
+    sent = len([s for s in driver.starts if s.agent == "agent/u1"])
+    assert sent == 0
+    driver.resume("agent/u1")
+    assert answer(driver, request).state == "complete"
+    assert started_once(driver)
+
+
+def test_a_hung_upstream_gets_no_new_work() -> None:
+    # Guards against an upstream that swallows one task after the other.
+    driver = cluster(agents=3, entries=1)
+    driver.run_ms = lambda agent, start: 30_000 if agent == "agent/u1" else 50
+    requests = [submit(driver, f"j{number}") for number in range(8)]
+    for number in range(200):
+        driver.run(50)
+        requests.append(submit(driver, f"k{number}", 4))
+    driver.run(500)
+    swallowed = sum(start.agent == "agent/u1" for start in driver.starts)
+    assert swallowed <= 8
+    assert len(driver.answers) >= len(requests) - swallowed
+
+
+def test_work_that_waits_in_a_drained_data_centre_moves_at_once() -> None:
+    # Guards against a queue that is kept until its time is over.
+    driver = cluster(agents=2, entries=2)
+    driver.run_ms = lambda agent, start: 300
+    request = submit(driver, "j", 20)
+    driver.run(5)
+    declare(driver, "datacentres", "stirling", {"drain": True})
+    drained_ms = driver.now_ms
+    assert answer(driver, request, limit_ms=1_500).state == "complete"
+    late = [s for s in driver.starts if s.agent == "agent/u2" and s.at_ms > drained_ms]
+    assert not late and started_once(driver)
+
+
+def test_a_wave_of_cancellations_is_batched_and_delays_nobody() -> None:
+    # Guards against a message for each cancelled task, and against a blocked queue.
+    driver = cluster(agents=6, entries=3)
+    driver.run_ms = lambda agent, start: 400
+    for number in range(300):
+        submit(driver, f"j{number}", 10, entry=f"e{number % 3 + 1}")
+    driver.run(100)
+    before = len(driver.sent)
+    for number in range(300):
+        entry = driver.nodes[f"entry/e{number % 3 + 1}"]
+        event = JobCancelRequested(10_000 + number, f"team/j{number}")
+        driver.deliver(entry, event)
+    driver.run(20)
+    cancels = [
+        (sender, to)
+        for _, sender, to, message in driver.sent[before:]
+        if isinstance(message, CancelTasks) and to.startswith("agent/")
+    ]
+    assert cancels and max(Counter(cancels).values()) <= 3
+    started = len(driver.starts)
+    assert answer(driver, submit(driver, "next", 8), limit_ms=1_000).state == "complete"
+    assert len(driver.starts) == started + 8
+    cancelled = [driver.answers[10_000 + number] for number in range(300)]
+    assert Truth.NOT_RUN in {ended.truth for ended in cancelled}
