--- a/catkincross/_entry_rows.py
+++ b/catkincross/_entry_rows.py
@@ -157,6 +157,7 @@
         deadline_ms: On this process's clock.
         agent: Name of the agent that has it, or an empty string while it waits.
         agent_incarnation: Incarnation of that agent.
+        key: Key of the row.
     """
 
     placed: PlacedTask
@@ -169,10 +170,10 @@
     sent_ms: int = 0
     result: TaskResult | None = None
     ended_ms: int | None = None
+    key: OwnedTask = attrs.field(init=False)
 
-    @property
-    def key(self) -> OwnedTask:
-        """Key of the row."""
+    @key.default
+    def _key(self) -> OwnedTask:
         return OwnedTask(self.placed.owner, self.placed.task, self.placed.attempt)
 
 
--- a/catkincross/_ids.py
+++ b/catkincross/_ids.py
@@ -6,7 +6,8 @@
 import xxhash
 
 
-@attrs.frozen(order=True)
+# The hashes are kept, because tables look up the same objects many times.
+@attrs.frozen(order=True, cache_hash=True)
 class Incarnation:
     """One life of a named process.
 
@@ -22,7 +23,7 @@
         return f"{self.name}#{self.number}"
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=True, cache_hash=True)
 class TaskId:
     """A task of a job.
 
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -169,7 +169,8 @@
     attempt: int = 1
 
 
-@attrs.frozen
+# The tables of a home look up each task dozens of times.
+@attrs.frozen(cache_hash=True)
 class OwnedTask:
     """An attempt of a task, with the incarnation that owns it."""
 
