--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -19,8 +19,10 @@
     _membership,
     _outage,
     _owner,
+    _recall,
     _restrictions,
     _snapshots,
+    _stragglers,
     _suspicion,
     _task_recovery,
 )
--- a/catkincross/_leave.py
+++ b/catkincross/_leave.py
@@ -10,9 +10,9 @@
 from ._entry_state import EntryState
 from ._home import decline
 from ._ids import entry_process, hash_key
+from ._job_end import fail_jobs
 from ._messages import FinishedKey, HandoverReceived, KeyHandover, Reason
 from ._observations import is_mine
-from ._owner import fail_jobs
 from ._records import EntryEnded, EntryLeaving, RecordBody
 from ._rendezvous import choose
 
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -428,6 +428,7 @@
         self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
 
     def _log_append(self, record: Any) -> int:
+        self.append_times.setdefault(record.id, self.now_ms)
         self.append_times.setdefault(record.id, self.now_ms)
         self._note_drain(record.body)
         return self.log.append(encode_record(record))
