Compare placement policies on the cores with two workloads

Cause: the performance targets had no measurement. The shared driver hands whole milliseconds to the cores, so that delays may be fractions.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test unit scenarios format lint proto clean capacity
+.PHONY: demo test unit scenarios format lint proto clean capacity bench-hanbit bench-strathbeag
 
 $(STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv $(VENV) 2>/dev/null || python3 -m venv $(VENV)
@@ -39,5 +39,9 @@
 capacity: $(STAMP)
 	$(PYTHON) -m catkincross_bench.cli capacity
 
+bench-hanbit bench-strathbeag: bench-%: $(STAMP)
+	$(PYTHON) -m catkincross_bench.cli run $*.ini --rounds 3 \
+	    --json docs/results/$*.json --picture docs/pictures/$*.svg
+
 clean:
 	rm -rf $(VENV) out
--- /dev/null
+++ b/catkincross_bench/_cores_run.py
@@ -0,0 +1,296 @@
+"""Runs a workload on the real cores in virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import attrs
+
+from catkincross import effects as fx
+from catkincross._records import Record, ResourcePut
+from catkincross.ids import agent_process, entry_process
+from catkincross.messages import JobState, TaskSpec, TaskStart
+from catkincross.settings import PlacementSettings
+from scenarios.driver import LOG_POLL_MS, Driver
+
+from ._ideal import idle_ideal_ms, loaded_ideal_ms
+from ._times import percentiles_ms, ratios, slowdowns
+from ._waste import count_messages
+from ._workload import JobPlan, Workload, plan_arrivals
+
+SERVICE = "s"
+SETTLE_MS = 4_000
+RAMP_MS = 5_000
+DRAIN_BOUND_MS = 3_000
+
+
+@attrs.define
+class CoresRun:
+    """One workload on one system of entries and agents.
+
+    Attributes:
+        start_ms: Driver time at which the load begins.
+        requests: Driver's request number by plan number.
+    """
+
+    workload: Workload
+    driver: Driver
+    start_ms: float = 0
+    plans: list[JobPlan] = attrs.field(factory=list)
+    requests: dict[int, int] = attrs.field(factory=dict)
+
+    @classmethod
+    def build(cls, workload: Workload, *, policy: str, seed: int) -> CoresRun:
+        """Return a run whose processes have joined and exchanged evidence."""
+        driver = Driver(seed=seed)
+        run = cls(workload, driver)
+        centres = {}
+        for number, data_centre in enumerate(workload.data_centres):
+            settings = PlacementSettings(policy=policy, seed=seed)
+            driver.add_entry(f"e{number}", data_centre, placement=settings)
+            centres[entry_process(f"e{number}")] = data_centre
+        for spec in workload.upstreams:
+            centres[agent_process(spec.name)] = spec.data_centre
+        driver.route = lambda sender, to, message: [
+            workload.within_ms
+            if centres[sender] == centres[to]
+            else workload.between_ms
+        ]
+        driver.run(1_000)
+        for spec in workload.upstreams:
+            driver.add_agent(
+                spec.name,
+                spec.data_centre,
+                service=SERVICE,
+                rack=spec.rack,
+                slots=workload.slots,
+                connections=workload.connections,
+            )
+        speeds = {agent_process(u.name): u.speed for u in workload.upstreams}
+        driver.run_ms = lambda agent, start: run._work_ms(start) / speeds[agent]
+        driver.run(SETTLE_MS)
+        return run
+
+    def _work_ms(self, start: TaskStart) -> float:
+        number, index = start.spec.payload.split(b":")
+        return self.plans[int(number)].works[int(index)]
+
+    def load(self, plans: list[JobPlan]) -> None:
+        """Schedule arrivals from now on."""
+        self.start_ms = self.driver.now_ms
+        self.plans = plans
+        for plan in plans:
+            self.driver.at(
+                self.start_ms + plan.at_ms, lambda plan=plan: self._submit(plan)
+            )
+
+    def _submit(self, plan: JobPlan) -> None:
+        number = f"{plan.number}:".encode()
+        tasks = [
+            TaskSpec(number + str(index).encode(), run_ms=declared)
+            for index, declared in enumerate(plan.declared)
+        ]
+        job = fx.JobSubmitted(
+            request_id=0,
+            key=f"team/{plan.number}" if len(tasks) > 1 else "",
+            digest=number,
+            team="team",
+            service=SERVICE,
+            tasks=tasks,
+            deadline_ms=plan.deadline_ms,
+            interactive=plan.interactive,
+        )
+        self.requests[plan.number] = self.driver.submit(f"e{plan.entry}", job)
+
+    def responses(self, plans: list[JobPlan]) -> dict[int, float]:
+        """Return the response times of complete jobs, by plan number."""
+        times = {}
+        for plan in plans:
+            request = self.requests[plan.number]
+            answer = self.driver.answers.get(request)
+            if answer is not None and answer.state is JobState.COMPLETE:
+                answered_ms = self.driver.answered_ms[request]
+                times[plan.number] = answered_ms - self.start_ms - plan.at_ms
+        return times
+
+    def ends(self) -> dict[str, int]:
+        """Return how the jobs ended: complete, refused (with reasons) and lost."""
+        counts: Counter = Counter()
+        for request in self.requests.values():
+            answer = self.driver.answers.get(request)
+            if answer is None:
+                counts["lost"] += 1
+            elif answer.state is JobState.COMPLETE:
+                counts["complete"] += 1
+            else:
+                counts[f"{answer.state}:{answer.truth}:{answer.reason}"] += 1
+        counts["lost"] += 0
+        return dict(counts)
+
+    def started_twice(self) -> int:
+        """Return the tasks that started more than once."""
+        counts = Counter(item.start.task for item in self.driver.starts)
+        return sum(1 for count in counts.values() if count > 1)
+
+    def set_drain(self, data_centre: str, *, drain: bool) -> None:
+        """Append an operator's change of a data centre's drain flag."""
+        node = next(iter(self.driver.nodes.values()))
+        control = node.core.state.control
+        resource = control.resources.get(("datacentres", data_centre))
+        body = ResourcePut(
+            "datacentres",
+            data_centre,
+            resource.generation if resource else 0,
+            {"drain": drain},
+        )
+        record = Record(f"drain-{data_centre}-{drain}", node.core.state.me, body)
+        self.driver._append(node, record)
+
+
+def steady_round(workload: Workload, *, policy: str, seed: int) -> dict[str, Any]:
+    """Run the workload at its load point and return its measures."""
+    run = CoresRun.build(workload, policy=policy, seed=seed)
+    duration_ms = workload.warm_up_ms + workload.duration_ms
+    plans = plan_arrivals(
+        workload, load=workload.load, duration_ms=duration_ms, seed=seed
+    )
+    run.load(plans)
+    sent_before = len(run.driver.sent)
+    run.driver.run(duration_ms + workload.drain_out_ms)
+    measured = [plan for plan in plans if plan.at_ms >= workload.warm_up_ms]
+    times = run.responses(measured)
+    loaded = loaded_ideal_ms(workload, plans)
+    result: dict[str, Any] = {"ends": run.ends(), "started_twice": run.started_twice()}
+    for kind, chosen in (
+        ("single", [plan for plan in measured if len(plan.works) == 1]),
+        ("job", [plan for plan in measured if len(plan.works) > 1]),
+    ):
+        chosen = [plan for plan in chosen if plan.number in times]
+        response = [times[plan.number] for plan in chosen]
+        idle = [idle_ideal_ms(workload, plan.works) for plan in chosen]
+        under_load = [loaded[plan.number] for plan in chosen]
+        result[kind] = {
+            "count": len(chosen),
+            "response_ms": percentiles_ms(response),
+            "idle_ideal_ms": percentiles_ms(idle),
+            "ratio": ratios(response, idle),
+            "slowdown": slowdowns(response, idle),
+            "ratio_one_queue": ratios(under_load, idle),
+            "over_one_queue": ratios(response, under_load),
+        }
+    tasks = sum(len(plan.works) for plan in plans)
+    waste = count_messages(run.driver.sent[sent_before:])
+    seconds = (duration_ms + workload.drain_out_ms) / 1_000
+    result["tasks"] = tasks
+    result["waste"] = waste.per_1000(tasks)
+    result["waste_total"] = round(sum(result["waste"].values()), 2)
+    result["control_per_s"] = {
+        kind: round(count / seconds, 1) for kind, count in waste.control.items()
+    }
+    return result
+
+
+def idle_round(workload: Workload, *, policy: str, seed: int) -> dict[str, Any]:
+    """Send single requests to an idle system; return the time added to the task."""
+    run = CoresRun.build(workload, policy=policy, seed=seed)
+    idle = workload.idle
+    plans = [
+        JobPlan(
+            number=number,
+            at_ms=number * idle.interval_ms + number % 7 / 7,
+            works=[idle.run_ms],
+            declared=[round(idle.run_ms)],
+            entry=number % len(workload.data_centres),
+            interactive=True,
+            deadline_ms=workload.arrivals.single_deadline_ms,
+        )
+        for number in range(idle.requests)
+    ]
+    run.load(plans)
+    run.driver.run(idle.requests * idle.interval_ms + 5_000)
+    times = run.responses(plans)
+    ran_ms = {
+        int(item.start.spec.payload.split(b":")[0]): run.driver.run_ms(
+            item.agent, item.start
+        )
+        for item in run.driver.starts
+    }
+    added = [time - ran_ms[number] for number, time in times.items()]
+    return {"added_ms": percentiles_ms(added), "answered": len(times)}
+
+
+def drain_round(workload: Workload, *, policy: str, seed: int) -> dict[str, Any]:
+    """Take a data centre out of service under load and bring it back."""
+    run = CoresRun.build(workload, policy=policy, seed=seed)
+    phase = workload.drain
+    plans = plan_arrivals(
+        workload, load=phase.load, duration_ms=phase.duration_ms, seed=seed
+    )
+    run.load(plans)
+    driver, start_ms = run.driver, run.start_ms
+    # The entries poll the log at fixed times; each round changes at another moment.
+    offset_ms = seed * 67 % LOG_POLL_MS
+    drained_ms = start_ms + phase.at_ms + offset_ms
+    restored_ms = start_ms + phase.restore_ms + offset_ms
+    for at_ms, drain in ((drained_ms, True), (restored_ms, False)):
+        driver.at(
+            at_ms, lambda drain=drain: run.set_drain(phase.data_centre, drain=drain)
+        )
+    driver.run(phase.duration_ms + workload.drain_out_ms)
+    gone = {
+        agent_process(u.name)
+        for u in workload.upstreams
+        if u.data_centre == phase.data_centre
+    }
+    late = [
+        item.at_ms - drained_ms
+        for item in driver.starts
+        if item.agent in gone and drained_ms <= item.at_ms < restored_ms
+    ]
+    result = {
+        "ends": run.ends(),
+        "started_twice": run.started_twice(),
+        "last_start_after_drain_ms": round(max(late, default=0), 1),
+        "work_share": _work_shares(run),
+    }
+    result["refused"] = sum(
+        count
+        for name, count in result["ends"].items()
+        if name not in ("complete", "lost")
+    )
+    result["lost"] = result["ends"]["lost"]
+    return result
+
+
+def _work_shares(run: CoresRun) -> dict[str, float]:
+    """Return the work done in three spans as a share of what the slots allow.
+
+    Work in a span counts by the time for which it ran there. What the slots allow
+    is bounded by the work that has arrived and is not done at the span's start or
+    arrives within it.
+    """
+    workload, phase = run.workload, run.workload.drain
+    spans = {
+        "before": (phase.at_ms - 5_000, phase.at_ms, ""),
+        "during": (
+            phase.at_ms + DRAIN_BOUND_MS,
+            phase.restore_ms,
+            phase.data_centre,
+        ),
+        "after": (phase.restore_ms + RAMP_MS, phase.duration_ms, ""),
+    }
+    speeds = {agent_process(u.name): u.speed for u in workload.upstreams}
+    shares = {}
+    for name, (from_ms, to_ms, without) in spans.items():
+        done = earlier = 0.0
+        for item in run.driver.starts:
+            speed = speeds[item.agent]
+            begin = item.at_ms - run.start_ms
+            end = begin + run.driver.run_ms(item.agent, item.start)
+            done += speed * max(0.0, min(end, to_ms) - max(begin, from_ms))
+            earlier += speed * max(0.0, min(end, from_ms) - begin)
+        offered = sum(sum(p.works) for p in run.plans if p.at_ms < to_ms) - earlier
+        allowed = min(workload.capacity(without=without) * (to_ms - from_ms), offered)
+        shares[name] = round(done / allowed, 4)
+    return shares
--- a/catkincross_bench/cli.py
+++ b/catkincross_bench/cli.py
@@ -7,11 +7,23 @@
 
 import click
 
+from catkincross._placement import PLACEMENT_POLICIES
+
 from . import _cases_control, _cases_dispatch  # noqa: F401
 from ._capacity_page import rewrite_page, slope_data
 from ._case import CASES, run_case
+from ._compare import compare, cores_round
 from ._record_run import RESULTS, ROOT, environment, save_json
+from ._summary import table
+from ._workload import read_workload
 
+POLICIES = (
+    "expected_finish",
+    "random",
+    "round_robin",
+    "least_loaded",
+    "two_choices",
+)
 CAPACITY_PAGE = ROOT / "docs" / "CAPACITY.md"
 
 
@@ -51,5 +63,66 @@
         CAPACITY_PAGE.write_text(rewrite_page(CAPACITY_PAGE.read_text(), result))
 
 
+@main.command()
+@click.argument("workload", type=click.Path(path_type=Path))
+@click.option(
+    "--policies",
+    default=",".join(name for name in POLICIES if name in PLACEMENT_POLICIES),
+    show_default=True,
+    help="Placement policies to compare, two or more, or one with --revisions.",
+)
+@click.option(
+    "--revisions",
+    default="",
+    help="Saved revisions to compare instead, two or more; the first policy is used.",
+)
+@click.option("--rounds", default=3, type=click.IntRange(1, 50))
+@click.option("--driver", type=click.Choice(["cores", "processes"]), default="cores")
+@click.option("--json", "path", type=click.Path(path_type=Path), default=None)
+@click.option("--picture", type=click.Path(path_type=Path), default=None)
+def run(
+    workload: Path,
+    policies: str,
+    revisions: str,
+    rounds: int,
+    driver: str,
+    path: Path | None,
+    picture: Path | None,
+) -> None:
+    """Run a workload with several policies or revisions, in turn."""
+    try:
+        result = compare(
+            workload,
+            policies=_names(policies),
+            revisions=_names(revisions),
+            rounds=rounds,
+            driver=driver,
+            progress=click.echo,
+        )
+    except (FileNotFoundError, ValueError) as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(table(result["summary"], result["subjects"]))
+    if path is not None:
+        save_json(path, result)
+    if picture is not None:
+        from ._picture import draw_comparison
+
+        title = f"{result['workload']}, {driver}, {rounds} rounds"
+        draw_comparison(picture, title, result["summary"])
+
+
+def _names(text: str) -> list[str]:
+    return [name.strip() for name in text.split(",") if name.strip()]
+
+
+@main.command("round", hidden=True)
+@click.argument("workload", type=click.Path(path_type=Path))
+@click.option("--policy", required=True)
+@click.option("--seed", type=int, required=True)
+def one_round(workload: Path, policy: str, seed: int) -> None:
+    """Run one round on the cores and print its result as JSON."""
+    click.echo(json.dumps(cores_round(read_workload(workload), policy, seed)))
+
+
 if __name__ == "__main__":
     main()
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -212,7 +212,7 @@
         if not node.alive or node.paused:
             return
         inbox, node.inbox = node.inbox, []
-        for effect in node.core.step(self.now_ms, inbox):
+        for effect in node.core.step(int(self.now_ms), inbox):
             if node.alive:
                 self._carry_out(node, effect)
         if isinstance(node.core, EntryCore):
@@ -346,7 +346,7 @@
     def _read_log(self, node: Node) -> None:
         if not node.alive:
             return
-        asked_ms = self.now_ms
+        asked_ms = int(self.now_ms)
         if node.paused:
             self.at(asked_ms + LOG_POLL_MS, lambda: self._read_log(node))
             return
