Share the measures of a run between drivers and guard their arithmetic

Cause: a run of real processes needs the same response and drain measures as the cores. Added too: throughput through one entry process, the control cost of idle processes, and the cost of a placement choice alone.

--- a/catkincross_bench/_cases_control.py
+++ b/catkincross_bench/_cases_control.py
@@ -5,6 +5,7 @@
 import attrs
 
 from catkincross import effects as fx
+from catkincross._agent_core import AgentCore
 from catkincross._entry_core import EntryCore
 from catkincross._records import Record, ResourcePut, encode_record
 from catkincross.ids import agent_process, entry_process
@@ -49,6 +50,18 @@
     ]
 
 
+def all_started(core: AgentCore, count: int) -> AgentCore:
+    """Return the core if the tasks of a measurement have started.
+
+    Raises:
+        RuntimeError: If some were refused, so that the measured cost is not theirs.
+    """
+    started = sum(1 for row in core.state.starts if row.start is not None)
+    if started != count:
+        raise RuntimeError(f"{started} of {count} tasks started")
+    return core
+
+
 # Rows
 
 
@@ -337,7 +350,7 @@
         core.step(fix.START_MS, [fx.Received(process, StartTasks(items))])
         for start in items:
             core.step(fix.START_MS, [fx.UpstreamAnswered(start, TaskStatus.OK)])
-        return core
+        return all_started(core, starts)
 
     def action(core: object) -> None:
         request = CensusRequest(owner, owner)
--- a/catkincross_bench/_cases_dispatch.py
+++ b/catkincross_bench/_cases_dispatch.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import random
+
 from catkincross import effects as fx
 from catkincross._entry_core import EntryCore
+from catkincross._fit import TaskNeed
 from catkincross._placement import PLACEMENT_POLICIES
+from catkincross._service_slots import ServiceSlots
+from catkincross._upstream import Upstream
 from catkincross.ids import agent_process, entry_process
 from catkincross.messages import (
     PlaceTasks,
@@ -17,7 +22,7 @@
 
 from . import _fixtures as fix
 from ._case import case
-from ._cases_control import from_wire, sent, to_wire
+from ._cases_control import all_started, from_wire, sent, to_wire
 from ._meter import best_us, kept_bytes
 
 CHOSEN_POLICY = "expected_finish"
@@ -129,7 +134,7 @@
                 if isinstance(effect, fx.CallUpstream):
                     answer = fx.UpstreamAnswered(effect.start, TaskStatus.OK, bytes(64))
                     core.step(fix.START_MS, [answer])
-        return core
+        return all_started(core, count)
 
     return kept_bytes(lambda: fix.granted_agent(slots=64), action)
 
@@ -166,6 +171,7 @@
                     answer = fx.UpstreamAnswered(effect.start, TaskStatus.OK)
                     for reply in sent(core.step(fix.START_MS, [answer]), TaskResults):
                         to_wire(reply.message)
+        all_started(core, count)
 
     return best_us(lambda: fix.granted_agent(slots=64), action)
 
@@ -235,5 +241,42 @@
         return total / count
 
 
+def _service_slots(upstreams: int) -> ServiceSlots:
+    slots = ServiceSlots(CHOSEN_POLICY)
+    for number in range(upstreams):
+        slots.put(
+            Upstream(
+                name=fix.agent_name(number),
+                service=fix.SERVICE,
+                data_centre=fix.data_centre_name(number),
+                slots=1_000,
+                speed_class=number % 13 - 6,
+                memory_free_mb=100_000_000,
+                accelerators_free=8,
+            )
+        )
+    return slots
+
+
+@case(
+    "choice_us",
+    "us",
+    per=f"choice by {CHOSEN_POLICY} with its count, among n upstreams",
+    sizes=PLACEMENT_SIZES,
+    form="each",
+)
+def _choice_us(upstreams: int) -> float:
+    count = 5_000
+    need = TaskNeed(200.0, 512, 0)
+    rng = random.Random(1)
+
+    def action(slots: ServiceSlots) -> None:
+        for _ in range(count):
+            chosen = slots.policy.choose(need, rng)
+            slots.use(chosen.name, 1, 512, 0)
+
+    return best_us(lambda: _service_slots(upstreams), action) / count
+
+
 for _policy in sorted(PLACEMENT_POLICIES):
     _placement_case(_policy)
--- a/catkincross_bench/_cores_run.py
+++ b/catkincross_bench/_cores_run.py
@@ -9,20 +9,18 @@
 
 from catkincross import effects as fx
 from catkincross._records import Record, ResourcePut
-from catkincross.ids import agent_process, entry_process
+from catkincross.ids import agent_process, entry_process, split_process
 from catkincross.messages import JobState, TaskSpec, TaskStart
 from catkincross.settings import PlacementSettings
 from scenarios.driver import LOG_POLL_MS, Driver
 
-from ._ideal import idle_ideal_ms, loaded_ideal_ms
-from ._times import percentiles_ms, ratios, slowdowns
+from ._drain_shares import TaskRun, last_start_ms, work_shares
+from ._times import percentiles_ms, response_measures
 from ._waste import count_messages
 from ._workload import JobPlan, Workload, plan_arrivals
 
 SERVICE = "s"
 SETTLE_MS = 4_000
-RAMP_MS = 5_000
-DRAIN_BOUND_MS = 3_000
 
 
 @attrs.define
@@ -160,25 +158,8 @@
     run.driver.run(duration_ms + workload.drain_out_ms)
     measured = [plan for plan in plans if plan.at_ms >= workload.warm_up_ms]
     times = run.responses(measured)
-    loaded = loaded_ideal_ms(workload, plans)
     result: dict[str, Any] = {"ends": run.ends(), "started_twice": run.started_twice()}
-    for kind, chosen in (
-        ("single", [plan for plan in measured if len(plan.works) == 1]),
-        ("job", [plan for plan in measured if len(plan.works) > 1]),
-    ):
-        chosen = [plan for plan in chosen if plan.number in times]
-        response = [times[plan.number] for plan in chosen]
-        idle = [idle_ideal_ms(workload, plan.works) for plan in chosen]
-        under_load = [loaded[plan.number] for plan in chosen]
-        result[kind] = {
-            "count": len(chosen),
-            "response_ms": percentiles_ms(response),
-            "idle_ideal_ms": percentiles_ms(idle),
-            "ratio": ratios(response, idle),
-            "slowdown": slowdowns(response, idle),
-            "ratio_one_queue": ratios(under_load, idle),
-            "over_one_queue": ratios(response, under_load),
-        }
+    result.update(response_measures(workload, plans, measured, times))
     tasks = sum(len(plan.works) for plan in plans)
     waste = count_messages(run.driver.sent[sent_before:])
     seconds = (duration_ms + workload.drain_out_ms) / 1_000
@@ -238,21 +219,21 @@
             at_ms, lambda drain=drain: run.set_drain(phase.data_centre, drain=drain)
         )
     driver.run(phase.duration_ms + workload.drain_out_ms)
-    gone = {
-        agent_process(u.name)
-        for u in workload.upstreams
-        if u.data_centre == phase.data_centre
-    }
-    late = [
-        item.at_ms - drained_ms
+    runs = [
+        TaskRun(
+            split_process(item.agent)[1],
+            item.at_ms - start_ms,
+            item.at_ms - start_ms + driver.run_ms(item.agent, item.start),
+        )
         for item in driver.starts
-        if item.agent in gone and drained_ms <= item.at_ms < restored_ms
     ]
     result = {
         "ends": run.ends(),
         "started_twice": run.started_twice(),
-        "last_start_after_drain_ms": round(max(late, default=0), 1),
-        "work_share": _work_shares(run),
+        "last_start_after_drain_ms": last_start_ms(
+            workload, runs, drained_ms - start_ms, restored_ms - start_ms
+        ),
+        "work_share": work_shares(workload, plans, runs),
     }
     result["refused"] = sum(
         count
@@ -261,36 +242,3 @@
     )
     result["lost"] = result["ends"]["lost"]
     return result
-
-
-def _work_shares(run: CoresRun) -> dict[str, float]:
-    """Return the work done in three spans as a share of what the slots allow.
-
-    Work in a span counts by the time for which it ran there. What the slots allow
-    is bounded by the work that has arrived and is not done at the span's start or
-    arrives within it.
-    """
-    workload, phase = run.workload, run.workload.drain
-    spans = {
-        "before": (phase.at_ms - 5_000, phase.at_ms, ""),
-        "during": (
-            phase.at_ms + DRAIN_BOUND_MS,
-            phase.restore_ms,
-            phase.data_centre,
-        ),
-        "after": (phase.restore_ms + RAMP_MS, phase.duration_ms, ""),
-    }
-    speeds = {agent_process(u.name): u.speed for u in workload.upstreams}
-    shares = {}
-    for name, (from_ms, to_ms, without) in spans.items():
-        done = earlier = 0.0
-        for item in run.driver.starts:
-            speed = speeds[item.agent]
-            begin = item.at_ms - run.start_ms
-            end = begin + run.driver.run_ms(item.agent, item.start)
-            done += speed * max(0.0, min(end, to_ms) - max(begin, from_ms))
-            earlier += speed * max(0.0, min(end, from_ms) - begin)
-        offered = sum(sum(p.works) for p in run.plans if p.at_ms < to_ms) - earlier
-        allowed = min(workload.capacity(without=without) * (to_ms - from_ms), offered)
-        shares[name] = round(done / allowed, 4)
-    return shares
--- a/catkincross_bench/_fixtures.py
+++ b/catkincross_bench/_fixtures.py
@@ -168,7 +168,9 @@
         connections=10_000,
     )
     core = AgentCore(AgentState.from_settings(settings, number=1 << 62))
-    view = AgentView(entries, roster(entries), draining=False, registered=True)
+    view = AgentView(
+        entries, roster(entries), draining=False, registered=True, home_number=1
+    )
     process = entry_process(ENTRY_NAME)
     core.step(START_MS, [fx.Connected(process), fx.Received(process, view)])
     owner = view.entries[0].incarnation
--- a/catkincross_bench/cli.py
+++ b/catkincross_bench/cli.py
@@ -111,6 +111,42 @@
         draw_comparison(picture, title, result["summary"])
 
 
+@main.command("idle-cost")
+@click.option("--entries", default=3, type=click.IntRange(1, 10))
+@click.option("--agents", default=4, type=click.IntRange(1, 20))
+@click.option("--seconds", default=60.0)
+@click.option("--json", "path", type=click.Path(path_type=Path), default=None)
+def idle_cost_command(
+    entries: int, agents: int, seconds: float, path: Path | None
+) -> None:
+    """Measure the control cost of real processes without work."""
+    from ._idle_cost import idle_cost, idle_table
+
+    result = idle_cost(entries=entries, agents=agents, seconds=seconds)
+    click.echo(idle_table(result))
+    command = f"catkincross-bench idle-cost --entries {entries} --agents {agents}"
+    if path is not None:
+        save_json(path, {"run": environment(command), **result})
+
+
+@main.command("starts")
+@click.option("--hosts", default=2, type=click.IntRange(1, 4))
+@click.option("--agents", default=2, type=click.IntRange(1, 20))
+@click.option("--job-tasks", default=360, type=click.IntRange(1, 1_000))
+@click.option("--callers", default=8, type=click.IntRange(1, 200))
+@click.option("--run-ms", default=50.0)
+@click.option("--seconds", default=9.0)
+@click.option("--json", "path", type=click.Path(path_type=Path), default=None)
+def starts_command(path: Path | None, agents: int, **options: float) -> None:
+    """Measure the task starts a second through one entry process."""
+    from ._throughput import throughput
+
+    result = throughput(agents_per_host=agents, **options)
+    click.echo(json.dumps(result, indent=1))
+    if path is not None:
+        save_json(path, {"run": environment("catkincross-bench starts"), **result})
+
+
 def _names(text: str) -> list[str]:
     return [name.strip() for name in text.split(",") if name.strip()]
 
--- a/tests/test_bench_load.py
+++ b/tests/test_bench_load.py
@@ -22,11 +22,14 @@
     TaskStart,
     TaskStatus,
 )
+from catkincross_bench._drain_shares import TaskRun, last_start_ms, work_shares
 from catkincross_bench._ideal import idle_ideal_ms, loaded_ideal_ms
+from catkincross_bench._processes import socket_bytes
 from catkincross_bench._summary import Measure, summarize
 from catkincross_bench._times import ratios
 from catkincross_bench._waste import count_messages
 from catkincross_bench._workload import (
+    DrainPhase,
     JobPlan,
     UpstreamSpec,
     Workload,
@@ -133,3 +136,23 @@
 
 def test_a_ratio_compares_the_same_percentile() -> None:
     assert ratios([110.0] * 100, [100.0] * 100)["p99"] == pytest.approx(1.1, rel=0.01)
+
+
+def test_socket_bytes_count_both_directions_and_headers() -> None:
+    line = "ESTAB 0 0 127.0.0.1:1 127.0.0.1:2 bytes_sent:100 bytes_acked:100 "
+    line += "bytes_received:40 segs_out:3 segs_in:2 data_segs_out:1"
+    assert socket_bytes(line) == 140 + 5 * 52
+
+
+def test_work_that_ran_before_a_span_does_not_count_in_it() -> None:
+    workload = attrs.evolve(
+        small(),
+        drain=DrainPhase("b", 1.0, at_ms=6_000, restore_ms=16_000, duration_ms=22_000),
+    )
+    works = [44_000.0, 22_000.0]
+    plans = [JobPlan(0, 0, works, [0, 0], 0, False, 100_000)]
+    # The fast upstream has speed 2 and the slow one, which runs late, 1.
+    runs = [TaskRun("fast", 0, 22_000), TaskRun("slow", 9_000, 22_000)]
+    shares = work_shares(workload, plans, runs)
+    assert shares == {"before": 0.6667, "during": 1.0, "after": 1.0}
+    assert last_start_ms(workload, runs, 6_000, 16_000) == 0
