Run the demo on the real daemons in one loop

Cause: 'make demo' had no command to call.

Ruled out: the driver in virtual time, which shows no real process; and child processes, which could be left behind.

Before: no demo. After: three entries, four agents, stand-ins of upstreams and a log in memory run in one process over loopback; the demo prints two jobs, a submission again, a drain and the time line.

Conclusion: one command shows the whole path.

--- /dev/null
+++ b/catkincross/_demo.py
@@ -0,0 +1,238 @@
+"""A whole system in one process: entries, agents, upstreams and the log."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+import aiohttp
+import eliot
+
+from standins.upstream import Behaviour, Upstream
+
+from ._agent_daemon import AgentDaemon
+from ._embedded_log import EmbeddedLog
+from ._entry_daemon import EntryDaemon
+from ._http_server import HttpServer
+from ._settings import (
+    AgentSettings,
+    EntrySettings,
+    ListenSettings,
+    SeedSettings,
+    UpstreamSettings,
+)
+from ._timeline import TimelineEvent, TimelineFilter, events_of, merge
+
+DATA_CENTRES = ("perth", "stirling", "dundee")
+AGENTS = 4
+REGION, SERVICE, TEAM = "scot-central", "checks", "demo"
+SPEEDS = (1.0, 1.0, 1.5, 0.7)
+READY_LIMIT_S = 30.0
+POLL_S = 0.05
+STOP_LIMIT_MS = 5_000
+
+
+class DemoSystem:
+    """Entries, agents and stand-ins of upstreams in the running loop.
+
+    Attributes:
+        entries: Entry daemons by name.
+        agents: Agent daemons by name.
+        lines: Lines that the processes logged.
+    """
+
+    def __init__(self) -> None:
+        self.log = EmbeddedLog()
+        self.entries: dict[str, EntryDaemon] = {}
+        self.agents: dict[str, AgentDaemon] = {}
+        self.upstreams: list[HttpServer] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.lines: list[dict[str, Any]] = []
+
+    async def start(self) -> None:
+        """Start all processes and wait until each is ready.
+
+        Raises:
+            TimeoutError: If they are not ready within a limit.
+        """
+        for number, data_centre in enumerate(DATA_CENTRES, 1):
+            await self._start_entry(f"e{number}", data_centre)
+        seeds = ",".join(entry.state.address for entry in self.entries.values())
+        for number in range(AGENTS):
+            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            await self._start_agent(f"u{number + 1}", data_centre, seeds, number)
+        async with asyncio.timeout(READY_LIMIT_S):
+            while not self._ready():
+                await asyncio.sleep(POLL_S)
+
+    async def _start_entry(self, name: str, data_centre: str) -> None:
+        settings = EntrySettings(
+            name=name,
+            region=REGION,
+            data_centre=data_centre,
+            listen=ListenSettings(unready_ms=0, stop_limit_ms=STOP_LIMIT_MS),
+        )
+        entry = EntryDaemon(settings, log_client=self.log)
+        await entry.start()
+        self.entries[name] = entry
+        self._run(entry.run())
+
+    async def _start_agent(
+        self, name: str, data_centre: str, seeds: str, number: int
+    ) -> None:
+        upstream = Upstream(Behaviour(speed=SPEEDS[number % len(SPEEDS)]))
+        server = HttpServer(upstream.app(), "127.0.0.1:0")
+        server.start()
+        self.upstreams.append(server)
+        settings = AgentSettings(
+            name=name,
+            region=REGION,
+            data_centre=data_centre,
+            upstream=name,
+            service=SERVICE,
+            listen=ListenSettings(unready_ms=0, stop_limit_ms=STOP_LIMIT_MS),
+            seeds=SeedSettings(entries=seeds),
+            upstream_http=UpstreamSettings(url=f"http://{server.address}/tasks"),
+        )
+        agent = AgentDaemon(settings)
+        await agent.start()
+        self.agents[name] = agent
+        self._run(agent.run())
+
+    def _run(self, running: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.create_task(running))
+
+    def _ready(self) -> bool:
+        for task in self.tasks:
+            if task.done():
+                task.result()
+        current = all(entry.state.may_dispatch() for entry in self.entries.values())
+        homes = all(self._has_home(name) for name in self.agents)
+        return current and homes and self._entries_connected()
+
+    def _has_home(self, name: str) -> bool:
+        entry = self.entries.get(self.agents[name].state.home)
+        row = None if entry is None else entry.state.agents.get(name)
+        if entry is None or row is None:
+            return False
+        return row.connected and entry.state.control.is_registered(row.hello.agent)
+
+    def _entries_connected(self) -> bool:
+        peers = len(self.entries) - 1
+        return all(
+            sum(peer.connected for peer in entry.state.peers) == peers
+            for entry in self.entries.values()
+        )
+
+    async def stop(self) -> None:
+        """Stop everything gracefully, agents first."""
+        await asyncio.gather(*(agent.leave() for agent in self.agents.values()))
+        await asyncio.gather(*(entry.leave() for entry in self.entries.values()))
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*(server.stop(1) for server in self.upstreams))
+
+    def url(self, entry: str) -> str:
+        """Return the URL of an entry."""
+        return f"http://{self.entries[entry].http.address}"
+
+    def events(self, job: str) -> list[TimelineEvent]:
+        """Return the time line of a job named as `team/key`."""
+        return merge([events_of(self.lines)], TimelineFilter(job=job))
+
+
+@asynccontextmanager
+async def demo_system() -> AsyncIterator[DemoSystem]:
+    """Give a running system, and stop all of it at the end."""
+    system = DemoSystem()
+    destination = system.lines.append
+    eliot.add_destinations(destination)
+    try:
+        await system.start()
+        yield system
+    finally:
+        await system.stop()
+        eliot.remove_destination(destination)
+
+
+async def submit(url: str, key: str, tasks: int) -> dict[str, Any]:
+    """Submit a job of short tasks over HTTP and return its answer."""
+    body = {
+        "service": SERVICE,
+        "team": TEAM,
+        "tasks": [
+            {"payload": f"run_ms={20 + 5 * (number % 5)} task {number}"}
+            for number in range(tasks)
+        ],
+        "deadline_ms": 20_000,
+    }
+    headers = {"Idempotency-Key": key}
+    return await _call("POST", f"{url}/v1/jobs", body, headers)
+
+
+async def drain(url: str, data_centre: str) -> dict[str, Any]:
+    """Drain a data centre and return its document once nothing runs there.
+
+    Raises:
+        TimeoutError: If that takes too long.
+    """
+    target = f"{url}/v1/datacentres/{data_centre}"
+    await _call("PUT", target, {"spec": {"drain": True}}, {})
+    async with asyncio.timeout(READY_LIMIT_S):
+        while True:
+            document = await _call("GET", target, None, {})
+            if document.get("status", {}).get("drained"):
+                return document
+            await asyncio.sleep(POLL_S)
+
+
+async def _call(method: str, url: str, body: Any, headers: dict[str, str]) -> Any:
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, url, json=body, headers=headers) as response,
+    ):
+        return await response.json()
+
+
+async def run_demo(
+    show: Callable[[str, dict[str, Any]], None],
+    show_events: Callable[[list[TimelineEvent]], None],
+    *,
+    tasks: int,
+) -> bool:
+    """Run a job, submit it again, and run another one around a drained data centre.
+
+    Args:
+        show: Gets a title and a job's answer or a resource.
+        show_events: Gets the time line of the first job.
+        tasks: Number of the tasks of each job.
+
+    Returns:
+        Whether all answers are complete, every task started once, and none of the
+        second job in the drained data centre.
+    """
+    drained = DATA_CENTRES[0]
+    async with demo_system() as system:
+        answers = [await submit(system.url("e1"), "first-job", tasks)]
+        show("Job submitted at e1", answers[-1])
+        answers.append(await submit(system.url("e2"), "first-job", tasks))
+        show("The same job submitted again at e2", answers[-1])
+        show_events(system.events(f"{TEAM}/first-job"))
+        show(f"Drain of {drained} at e3", await drain(system.url("e3"), drained))
+        answers.append(await submit(system.url("e1"), "second-job", tasks))
+        show("Another job at e1", answers[-1])
+        first, second = (
+            [event for event in system.events(f"{TEAM}/{key}") if _is_start(event)]
+            for key in ("first-job", "second-job")
+        )
+    return (
+        all(answer["state"] == "complete" for answer in answers)
+        and len({event.task for event in first}) == len(first) == tasks
+        and len({event.task for event in second}) == len(second) == tasks
+        and drained not in {event.data_centre for event in second}
+    )
+
+
+def _is_start(event: TimelineEvent) -> bool:
+    return event.event == "task started"
--- a/catkincross/cli.py
+++ b/catkincross/cli.py
@@ -5,6 +5,7 @@
 import click
 
 from . import __version__
+from ._cli_demo import demo
 from ._cli_files import check_config, timeline
 from ._cli_jobs import cancel, request, submit
 from ._cli_output import EXIT_HELP
@@ -19,7 +20,7 @@
 
 for command in (submit, request, cancel, get, watch, apply, delete, drain, restore):
     main.add_command(command)
-for command in (timeline, check_config):
+for command in (timeline, check_config, demo):
     main.add_command(command)
 
 
