Collect a home's relayed starts once for each ended owner

Cause: each census answer looked at all tasks of the retention window again, and a leaving entry looked at all its jobs in every step.

Ruled out: an index of starts by owner, which costs memory for every start.

Before: no scenario covered a home that answers for a dead agent. With the relayed keys left out it printed 'complete' for a job that had started; with every dead agent taken as lost it printed 'failed may_have_run' for a job that had not. After: both scenarios pass.

Conclusion: the scan runs once an ended entry, behind the fence.

--- a/catkincross/_census.py
+++ b/catkincross/_census.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+
 from ._control_state import AgentMember
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
@@ -175,14 +177,18 @@
     They count for an agent that is lost later as well, so no later answer of this
     home is needed.
     """
-    return {
-        key.task.key_hash
-        for key, row in state.home_tasks.rows.items()
-        if key.owner == ended
-        and row.agent
-        and not (row.result is not None and row.result.not_run)
-        and row.agent_incarnation not in served.agents
-    }
+    if served.relayed is None:
+        # Collected once: the fence keeps this home from relaying more.
+        served.relayed = defaultdict(set)
+        for key, row in state.home_tasks.rows.items():
+            not_run = row.result is not None and row.result.not_run
+            if key.owner == ended and row.agent and not not_run:
+                served.relayed[row.agent_incarnation].add(key.task.key_hash)
+    found: set[bytes] = set()
+    for agent, keys in served.relayed.items():
+        if agent not in served.agents:
+            found |= keys
+    return found
 
 
 def _all_answered(state: EntryState, served: HomeCensus) -> bool:
--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -99,6 +99,7 @@
         batches: Addressee and message of batches that are not confirmed.
         roster_version: Roster version for which the batches were made; 0 before.
         send_due_ms: When unconfirmed batches are sent again.
+        open_keys: Jobs that were open when all were looked at last.
         gave_up: Open jobs were given up; their keys were not handed over.
         stopped: The process was told that it may end.
     """
@@ -108,6 +109,7 @@
     batch_count: int = 0
     roster_version: int = 0
     send_due_ms: int = 0
+    open_keys: list[bytes] = attrs.field(factory=list)
     gave_up: bool = False
     stopped: bool = False
 
--- a/catkincross/_leave.py
+++ b/catkincross/_leave.py
@@ -54,8 +54,9 @@
         decline(state, state.home_tasks.rows[key], Reason.LEAVING)
     if not overdue and _is_busy(state):
         return
-    state.leave.gave_up |= any(job.answer is None for job in state.jobs)
-    fail_jobs(state)
+    if overdue and not state.leave.gave_up and _has_open_jobs(state):
+        state.leave.gave_up = True
+        fail_jobs(state)
     handed_over = _hand_over(state)
     if handed_over or overdue:
         planned = handed_over and bool(state.control.owners())
@@ -67,7 +68,7 @@
 
 def _is_busy(state: EntryState) -> bool:
     return (
-        any(job.answer is None for job in state.jobs)
+        _has_open_jobs(state)
         or len(state.requests) > 0
         or bool(state.held_jobs)
         # Agents that have another home by now send it their results.
@@ -75,6 +76,20 @@
     )
 
 
+def _has_open_jobs(state: EntryState) -> bool:
+    """Whether a job is open; all rows are looked at only when none is known to be."""
+    leave = state.leave
+    leave.open_keys = [key for key in leave.open_keys if _is_open(state, key)]
+    if not leave.open_keys:
+        leave.open_keys = [job.key_hash for job in state.jobs if job.answer is None]
+    return bool(leave.open_keys)
+
+
+def _is_open(state: EntryState, key_hash: bytes) -> bool:
+    job = state.jobs.get(key_hash)
+    return job is not None and job.answer is None
+
+
 def _append_once(state: EntryState, body: RecordBody) -> None:
     pending = state.appends.pending.values()
     if state.log_reachable and not any(row.record.body == body for row in pending):
--- a/catkincross/_recovery_rows.py
+++ b/catkincross/_recovery_rows.py
@@ -42,12 +42,14 @@
         agents: Agents that have answered.
         requesters: Processes that are told when all have answered.
         asked_ms: When each agent was asked last.
+        relayed: Keys that this home relayed, by agent; None until collected.
     """
 
     keys: set[bytes] = attrs.field(factory=set)
     agents: set[Incarnation] = attrs.field(factory=set)
     requesters: set[str] = attrs.field(factory=set)
     asked_ms: dict[Incarnation, int] = attrs.field(factory=dict)
+    relayed: dict[Incarnation, set[bytes]] | None = None
 
 
 @attrs.define
