--- a/catkincross/_log_feed.py
+++ b/catkincross/_log_feed.py
@@ -1,25 +1,35 @@
-"""Feeds an entry's core from the control stream and appends its records."""
+"""Feeds an entry's core from the log and appends its records and snapshots."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from ._clock import Clock
-from ._effects import AppendEnded, LogGap, LogRead, LogUnreachable
+from ._effects import (
+    AppendEnded,
+    LogGap,
+    LogRead,
+    LogUnreachable,
+    SnapshotEnded,
+    SnapshotRead,
+)
 from ._log_client import Accepted, Gap, LogClient, Records, Refused, Unreachable
 from ._records import Record, encode_record
 
 CONTROL_STREAM = "control"
+SNAPSHOT_STREAM = "snapshots"
 READ_LIMIT = 1_000
+SNAPSHOT_READ_LIMIT = 10
 RETRY_MS = 200
 MAX_QUEUED_APPENDS = 1_000
 
 
 class LogFeed:
-    """Reader and appender of the control stream.
+    """Reader and appender of the control stream and of snapshots.
 
     Args:
         client: Client of the log.
@@ -47,14 +57,17 @@
         self.wait_ms = wait_ms
         self.rng = random.Random(seed)
         self._appends: asyncio.Queue[Record] = asyncio.Queue(MAX_QUEUED_APPENDS)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         """Begin to read and append."""
-        self._tasks = [
-            asyncio.create_task(self._read_forever()),
-            asyncio.create_task(self._append_forever()),
-        ]
+        self._spawn(self._read_forever())
+        self._spawn(self._append_forever())
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def append(self, record: Record) -> None:
         """Append a record after those that wait."""
@@ -63,11 +76,20 @@
         except asyncio.QueueFull:
             self.post(AppendEnded(record.id, None, True, "overloaded"))
 
+    def write_snapshot(self, version: int, body: bytes) -> None:
+        """Append a snapshot; its end is posted as `SnapshotEnded`."""
+        self._spawn(self._write_snapshot(version, body))
+
+    def read_snapshot(self) -> None:
+        """Read the newest snapshot; it is posted as `SnapshotRead`."""
+        self._spawn(self._read_snapshot())
+
     async def close(self) -> None:
         """Stop reading and appending."""
-        for task in self._tasks:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.client.close()
 
     async def _read_forever(self) -> None:
@@ -108,3 +130,33 @@
                     self.post(AppendEnded(record.id, None, True, reason))
                 case _:
                     self.post(AppendEnded(record.id, None, False, outcome.reason))
+
+    async def _write_snapshot(self, version: int, body: bytes) -> None:
+        record = json.dumps({"version": version, "body": body.decode()}).encode()
+        outcome = await self.client.append(SNAPSHOT_STREAM, record)
+        self.post(SnapshotEnded(version, isinstance(outcome, Accepted)))
+
+    async def _read_snapshot(self) -> None:
+        newest = SnapshotRead(0)
+        offset = 1
+        while True:
+            outcome = await self.client.read(
+                SNAPSHOT_STREAM, offset, limit=SNAPSHOT_READ_LIMIT, wait_ms=0
+            )
+            match outcome:
+                case Gap(first):
+                    offset = first
+                case Records(records, tail, _):
+                    # A slow writer may have appended an older snapshot last.
+                    for row in records:
+                        snapshot = json.loads(row.body)
+                        if snapshot["version"] > newest.version:
+                            body = snapshot["body"].encode()
+                            newest = SnapshotRead(snapshot["version"], body)
+                    offset += len(records)
+                    if offset > tail:
+                        self.post(newest)
+                        return
+                case _:
+                    self.post(LogUnreachable())
+                    return
--- a/catkincross/agent.py
+++ b/catkincross/agent.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 
 import click
 
 from ._agent_daemon import AgentDaemon
 from ._ini import settings_or_exit
-from ._main import run_daemon, run_main
+from ._logs import start_logs
+from ._main import run_daemon
 from ._settings import AgentSettings
 
 
@@ -21,7 +23,9 @@
 )
 def main(config: Path) -> None:
     """Run an agent process."""
-    run_main(_run(settings_or_exit(config, AgentSettings)))
+    settings = settings_or_exit(config, AgentSettings)
+    start_logs(settings.logs)
+    asyncio.run(_run(settings))
 
 
 async def _run(settings: AgentSettings) -> None:
