--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -113,6 +113,7 @@
         return
     capacity = capacity_summaries(state)
     observed, drains = observed_versions(state), drain_reports(state)
+    teams = state.dispatch.teams.report()
     pending = [encode_record(record) for record in restrictive_pending(state)]
     for name, peer in state.peers.rows.items():
         echo_ms, delay_ms = NO_EVIDENCE, 0
@@ -128,6 +129,7 @@
             log_reachable=state.log_reachable,
             evidence_age_ms=state.freshness.age_ms(state.now_ms),
             capacity=capacity,
+            teams=teams,
             leaving=state.stopping,
             pending=pending,
             observed=observed,
--- a/catkincross/_held_requests.py
+++ b/catkincross/_held_requests.py
@@ -8,9 +8,10 @@
 from ._entry_rows import Waiter
 from ._entry_state import EntryState
 from ._ids import entry_process
+from ._job_end import answer_waiter
 from ._key_settlement import KeyFate, keeper_of, settle_key
 from ._messages import CancelJob, ForwardJob, JobAnswer, JobAsked, JobState, Reason
-from ._owner import answer_request, ask_job, cancel_job, own_job
+from ._owner import ask_job, cancel_job, own_job
 from ._recovery_rows import HeldRequest
 
 CHECK_MS = 100
@@ -46,7 +47,7 @@
     for row in [row for row in held if row.deadline_ms <= state.now_ms]:
         held.remove(row)
         waiter = Waiter(row.arrival, row.message.request_id)
-        answer_request(state, waiter, unknown_answer(row.message.key))
+        answer_waiter(state, waiter, unknown_answer(row.message.key))
     if not held:
         del state.held_jobs[key_hash]
 
@@ -108,7 +109,7 @@
             if row.relay_id == answer.request_id:
                 rows.remove(row)
                 waiter = Waiter(row.arrival, row.message.request_id)
-                answer_request(state, waiter, answer)
+                answer_waiter(state, waiter, answer)
                 if not rows:
                     del state.held_jobs[key_hash]
                 return
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -6,18 +6,16 @@
 from ._entry_rows import HomeTask
 from ._entry_state import EntryState
 from ._home_slots import forget_running, reindex_speed, release_slot
-from ._home_starts import dequeue, enqueue
-from ._ids import agent_process
+from ._home_starts import dequeue, enqueue, fits_nowhere_here
 from ._messages import (
-    CancelTasks,
     OwnedTask,
     PlacedTask,
     PlaceTasks,
     Reason,
-    RecallTasks,
     TaskResult,
     TaskStatus,
 )
+from ._upstream_health import note_result
 
 
 @ENTRY.handles(PlaceTasks)
@@ -30,18 +28,6 @@
     accept_tasks(state, sender, message.tasks)
 
 
-@ENTRY.handles(CancelTasks)
-def _tasks_cancelled(state: EntryState, sender: str, message: CancelTasks) -> None:
-    cancel_tasks(state, message)
-
-
-@ENTRY.handles(RecallTasks)
-def _tasks_recalled(state: EntryState, sender: str, message: RecallTasks) -> None:
-    for owned in message.tasks:
-        if owned in state.home_queue:
-            decline(state, state.home_tasks.rows[owned], Reason.RECALLED)
-
-
 def accept_tasks(
     state: EntryState, owner_process: str, tasks: list[PlacedTask]
 ) -> None:
@@ -60,6 +46,9 @@
             accepted_ms=state.now_ms,
         )
         state.home_tasks.add(key, row)
+        if fits_nowhere_here(state, placed):
+            decline(state, row, Reason.FITS_NOWHERE)
+            continue
         enqueue(state, row)
         queue_ms = state.settings.queues.home_queue_ms
         state.home_due.set(key, min(row.deadline_ms, state.now_ms + queue_ms))
@@ -79,6 +68,8 @@
         if row is None:
             _relay_unknown(state, result)
         elif row.result is None and row.agent == name:
+            if agent is not None:
+                note_result(state, agent, row, result)
             _learn(state, row, result)
             finish(state, row, result)
 
@@ -150,21 +141,6 @@
         state.batches.result_services[row.owner_process][row.placed.service] = None
 
 
-def cancel_tasks(state: EntryState, message: CancelTasks) -> None:
-    """Cancel tasks at this home: queued ones at once, others at their agents."""
-    by_agent: dict[str, list[OwnedTask]] = {}
-    for owned in message.tasks:
-        row = state.home_tasks.get(owned)
-        if row is None or row.result is not None:
-            continue
-        if row.agent:
-            by_agent.setdefault(row.agent, []).append(owned)
-        else:
-            decline(state, row, Reason.CANCELLED)
-    for agent, tasks in by_agent.items():
-        state.send(agent_process(agent), CancelTasks(tasks, message.revoke))
-
-
 @ENTRY.system(order=460)
 def _expire_home_tasks(state: EntryState) -> None:
     for key in state.home_due.pop_due(state.now_ms):
--- a/catkincross/_home_starts.py
+++ b/catkincross/_home_starts.py
@@ -9,12 +9,15 @@
 from ._entry_registry import ENTRY
 from ._entry_rows import AgentRow, HomeTask
 from ._entry_state import EntryState
-from ._fair_queue import FairQueue, Turn
+from ._fair_queue import Turn
 from ._fit import TaskNeed
 from ._home_slots import hold_slot
 from ._ids import agent_process
+from ._lanes import Lanes
 from ._messages import OwnedTask, PlacedTask, TaskStart
+from ._quotas import team_share
 from ._service_slots import ServiceSlots
+from ._stragglers import watch
 from ._upstream import Upstream, class_speed
 
 # Most tasks that wait for a faster slot in one pass over a queue.
@@ -25,22 +28,30 @@
     """Return what a task is expected to take."""
     spec = placed.spec
     run_ms = state.dispatch.run_times.expect_ms(placed.service, spec)
-    return TaskNeed(run_ms, spec.memory_mb, spec.accelerators)
+    if not spec.memory_mb:
+        return TaskNeed(run_ms, 0, spec.accelerators)
+    largest_mb, _ = state.dispatch.service(placed.service).sizes.largest()
+    memory_mb = state.dispatch.memory.need_mb(placed.service, spec, largest_mb)
+    return TaskNeed(run_ms, memory_mb, spec.accelerators)
+
+
+def fits_nowhere_here(state: EntryState, placed: PlacedTask) -> bool:
+    """Whether no upstream of this home could run a task even if it were idle."""
+    slots = state.dispatch.services.get(placed.service)
+    if slots is None or not slots.rows:
+        return False
+    spec = placed.spec
+    declared = TaskNeed(0, spec.memory_mb, spec.accelerators)
+    return slots.sizes.roomiest(declared) is None
 
 
 def enqueue(state: EntryState, row: HomeTask) -> None:
     """Let a task wait for a slot."""
     placed, dispatch = row.placed, state.dispatch
     need = need_of(state, placed)
-    # Tasks of different need wait apart, so that one that fits nowhere now does not
-    # hold up the others. Classes of memory double in width.
-    lanes = dispatch.lanes.setdefault(placed.service, {})
-    key = (need.memory_mb.bit_length(), need.accelerators)
-    lane = lanes.get(key)
-    if lane is None:
-        lane = lanes[key] = dispatch.new_queue()
-    turn = Turn(placed.team, 1.0, need.run_ms, placed.interactive)
-    lane.push(row.key, turn)
+    weight = team_share(state.control, placed.team).weight
+    turn = Turn(placed.team, weight, need.run_ms, placed.interactive)
+    dispatch.queue(dispatch.lanes, placed.service).push(row.key, turn, need)
     state.home_queue[row.key] = None
     dispatch.due_services[placed.service] = None
 
@@ -50,10 +61,7 @@
     if row.key not in state.home_queue:
         return
     del state.home_queue[row.key]
-    lanes = state.dispatch.lanes.get(row.placed.service, {})
-    for lane_key, lane in list(lanes.items()):
-        if lane.remove(row.key) and not lane:
-            del lanes[lane_key]
+    state.dispatch.lanes[row.placed.service].remove(row.key)
 
 
 @attrs.define
@@ -66,8 +74,9 @@
     """
 
     slots: ServiceSlots
+    lanes: Lanes[OwnedTask]
     claims: Counter[int] = attrs.field(factory=Counter)
-    aside: list[tuple[FairQueue, OwnedTask, Turn]] = attrs.field(factory=list)
+    aside: list[tuple[tuple[int, int], OwnedTask, Turn]] = attrs.field(factory=list)
 
 
 @ENTRY.system(order=450)
@@ -88,19 +97,20 @@
     lanes = dispatch.lanes.get(service)
     if not lanes:
         return
-    run = Pass(dispatch.service(service))
-    active = list(lanes.values())
+    run = Pass(dispatch.service(service), lanes)
+    if not run.slots.slots:
+        dispatch.slotless[service] = None
+        return
+    active = lanes.waiting()
     while active and run.slots.free > 0:
         active = [lane for lane in active if _start_next(state, run, lane)]
     for lane, key, turn in reversed(run.aside):
-        lane.put_back(key, turn)
-    for lane_key in [key for key, lane in lanes.items() if not lane]:
-        del lanes[lane_key]
+        lanes.put_back(lane, key, turn)
 
 
-def _start_next(state: EntryState, run: Pass, lane: FairQueue) -> bool:
+def _start_next(state: EntryState, run: Pass, lane: tuple[int, int]) -> bool:
     """Start the next task of a lane; return whether it makes sense to go on."""
-    taken = lane.take()
+    taken = run.lanes.take(lane)
     if taken is None:
         return False
     key, turn = taken
@@ -108,9 +118,9 @@
     if row is None or key not in state.home_queue:
         return True
     need = need_of(state, row.placed)
-    upstream = run.slots.policy.choose(need, state.rng)
+    upstream = _choose(state, run, row, need)
     if upstream is None:
-        lane.put_back(key, turn)
+        run.lanes.put_back(lane, key, turn)
         return False
     if _waits_for_speed(state, run, upstream, need):
         run.aside.append((lane, key, turn))
@@ -119,6 +129,25 @@
     return True
 
 
+def _choose(
+    state: EntryState, run: Pass, row: HomeTask, need: TaskNeed
+) -> Upstream | None:
+    policy, placed = run.slots.policy, row.placed
+    earlier = None
+    if placed.attempt > 1:
+        key = OwnedTask(placed.owner, placed.task, placed.attempt - 1)
+        earlier = state.home_tasks.get(key)
+    taken_out = run.slots.rows.get(earlier.agent) if earlier is not None else None
+    if taken_out is None or not taken_out.free:
+        return policy.choose(need, state.rng)
+    # Another upstream may be able to do what this one did not.
+    policy.remove(taken_out.name)
+    chosen = policy.choose(need, state.rng)
+    policy.put(taken_out)
+    hedged = earlier is not None and earlier.result is None
+    return chosen if chosen or hedged else policy.choose(need, state.rng)
+
+
 def _waits_for_speed(
     state: EntryState, run: Pass, upstream: Upstream, need: TaskNeed
 ) -> bool:
@@ -150,6 +179,7 @@
     row.agent_incarnation = agent.hello.agent
     row.sent_ms = state.now_ms
     state.sent_tasks.setdefault(agent.name, {})[key] = None
+    watch(state, row, run_ms)
     send_start(state, row, agent)
 
 
--- a/catkincross/_membership.py
+++ b/catkincross/_membership.py
@@ -11,8 +11,8 @@
 from ._entry_state import EntryState
 from ._fold import fold_record
 from ._ids import Incarnation, entry_process
+from ._job_end import fail_jobs
 from ._messages import LogRecord, RecordsTail
-from ._owner import fail_jobs
 from ._records import EntryJoined, decode_record
 
 # Ends of the same process within this time lengthen its hold before it rejoins.
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -2,38 +2,20 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import attrs
 
-
-def setting(
-    default: Any = attrs.NOTHING,
-    *,
-    unit: str = "",
-    low: float | None = None,
-    high: float | None = None,
-    allowed: tuple[str, ...] = (),
-    about: str = "",
-) -> Any:
-    """Return an attrs field that carries what the settings check needs.
-
-    Args:
-        default: Value if the key is absent; without it the key must be given.
-        unit: Unit of the value, for messages and docs.
-        low: Smallest allowed value.
-        high: Largest allowed value.
-        allowed: The only allowed values, for a choice.
-        about: One sentence for the operators' page.
-    """
-    metadata = {
-        "unit": unit,
-        "low": low,
-        "high": high,
-        "allowed": allowed,
-        "about": about,
-    }
-    return attrs.field(default=default, metadata=metadata, kw_only=True)
+from ._dispatch_settings import (
+    AdmissionSettings,
+    ConcurrencySettings,
+    EjectionSettings,
+    EstimateSettings,
+    PlacementSettings,
+    QueueSettings,
+    RampSettings,
+    RetrySettings,
+    StragglerSettings,
+)
+from ._setting import setting
 
 
 @attrs.define
@@ -245,65 +227,6 @@
     )
 
 
-@attrs.define
-class PlacementSettings:
-    """Section `[placement]`."""
-
-    policy: str = setting(
-        "expected_finish",
-        about="Name of the placement policy.",
-    )
-    seed: int = setting(0, low=0, about="Seed of random choices; 0 draws one.")
-
-
-@attrs.define
-class EstimateSettings:
-    """Section `[estimates]`."""
-
-    default_run_ms: int = setting(
-        200,
-        unit="ms",
-        low=1,
-        high=600_000,
-        about="Run time expected of a task that declares none, until one has ended.",
-    )
-    run_decay: float = setting(
-        0.05, low=0.001, high=1, about="Weight of the newest run time of a service."
-    )
-    speed_decay: float = setting(
-        0.05, low=0.001, high=1, about="Weight of the newest run time of an upstream."
-    )
-
-
-@attrs.define
-class QueueSettings:
-    """Section `[queues]`."""
-
-    home_queue_ms: int = setting(
-        1_000,
-        unit="ms",
-        low=10,
-        high=600_000,
-        about="How long a home keeps a task without a slot before it declines it.",
-    )
-    home_queue_permille: int = setting(
-        250,
-        low=0,
-        high=10_000,
-        about="Tasks that an owner lets wait at a home, per 1,000 of its slots.",
-    )
-    batch_share: float = setting(
-        0.1, low=0, high=1, about="Least share of the turns for batch work."
-    )
-    burst_ms: int = setting(
-        2_000,
-        unit="ms",
-        low=0,
-        high=600_000,
-        about="Work by which a team that was idle may run ahead of the others.",
-    )
-
-
 @attrs.define
 class ListenSettings:
     """Section `[listen]`: where the process serves, and how it stops."""
@@ -409,6 +332,14 @@
     control: ControlSettings = attrs.field(factory=ControlSettings, kw_only=True)
     placement: PlacementSettings = attrs.field(factory=PlacementSettings, kw_only=True)
     estimates: EstimateSettings = attrs.field(factory=EstimateSettings, kw_only=True)
+    admission: AdmissionSettings = attrs.field(factory=AdmissionSettings, kw_only=True)
+    concurrency: ConcurrencySettings = attrs.field(
+        factory=ConcurrencySettings, kw_only=True
+    )
+    ejection: EjectionSettings = attrs.field(factory=EjectionSettings, kw_only=True)
+    ramp: RampSettings = attrs.field(factory=RampSettings, kw_only=True)
+    stragglers: StragglerSettings = attrs.field(factory=StragglerSettings, kw_only=True)
+    retries: RetrySettings = attrs.field(factory=RetrySettings, kw_only=True)
     queues: QueueSettings = attrs.field(factory=QueueSettings, kw_only=True)
     listen: ListenSettings = attrs.field(factory=ListenSettings, kw_only=True)
     tls: TlsSettings = attrs.field(factory=TlsSettings, kw_only=True)
