--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -20,6 +20,11 @@
 
 @ENTRY.handles(PlaceTasks)
 def _tasks_placed(state: EntryState, sender: str, message: PlaceTasks) -> None:
+    if message.home_number and not (
+        state.me is not None and state.me.number == message.home_number
+    ):
+        # The owner settles what an earlier incarnation had when it folds its end.
+        return
     accept_tasks(state, sender, message.tasks)
 
 
@@ -47,6 +52,8 @@
         enqueue(state, row)
         queue_ms = state.settings.queues.home_queue_ms
         state.home_due.set(key, min(row.deadline_ms, state.now_ms + queue_ms))
+        if state.is_fenced(placed.owner):
+            decline(state, row, Reason.STALE_OWNER)
 
 
 @ENTRY.system(order=300)
--- a/catkincross/_job_end.py
+++ b/catkincross/_job_end.py
@@ -17,7 +17,7 @@
 from ._messages import JobAnswer, JobState, OwnedTask, Reason, Truth
 
 
-def answer_waiter(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
+def answer_request(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
     """Send an answer to the arrival entry of a request."""
     addressed = attrs.evolve(answer, request_id=waiter.request_id)
     if waiter.entry == state.name:
@@ -69,7 +69,7 @@
         reason=str(answer.reason),
     )
     for waiter in job.waiters:
-        answer_waiter(state, waiter, job.answer)
+        answer_request(state, waiter, job.answer)
     job.waiters.clear()
     retention_ms = state.settings.jobs.key_retention_ms
     state.job_due.set(job.key_hash, state.now_ms + retention_ms)
@@ -87,7 +87,7 @@
             0, job.key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST
         )
         for waiter in job.waiters:
-            answer_waiter(state, waiter, answer)
+            answer_request(state, waiter, answer)
         for row in job.tasks:
             unqueue(state, job, row)
             left_home(state, job, row)
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -22,7 +22,7 @@
     unqueue,
 )
 from ._ids import TaskId, entry_process, hash_key, split_process
-from ._job_end import answer_waiter, finish_job, stop_job
+from ._job_end import answer_request, finish_job, stop_job
 from ._key_settlement import KeyFate, settle_key
 from ._messages import (
     CancelJob,
@@ -37,8 +37,10 @@
     TaskStatus,
     Truth,
 )
+from ._recovery_rows import HeldRequest
 
-UNSETTLED_RETRY_MS = 1_000
+ASK_BUDGET_MS = 60_000
+REFUSED_RETRY_MS = 1_000
 
 
 @ENTRY.handles(ForwardJob)
@@ -68,23 +70,28 @@
     waiter = Waiter(arrival, message.request_id)
     job = state.jobs.get(key_hash)
     if job is None:
-        fate = settle_key(state, key_hash)
-        if fate is not KeyFate.FREE:
-            answer_waiter(state, waiter, _unsettled(message.key, fate))
+        fate = KeyFate.FREE
+        if not message.key.startswith(f"{state.me}/"):
+            fate = settle_key(state, key_hash)
+        if fate in (KeyFate.PENDING, KeyFate.ELSEWHERE):
+            hold_request(state, arrival, message)
+            return
+        if fate is KeyFate.STARTED:
+            answer_request(state, waiter, lost_answer(message.key))
             return
         reason = refusal(state, message)
         if reason:
-            answer_waiter(state, waiter, _refused(message, reason))
+            answer_request(state, waiter, _refused(message, reason))
             return
         job = _admit(state, key_hash, message)
     elif job.digest != message.digest:
         conflict = JobAnswer(
             0, message.key, JobState.FAILED, Truth.NONE, Reason.KEY_CONFLICT
         )
-        answer_waiter(state, waiter, conflict)
+        answer_request(state, waiter, conflict)
         return
     if job.answer is not None:
-        answer_waiter(state, waiter, job.answer)
+        answer_request(state, waiter, job.answer)
     else:
         _add_waiter(job, waiter)
 
@@ -95,16 +102,31 @@
         job.waiters.append(waiter)
 
 
-def _unsettled(key: str, fate: KeyFate) -> JobAnswer:
-    if fate is KeyFate.STARTED:
-        return JobAnswer(0, key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST)
-    return JobAnswer(
-        0,
-        key,
-        JobState.UNKNOWN,
-        reason=Reason.RECOVERING,
-        retry_after_ms=UNSETTLED_RETRY_MS,
-    )
+def lost_answer(key: str) -> JobAnswer:
+    """Return the answer for a job that an ended owner may have run."""
+    return JobAnswer(0, key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST)
+
+
+def hold_request(
+    state: EntryState, arrival: str, message: ForwardJob | JobAsked | CancelJob
+) -> None:
+    """Keep a request until its key is settled."""
+    budget_ms = message.budget_ms if isinstance(message, ForwardJob) else ASK_BUDGET_MS
+    held = HeldRequest(arrival, message, state.now_ms + budget_ms)
+    state.held_jobs.setdefault(hash_key(message.key), []).append(held)
+    state.settlement_due_ms = state.now_ms
+
+
+def _answer_absent(
+    state: EntryState, waiter: Waiter, message: JobAsked | CancelJob
+) -> None:
+    fate = settle_key(state, hash_key(message.key))
+    if fate is KeyFate.FREE:
+        answer_request(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+    elif fate is KeyFate.STARTED:
+        answer_request(state, waiter, lost_answer(message.key))
+    else:
+        hold_request(state, waiter.entry, message)
 
 
 def _refused(message: ForwardJob, reason: Reason) -> JobAnswer:
@@ -116,7 +138,7 @@
         Truth.NOT_RUN,
         reason,
         tasks=len(message.tasks),
-        retry_after_ms=UNSETTLED_RETRY_MS,
+        retry_after_ms=REFUSED_RETRY_MS,
     )
 
 
@@ -152,13 +174,13 @@
     waiter = Waiter(arrival, message.request_id)
     job = state.jobs.get(hash_key(message.key))
     if job is None:
-        answer_waiter(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        _answer_absent(state, waiter, message)
     elif job.answer is not None:
-        answer_waiter(state, waiter, job.answer)
+        answer_request(state, waiter, job.answer)
     elif message.wait:
         _add_waiter(job, waiter)
     else:
-        answer_waiter(state, waiter, _progress(job))
+        answer_request(state, waiter, _progress(job))
 
 
 def cancel_job(state: EntryState, arrival: str, message: CancelJob) -> None:
@@ -166,10 +188,10 @@
     waiter = Waiter(arrival, message.request_id)
     job = state.jobs.get(hash_key(message.key))
     if job is None:
-        answer_waiter(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        _answer_absent(state, waiter, message)
         return
     if job.answer is not None:
-        answer_waiter(state, waiter, job.answer)
+        answer_request(state, waiter, job.answer)
         return
     _add_waiter(job, waiter)
     stop_job(state, job, Reason.CANCELLED)
