--- a/catkincross/_home_capacity.py
+++ b/catkincross/_home_capacity.py
@@ -26,7 +26,8 @@
     slots = state.dispatch.services.get(service)
     if slots is None:
         return []
-    queued = state.dispatch.queued(service)
+    # Tasks that wait although a slot is free wait for a faster one.
+    queued = max(0, state.dispatch.queued(service) - slots.free)
     memory_mb, accelerators = slots.sizes.largest()
     wait_ms = round(queued * state.dispatch.mean_run_ms(service) / max(1, slots.slots))
     summaries = []
--- a/catkincross/_home_choice.py
+++ b/catkincross/_home_choice.py
@@ -76,9 +76,16 @@
     row.accelerators = max(summary.accelerators for summary in summaries)
     row.wait_ms = max(summary.wait_ms for summary in summaries)
     permille = state.settings.queues.home_queue_permille
-    row.queue_limit = -(-row.slots * permille // 1_000)
+    most = -(-row.slots * permille // 1_000)
+    # A slot that becomes free must find a task there: as many must wait as slots are
+    # freed while a report and a placement are on their way. More would only have to
+    # be recalled.
+    freed = (
+        4 * max(0.0, row.distance_ms) * row.slots / state.dispatch.mean_run_ms(service)
+    )
+    row.queue_limit = min(most, 1 + int(freed))
     owners = max(1, len(state.control.entries))
-    row.fair_part = -(-(row.slots + row.queue_limit) // owners)
+    row.fair_part = -(-row.slots // (4 * owners))
     learned = state.dispatch.home_speeds.speed(service, row.name)
     best = max(summaries, key=lambda summary: summary.best_speed)
     ratio = best.best_speed / best.speed if best.best_speed and best.speed else 1.0
--- a/catkincross/_recall.py
+++ b/catkincross/_recall.py
@@ -14,7 +14,9 @@
 from ._messages import OwnedTask, Reason, RecallTasks
 from ._owner import task_row
 
-# A recall costs a round trip and a new placement.
+# A recall costs three messages. Most tasks that have waited less than this share of a
+# run time start before the recall arrives.
+LEAST_WAIT_SHARE = 0.5
 ROUND_TRIPS_SAVED = 4
 
 
@@ -37,10 +39,11 @@
         if not state.dispatch.backlog.get(service):
             index = home_index(state, service)
             refresh_own(state, service, index)
-            _recall_for_service(state, index)
+            least_ms = LEAST_WAIT_SHARE * state.dispatch.mean_run_ms(service)
+            _recall_for_service(state, index, least_ms)
 
 
-def _recall_for_service(state: EntryState, index: HomeIndex) -> None:
+def _recall_for_service(state: EntryState, index: HomeIndex, least_ms: float) -> None:
     best = index.rows[index.order[0][-1]] if index.order else None
     if best is None or best.unused <= 0:
         return
@@ -48,19 +51,22 @@
     for row in list(index.rows.values()):
         if spare <= 0:
             return
-        saved_ms = ROUND_TRIPS_SAVED * 2 * max(best.distance_ms, row.distance_ms, 0.5)
-        if row is best or not row.tasks or not row.queued or row.wait_ms < saved_ms:
+        if row is best or not row.tasks or not row.queued:
             continue
-        spare -= _recall(state, row, min(spare, row.queued))
+        trip_ms = 2 * max(best.distance_ms, row.distance_ms, 0.5)
+        wait_ms = max(ROUND_TRIPS_SAVED * trip_ms, least_ms)
+        spare -= _recall(state, row, min(spare, row.queued), wait_ms)
 
 
-def _recall(state: EntryState, row: HomeRow, count: int) -> int:
+def _recall(state: EntryState, row: HomeRow, count: int, wait_ms: float) -> int:
     """Ask a home for the tasks placed there last, which wait behind the others."""
     tasks = []
     for task in islice(reversed(row.tasks), count):
         found = task_row(state, task)
         if found is None or found[1].phase is not TaskPhase.PLACED:
             continue
+        if state.now_ms - found[1].placed_ms < wait_ms:
+            continue
         if row.tasks[task] != found[1].attempts:
             row.tasks[task] = found[1].attempts
             tasks.append(OwnedTask(state.me, task, found[1].attempts))
