--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -17,6 +17,9 @@
 )
 from ._upstream_health import note_result
 
+CHECK_SHARE = 1.0
+LEAST_CHECK_MS = 20
+
 
 @ENTRY.handles(PlaceTasks)
 def _tasks_placed(state: EntryState, sender: str, message: PlaceTasks) -> None:
@@ -50,8 +53,7 @@
             decline(state, row, Reason.FITS_NOWHERE)
             continue
         enqueue(state, row)
-        queue_ms = state.settings.queues.home_queue_ms
-        state.home_due.set(key, min(row.deadline_ms, state.now_ms + queue_ms))
+        state.home_due.set(key, _next_check_ms(state, row))
         if state.is_fenced(placed.owner):
             decline(state, row, Reason.STALE_OWNER)
 
@@ -141,6 +143,40 @@
         state.batches.result_services[row.owner_process][row.placed.service] = None
 
 
+def _check_queued(state: EntryState, row: HomeTask) -> None:
+    """Give back a task that has waited while another home has free slots."""
+    wait_ms = state.settings.queues.home_queue_ms
+    if row.deadline_ms <= state.now_ms:
+        decline(state, row, Reason.DEADLINE)
+    elif _free_elsewhere(state, row.placed.service):
+        decline(state, row, Reason.RECALLED)
+    elif row.accepted_ms + wait_ms <= state.now_ms:
+        decline(state, row, Reason.NO_SLOT)
+    else:
+        state.home_due.set(row.key, _next_check_ms(state, row))
+
+
+def _next_check_ms(state: EntryState, row: HomeTask) -> int:
+    # A task that is given back costs three messages, so it waits for a run time; most
+    # tasks have found a slot by then.
+    mean_ms = state.dispatch.mean_run_ms(row.placed.service)
+    check_ms = max(LEAST_CHECK_MS, round(CHECK_SHARE * mean_ms))
+    last_ms = row.accepted_ms + state.settings.queues.home_queue_ms
+    return min(row.deadline_ms, max(last_ms, state.now_ms + 1), state.now_ms + check_ms)
+
+
+def _free_elsewhere(state: EntryState, service: str) -> bool:
+    if state.dispatch.service(service).free:
+        # It waits here by choice, for a faster slot or for memory.
+        return False
+    for peer in state.peers:
+        summaries = [c for c in peer.capacity.values() if c.service == service]
+        free = sum(summary.free for summary in summaries)
+        if peer.connected and free > max((s.queued for s in summaries), default=0):
+            return True
+    return False
+
+
 @ENTRY.system(order=460)
 def _expire_home_tasks(state: EntryState) -> None:
     for key in state.home_due.pop_due(state.now_ms):
@@ -150,8 +186,7 @@
         if row.result is not None:
             state.home_tasks.remove(key)
         elif not row.agent:
-            late = row.deadline_ms <= state.now_ms
-            decline(state, row, Reason.DEADLINE if late else Reason.NO_SLOT)
+            _check_queued(state, row)
         elif row.deadline_ms > state.now_ms:
             state.home_due.set(key, row.deadline_ms)
         else:
--- a/tests/test_dispatch_health.py
+++ b/tests/test_dispatch_health.py
@@ -35,6 +35,26 @@
     assert abs(total - ejections.rate_sum) < 1e-6
 
 
+def test_a_third_is_the_bound_for_a_wave_of_failures() -> None:
+    # Guards against a bound that random ends do not reach.
+    ejections = Ejections(EjectionSettings(excess=0.0))
+    for number in range(9):
+        ejections.record(f"u{number}")
+    for number in range(5):
+        for job in range(30):
+            ejections.observe(f"u{number}", b"%d" % job, failed=True, now_ms=job)
+    assert ejections.ejected == {"u0", "u1", "u2"}
+
+
+def test_one_job_that_fails_on_one_upstream_does_not_eject_it() -> None:
+    # Guards against a verdict on an upstream from a single faulty job.
+    ejections = Ejections(EjectionSettings())
+    for number in range(6):
+        ejections.record(f"u{number}")
+    for now_ms in range(20):
+        assert not ejections.observe("u0", b"k", failed=True, now_ms=now_ms)
+
+
 def test_one_job_that_fails_everywhere_ejects_nobody() -> None:
     # Guards against a faulty job that costs the others their upstreams.
     ejections = Ejections(EjectionSettings())
