--- a/catkincross/_agent_daemon.py
+++ b/catkincross/_agent_daemon.py
@@ -10,10 +10,11 @@
 from ._agent_http import build_agent_app
 from ._agent_state import AgentState
 from ._clock import Clock, SystemClock
-from ._event_log import write_event
 from ._http_server import HttpServer
 from ._ids import agent_process, entry_process
+from ._logs import EventLog
 from ._messages import AgentHello, HeartbeatReply, Message, Reason, TaskStart
+from ._metrics import Metrics
 from ._runner import CoreRunner
 from ._settings import AgentSettings
 from ._transport import Transport
@@ -21,6 +22,7 @@
 from ._worker_client import WorkerClient
 
 FLUSH_LIMIT_S = 2.0
+GAUGES_INTERVAL_S = 10.0
 
 
 class AgentDaemon:
@@ -62,7 +64,10 @@
         self.http = HttpServer(
             build_agent_app(self.state, self.runner.post),
             settings.listen.http_address,
-            stop_limit_s=1,
+        )
+        self.events = EventLog.from_settings(settings)
+        self.metrics = Metrics.from_settings(
+            settings.metrics, agent_process(settings.name)
         )
         self._peers: dict[str, str] = {}
         self._leave_ms: int | None = None
@@ -125,11 +130,15 @@
                 case fx.SetPeers(addresses):
                     self._peers = addresses
                 case fx.Emit():
-                    write_event(agent_process(self.settings.name), effect)
+                    self._record(effect)
                 case fx.Stop():
                     self._stop_requested()
         self._update_peers()
 
+    def _record(self, event: fx.Emit) -> None:
+        self.events.write(event)
+        self.metrics.event(event)
+
     def _stop_requested(self) -> None:
         # A task may be on its way until the home has answered the announced leave.
         if self._leave_heard or self.state.home_process not in self.state.connected:
@@ -157,6 +166,7 @@
             Exception: What a step of the core raised.
         """
         stopped = asyncio.create_task(self.stopped.wait())
+        gauges = asyncio.create_task(self._send_gauges())
         try:
             await asyncio.wait(
                 {stopped, self.runner.failed}, return_when=asyncio.FIRST_COMPLETED
@@ -165,8 +175,14 @@
                 self.runner.failed.result()
         finally:
             stopped.cancel()
+            gauges.cancel()
             await self._close()
 
+    async def _send_gauges(self) -> None:
+        while True:
+            self.metrics.agent_gauges(self.state)
+            await asyncio.sleep(GAUGES_INTERVAL_S)
+
     async def leave(self) -> None:
         """Stop gracefully: take no new task, finish those that run, and end."""
         if self.leaving:
@@ -178,10 +194,7 @@
         try:
             await asyncio.wait_for(self.stopped.wait(), limit_s)
         except TimeoutError:
-            write_event(
-                agent_process(self.settings.name),
-                fx.Emit("daemon", "stop limit reached"),
-            )
+            self._record(fx.Emit("daemon", "stop limit reached"))
             self.stopped.set()
 
     async def _close(self) -> None:
@@ -189,7 +202,7 @@
         self.runner.stop()
         await self.upstream.close()
         await self.worker.close()
-        await self.http.stop()
+        await self.http.stop(FLUSH_LIMIT_S)
 
 
 def _addresses(text: str) -> list[str]:
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/_entry_heartbeats.py
@@ -112,8 +112,8 @@
     if state.me is None:
         return
     capacity = capacity_summaries(state)
-    teams = state.dispatch.teams.report()
     observed, drains = observed_versions(state), drain_reports(state)
+    teams = state.dispatch.teams.report()
     pending = [encode_record(record) for record in restrictive_pending(state)]
     for name, peer in state.peers.rows.items():
         echo_ms, delay_ms = NO_EVIDENCE, 0
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -22,7 +22,7 @@
     unqueue,
 )
 from ._ids import TaskId, entry_process, hash_key, split_process
-from ._job_end import answer_request, finish_job, stop_job
+from ._job_end import answer_waiter, finish_job, stop_job
 from ._key_settlement import KeyFate, settle_key
 from ._messages import (
     CancelJob,
@@ -39,8 +39,8 @@
 )
 from ._recovery_rows import HeldRequest
 
-ASK_BUDGET_MS = 60_000
 REFUSED_RETRY_MS = 1_000
+ASK_BUDGET_MS = 60_000
 
 
 @ENTRY.handles(ForwardJob)
@@ -77,21 +77,21 @@
             hold_request(state, arrival, message)
             return
         if fate is KeyFate.STARTED:
-            answer_request(state, waiter, lost_answer(message.key))
+            answer_waiter(state, waiter, lost_answer(message.key))
             return
         reason = refusal(state, message)
         if reason:
-            answer_request(state, waiter, _refused(message, reason))
+            answer_waiter(state, waiter, _refused(message, reason))
             return
         job = _admit(state, key_hash, message)
     elif job.digest != message.digest:
         conflict = JobAnswer(
             0, message.key, JobState.FAILED, Truth.NONE, Reason.KEY_CONFLICT
         )
-        answer_request(state, waiter, conflict)
+        answer_waiter(state, waiter, conflict)
         return
     if job.answer is not None:
-        answer_request(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
     else:
         _add_waiter(job, waiter)
 
@@ -122,9 +122,9 @@
 ) -> None:
     fate = settle_key(state, hash_key(message.key))
     if fate is KeyFate.FREE:
-        answer_request(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        answer_waiter(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
     elif fate is KeyFate.STARTED:
-        answer_request(state, waiter, lost_answer(message.key))
+        answer_waiter(state, waiter, lost_answer(message.key))
     else:
         hold_request(state, waiter.entry, message)
 
@@ -176,11 +176,11 @@
     if job is None:
         _answer_absent(state, waiter, message)
     elif job.answer is not None:
-        answer_request(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
     elif message.wait:
         _add_waiter(job, waiter)
     else:
-        answer_request(state, waiter, _progress(job))
+        answer_waiter(state, waiter, _progress(job))
 
 
 def cancel_job(state: EntryState, arrival: str, message: CancelJob) -> None:
@@ -191,7 +191,7 @@
         _answer_absent(state, waiter, message)
         return
     if job.answer is not None:
-        answer_request(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
         return
     _add_waiter(job, waiter)
     stop_job(state, job, Reason.CANCELLED)
--- a/catkincross/_stream_server.py
+++ b/catkincross/_stream_server.py
@@ -46,32 +46,39 @@
 
     async def Stream(self, request_iterator: Any, context: Any) -> None:
         """Serve one stream until either side ends it."""
+        # The caller greets only after it has seen where the stream leads, so a stream
+        # that it does not want replaces none.
+        await context.send_initial_metadata(
+            ((PROCESS_METADATA, self.process.encode()),)
+        )
         first = await context.read()
-        caller = "" if first is grpc.aio.EOF else caller_process(decode_frame(first))
+        if first is grpc.aio.EOF:
+            return
+        greeting = decode_frame(first)
+        caller = caller_process(greeting)
         if not caller:
             await context.abort(
                 grpc.StatusCode.INVALID_ARGUMENT, "the first message names no process"
             )
-        outbox = await self._opened(caller)
-        metadata = ((PROCESS_METADATA, self.process.encode()),)
-        writer = None
+        outbox = self._opened(caller)
+        # The first frame may hold more messages than the greeting.
+        for message in greeting[1:]:
+            self.post(Received(caller, message))
+        writer = asyncio.create_task(_write(context, outbox))
+        reader = asyncio.create_task(self._read(caller, context))
         try:
-            await context.send_initial_metadata(metadata)
-            writer = asyncio.create_task(_write(context, outbox))
-            reader = asyncio.create_task(self._read(caller, context))
             done, _ = await asyncio.wait(
                 {reader, writer}, return_when=asyncio.FIRST_COMPLETED
             )
             if reader in done and not reader.exception():
                 outbox.close()
                 await writer
-            reader.cancel()
         finally:
-            if writer is not None:
-                writer.cancel()
+            reader.cancel()
+            writer.cancel()
             self._closed(caller, outbox)
 
-    async def _opened(self, caller: str) -> Outbox:
+    def _opened(self, caller: str) -> Outbox:
         previous = self._streams.get(caller)
         if previous is not None:
             self._closed(caller, self.outboxes[caller])
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -220,7 +220,7 @@
         if not node.alive or node.paused:
             return
         inbox, node.inbox = node.inbox, []
-        for effect in node.core.step(self.now_ms, inbox):
+        for effect in node.core.step(int(self.now_ms), inbox):
             if node.alive:
                 self._carry_out(node, effect)
         if isinstance(node.core, EntryCore):
@@ -261,11 +261,7 @@
             case fx.Emit():
                 self.events.append((self.now_ms, node.process, effect))
             case fx.SetPeers(addresses):
-                added = [peer for peer in addresses if peer not in node.peers]
-                node.peers = dict(addresses)
-                # Known peers without a stream are tried again after a delay.
-                for peer in added:
-                    self._connect(node, peer)
+                self._set_peers(node, addresses)
             case fx.CallUpstream(start):
                 self._call_upstream(node, start)
             case fx.AbortUpstream(start):
@@ -305,6 +301,17 @@
         self.deliver(node, fx.Connected(process))
         self.deliver(peer, fx.Connected(node.process))
 
+    def _set_peers(self, node: Node, addresses: dict[str, str]) -> None:
+        added = [peer for peer in addresses if peer not in node.peers]
+        removed = [peer for peer in node.peers if peer not in addresses]
+        node.peers = dict(addresses)
+        for peer in removed:
+            if node.process not in self.nodes[peer].peers:
+                self.break_stream(node.process, peer)
+        # Known peers without a stream are tried again after a delay.
+        for peer in added:
+            self._connect(node, peer)
+
     def _reconnect(self, node: Node, process: str) -> None:
         if node.alive and process in node.peers:
             self._connect(node, process)
@@ -381,7 +388,7 @@
     def _read_log(self, node: Node) -> None:
         if not node.alive:
             return
-        asked_ms = self.now_ms
+        asked_ms = int(self.now_ms)
         if node.paused:
             self.at(asked_ms + LOG_POLL_MS, lambda: self._read_log(node))
             return
@@ -421,6 +428,7 @@
         self.at(self.now_ms + self.log_delay_ms, lambda: self.deliver(node, event))
 
     def _log_append(self, record: Any) -> int:
+        self.append_times.setdefault(record.id, self.now_ms)
         self.append_times.setdefault(record.id, self.now_ms)
         self._note_drain(record.body)
         return self.log.append(encode_record(record))
