--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -9,13 +9,18 @@
 from . import (  # noqa: F401
     _appends,
     _arrival,
+    _census,
     _entry_heartbeats,
+    _held_requests,
     _home,
     _home_agents,
+    _key_queries,
+    _leave,
     _membership,
     _outage,
     _owner,
     _restrictions,
+    _snapshots,
     _suspicion,
     _task_recovery,
 )
@@ -69,6 +74,7 @@
             # Items that a late system left for the next step.
             state.now_ms if state.owner_results or state.waiting else None,
             state.dispatch.next_due_ms(),
+            state.request_due.next_due_ms(),
             state.job_due.next_due_ms(),
             state.home_due.next_due_ms(),
             state.recovery.due_ms,
--- a/catkincross/_main.py
+++ b/catkincross/_main.py
@@ -4,10 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Coroutine
-from typing import Any, Protocol
-
-from ._event_log import start_event_log
+from typing import Protocol
 
 
 class Daemon(Protocol):
@@ -40,9 +37,3 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, leave)
     await daemon.run()
-
-
-def run_main(main: Coroutine[Any, Any, None]) -> None:
-    """Run the coroutine of a console main."""
-    start_event_log()
-    asyncio.run(main)
--- a/standins/_serve.py
+++ b/standins/_serve.py
@@ -17,7 +17,7 @@
 
 
 async def _serve(app: Any, port: int) -> None:
-    server = HttpServer(app, f"127.0.0.1:{port}", stop_limit_s=1)
+    server = HttpServer(app, f"127.0.0.1:{port}")
     server.start()
     click.echo(f"listening http=http://{server.address}")
     stopped = asyncio.Event()
@@ -25,4 +25,4 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await stopped.wait()
-    await server.stop()
+    await server.stop(1.0)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -22,6 +22,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT_S = 60.0
 POLL_S = 0.02
+JSON = "application/json"
 
 
 @attrs.define
@@ -58,12 +59,7 @@
 
 
 def http(
-    method: str,
-    url: str,
-    body: Any = None,
-    *,
-    key: str = "",
-    timeout_s: float = LIMIT_S,
+    method: str, url: str, body: Any = None, headers: dict[str, str] | None = None
 ) -> tuple[int, Any]:
     """Send a request and return the status and the body.
 
@@ -72,12 +68,11 @@
     """
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(url, data, method=method)
-    request.add_header("Content-Type", "application/json")
-    if key:
-        request.add_header("Idempotency-Key", key)
+    for name, value in {"Content-Type": JSON, **(headers or {})}.items():
+        request.add_header(name, value)
     opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
     try:
-        with opener.open(request, timeout=timeout_s) as response:
+        with opener.open(request, timeout=LIMIT_S) as response:
             return response.status, _decoded(response.read())
     except urllib.error.HTTPError as error:
         with error:
@@ -140,6 +135,7 @@
         """Start an entry."""
         base: dict[str, dict[str, Any]] = {
             "entry": {"name": name, "region": "r1", "data_centre": "d1"},
+            "logs": {"target": "stderr"},
             "log": {"url": self.log.url},
             "listen": {"unready_ms": 100},
         }
@@ -158,6 +154,7 @@
                 "upstream": name,
                 "service": "s",
             },
+            "logs": {"target": "stderr"},
             "seeds": {"entries": ",".join(p.addresses["grpc"] for p in entries)},
             "upstream": {"url": f"{upstream.url}/tasks"},
         }
@@ -180,8 +177,9 @@
             "tasks": [{"payload": payload} for payload in payloads],
             **changes,
         }
-        url = f"{self.processes[entry].url}/v1/jobs"
-        return self.pool.submit(http, "POST", url, body, key=key)
+        url = f"{self.processes[entry].url}/v1/jobs?wait=40000"
+        headers = {"Idempotency-Key": key}
+        return self.pool.submit(http, "POST", url, body, headers)
 
     def starts(self) -> Counter[tuple[str, int]]:
         """Return how often each task was started, over all upstreams."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import signal
+import time
 from collections.abc import Iterator
+from itertools import count
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from .cluster import Cluster
+from .cluster import LIMIT_S, Cluster, http, wait_until
+
+ENTRIES = ("e1", "e2", "e3")
+START_BUDGET_MS = 500
+AGENT_SUSPECT_MS = 3_000
 
 
 @pytest.fixture
@@ -19,28 +27,160 @@
         cluster.close()
 
 
-def start_small(cluster: Cluster) -> None:
-    for name in ("e1", "e2", "e3"):
-        cluster.add_entry(name)
-    cluster.ready("e1", "e2", "e3")
-    for name in ("u1", "u2"):
+def start_small(cluster: Cluster, agents: tuple[str, ...] = ("u1", "u2")) -> None:
+    for name in ENTRIES:
+        cluster.add_entry(
+            name,
+            jobs={"start_budget_ms": START_BUDGET_MS},
+            membership={"agent_suspect_ms": AGENT_SUSPECT_MS, "suspect_ms": 2_000},
+        )
+    cluster.ready(*ENTRIES)
+    for name in agents:
         cluster.add_agent(name)
-    cluster.ready("u1", "u2")
+    cluster.ready(*agents)
+
+
+def assert_complete(answer: tuple[int, Any]) -> None:
+    status, body = answer
+    assert (status, body["state"]) == (200, "complete"), body
+    key = body["key"].removeprefix("t/")
+    payloads = [result["payload"] for result in body["results"]]
+    assert [p.split(" ")[1] for p in payloads] == [
+        f"{key}/{index}" for index in range(body["tasks"])
+    ]
+
+
+def assert_started_once(cluster: Cluster) -> None:
+    assert set(cluster.starts().values()) <= {1}
+
+
+def running(cluster: Cluster, *upstreams: str) -> int:
+    return sum(
+        http("GET", f"{cluster.processes[f'upstream-{name}'].url}/starts")[1]["running"]
+        for name in upstreams
+    )
+
+
+def submit_until_complete(cluster: Cluster, entry: str, prefix: str) -> None:
+    """Submit new jobs, with a short deadline each, until one is complete."""
+
+    def complete() -> bool:
+        number = next(numbers)
+        job = cluster.submit(entry, f"{prefix}-{number}", [20] * 4, deadline_ms=2_000)
+        status, body = job.result()
+        return status == 200 and body["state"] == "complete"
+
+    numbers = count()
+    wait_until(complete, f"a complete job through {entry}")
 
 
 def test_jobs_at_any_entry_are_answered_in_order_and_run_once(cluster: Cluster) -> None:
     start_small(cluster)
     answers = [
         cluster.submit(entry, f"{entry}-{number}", [30] * 12)
-        for entry in ("e1", "e2", "e3")
+        for entry in ENTRIES
         for number in range(3)
     ]
     for answer in answers:
-        status, body = answer.result()
-        assert (status, body["state"]) == (200, "complete"), body
-        key = body["key"].removeprefix("t/")
-        results = [(item["index"], item["payload"]) for item in body["results"]]
-        assert results == [(i, f"run_ms=30 {key}/{i}") for i in range(12)]
+        assert_complete(answer.result())
     starts = cluster.starts()
     assert len(starts) == 9 * 12
     assert set(starts.values()) == {1}
+
+
+def test_a_killed_agent_fails_its_tasks_as_may_have_run(cluster: Cluster) -> None:
+    """Tasks on a lost agent must not be answered as not run, and not run again."""
+    start_small(cluster, ("u1",))
+    job = cluster.submit("e1", "lost", [10_000] * 4)
+    wait_until(lambda: running(cluster, "u1") == 4, "all tasks running")
+    cluster.kill("u1")
+    _, body = job.result()
+    assert (body["state"], body["truth"]) == ("failed", "may_have_run"), body
+    cluster.add_agent("u2")
+    submit_until_complete(cluster, "e2", "after")
+    assert_started_once(cluster)
+
+
+def test_an_agent_frozen_before_a_start_does_not_start_it_late(
+    cluster: Cluster,
+) -> None:
+    """A task that waited in the socket of a stopped agent must be refused."""
+    start_small(cluster, ("u1",))
+    agent = cluster.processes["u1"]
+    agent.signal(signal.SIGSTOP)
+    job = cluster.submit("e1", "frozen", [20], deadline_ms=25_000)
+    url = f"{cluster.processes['e1'].url}/v1/jobs/t/frozen"
+    wait_until(lambda: http("GET", url)[1]["state"] == "running", "the task placed")
+    # The task is in the agent's socket; let its latest start pass.
+    time.sleep(2 * START_BUDGET_MS / 1_000)
+    agent.signal(signal.SIGCONT)
+    wait_until(lambda: "task refused" in cluster.errors("u1"), "a refusal")
+    assert_complete(job.result())
+    assert_started_once(cluster)
+
+
+def test_a_killed_entry_leaves_the_others_at_work(cluster: Cluster) -> None:
+    """The death of an entry must not run tasks twice, nor stop the other entries."""
+    start_small(cluster)
+    jobs = [
+        cluster.submit(entry, f"{entry}-{number}", [300] * 4, deadline_ms=10_000)
+        for entry in ("e1", "e3")
+        for number in range(6)
+    ]
+    wait_until(lambda: running(cluster, "u1", "u2"), "tasks running")
+    cluster.kill("e2")
+    for status, body in (job.result() for job in jobs):
+        if body["state"] == "complete":
+            assert_complete((status, body))
+        else:
+            assert body["truth"] in ("not_run", "may_have_run"), body
+    for entry in ("e1", "e3"):
+        submit_until_complete(cluster, entry, f"after-{entry}")
+    assert_started_once(cluster)
+
+
+def test_work_goes_on_after_the_log_was_down(cluster: Cluster) -> None:
+    """Jobs during an outage are answered in full or refused, and run once."""
+    start_small(cluster)
+    cluster.control("log", down=True)
+    down = [cluster.submit(entry, f"down-{entry}", [50] * 6) for entry in ENTRIES]
+    late = cluster.add_entry("e4")
+    assert http("GET", f"{late.url}/readyz")[0] == 503
+    for status, body in (job.result() for job in down):
+        assert (status, body["state"]) in ((200, "complete"), (503, "unknown")), body
+    cluster.control("log")
+    cluster.ready(*ENTRIES, "e4")
+    submit_until_complete(cluster, "e4", "after")
+    assert_started_once(cluster)
+
+
+def test_a_planned_stop_of_an_entry_interrupts_no_request(cluster: Cluster) -> None:
+    """SIGTERM must let requests finish, at the leaving entry and at the others."""
+    start_small(cluster)
+    jobs = [
+        cluster.submit(entry, f"{entry}-{number}", [300] * 4)
+        for entry in ENTRIES
+        for number in range(3)
+    ]
+    wait_until(lambda: running(cluster, "u1", "u2"), "tasks running")
+    leaving = cluster.processes["e2"]
+    leaving.signal(signal.SIGTERM)
+    for job in jobs:
+        assert_complete(job.result())
+    assert leaving.popen.wait(LIMIT_S) == 0, cluster.errors("e2")
+    submit_until_complete(cluster, "e1", "after")
+    assert_started_once(cluster)
+
+
+def test_a_planned_stop_of_an_agent_interrupts_no_task(cluster: Cluster) -> None:
+    """Tasks that run when an agent leaves must end and be answered."""
+    start_small(cluster)
+    job = cluster.submit("e1", "leave", [800] * 12)
+    wait_until(lambda: running(cluster, "u1"), "tasks running")
+    leaving = cluster.processes["u1"]
+    leaving.signal(signal.SIGTERM)
+    jobs = [cluster.submit("e2", f"during-{number}", [20] * 4) for number in range(5)]
+    for answer in (job, *jobs):
+        assert_complete(answer.result())
+    assert leaving.popen.wait(LIMIT_S) == 0, cluster.errors("u1")
+    assert_started_once(cluster)
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -14,8 +14,7 @@
 from catkincross.ids import Incarnation
 from catkincross.records import Record, ResourceDeleted, ResourcePut
 from catkincross.settings import HttpSettings
-
-from .asgi import Answer, FakeGateway, call
+from scenarios.asgi import Answer, FakeGateway, call
 
 PERTH = "/v1/datacentres/perth"
 DRAIN = {"spec": {"drain": True}}
@@ -125,7 +124,7 @@
 
 @pytest.mark.parametrize(
     ("reason", "status"),
-    [("log_unreachable", 503), ("append_limit", 429), ("not_current", 503)],
+    [("log_unreachable", 503), ("quota", 429), ("not_current", 503)],
 )
 def test_a_refused_change_says_when_to_try_again(reason: str, status: int) -> None:
     gateway = LogGateway()
@@ -259,3 +258,31 @@
     app = build_app(gateway, gateway.settings)
     answer = call(app, "GET", "/v1/datacentres?watch=true")
     assert [line["event"] for line in answer.lines] == ["bookmark"]
+
+
+def test_a_watch_sends_a_changed_status_though_no_record_was_added(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    gateway = LogGateway()
+    _call(gateway, "PUT", PERTH, DRAIN)
+    drained, listings = [False], []
+
+    def listed(state: Any, kind: str) -> list[Any]:
+        listings.append(kind)
+        metadata = {"name": "perth", "generation": 1, "resource_version": 2}
+        status = {"drained": drained[0]}
+        return [{"metadata": metadata, "spec": {}, "status": status}]
+
+    monkeypatch.setattr("catkincross._resource_watch.list_documents", listed)
+
+    def drain_ends() -> None:
+        drained[0] = True
+        gateway.state.now_ms += 1_000
+
+    gateway.on_wait = [lambda: None, lambda: None, drain_ends]
+    app = build_app(gateway, gateway.settings)
+    lines = call(app, "GET", "/v1/datacentres?watch=true", until_lines=3).lines
+    puts = [line["resource"]["status"] for line in lines if line["event"] == "put"]
+    assert puts == [{"drained": False}, {"drained": True}]
+    # The waits without a change of version or time compared nothing.
+    assert len(listings) == 2
