--- a/catkincross_bench/cli.py
+++ b/catkincross_bench/cli.py
@@ -63,6 +63,13 @@
         CAPACITY_PAGE.write_text(rewrite_page(CAPACITY_PAGE.read_text(), result))
 
 
+@main.command()
+def page() -> None:
+    """Rewrite the tables of docs/CAPACITY.md from the saved results."""
+    result = json.loads((RESULTS / "capacity.json").read_text())
+    CAPACITY_PAGE.write_text(rewrite_page(CAPACITY_PAGE.read_text(), result))
+
+
 @main.command()
 @click.argument("workload", type=click.Path(path_type=Path))
 @click.option(
--- a/tests/test_bench_load.py
+++ b/tests/test_bench_load.py
@@ -22,6 +22,7 @@
     TaskStart,
     TaskStatus,
 )
+from catkincross_bench._cores_run import steady_round
 from catkincross_bench._drain_shares import TaskRun, last_start_ms, work_shares
 from catkincross_bench._ideal import idle_ideal_ms, loaded_ideal_ms
 from catkincross_bench._processes import socket_bytes
@@ -156,3 +157,16 @@
     shares = work_shares(workload, plans, runs)
     assert shares == {"before": 0.6667, "during": 1.0, "after": 1.0}
     assert last_start_ms(workload, runs, 6_000, 16_000) == 0
+
+
+def test_a_round_on_the_cores_is_the_same_when_it_is_run_again() -> None:
+    workload = attrs.evolve(
+        read_workload(Path("strathbeag.ini")),
+        warm_up_ms=200.0,
+        duration_ms=800.0,
+        drain_out_ms=8_000.0,
+    )
+    rounds = [steady_round(workload, policy="two_choices", seed=5) for _ in range(2)]
+    assert rounds[0] == rounds[1]
+    assert rounds[0]["ends"].keys() == {"complete", "lost"}
+    assert (rounds[0]["ends"]["lost"], rounds[0]["started_twice"]) == (0, 0)
