--- a/catkincross_bench/_cases_control.py
+++ b/catkincross_bench/_cases_control.py
@@ -158,6 +158,12 @@
 
 def _peer_heartbeats(entries: int, agents: int = 100) -> tuple[EntryCore, list]:
     core = fix.joined_entry(entries=entries, agents=agents)
+    # Agents that hold the newest view are counted in a heartbeat, the others named.
+    version = core.state.control.version
+    for number in range(agents):
+        message = attrs.evolve(_heartbeat(number, fix.START_MS), version=version)
+        process = agent_process(fix.agent_name(number))
+        core.step(fix.START_MS, [fx.Received(process, message)])
     effects = core.step(fix.START_MS + 1_000, [])
     return core, sent(effects, PeerHeartbeat)
 
