--- a/catkincross/_entry_state.py
+++ b/catkincross/_entry_state.py
@@ -17,6 +17,7 @@
 from ._ids import Incarnation, TaskId, entry_process
 from ._messages import (
     AgentHello,
+    CancelTasks,
     CapacitySummary,
     JobAnswer,
     KeyHandover,
@@ -41,6 +42,7 @@
     """Items that leave in one message for each addressee at the end of a step.
 
     Attributes:
+        cancels: Tasks to cancel, by addressee and whether to revoke only.
         result_services: Services of the results, by addressee.
         capacity: What the results' message says of these services.
     """
@@ -50,6 +52,9 @@
     results: dict[str, list[TaskResult]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
+    cancels: dict[tuple[str, bool], list[OwnedTask]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
     result_services: dict[str, dict[str, None]] = attrs.field(
         factory=lambda: defaultdict(dict)
     )
@@ -99,6 +104,7 @@
         batches: Addressee and message of batches that are not confirmed.
         roster_version: Roster version for which the batches were made; 0 before.
         send_due_ms: When unconfirmed batches are sent again.
+        open_keys: Jobs that were open when all were looked at last.
         gave_up: Open jobs were given up; their keys were not handed over.
         stopped: The process was told that it may end.
     """
@@ -108,6 +114,7 @@
     batch_count: int = 0
     roster_version: int = 0
     send_due_ms: int = 0
+    open_keys: list[bytes] = attrs.field(factory=list)
     gave_up: bool = False
     stopped: bool = False
 
@@ -305,6 +312,8 @@
             self.send(process, PlaceTasks(placed, number))
         for process, starts in self.batches.starts.items():
             self.send(process, StartTasks(starts))
+        for (process, revoke), tasks in self.batches.cancels.items():
+            self.send(process, CancelTasks(tasks, revoke))
         for process, results in self.batches.results.items():
             capacity = self.batches.capacity.get(process, [])
             self.send(process, TaskResults(results, capacity))
--- a/catkincross/_owner.py
+++ b/catkincross/_owner.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-
-import attrs
-
+from ._admission import job_opened, refusal
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow, TaskPhase, TaskRow, Waiter
 from ._entry_state import EntryState
-from ._home import accept_tasks, cancel_tasks
+from ._hedging import (
+    attempt_placed,
+    drop_refused,
+    place_again,
+    request_ended,
+    retries_failure,
+)
+from ._home import accept_tasks
 from ._home_choice import (
     choose_homes,
     learn_from_result,
@@ -18,15 +22,14 @@
     unqueue,
 )
 from ._ids import TaskId, entry_process, hash_key, split_process
+from ._job_end import answer_waiter, finish_job, stop_job
 from ._key_settlement import KeyFate, settle_key
 from ._messages import (
     CancelJob,
-    CancelTasks,
     ForwardJob,
     JobAnswer,
     JobAsked,
     JobState,
-    OwnedTask,
     PlacedTask,
     Reason,
     TaskResult,
@@ -36,6 +39,7 @@
 )
 from ._recovery_rows import HeldRequest
 
+REFUSED_RETRY_MS = 1_000
 ASK_BUDGET_MS = 60_000
 
 
@@ -73,17 +77,21 @@
             hold_request(state, arrival, message)
             return
         if fate is KeyFate.STARTED:
-            answer_request(state, waiter, lost_answer(message.key))
+            answer_waiter(state, waiter, lost_answer(message.key))
+            return
+        reason = refusal(state, message)
+        if reason:
+            answer_waiter(state, waiter, _refused(message, reason))
             return
         job = _admit(state, key_hash, message)
     elif job.digest != message.digest:
         conflict = JobAnswer(
             0, message.key, JobState.FAILED, Truth.NONE, Reason.KEY_CONFLICT
         )
-        answer_request(state, waiter, conflict)
+        answer_waiter(state, waiter, conflict)
         return
     if job.answer is not None:
-        answer_request(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
     else:
         _add_waiter(job, waiter)
 
@@ -105,7 +113,13 @@
     """Keep a request until its key is settled."""
     budget_ms = message.budget_ms if isinstance(message, ForwardJob) else ASK_BUDGET_MS
     held = HeldRequest(arrival, message, state.now_ms + budget_ms)
-    state.held_jobs.setdefault(hash_key(message.key), []).append(held)
+    rows = state.held_jobs.setdefault(hash_key(message.key), [])
+    # An arrival entry sends its requests again after a reconnect.
+    if not any(
+        row.arrival == arrival and row.message.request_id == message.request_id
+        for row in rows
+    ):
+        rows.append(held)
     state.settlement_due_ms = state.now_ms
 
 
@@ -114,13 +128,26 @@
 ) -> None:
     fate = settle_key(state, hash_key(message.key))
     if fate is KeyFate.FREE:
-        answer_request(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
+        answer_waiter(state, waiter, JobAnswer(0, message.key, JobState.ABSENT))
     elif fate is KeyFate.STARTED:
-        answer_request(state, waiter, lost_answer(message.key))
+        answer_waiter(state, waiter, lost_answer(message.key))
     else:
         hold_request(state, waiter.entry, message)
 
 
+def _refused(message: ForwardJob, reason: Reason) -> JobAnswer:
+    # No row is kept: the caller may submit the same key again.
+    return JobAnswer(
+        0,
+        message.key,
+        JobState.FAILED,
+        Truth.NOT_RUN,
+        reason,
+        tasks=len(message.tasks),
+        retry_after_ms=REFUSED_RETRY_MS,
+    )
+
+
 def _admit(state: EntryState, key_hash: bytes, message: ForwardJob) -> JobRow:
     tasks = [
         TaskRow(TaskId(key_hash, index), spec)
@@ -140,6 +167,7 @@
         open_tasks=len(tasks),
     )
     state.jobs.add(key_hash, job)
+    job_opened(state, job)
     state.job_due.set(key_hash, job.deadline_ms)
     for row in tasks:
         state.waiting[row.task] = None
@@ -154,11 +182,11 @@
     if job is None:
         _answer_absent(state, waiter, message)
     elif job.answer is not None:
-        answer_request(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
     elif message.wait:
         _add_waiter(job, waiter)
     else:
-        answer_request(state, waiter, _progress(job))
+        answer_waiter(state, waiter, _progress(job))
 
 
 def cancel_job(state: EntryState, arrival: str, message: CancelJob) -> None:
@@ -169,7 +197,7 @@
         _answer_absent(state, waiter, message)
         return
     if job.answer is not None:
-        answer_request(state, waiter, job.answer)
+        answer_waiter(state, waiter, job.answer)
         return
     _add_waiter(job, waiter)
     stop_job(state, job, Reason.CANCELLED)
@@ -185,15 +213,6 @@
     )
 
 
-def answer_request(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
-    """Send an answer to the arrival entry that waits for it."""
-    addressed = attrs.evolve(answer, request_id=waiter.request_id)
-    if waiter.entry == state.name:
-        state.local_answers.append(addressed)
-    else:
-        state.send(entry_process(waiter.entry), addressed)
-
-
 def task_row(state: EntryState, task: TaskId) -> tuple[JobRow, TaskRow] | None:
     """Return the job and the row of a task that this entry owns, or None."""
     job = state.jobs.get(task.key_hash)
@@ -224,6 +243,7 @@
         row.attempts += 1
         row.maybe_started = True
         job.state = JobState.RUNNING
+        attempt_placed(state, job, row)
         placed.append(placed_task(state, job, row))
     if home == state.name:
         accept_tasks(state, state.process, placed)
@@ -280,15 +300,23 @@
     if result.not_run:
         if row.phase is not TaskPhase.PLACED or result.attempt != row.attempts:
             # A late answer to an earlier attempt says nothing about the current one.
+            drop_refused(state, row, result)
             return
-        row.maybe_started = False
+        row.maybe_started = row.task in state.dispatch.hedges
         if job.answer is None and not job.cancelling:
             left_home(state, job, row)
-            row.phase = TaskPhase.WAITING
-            state.waiting[row.task] = None
+            if result.reason is Reason.FITS_NOWHERE:
+                unfit = state.dispatch.unfit_homes.setdefault(job.key_hash, set())
+                unfit.add(row.home)
+            place_again(state, row, row.attempts)
             return
+    if retries_failure(state, job, row, result):
+        return
+    if row.phase is TaskPhase.WAITING:
+        unqueue(state, job, row)
     left_home(state, job, row)
     learn_from_result(state, job, row, result)
+    request_ended(state, job, row, result)
     row.phase = TaskPhase.ENDED
     row.result = result
     job.open_tasks -= 1
@@ -297,94 +325,4 @@
     if result.status is not TaskStatus.OK and not job.cancelling:
         stop_job(state, job, Reason.TASK_FAILED)
     if job.open_tasks == 0:
-        _finish(state, job)
-
-
-def stop_job(state: EntryState, job: JobRow, reason: Reason) -> None:
-    """Cancel all that is left of a job; it ends when its tasks have ended."""
-    job.cancelling = job.cancelling or reason
-    placed = defaultdict(list)
-    for row in job.tasks:
-        if row.phase is TaskPhase.WAITING:
-            unqueue(state, job, row)
-            row.phase = TaskPhase.ENDED
-            job.open_tasks -= 1
-        elif row.phase is TaskPhase.PLACED:
-            placed[row.home].append(OwnedTask(state.me, row.task, row.attempts))
-    for home, tasks in placed.items():
-        if home == state.name:
-            cancel_tasks(state, CancelTasks(tasks))
-        else:
-            state.send(entry_process(home), CancelTasks(tasks))
-    if job.open_tasks == 0:
-        _finish(state, job)
-
-
-def _finish(state: EntryState, job: JobRow) -> None:
-    if job.answer is not None:
-        return
-    if job.cancelling:
-        answer = JobAnswer(0, job.key, JobState.FAILED, job_truth(job), job.cancelling)
-    else:
-        results = [row.result for row in job.tasks if row.result is not None]
-        answer = JobAnswer(0, job.key, JobState.COMPLETE, results=results)
-    job.answer = attrs.evolve(
-        answer, tasks=len(job.tasks), tasks_done=len(job.tasks) - job.open_tasks
-    )
-    job.state = answer.state
-    state.emit(
-        "owner",
-        "job ended",
-        job=job.key_hash.hex(),
-        state=str(answer.state),
-        truth=str(answer.truth),
-        reason=str(answer.reason),
-    )
-    for waiter in job.waiters:
-        answer_request(state, waiter, job.answer)
-    job.waiters.clear()
-    retention_ms = state.settings.jobs.key_retention_ms
-    state.job_due.set(job.key_hash, state.now_ms + retention_ms)
-
-
-def fail_jobs(state: EntryState) -> None:
-    """Fail all open jobs after the end of this incarnation, and forget them.
-
-    Another entry may own their keys by now, so any of them may have run.
-    """
-    for key_hash, job in list(state.jobs.rows.items()):
-        if job.answer is not None:
-            continue
-        answer = JobAnswer(
-            0, job.key, JobState.FAILED, Truth.MAY_HAVE_RUN, Reason.OWNER_LOST
-        )
-        for waiter in job.waiters:
-            answer_request(state, waiter, answer)
-        state.jobs.remove(key_hash)
-        state.job_due.cancel(key_hash)
-    state.waiting.clear()
-
-
-def job_truth(job: JobRow) -> Truth:
-    """Return what is known about the execution of a job that failed."""
-    started = [row for row in job.tasks if row.result and not row.result.not_run]
-    if any(row.result.reason is not Reason.AGENT_LOST for row in started):
-        return Truth.FAILED
-    if started or any(row.maybe_started for row in job.tasks):
-        return Truth.MAY_HAVE_RUN
-    return Truth.NOT_RUN
-
-
-@ENTRY.system(order=520)
-def _expire_jobs(state: EntryState) -> None:
-    for key_hash in state.job_due.pop_due(state.now_ms):
-        job = state.jobs.get(key_hash)
-        if job is None:
-            continue
-        if job.answer is not None:
-            state.jobs.remove(key_hash)
-            continue
-        stop_job(state, job, Reason.DEADLINE)
-        # Tasks whose end is not known by now are answered as such.
-        _finish(state, job)
-    state.jobs.changed.clear()
+        finish_job(state, job)
