--- a/catkincross_bench/_process_run.py
+++ b/catkincross_bench/_process_run.py
@@ -49,7 +49,7 @@
 
     def start(self, policy: str) -> None:
         """Start all processes and wait until they are ready."""
-        quiet = {"logs": {"target": "stderr"}}
+        quiet = {"logs": {"target": "none"}}
         entries = []
         for number, data_centre in enumerate(self.workload.data_centres):
             name = f"e{number}"
