--- a/catkincross/_dispatch_settings.py
+++ b/catkincross/_dispatch_settings.py
@@ -43,6 +43,22 @@
         high=10_000,
         about="Tasks that an owner lets wait at a home, per 1,000 of its slots.",
     )
+    interactive_reserve_permille: int = setting(
+        50,
+        low=0,
+        high=1_000,
+        about="Slots, per 1,000 of a home's, that batch tasks leave to interactive "
+        "ones at first under the policy interactive_reserve; more for shorter "
+        "answers to waiting callers.",
+    )
+    reserve_wait_ms: int = setting(
+        150,
+        unit="ms",
+        low=0,
+        high=600_000,
+        about="How long a batch task waits before it may take a reserved slot; "
+        "less for more work done by batch jobs.",
+    )
     batch_share: float = setting(
         0.1, low=0, high=1, about="Least share of the turns for batch work."
     )
--- a/catkincross/_dispatch_state.py
+++ b/catkincross/_dispatch_state.py
@@ -14,6 +14,7 @@
 from ._lanes import Lanes
 from ._messages import OwnedTask
 from ._quotas import TeamTable
+from ._reserve import Reserve
 from ._retry_budget import RetryBudget
 from ._service_slots import ServiceSlots
 from ._settings import EntrySettings
@@ -60,6 +61,7 @@
         hedges: Earlier attempts of the requests that were hedged.
         latencies: Percentile of the time from placement to answer, by service.
         queue_due_ms: When the home must look at its queues again, or None.
+        reserve: Slots that batch tasks leave to interactive ones.
     """
 
     settings: EntrySettings
@@ -94,6 +96,11 @@
     hedges: dict[TaskId, EarlierAttempt] = attrs.field(factory=dict)
     latencies: dict[str, Quantile] = attrs.field(factory=dict)
     queue_due_ms: int | None = None
+    reserve: Reserve = attrs.field(
+        default=attrs.Factory(
+            lambda self: Reserve(self.settings.queues), takes_self=True
+        )
+    )
 
     @classmethod
     def from_settings(cls, settings: EntrySettings) -> Dispatch:
--- a/catkincross/_home_starts.py
+++ b/catkincross/_home_starts.py
@@ -16,6 +16,7 @@
 from ._lanes import Lanes
 from ._messages import OwnedTask, PlacedTask, TaskStart
 from ._quotas import team_share
+from ._reserve import choose_unreserved
 from ._service_slots import ServiceSlots
 from ._stragglers import watch
 from ._upstream import Upstream, class_speed
@@ -49,6 +50,8 @@
     """Let a task wait for a slot."""
     placed, dispatch = row.placed, state.dispatch
     need = need_of(state, placed)
+    if placed.interactive:
+        dispatch.reserve.arrived(placed.service, state.now_ms)
     weight = team_share(state.control, placed.team).weight
     turn = Turn(placed.team, weight, need.run_ms, placed.interactive)
     dispatch.queue(dispatch.lanes, placed.service).push(row.key, turn, need)
@@ -133,6 +136,9 @@
     state: EntryState, run: Pass, row: HomeTask, need: TaskNeed
 ) -> Upstream | None:
     policy, placed = run.slots.policy, row.placed
+    reserved = _reserved_from(state, run, row)
+    if reserved:
+        return choose_unreserved(run.slots, need, state.rng, reserved)
     earlier = None
     if placed.attempt > 1:
         key = OwnedTask(placed.owner, placed.task, placed.attempt - 1)
@@ -148,6 +154,28 @@
     return chosen if chosen or hedged else policy.choose(need, state.rng)
 
 
+def _reserved_from(state: EntryState, run: Pass, row: HomeTask) -> int:
+    """Return how many slots a task must leave to interactive ones now."""
+    if row.placed.interactive or not run.slots.policy.reserves:
+        return 0
+    waited_until_ms = row.accepted_ms + state.settings.queues.reserve_wait_ms
+    if state.now_ms >= waited_until_ms:
+        return 0
+    reserve = state.dispatch.reserve
+    reserved = reserve.slots(row.placed.service, run.slots.slots, state.now_ms)
+    if reserved:
+        _look_again(state, waited_until_ms)
+    return reserved
+
+
+def _look_again(state: EntryState, due_ms: int) -> None:
+    """Look at the queues of this home again at a time."""
+    earlier_ms = state.dispatch.queue_due_ms
+    state.dispatch.queue_due_ms = (
+        due_ms if earlier_ms is None else min(earlier_ms, due_ms)
+    )
+
+
 def _waits_for_speed(
     state: EntryState, run: Pass, upstream: Upstream, need: TaskNeed
 ) -> bool:
@@ -158,9 +186,7 @@
     )
     if later_ms is None:
         return False
-    due_ms = state.dispatch.queue_due_ms
-    wake_ms = int(later_ms) + 1
-    state.dispatch.queue_due_ms = wake_ms if due_ms is None else min(due_ms, wake_ms)
+    _look_again(state, int(later_ms) + 1)
     return True
 
 
--- a/catkincross/_placement.py
+++ b/catkincross/_placement.py
@@ -22,7 +22,13 @@
 
 
 class PlacementPolicy(Protocol):
-    """Index of the upstreams of one service that have a free slot."""
+    """Index of the upstreams of one service that have a free slot.
+
+    Attributes:
+        reserves: Whether batch tasks leave the best slots to interactive ones.
+    """
+
+    reserves: bool
 
     def put(self, upstream: Upstream) -> None:
         """Add an upstream or take its changed values."""
@@ -50,6 +56,8 @@
 class FreeUpstreams:
     """Upstreams by name, with random access and the order of free memory."""
 
+    reserves = False
+
     def __init__(self) -> None:
         self.rows: dict[str, Upstream] = {}
         self.names: list[str] = []
@@ -209,6 +217,8 @@
     one order for each distance is enough.
     """
 
+    reserves = False
+
     def __init__(self) -> None:
         self.groups: dict[float, FastestFirst] = {}
         self.distances: dict[str, float] = {}
@@ -245,3 +255,10 @@
             if best is None or finish_ms < best_ms:
                 best, best_ms = upstream, finish_ms
         return best
+
+
+@placement_policy("interactive_reserve")
+class InteractiveReserve(ExpectedFinish):
+    """As `expected_finish`, with the best slots left to interactive tasks at first."""
+
+    reserves = True
--- /dev/null
+++ b/catkincross/_reserve.py
@@ -0,0 +1,76 @@
+"""Slots that batch tasks leave to interactive ones for a short time.
+
+A caller waits for an interactive task, so it should find a fast slot free when it
+arrives. Batch tasks take the reserved slots only after they have waited.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from ._dispatch_settings import QueueSettings
+from ._fit import TaskNeed
+from ._service_slots import ServiceSlots
+from ._upstream import Upstream
+
+# Slots are kept back only while interactive tasks have arrived within this time.
+INTERACTIVE_MEMORY_MS = 10_000
+# Bounds the upstreams that one choice looks at.
+MAX_RESERVED_SLOTS = 16
+
+
+@attrs.define
+class Reserve:
+    """When interactive tasks last arrived at this home, by service."""
+
+    settings: QueueSettings
+    interactive_ms: dict[str, int] = attrs.field(factory=dict)
+
+    def arrived(self, service: str, now_ms: int) -> None:
+        """Note the arrival of an interactive task."""
+        self.interactive_ms[service] = now_ms
+
+    def slots(self, service: str, total: int, now_ms: int) -> int:
+        """Return how many free slots of a service batch tasks leave alone.
+
+        Args:
+            service: Name of the service.
+            total: Slots of the service at this home.
+            now_ms: The time now.
+        """
+        seen_ms = self.interactive_ms.get(service)
+        if seen_ms is None or now_ms - seen_ms > INTERACTIVE_MEMORY_MS:
+            return 0
+        share = self.settings.interactive_reserve_permille * total // 1_000
+        return min(MAX_RESERVED_SLOTS, share)
+
+
+def choose_unreserved(
+    slots: ServiceSlots, need: TaskNeed, rng: random.Random, reserved: int
+) -> Upstream | None:
+    """Return the upstream for a batch task, apart from the best free slots.
+
+    Args:
+        slots: The upstreams of the service.
+        need: What the task takes.
+        rng: Source of random choices.
+        reserved: Free slots to leave alone, the best ones first.
+    """
+    policy, passed = slots.policy, []
+    left = reserved
+    while left > 0:
+        best = policy.choose(need, rng)
+        if best is None:
+            break
+        policy.remove(best.name)
+        passed.append(best)
+        left -= best.free
+    chosen = policy.choose(need, rng)
+    for upstream in passed:
+        policy.put(upstream)
+    if chosen is None and left < 0:
+        # The last upstream passed has more free slots than were left to reserve.
+        return passed[-1]
+    return chosen
