Use no more connections to an upstream than the agent's settings allow

Cause: an upstream could announce more connections than the client's pool has. A task would then wait for a connection after its start had been decided.

Ruled out: a pool that grows, because the settings bound what the host can bear.

Before: announced connections were taken as they came. After: the smaller number counts; a process test shows that an upstream which announces its leave gets no new task.

--- a/catkincross/_agent_http.py
+++ b/catkincross/_agent_http.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 import cattrs
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -40,7 +41,10 @@
             return JSONResponse({"reason": cattrs.transform_error(error)}, 400)
         if event.slots < 0 or event.connections < 0:
             return JSONResponse({"reason": "slots and connections are counts"}, 400)
-        post(event)
+        # More tasks than connections would wait on the agent after their start was
+        # decided.
+        connections = min(event.connections, state.settings.connections)
+        post(attrs.evolve(event, connections=connections))
         return JSONResponse({"running": len(state.running)})
 
     return Starlette(
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -181,11 +181,12 @@
         headers = {"Idempotency-Key": key}
         return self.pool.submit(http, "POST", url, body, headers)
 
-    def starts(self) -> Counter[tuple[str, int]]:
-        """Return how often each task was started, over all upstreams."""
+    def starts(self, *names: str) -> Counter[tuple[str, int]]:
+        """Return how often each task was started, over all or some upstreams."""
         total: Counter[tuple[str, int]] = Counter()
         for process in self.processes.values():
-            if process.name.startswith("upstream-"):
+            role, _, name = process.name.partition("-")
+            if role == "upstream" and name in (names or (name,)):
                 _, body = http("GET", f"{process.url}/starts")
                 for row in body["starts"]:
                     total[row["key"], row["index"]] += row["count"]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -184,3 +184,27 @@
         assert_complete(answer.result())
     assert leaving.popen.wait(LIMIT_S) == 0, cluster.errors("u1")
     assert_started_once(cluster)
+
+
+def test_an_upstream_that_announces_its_leave_gets_no_new_task(
+    cluster: Cluster,
+) -> None:
+    """Tasks for an upstream that stops must go elsewhere, and come back after."""
+    start_small(cluster)
+    url = f"{cluster.processes['u1'].url}/v1/upstream"
+    offer = {"slots": 8, "connections": 1_000}
+    assert http("PUT", url, {**offer, "leaving": True})[0] == 200
+    before = cluster.starts("u1")
+    jobs = [cluster.submit("e1", f"away-{number}", [20] * 8) for number in range(5)]
+    for job in jobs:
+        assert_complete(job.result())
+    assert cluster.starts("u1") == before
+    assert http("PUT", url, {**offer, "leaving": False})[0] == 200
+    numbers = count()
+
+    def back() -> bool:
+        assert_complete(cluster.submit("e1", f"b-{next(numbers)}", [20] * 16).result())
+        return cluster.starts("u1") != before
+
+    wait_until(back, "a task on the upstream that came back")
+    assert_started_once(cluster)
