Open no stream after the transport is closed

Closing the transport reports the ends of its streams; the core then names its peers again and a new stream was opened, which the end of the loop waited for. A daemon stopped by SIGTERM could hang in the same way.

Ruled out: the HTTP servers and the time limits of the leave, which had all ended when the tasks of a hanging run were listed.

Conclusion: a closed transport stays closed.

--- a/catkincross/_agent_daemon.py
+++ b/catkincross/_agent_daemon.py
@@ -22,7 +22,6 @@
 from ._worker_client import WorkerClient
 
 FLUSH_LIMIT_S = 2.0
-GAUGES_INTERVAL_S = 10.0
 
 
 class AgentDaemon:
@@ -181,7 +180,7 @@
     async def _send_gauges(self) -> None:
         while True:
             self.metrics.agent_gauges(self.state)
-            await asyncio.sleep(GAUGES_INTERVAL_S)
+            await asyncio.sleep(self.settings.metrics.interval_ms / 1_000)
 
     async def leave(self) -> None:
         """Stop gracefully: take no new task, finish those that run, and end."""
--- a/catkincross/_entry_daemon.py
+++ b/catkincross/_entry_daemon.py
@@ -24,7 +24,6 @@
 from ._transport import Transport
 
 FLUSH_LIMIT_S = 2.0
-GAUGES_INTERVAL_S = 10.0
 
 
 class EntryDaemon:
@@ -203,7 +202,7 @@
     async def _send_gauges(self) -> None:
         while True:
             self.metrics.entry_gauges(self.state)
-            await asyncio.sleep(GAUGES_INTERVAL_S)
+            await asyncio.sleep(self.settings.metrics.interval_ms / 1_000)
 
     async def leave(self) -> None:
         """Stop gracefully: announce the leave, finish requests, and end."""
--- a/catkincross/_transport.py
+++ b/catkincross/_transport.py
@@ -74,6 +74,7 @@
         self.links: dict[str, Link] = {}
         self.open_links: dict[str, Link] = {}
         self.closing: set[asyncio.Task[None]] = set()
+        self.closed = False
 
     async def serve(self, address: str) -> str:
         """Accept streams.
@@ -101,6 +102,9 @@
             addresses: Address by process name; a name that starts with `seed/`
                 accepts whichever process answers.
         """
+        # The ends of streams that `close` reports make the core name peers again.
+        if self.closed:
+            return
         for key in list(self.links):
             link = self.links[key]
             if addresses.get(key) != link.address:
@@ -171,6 +175,7 @@
         Args:
             limit_s: Longest time for it, in seconds.
         """
+        self.closed = True
         for key in list(self.links):
             self._drop(key, adopt={})
         self.servicer.close()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -156,3 +156,15 @@
 
 
 EXPECTED = {"entry/e2", "entry/e3"}
+
+
+def test_a_closed_transport_opens_no_stream() -> None:
+    # Closing reports the ends of streams, upon which the core names peers again; a
+    # link that is opened then would keep the process from ending.
+    async def run() -> None:
+        side = make_side("agent/u1")
+        await side.transport.close(1)
+        side.transport.set_peers({"entry/e1": "127.0.0.1:9"})
+        assert not side.transport.links
+
+    asyncio.run(asyncio.wait_for(run(), LIMIT_S))
