--- a/catkincross_bench/_sleeping_agents.py
+++ b/catkincross_bench/_sleeping_agents.py
@@ -10,7 +10,6 @@
 
 from catkincross._agent_daemon import AgentDaemon
 from catkincross._ini import settings_or_exit
-from catkincross._main import run_main
 from catkincross._settings import AgentSettings
 from catkincross.effects import UpstreamAnswered
 from catkincross.ids import TaskId
@@ -52,7 +51,7 @@
 @click.option("--run-ms", default=10.0)
 def main(configs: tuple[str, ...], run_ms: float) -> None:
     """Run one agent for each settings file."""
-    run_main(_run(configs, run_ms))
+    asyncio.run(_run(configs, run_ms))
 
 
 async def _run(configs: tuple[str, ...], run_ms: float) -> None:
--- a/tests/test_bench_load.py
+++ b/tests/test_bench_load.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import importlib
+import pkgutil
 from pathlib import Path
 
 import attrs
 import pytest
 
+import catkincross_bench
 from catkincross.ids import Incarnation, TaskId
 from catkincross.messages import (
     AgentHeartbeat,
@@ -170,3 +173,10 @@
     assert rounds[0] == rounds[1]
     assert rounds[0]["ends"].keys() == {"complete", "lost"}
     assert (rounds[0]["ends"]["lost"], rounds[0]["started_twice"]) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    "name", [module.name for module in pkgutil.iter_modules(catkincross_bench.__path__)]
+)
+def test_a_moved_part_of_the_programs_breaks_no_measurement(name: str) -> None:
+    importlib.import_module(f"catkincross_bench.{name}")
