--- a/catkincross_bench/_waste.py
+++ b/catkincross_bench/_waste.py
@@ -52,6 +52,8 @@
         causes: Wasted task messages by cause.
         control: Control messages, which do not count as waste, by kind.
         useful: Dispatches and answers that were needed.
+        refused: Cause of the next dispatch of a task, by task and attempt.
+        seen: What was counted as useful.
     """
 
     causes: Counter = attrs.field(factory=Counter)
@@ -95,10 +97,9 @@
         if (hop, task) not in self.seen:
             self.seen.add((hop, task))
             self.useful += 1
-        elif (task, attempt - 1) in self.refused:
-            self.causes[self.refused[task, attempt - 1]] += 1
         else:
-            self.causes["retries"] += 1
+            # Without a message, the home in the owner's process gave the task back.
+            self.causes[self.refused.get((task, attempt - 1), "declines")] += 1
 
     def _answer(self, hop: str, result: Any) -> None:
         key = ("result", hop, result.task, result.attempt)
@@ -110,7 +111,10 @@
             cause = _cause_of_refusal(result)
             self.refused[result.task, result.attempt] = cause
             self.causes[cause] += 1
-        elif ("result", hop, result.task) in self.seen:
+            return
+        if result.status is not TaskStatus.OK:
+            self.refused[result.task, result.attempt] = "retries"
+        if ("result", hop, result.task) in self.seen:
             self.causes["retries"] += 1
         else:
             self.seen.add(("result", hop, result.task))
--- a/tests/test_bench_load.py
+++ b/tests/test_bench_load.py
@@ -80,6 +80,16 @@
     ) == {"declines": 2}
 
 
+def test_a_task_sent_again_after_it_failed_is_a_retry() -> None:
+    failed = attrs.evolve(result(), status=TaskStatus.FAILED)
+    assert wasted(
+        ("entry/e1", "entry/e2", PlaceTasks([placed()])),
+        ("entry/e2", "entry/e1", TaskResults([failed])),
+        ("entry/e1", "entry/e2", PlaceTasks([placed(2)])),
+        ("entry/e2", "entry/e1", TaskResults([result(2)])),
+    ) == {"retries": 2}
+
+
 def test_a_repeated_batch_counts_each_of_its_tasks() -> None:
     other = attrs.evolve(placed(), task=TaskId(b"k" * 16, 1))
     batch = PlaceTasks([placed(), other])
