--- a/tests/test_bench_load.py
+++ b/tests/test_bench_load.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import importlib
+import pkgutil
 from pathlib import Path
 
 import attrs
 import pytest
 
+import catkincross_bench
 from catkincross.ids import Incarnation, TaskId
 from catkincross.messages import (
     AgentHeartbeat,
@@ -77,6 +80,16 @@
     ) == {"declines": 2}
 
 
+def test_a_task_sent_again_after_it_failed_is_a_retry() -> None:
+    failed = attrs.evolve(result(), status=TaskStatus.FAILED)
+    assert wasted(
+        ("entry/e1", "entry/e2", PlaceTasks([placed()])),
+        ("entry/e2", "entry/e1", TaskResults([failed])),
+        ("entry/e1", "entry/e2", PlaceTasks([placed(2)])),
+        ("entry/e2", "entry/e1", TaskResults([result(2)])),
+    ) == {"retries": 2}
+
+
 def test_a_repeated_batch_counts_each_of_its_tasks() -> None:
     other = attrs.evolve(placed(), task=TaskId(b"k" * 16, 1))
     batch = PlaceTasks([placed(), other])
@@ -170,3 +183,10 @@
     assert rounds[0] == rounds[1]
     assert rounds[0]["ends"].keys() == {"complete", "lost"}
     assert (rounds[0]["ends"]["lost"], rounds[0]["started_twice"]) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    "name", [module.name for module in pkgutil.iter_modules(catkincross_bench.__path__)]
+)
+def test_a_moved_part_of_the_programs_breaks_no_measurement(name: str) -> None:
+    importlib.import_module(f"catkincross_bench.{name}")
