Learn the distance to the agents of each data centre

Cause: expected_finish weighed distance, but every distance was 0. Ruled out: a setting, since routes differ and change. Before: short tasks went to far upstreams while near ones were free. After: the time of a result beyond its run time gives the distance; a new test passes and fails with the distance taken out. Conclusion: the index keeps one order for each whole millisecond of distance.

--- a/catkincross/_dispatch_state.py
+++ b/catkincross/_dispatch_state.py
@@ -49,7 +49,7 @@
         health: What limits the use of each upstream, by agent.
         health_due: When the usable slots of an agent change by time.
         ejections: Standing of the upstreams by service.
-        reported: Services of which a peer reported its capacity in this step.
+        distances: One-way time to the agents of each data centre, in milliseconds.
         slotless: Services with a queue but no slot in service at this home.
         overdue: When the tasks that agents have are checked for a stall.
         progress: When a task of a service ended last at this home.
@@ -85,7 +85,7 @@
     health: dict[str, Health] = attrs.field(factory=dict)
     health_due: DueQueue[str] = attrs.field(factory=DueQueue)
     ejections: dict[str, Ejections] = attrs.field(factory=dict)
-    reported: dict[str, None] = attrs.field(factory=dict)
+    distances: dict[str, float] = attrs.field(factory=dict)
     slotless: dict[str, None] = attrs.field(factory=dict)
     overdue: DueQueue[OwnedTask] = attrs.field(factory=DueQueue)
     progress: dict[str, int] = attrs.field(factory=dict)
--- a/catkincross/_home.py
+++ b/catkincross/_home.py
@@ -81,6 +81,7 @@
     if result.status is not TaskStatus.OK:
         return
     dispatch, placed = state.dispatch, row.placed
+    _learn_distance(state, row, result)
     speeds = dispatch.upstream_speeds
     expected_ms = dispatch.run_times.expect_ms(placed.service, placed.spec)
     speed = speeds.speed(placed.service, row.agent)
@@ -89,6 +90,18 @@
     reindex_speed(state, placed.service, row.agent)
 
 
+def _learn_distance(state: EntryState, row: HomeTask, result: TaskResult) -> None:
+    agent = state.agents.get(row.agent)
+    if agent is None:
+        return
+    data_centre, distances = agent.hello.data_centre, state.dispatch.distances
+    one_way_ms = max(0.0, (state.now_ms - row.sent_ms - result.run_ms) / 2)
+    known_ms = distances.get(data_centre, one_way_ms)
+    # Longer times include waits, so they count for little.
+    weight = 0.01 if one_way_ms > known_ms else 0.5
+    distances[data_centre] = known_ms + weight * (one_way_ms - known_ms)
+
+
 def _relay_unknown(state: EntryState, result: TaskResult) -> None:
     """Pass on a result of a task that another home started."""
     if result.owner == state.me:
--- a/catkincross/_home_choice.py
+++ b/catkincross/_home_choice.py
@@ -50,7 +50,6 @@
         _take_report(state, service, row, summaries)
         index.put(row)
         state.dispatch.due_backlogs[service] = None
-        state.dispatch.reported[service] = None
 
 
 def _measure_distance(row: HomeRow, peer: PeerRow) -> None:
--- a/catkincross/_home_index.py
+++ b/catkincross/_home_index.py
@@ -31,8 +31,7 @@
         memory_mb: Memory of its largest upstream.
         accelerators: Most accelerators of one of its upstreams.
         own: The home is in this process.
-        tasks: Tasks of this owner that are there, in order of placement, with the
-            attempt that was recalled, or 0.
+        tasks: Tasks of this owner that are there.
         fair_part: Tasks that this owner may have there even if the queue is full, so
             that the owners that report later are not shut out.
         placed: Times of the placements that the last report cannot know of.
@@ -49,7 +48,7 @@
     memory_mb: int = 0
     accelerators: int = 0
     own: bool = False
-    tasks: dict[TaskId, int] = attrs.field(factory=dict)
+    tasks: dict[TaskId, None] = attrs.field(factory=dict)
     fair_part: int = 0
     placed: deque[int] = attrs.field(factory=deque)
 
@@ -137,7 +136,7 @@
     def use(self, row: HomeRow, task: TaskId, now_ms: int) -> None:
         """Count a task that is sent to a home until a later report includes it."""
         row.placed.append(now_ms)
-        row.tasks[task] = 0
+        row.tasks[task] = None
         self._place(row)
 
     def release(self, row: HomeRow, task: TaskId) -> None:
--- a/catkincross/_home_slots.py
+++ b/catkincross/_home_slots.py
@@ -50,7 +50,6 @@
     slots.use(agent.name, -1, -need.memory_mb, -need.accelerators)
     state.dispatch.due_services[service] = None
     state.dispatch.due_backlogs[service] = None
-    state.dispatch.reported[service] = None
 
 
 def forget_running(state: EntryState, row: HomeTask) -> None:
@@ -114,6 +113,8 @@
         slots=slots,
         held=len(agent.held),
         speed_class=speed_class(speed),
+        # Whole milliseconds, because the index keeps one order for each distance.
+        distance_ms=float(round(dispatch.distances.get(hello.data_centre, 0.0))),
         memory_mb=hello.memory_mb,
         accelerators=hello.accelerators,
         memory_free_mb=hello.memory_mb - dispatch.memory.used_mb(agent.name, needs_mb),
--- a/tests/test_dispatch_health.py
+++ b/tests/test_dispatch_health.py
@@ -144,3 +144,25 @@
     assert limit.limit < 5
     run(1.0, 200)
     assert limit.limit == 8
+
+
+def test_the_distance_to_each_data_centre_is_learned() -> None:
+    # Guards against short tasks for far upstreams while near ones are free.
+    driver = cluster(agents=6, entries=1)
+    usual, far = driver.route, {"agent/u2", "agent/u5"}
+
+    def route(sender: str, to: str, message: object) -> list[int]:
+        return [8] if {sender, to} & far else usual(sender, to, message)
+
+    driver.route = route
+    for number in range(60):
+        submit(driver, f"w{number}", 6)
+        driver.run(60)
+    driver.run(1_000)
+    before = len(driver.starts)
+    driver.run_ms = lambda agent, start: 20
+    for number in range(50):
+        submit(driver, f"j{number}", 2)
+        driver.run(50)
+    agents = {start.agent for start in driver.starts[before:]}
+    assert agents.isdisjoint(far), agents
