State may_have_run for unanswered tasks, and show errors of background tasks

Cause: a job whose agent died shortly before its deadline was answered 'failed', as if its task had ended; an idle agent that was asked to leave could stop while a start was under way to it; an error in a stream's task was seen by nobody, and heartbeats then stopped without a log line.

Ruled out: waiting longer before the answer at the deadline.

Before: test_task_of_a_dead_agent_may_have_run_at_the_deadline printed Truth.FAILED, test_leaving_agent_runs_a_start_that_is_under_way JobState.FAILED. After: both pass; a failed background task shows its error and ends the process.

Conclusion: 'failed' now means that every started task has a known end.

--- a/catkincross/_agent_membership.py
+++ b/catkincross/_agent_membership.py
@@ -87,6 +87,7 @@
 @AGENT.handles(LeaveRequested)
 def _leave_requested(state: AgentState, sender: str, event: LeaveRequested) -> None:
     state.leaving = True
+    state.left_ms = state.now_ms
     state.emit("leave announced", running=len(state.running))
     if state.home:
         state.send(state.home_process, _heartbeat(state))
@@ -169,7 +170,8 @@
 def _stop_when_idle(state: AgentState) -> None:
     if not state.leaving or state.running or state.results:
         return
-    # Results may be under way. The home has them when it answers a later stamp.
-    answered = state.echoed_ms > state.results_sent_ms
+    # Results may be under way to the home, and starts from it. Both have arrived when
+    # the home has answered a stamp that followed the results and the leave.
+    answered = state.echoed_ms > max(state.results_sent_ms, state.left_ms)
     if answered or state.home_process not in state.connected:
         state.effects.append(Stop("left"))
--- a/catkincross/_agent_state.py
+++ b/catkincross/_agent_state.py
@@ -46,6 +46,7 @@
         home: Name of the entry that holds the grant, or an empty string.
         connected: Processes with an open stream.
         links: Times of the streams to entries.
+        left_ms: When the leave was requested.
         results_sent_ms: When results were sent to the home last.
         echoed_ms: Newest stamp of this agent that its home has answered.
     """
@@ -66,6 +67,7 @@
     connected: set[str] = attrs.field(factory=set)
     links: EntryLinks = attrs.field(factory=EntryLinks)
     leaving: bool = False
+    left_ms: int = 0
     upstream_leaving: bool = False
     results_sent_ms: int = -1
     echoed_ms: int = 0
--- /dev/null
+++ b/catkincross/_background.py
@@ -0,0 +1,36 @@
+"""Background tasks whose unexpected errors are shown and end the process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+FAILED_TASK = "background task failed"
+
+
+def spawn(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    """Run a coroutine in the background.
+
+    An error that it does not handle is a broken invariant: it goes to the loop's
+    exception handler at once, not when the task is collected.
+    """
+    task = asyncio.get_running_loop().create_task(work)
+    task.add_done_callback(_report)
+    return task
+
+
+def _report(task: asyncio.Task[None]) -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    context = {"message": FAILED_TASK, "exception": task.exception(), "task": task}
+    task.get_loop().call_exception_handler(context)
+
+
+def stop_on_failed_task(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Show an error of the loop, and stop it if a background task failed."""
+    loop.default_exception_handler(context)
+    if context["message"] == FAILED_TASK:
+        loop.stop()
--- a/catkincross/_job_end.py
+++ b/catkincross/_job_end.py
@@ -16,6 +16,15 @@
 from ._ids import entry_process
 from ._messages import JobAnswer, JobState, OwnedTask, Reason, Truth
 
+# Reasons of results that do not say whether the task ran to its end.
+UNKNOWN_ENDS = {
+    Reason.AGENT_LOST,
+    Reason.HOME_LOST,
+    Reason.DEADLINE,
+    Reason.DUPLICATE,
+    Reason.UPSTREAM_UNREACHABLE,
+}
+
 
 def answer_waiter(state: EntryState, waiter: Waiter, answer: JobAnswer) -> None:
     """Send an answer to the arrival entry of a request."""
@@ -100,12 +109,12 @@
 
 def job_truth(job: JobRow) -> Truth:
     """Return what is known about the execution of a job that failed."""
-    started = [row for row in job.tasks if row.result and not row.result.not_run]
-    if any(row.result.reason is not Reason.AGENT_LOST for row in started):
-        return Truth.FAILED
-    if started or any(row.maybe_started for row in job.tasks):
+    results = [row.result for row in job.tasks if row.result is not None]
+    started = [result for result in results if not result.not_run]
+    unanswered = any(row.result is None and row.maybe_started for row in job.tasks)
+    if unanswered or any(result.reason in UNKNOWN_ENDS for result in started):
         return Truth.MAY_HAVE_RUN
-    return Truth.NOT_RUN
+    return Truth.FAILED if started else Truth.NOT_RUN
 
 
 @ENTRY.system(order=380)
--- a/catkincross/_log_feed.py
+++ b/catkincross/_log_feed.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from ._background import spawn
 from ._clock import Clock
 from ._effects import (
     AppendEnded,
@@ -65,7 +66,7 @@
         self._spawn(self._append_forever())
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
+        task = spawn(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/catkincross/_main.py
+++ b/catkincross/_main.py
@@ -6,6 +6,8 @@
 import signal
 from typing import Protocol
 
+from ._background import stop_on_failed_task
+
 
 class Daemon(Protocol):
     """A daemon of either role."""
@@ -27,6 +29,7 @@
         daemon: A daemon that was started.
     """
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(stop_on_failed_task)
     background: set[asyncio.Task[None]] = set()
 
     def leave() -> None:
--- a/catkincross/_stream_link.py
+++ b/catkincross/_stream_link.py
@@ -8,6 +8,7 @@
 
 import grpc
 
+from ._background import spawn
 from ._messages import Message
 from ._outbox import Outbox, OutboxFullError
 from ._stream_server import PROCESS_METADATA
@@ -61,7 +62,7 @@
         self.rng = rng
         self.outbox: Outbox | None = None
         self.closing = False
-        self.task = asyncio.create_task(self._run())
+        self.task = spawn(self._run())
 
     def __repr__(self) -> str:
         return f"<Link to {self.process or '?'} at {self.address}>"
--- a/catkincross/_upstream_client.py
+++ b/catkincross/_upstream_client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from ._background import spawn
 from ._clock import Clock
 from ._effects import UpstreamAnswered
 from ._ids import TaskId
@@ -57,7 +58,7 @@
 
     def call(self, start: TaskStart) -> None:
         """Send a task; its end is posted as `UpstreamAnswered`."""
-        task = asyncio.create_task(self._call(start))
+        task = spawn(self._call(start))
         self._calls[start.task] = task
         task.add_done_callback(lambda done: self._ended(start, done))
 
--- a/catkincross/_worker_client.py
+++ b/catkincross/_worker_client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from ._background import spawn
 from ._effects import WorkerUsage
 from ._settings import WorkerSettings
 
@@ -39,7 +40,7 @@
     def start(self) -> None:
         """Begin to poll, if the worker has an address."""
         if self.url:
-            self._task = asyncio.create_task(self._poll_forever())
+            self._task = spawn(self._poll_forever())
 
     async def close(self) -> None:
         """Stop polling."""
--- a/scenarios/matrix.py
+++ b/scenarios/matrix.py
@@ -96,7 +96,9 @@
     return driver
 
 
-def submit(driver: Driver, entry: str, key: str, count: int = 40) -> int:
+def submit(
+    driver: Driver, entry: str, key: str, count: int = 40, *, deadline_ms: int = 20_000
+) -> int:
     """Submit a job whose tasks return their payload."""
     job = JobSubmitted(
         request_id=0,
@@ -105,7 +107,7 @@
         team="team",
         service="s",
         tasks=[TaskSpec(f"{key}/{index}".encode()) for index in range(count)],
-        deadline_ms=20_000,
+        deadline_ms=deadline_ms,
     )
     return driver.submit(entry, job)
 
--- /dev/null
+++ b/tests/test_background.py
@@ -0,0 +1,36 @@
+"""Guards against errors of background tasks that nobody sees."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from catkincross._background import spawn, stop_on_failed_task
+
+
+async def _fail() -> None:
+    raise ValueError("unexpected")
+
+
+def test_an_error_of_a_background_task_stops_the_loop() -> None:
+    async def serve() -> None:
+        asyncio.get_running_loop().set_exception_handler(stop_on_failed_task)
+        task = spawn(_fail())
+        await asyncio.Event().wait()
+        assert task
+
+    with pytest.raises(RuntimeError, match="stopped before"):
+        asyncio.run(serve())
+
+
+def test_a_cancelled_background_task_is_no_error() -> None:
+    async def serve() -> str:
+        asyncio.get_running_loop().set_exception_handler(stop_on_failed_task)
+        task = spawn(asyncio.Event().wait())
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait({task})
+        return "done"
+
+    assert asyncio.run(serve()) == "done"
--- a/tests/test_task_recovery.py
+++ b/tests/test_task_recovery.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from catkincross.effects import LeaveRequested
 from catkincross.ids import entry_process
 from catkincross.messages import (
     JobState,
@@ -110,3 +111,37 @@
     assert state in (JobState.COMPLETE, JobState.FAILED)
     if state is JobState.FAILED:
         assert driver.answers[request].truth is not Truth.NOT_RUN
+
+
+def test_task_of_a_dead_agent_may_have_run_at_the_deadline() -> None:
+    driver = build()
+    driver.run_ms = lambda agent, start: 100 if agent != "agent/u1" else 60_000
+    request = submit(driver, "e1", "k", 16, deadline_ms=4_000)
+    driver.run_until(lambda: len(driver.starts) == 16)
+    assert "agent/u1" in {item.agent for item in driver.starts}
+    driver.kill("agent/u1")
+    assert answered(driver, request) is JobState.FAILED
+    assert driver.answers[request].truth is Truth.MAY_HAVE_RUN
+
+
+def test_leaving_agent_runs_a_start_that_is_under_way() -> None:
+    driver = build()
+    usual = driver.route
+
+    def slow(sender: str, to: str, message: Any) -> list[int]:
+        delays = usual(sender, to, message)
+        return [600] if to.startswith("agent/") else delays
+
+    driver.route = slow
+    driver.run(1_000)
+    request = submit(driver, "e1", "k", 8)
+    driver.run_until(
+        lambda: any(isinstance(message, StartTasks) for *_, message in driver.sent)
+    )
+    for name in ("u1", "u2", "u3", "u4"):
+        driver.deliver(driver.nodes[f"agent/{name}"], LeaveRequested())
+    driver.run(550)
+    driver.route = usual
+    for name in ("u1", "u2", "u3", "u4"):
+        driver.add_agent(f"{name}b", "perth")
+    assert answered(driver, request) is JobState.COMPLETE
