--- a/catkincross_bench/_compare.py
+++ b/catkincross_bench/_compare.py
@@ -57,6 +57,10 @@
     workload = read_workload(path)
     if driver == "processes" and revisions:
         raise ValueError("saved revisions are compared on the cores only")
+    command = f"catkincross-bench run {path.name} --rounds {rounds} --driver {driver}"
+    chosen = f"--revisions {','.join(revisions)} " if revisions else ""
+    # Read before the rounds, since the tree may change while they run.
+    run = environment(f"{command} {chosen}--policies {','.join(policies)}")
     with TemporaryDirectory() as folder:
         subjects = _subjects(workload, path, policies, revisions, driver, Path(folder))
         results: dict[str, list[dict[str, Any]]] = {name: [] for name in subjects}
@@ -64,10 +68,8 @@
             for name, run_round in subjects.items():
                 results[name].append(run_round(workload.seed + number))
                 progress(f"round {number + 1} of {rounds}: {name}")
-    command = f"catkincross-bench run {path.name} --rounds {rounds} --driver {driver}"
-    chosen = f"--revisions {','.join(revisions)} " if revisions else ""
     return {
-        "run": environment(f"{command} {chosen}--policies {','.join(policies)}"),
+        "run": run,
         "workload": workload.name,
         "driver": driver,
         "subjects": list(subjects),
