--- /dev/null
+++ b/catkincross/_entry_messages.py
@@ -0,0 +1,97 @@
+"""Messages between entries about control state: heartbeats, records, snapshots."""
+
+from __future__ import annotations
+
+import attrs
+
+from ._ids import Incarnation
+from ._message_parts import CapacitySummary, LogRecord, TeamUsage
+
+
+@attrs.frozen
+class ObservedVersion:
+    """Agents of one home that have observed the control state up to a version.
+
+    Attributes:
+        agents: Number of agents.
+        names: Some of their names.
+    """
+
+    version: int
+    agents: int
+    names: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class DrainReport:
+    """Agents of one home on an upstream that takes no new work.
+
+    Attributes:
+        agents: Number of agents.
+        idle: Agents that have confirmed the drain and run nothing.
+    """
+
+    data_centre: str
+    upstream: str
+    agents: int
+    idle: int
+
+
+@attrs.frozen
+class PeerHeartbeat:
+    """Periodic message between entries.
+
+    Attributes:
+        sent_ms: The sender's clock when the message was sent.
+        echo_ms: `sent_ms` of the last heartbeat received from the addressee, or
+            `NO_EVIDENCE`.
+        echo_delay_ms: How long ago the sender received that heartbeat.
+        version: Control version that the sender has folded.
+        log_reachable: Whether the sender's last read of the log succeeded.
+        evidence_age_ms: Age of the sender's own evidence, or `NO_EVIDENCE`.
+        pending: Restrictive records that the sender has appended and whose outcome
+            it does not know; the addressee obeys them as well.
+        observed: What the sender's agents have observed.
+        drains: What runs on upstreams that take no new work.
+    """
+
+    sender: Incarnation
+    sent_ms: int
+    echo_ms: int
+    echo_delay_ms: int
+    version: int
+    log_reachable: bool
+    evidence_age_ms: int
+    capacity: list[CapacitySummary] = attrs.field(factory=list)
+    teams: list[TeamUsage] = attrs.field(factory=list)
+    leaving: bool = False
+    pending: list[bytes] = attrs.field(factory=list)
+    observed: list[ObservedVersion] = attrs.field(factory=list)
+    drains: list[DrainReport] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class RecordsTail:
+    """Records of the control stream that the addressee has not folded.
+
+    Attributes:
+        after: The version that the first record follows directly.
+    """
+
+    records: list[LogRecord]
+    after: int = 0
+
+
+@attrs.frozen
+class StateRequest:
+    """Asks for the control state if it is newer than a version."""
+
+    version: int
+
+
+@attrs.frozen
+class ControlSnapshot:
+    """The whole control state as of a version; the body is JSON."""
+
+    version: int
+    body: bytes
--- a/catkincross/_home_choice.py
+++ b/catkincross/_home_choice.py
@@ -16,6 +16,12 @@
 from ._messages import CapacitySummary, Reason, TaskResult, TaskStatus
 from ._quotas import team_share
 
+# One-way network times in which the slots that become free are counted: those of a
+# report and a placement, with a margin for messages that wait for a busy process.
+REFILL_LEGS = 8
+# Tasks that wait at a home beyond those that its freed slots take at once.
+SPARE_QUEUED = 3
+
 
 def home_index(state: EntryState, service: str) -> HomeIndex:
     """Return the index of the homes of a service, empty for a new one."""
@@ -77,12 +83,12 @@
     permille = state.settings.queues.home_queue_permille
     most = -(-row.slots * permille // 1_000)
     # A slot that becomes free must find a task there: as many must wait as slots are
-    # freed while a report and a placement are on their way. More would only have to
-    # be recalled.
-    freed = (
-        4 * max(0.0, row.distance_ms) * row.slots / state.dispatch.mean_run_ms(service)
-    )
-    row.queue_limit = min(most, 1 + int(freed))
+    # freed while a report and a placement are on their way, and some more, since
+    # slots become free in clusters. With one more only, slots stayed idle while a
+    # data centre was drained. Many more would only have to be recalled.
+    refill_ms = REFILL_LEGS * max(0.0, row.distance_ms)
+    freed = refill_ms * row.slots / state.dispatch.mean_run_ms(service)
+    row.queue_limit = min(most, SPARE_QUEUED + int(freed))
     owners = max(1, len(state.control.entries))
     row.fair_part = -(-row.slots // (4 * owners))
     learned = state.dispatch.home_speeds.speed(service, row.name)
