Share the step of both cores, the serving of both daemons, and the in-memory stream

Ruled out: a common daemon class; the two differ in all but their serving.

Before: three pairs of copies.

--- a/catkincross/_agent_daemon.py
+++ b/catkincross/_agent_daemon.py
@@ -16,6 +16,7 @@
 from ._messages import AgentHello, HeartbeatReply, Message, Reason, TaskStart
 from ._metrics import Metrics
 from ._runner import CoreRunner
+from ._serving import serve
 from ._settings import AgentSettings
 from ._transport import Transport
 from ._upstream_client import UpstreamClient
@@ -164,24 +165,16 @@
         Raises:
             Exception: What a step of the core raised.
         """
-        stopped = asyncio.create_task(self.stopped.wait())
-        gauges = asyncio.create_task(self._send_gauges())
         try:
-            await asyncio.wait(
-                {stopped, self.runner.failed}, return_when=asyncio.FIRST_COMPLETED
+            await serve(
+                self.stopped,
+                self.runner,
+                send_gauges=lambda: self.metrics.agent_gauges(self.state),
+                gauges_interval_ms=self.settings.metrics.interval_ms,
             )
-            if self.runner.failed.done():
-                self.runner.failed.result()
         finally:
-            stopped.cancel()
-            gauges.cancel()
             await self._close()
 
-    async def _send_gauges(self) -> None:
-        while True:
-            self.metrics.agent_gauges(self.state)
-            await asyncio.sleep(self.settings.metrics.interval_ms / 1_000)
-
     async def leave(self) -> None:
         """Stop gracefully: take no new task, finish those that run, and end."""
         if self.leaving:
--- /dev/null
+++ b/catkincross/_core.py
@@ -0,0 +1,58 @@
+"""What the decision cores of both roles share."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any, ClassVar, Generic, Protocol, TypeVar
+
+from ._effects import Effect, Received
+from ._systems import CoreRegistry
+
+
+class CoreState(Protocol):
+    """What a core needs of its state."""
+
+    now_ms: int
+    effects: list[Effect]
+
+
+State = TypeVar("State", bound=CoreState)
+
+
+class Core(Generic[State]):
+    """Pure decision code of a role.
+
+    Args:
+        state: The process's state; the core changes it in place.
+    """
+
+    registry: ClassVar[CoreRegistry[Any]]
+
+    def __init__(self, state: State) -> None:
+        self.state = state
+
+    def step(self, now_ms: int, inbox: Sequence[Any]) -> list[Effect]:
+        """Handle a batch of inbox items.
+
+        Args:
+            now_ms: The process's clock, read immediately before the call.
+            inbox: `Received` messages and local events, in order of arrival.
+
+        Returns:
+            The effects to carry out, in order.
+        """
+        state, handlers = self.state, self.registry.handlers
+        state.now_ms = now_ms
+        for item in inbox:
+            if isinstance(item, Received):
+                handlers[type(item.message)](state, item.sender, item.message)
+            else:
+                handlers[type(item)](state, "", item)
+        for _, system in self.registry.systems:
+            system(state)
+        effects, state.effects = state.effects, []
+        return effects
+
+    def next_due_ms(self) -> int | None:
+        """Return when the core must step again without an event."""
+        raise NotImplementedError
--- a/catkincross/_embedded_log.py
+++ b/catkincross/_embedded_log.py
@@ -33,7 +33,7 @@
         self.records.append(LogRecord(offset, body))
         return offset
 
-    def read(self, from_offset: int, limit: int) -> list[LogRecord] | None:
+    def read(self, from_offset: int, limit: int = 1_000) -> list[LogRecord] | None:
         """Return records from an offset on, or None if it has expired."""
         if from_offset < self.first:
             return None
--- a/catkincross/_entry_core.py
+++ b/catkincross/_entry_core.py
@@ -26,47 +26,24 @@
     _suspicion,
     _task_recovery,
 )
-from ._effects import Effect, Received
+from ._core import Core
+from ._effects import Effect
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 
 
-class EntryCore:
-    """Pure decision code of an entry.
+class EntryCore(Core[EntryState]):
+    """Pure decision code of an entry."""
 
-    Args:
-        state: The entry's state; the core changes it in place.
-    """
-
-    def __init__(self, state: EntryState) -> None:
-        self.state = state
+    registry = ENTRY
 
     def __repr__(self) -> str:
         return f"<EntryCore {self.state.me or self.state.name}>"
 
     def step(self, now_ms: int, inbox: Sequence[Any]) -> list[Effect]:
-        """Handle a batch of inbox items.
-
-        Args:
-            now_ms: The process's clock, read immediately before the call.
-            inbox: `Received` messages and local events, in order of arrival.
-
-        Returns:
-            The effects to carry out, in order.
-        """
-        state = self.state
-        state.now_ms = now_ms
-        state.timers.pop_due(now_ms)
-        for item in inbox:
-            if isinstance(item, Received):
-                ENTRY.handlers[type(item.message)](state, item.sender, item.message)
-            else:
-                ENTRY.handlers[type(item)](state, "", item)
-        for _, system in ENTRY.systems:
-            system(state)
-        state.flush_batches()
-        effects, state.effects = state.effects, []
-        return effects
+        """Handle a batch of inbox items; see `Core.step`."""
+        self.state.timers.pop_due(now_ms)
+        return super().step(now_ms, inbox)
 
     def next_due_ms(self) -> int | None:
         """Return when the core must step again without an event."""
@@ -83,3 +60,8 @@
             state.timers.next_due_ms(),
         ]
         return min(due_ms for due_ms in due if due_ms is not None)
+
+
+@ENTRY.system(order=1_000)
+def _flush_batches(state: EntryState) -> None:
+    state.flush_batches()
--- a/catkincross/_entry_daemon.py
+++ b/catkincross/_entry_daemon.py
@@ -20,6 +20,7 @@
 from ._messages import NO_EVIDENCE, JobAnswer, Message, PeerHeartbeat
 from ._metrics import Metrics
 from ._runner import CoreRunner
+from ._serving import serve
 from ._settings import EntrySettings
 from ._transport import Transport
 
@@ -186,24 +187,16 @@
         Raises:
             Exception: What a step of the core raised.
         """
-        stopped = asyncio.create_task(self.stopped.wait())
-        gauges = asyncio.create_task(self._send_gauges())
         try:
-            await asyncio.wait(
-                {stopped, self.runner.failed}, return_when=asyncio.FIRST_COMPLETED
+            await serve(
+                self.stopped,
+                self.runner,
+                send_gauges=lambda: self.metrics.entry_gauges(self.state),
+                gauges_interval_ms=self.settings.metrics.interval_ms,
             )
-            if self.runner.failed.done():
-                self.runner.failed.result()
         finally:
-            stopped.cancel()
-            gauges.cancel()
             await self._close()
 
-    async def _send_gauges(self) -> None:
-        while True:
-            self.metrics.entry_gauges(self.state)
-            await asyncio.sleep(self.settings.metrics.interval_ms / 1_000)
-
     async def leave(self) -> None:
         """Stop gracefully: announce the leave, finish requests, and end."""
         if self.leaving:
--- a/catkincross_bench/_idle_cost.py
+++ b/catkincross_bench/_idle_cost.py
@@ -7,7 +7,7 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
-from tests.cluster import Cluster
+from scenarios.processes import Cluster
 
 from ._processes import Sample, grown_bytes, sample
 from ._target import CONTROL_BYTES_PER_S, CONTROL_US_PER_S, MEMORY_MB
--- a/catkincross_bench/_process_run.py
+++ b/catkincross_bench/_process_run.py
@@ -16,7 +16,7 @@
 import aiohttp
 import attrs
 
-from tests.cluster import Cluster, http
+from scenarios.processes import Cluster, http
 
 from ._drain_shares import TaskRun, last_start_ms, work_shares
 from ._times import percentiles_ms, response_measures
--- a/catkincross_bench/_throughput.py
+++ b/catkincross_bench/_throughput.py
@@ -11,7 +11,7 @@
 import aiohttp
 import attrs
 
-from tests.cluster import Cluster
+from scenarios.processes import Cluster
 
 from ._processes import sample
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from .cluster import LIMIT_S, Cluster, http, wait_until
+from scenarios.processes import LIMIT_S, Cluster, http, wait_until
 
 ENTRIES = ("e1", "e2", "e3")
 START_BUDGET_MS = 500
