Serve HTTP over TLS, check the placement policy, and mend the start of the daemons

Cause: '[http] tls' was asked for and missing; a policy that does not exist was found only when the core started; two settings were missing on the operators' page, whose test did not look for missing rows.

Ruled out: TLS whenever '[tls]' is set, which would change the port of running systems.

Before: three tests failed (missing rows, unknown policy, ImportError by hand). After: they pass; by hand, three entries, four agents and the stand-ins answered a job of 360 tasks, the same job at another entry, a request, a cancel, a drain with '--wait' and a restore, and printed the time line.

Conclusion: refactorings of daemons need the process tests before the commit.

--- a/catkincross/_dispatch_settings.py
+++ b/catkincross/_dispatch_settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ._placement import PLACEMENT_POLICIES
 from ._setting import setting
 
 
@@ -202,6 +203,7 @@
 
     policy: str = setting(
         "expected_finish",
+        allowed=tuple(sorted(PLACEMENT_POLICIES)),
         about="Name of the placement policy.",
     )
     seed: int = setting(0, low=0, about="Seed of random choices; 0 draws one.")
--- a/catkincross/_entry_daemon.py
+++ b/catkincross/_entry_daemon.py
@@ -77,6 +77,7 @@
         self.http = HttpServer(
             build_app(self, settings, metrics=self.metrics),
             settings.listen.http_address,
+            tls=settings.tls if settings.http.tls else None,
         )
         self._actions = self._make_actions()
         self._asked: dict[int, asyncio.Future[Any]] = {}
--- a/catkincross/_http_server.py
+++ b/catkincross/_http_server.py
@@ -10,6 +10,8 @@
 
 import uvicorn
 
+from ._settings import TlsSettings
+
 BACKLOG = 2_048
 
 
@@ -26,12 +28,15 @@
     Args:
         app: The application.
         address: `IP:port`; port 0 takes a free one.
+        tls: Certificate and key of the port; None for plain HTTP.
 
     Attributes:
         address: The address with the port in use.
     """
 
-    def __init__(self, app: Any, address: str) -> None:
+    def __init__(
+        self, app: Any, address: str, *, tls: TlsSettings | None = None
+    ) -> None:
         host, _, port = address.rpartition(":")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         # asyncio sends small writes at once only on sockets that name their protocol;
@@ -46,6 +51,8 @@
             lifespan="off",
             log_config=None,
             access_log=False,
+            ssl_certfile=tls.certificate if tls else None,
+            ssl_keyfile=tls.key if tls else None,
         )
         self._server = _Server(config)
         self._task: asyncio.Task[None] | None = None
--- a/catkincross/_serving.py
+++ b/catkincross/_serving.py
@@ -5,12 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
-from ._runner import Runner
+from ._runner import CoreRunner
 
 
 async def serve(
     stopped: asyncio.Event,
-    runner: Runner,
+    runner: CoreRunner,
     *,
     send_gauges: Callable[[], None],
     gauges_interval_ms: int,
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -40,6 +40,10 @@
 class HttpSettings:
     """Section `[http]`: limits and access of the HTTP APIs."""
 
+    tls: bool = setting(
+        False,
+        about="Whether the HTTP port speaks TLS with the certificate of `[tls]`.",
+    )
     max_body_bytes: int = setting(
         16_777_216,
         unit="bytes",
--- a/catkincross/entry.py
+++ b/catkincross/entry.py
@@ -31,9 +31,9 @@
 async def _run(settings: EntrySettings) -> None:
     daemon = EntryDaemon(settings)
     await daemon.start()
-    click.echo(
-        f"listening grpc={daemon.state.address} http=http://{daemon.http.address}"
-    )
+    scheme = "https" if settings.http.tls else "http"
+    http_url = f"{scheme}://{daemon.http.address}"
+    click.echo(f"listening grpc={daemon.state.address} http={http_url}")
     await run_daemon(daemon)
 
 
--- a/tests/test_ini.py
+++ b/tests/test_ini.py
@@ -123,7 +123,7 @@
     page = (Path(__file__).parent.parent / "docs" / "operations.md").read_text()
     block = page.partition("<!-- settings -->")[2].partition("<!-- /settings -->")[0]
     rows = {(row.section, row.key): row for row in setting_rows()}
-    section, documented = "", 0
+    section, documented = "", set()
     for line in block.splitlines():
         if line.startswith("`["):
             section = line.strip("`[]")
@@ -131,5 +131,12 @@
             key, default, allowed = (cell.strip(" `") for cell in line.split("|")[1:4])
             row = rows[section, key]
             assert (default, allowed) == (row.default, row.allowed), (section, key)
-            documented += 1
-    assert documented > 50
+            documented.add((section, key))
+    assert documented == set(rows)
+
+
+def test_an_unknown_placement_policy_is_refused(tmp_path: Path) -> None:
+    text = "[entry]\nname = e1\nregion = r\ndata_centre = d\n[placement]\npolicy = "
+    _, result = _load(tmp_path, text + "fastest\n", EntrySettings)
+    assert "[placement] policy" in result.failure()
+    assert "expected_finish" in result.failure()
