Remove a message and a field that nothing uses

Cause: homes give queued tasks back by themselves, so no process sends RecallTasks; the weight of an upstream was accepted and changed nothing.

Ruled out: keeping the field for later, which misleads operators.

Before: both stood in the protocol and the API.

Conclusion: nothing is accepted that has no effect.

--- a/catkincross/_job_messages.py
+++ b/catkincross/_job_messages.py
@@ -147,13 +147,6 @@
     home_number: int = 0
 
 
-@attrs.frozen
-class RecallTasks:
-    """Asks a home to give back tasks that it has not sent to an agent."""
-
-    tasks: list[OwnedTask]
-
-
 @attrs.frozen
 class ReconcileTasks:
     """Asks agents to block attempts whose home was lost, unless they started.
--- a/catkincross/_messages.py
+++ b/catkincross/_messages.py
@@ -37,7 +37,6 @@
     KeyQuery,
     KeyReply,
     PlaceTasks,
-    RecallTasks,
     ReconcileReply,
     ReconcileTasks,
 )
@@ -81,7 +80,6 @@
     | StateRequest
     | ControlSnapshot
     | PlaceTasks
-    | RecallTasks
     | ReconcileTasks
     | ReconcileReply
 )
@@ -115,7 +113,6 @@
     "PlaceTasks",
     "PlacedTask",
     "Reason",
-    "RecallTasks",
     "ReconcileReply",
     "ReconcileTasks",
     "RecordsTail",
--- a/catkincross/_resource_specs.py
+++ b/catkincross/_resource_specs.py
@@ -29,9 +29,6 @@
     """Declared state of an upstream."""
 
     drain: bool = setting(False, about="Whether the upstream takes no work.")
-    weight: float = setting(
-        1.0, low=0.01, high=100.0, about="Share of work relative to other upstreams."
-    )
 
 
 @attrs.frozen
--- a/catkincross/_recall.py
+++ b/catkincross/_slotless.py
@@ -1,18 +1,11 @@
-"""Return of queued tasks to their owners, on request or without a slot in service."""
+"""Return of queued tasks to their owners when a home has no slot in service."""
 
 from __future__ import annotations
 
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 from ._home import decline
-from ._messages import Reason, RecallTasks
-
-
-@ENTRY.handles(RecallTasks)
-def _tasks_recalled(state: EntryState, sender: str, message: RecallTasks) -> None:
-    for owned in message.tasks:
-        if owned in state.home_queue:
-            decline(state, state.home_tasks.rows[owned], Reason.RECALLED)
+from ._messages import Reason
 
 
 @ENTRY.system(order=455)
--- a/catkincross_bench/_waste.py
+++ b/catkincross_bench/_waste.py
@@ -18,7 +18,6 @@
     JobAnswer,
     PeerHeartbeat,
     PlaceTasks,
-    RecallTasks,
     RecordsTail,
     StartTasks,
     TaskResults,
@@ -84,8 +83,6 @@
             case CancelTasks():
                 cause = "recalls" if message.revoke else "cancellations"
                 self.causes[cause] += len(message.tasks)
-            case RecallTasks(tasks):
-                self.causes["recalls"] += len(tasks)
             case _:
                 self.causes["other"] += 1
 
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -143,6 +143,7 @@
         (PERTH, DRAIN | {"extra": 1}, "extra"),
         (PERTH, DRAIN | {"metadata": {"generation": "1"}}, "metadata.generation"),
         ("/v1/upstreams/u1", {"spec": {"weight": 0}}, "spec.weight"),
+        ("/v1/teams/t1", {"spec": {"weight": 0}}, "spec.weight"),
         ("/v1/teams/t", {"spec": {"limits": {"x": 1}}}, "spec.limits.x"),
         ("/v1/configurations/c", {"spec": {}}, "spec.data"),
         ("/v1/configurations/c", {"spec": {"data": {"a": "x" * 70_000}}}, "spec"),
