Repeat results to a new home, and leave time for a planned leave

Cause: results under way to an earlier home could be lost when the agent moved to a home whose stream was open already; the daemon's stop limit equalled the time that the core gives a leave, so the process could end in the middle of it.

Ruled out: acknowledgements of results, which cost a message a task.

Before: results were repeated only when a stream opened. After: also with each new home; receivers ignore duplicates. The stop limit is 45,000 ms. No test failed before; the tests of recovery, home selection and guards pass.

--- a/catkincross/_agent_membership.py
+++ b/catkincross/_agent_membership.py
@@ -113,6 +113,8 @@
         state.grant_epoch += 1
         state.emit("home chosen", home=home, grant_epoch=state.grant_epoch)
         state.send(state.home_process, _hello(state, granted=state.home_process))
+        # Results under way to the earlier home may be lost with its stream.
+        repeat_results(state)
 
 
 def _hello(state: AgentState, *, granted: str) -> AgentHello:
--- a/catkincross/_settings.py
+++ b/catkincross/_settings.py
@@ -252,11 +252,12 @@
         "to listen; longer than the probe interval of the load balancer.",
     )
     stop_limit_ms: int = setting(
-        30_000,
+        45_000,
         unit="ms",
         low=100,
         high=3_600_000,
-        about="Longest time from SIGTERM to the end of the process.",
+        about="Longest time from SIGTERM to the end of the process; longer than "
+        "`leave_limit_ms`.",
     )
 
 
