Give a resource that is created again a new generation

Cause: a deleted and recreated resource began at generation 1 again, so a change that expected generation 1 of the old one was accepted.

Ruled out: offsets as generations, which read badly in tables.

Before: the new test printed '' instead of 'lost_race'.

Conclusion: a precondition matches only the resource that its author saw.

--- a/catkincross/_control_state.py
+++ b/catkincross/_control_state.py
@@ -115,6 +115,8 @@
         ended: Ended incarnations of entries within the retention window.
         members: Agent incarnations, the ended ones within the retention window.
         resources: Resources by kind and name.
+        deleted: Last generations of deleted resources by kind and name, the newest
+            ones last; a resource that is created again goes on from there.
         outcomes: What folding did, by record id.
         roster_version: Offset of the last change of `entries`.
         history: Rosters within the retention window, newest last.
@@ -128,6 +130,7 @@
     ended: dict[Incarnation, EndedEntry] = attrs.field(factory=dict)
     members: dict[Incarnation, AgentMember] = attrs.field(factory=dict)
     resources: dict[tuple[str, str], Resource] = attrs.field(factory=dict)
+    deleted: dict[tuple[str, str], int] = attrs.field(factory=dict)
     outcomes: dict[str, RecordOutcome] = attrs.field(factory=dict)
     roster_version: int = 0
     history: list[RosterVersion] = attrs.field(factory=list)
--- a/catkincross/_fold.py
+++ b/catkincross/_fold.py
@@ -40,6 +40,7 @@
 # Outcomes that are kept for operators' questions. The bound is a count, because all
 # processes must drop the same ids: a second record with a kept id is a no-op.
 KEPT_OUTCOMES = 2_000
+KEPT_DELETIONS = 2_000
 
 Folder = Callable[[ControlState, int, Any, int], str]
 FOLDERS: dict[type, Folder] = {}
@@ -205,8 +206,9 @@
     generation = 0 if current is None else current.generation
     if generation != body.expected_generation:
         return LOST_RACE
+    generation = max(generation, state.deleted.pop(key, 0)) + 1
     state.resources[key] = Resource(
-        body.kind, body.name, generation + 1, offset, dict(body.spec)
+        body.kind, body.name, generation, offset, dict(body.spec)
     )
     return ""
 
@@ -221,4 +223,7 @@
     if current is None or current.generation != body.expected_generation:
         return LOST_RACE
     del state.resources[key]
+    state.deleted[key] = current.generation
+    if len(state.deleted) > KEPT_DELETIONS:
+        del state.deleted[next(iter(state.deleted))]
     return ""
--- a/catkincross/_snapshot_codec.py
+++ b/catkincross/_snapshot_codec.py
@@ -20,6 +20,15 @@
 from ._messages import RosterEntry
 
 
+@attrs.frozen
+class DeletedResource:
+    """The last generation of a deleted resource."""
+
+    kind: str
+    name: str
+    generation: int
+
+
 @attrs.frozen
 class SnapshotDocument:
     """Rows of the control state; points in time are relative to the encoding."""
@@ -35,6 +44,7 @@
     outcomes: dict[str, RecordOutcome]
     history: list[RosterVersion]
     sequences: dict[str, int]
+    deleted: list[DeletedResource] = attrs.field(factory=list)
 
 
 _converter = make_converter()
@@ -59,6 +69,10 @@
         outcomes=control.outcomes,
         history=[_shift_roster(row, -now_ms) for row in control.history],
         sequences=control.sequences,
+        deleted=[
+            DeletedResource(kind, name, generation)
+            for (kind, name), generation in control.deleted.items()
+        ],
     )
     data: Any = _converter.unstructure(document)
     return json.dumps(data, separators=(",", ":")).encode()
@@ -95,6 +109,7 @@
         outcomes=dict(document.outcomes),
         history=[_shift_roster(row, now_ms) for row in document.history],
         sequences=dict(document.sequences),
+        deleted={(row.kind, row.name): row.generation for row in document.deleted},
     )
 
 
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings, strategies as st
 
 from catkincross._control_state import ControlState
-from catkincross._fold import KEPT_OUTCOMES, fold_record
+from catkincross._fold import KEPT_OUTCOMES, LOST_RACE, fold_record
 from catkincross._records import (
     AgentsEnded,
     AgentsRegistered,
@@ -95,6 +95,26 @@
     assert decisions(restored) == decisions(whole)
 
 
+def test_generation_of_a_resource_that_is_created_again_is_new() -> None:
+    # Guards against an old precondition that matches a new resource of that name.
+    state = ControlState()
+    author = Incarnation("e1", 1)
+    bodies = [
+        EntryJoined("e1", "addr", "d"),
+        ResourcePut("teams", "a", 0, {"weight": 1}),
+        ResourceDeleted("teams", "a", 1),
+        ResourcePut("teams", "a", 0, {"weight": 2}),
+        ResourcePut("teams", "a", 1, {"weight": 3}),
+    ]
+    for offset, body in enumerate(bodies, 1):
+        record = Record(f"r{offset}", author if offset > 1 else None, body)
+        reason = fold_record(state, offset, record, 0)
+        if offset == 3:
+            state = decode_snapshot(encode_snapshot(state, 0), 0)
+    assert reason == LOST_RACE
+    assert state.resources["teams", "a"].spec == {"weight": 2}
+
+
 def test_state_stays_bounded_over_many_changes_and_restarts() -> None:
     state = ControlState()
     for offset in range(1, 3 * KEPT_OUTCOMES):
