Keep the rule of the agent's stop in its core only

Cause: the daemon had its own check that the home answered after the leave; the core has had the same check since it compares answers with the time of the leave.

Ruled out: keeping both, which would have to change together.

Before: two copies of the rule, and three names that nothing used (expires_ms, a field of the driver's nodes, a bound of the invariants). After: the daemon obeys the core's Stop. The tests of the processes (SIGTERM of an agent during requests among them), of task recovery, of the agent's HTTP and of the demo pass.

Conclusion: behaviour is unchanged.

--- a/catkincross/_agent_daemon.py
+++ b/catkincross/_agent_daemon.py
@@ -13,7 +13,7 @@
 from ._http_server import HttpServer
 from ._ids import agent_process, entry_process
 from ._logs import EventLog
-from ._messages import AgentHello, HeartbeatReply, Message, Reason, TaskStart
+from ._messages import AgentHello, Message, Reason, TaskStart
 from ._metrics import Metrics
 from ._runner import CoreRunner
 from ._serving import serve
@@ -49,7 +49,7 @@
         self.transport = Transport(
             process=agent_process(settings.name),
             greeting=self._greeting,
-            post=self._received,
+            post=self.runner.post,
             tls=settings.tls,
             seed=rng.getrandbits(62),
         )
@@ -70,8 +70,6 @@
             settings.metrics, agent_process(settings.name)
         )
         self._peers: dict[str, str] = {}
-        self._leave_ms: int | None = None
-        self._leave_heard = False
 
     def __repr__(self) -> str:
         return f"<AgentDaemon {self.state.me}>"
@@ -101,12 +99,6 @@
         self.http.start()
         self._update_peers()
 
-    def _received(self, item: object) -> None:
-        if isinstance(item, fx.Received) and isinstance(item.message, HeartbeatReply):
-            if self._leave_ms is not None and item.message.echo_ms >= self._leave_ms:
-                self._leave_heard = True
-        self.runner.post(item)
-
     def _may_start(self, start: TaskStart) -> Reason:
         # The process may have been stopped since the core decided.
         now_ms = self.clock.now_ms()
@@ -132,18 +124,13 @@
                 case fx.Emit():
                     self._record(effect)
                 case fx.Stop():
-                    self._stop_requested()
+                    self.stopped.set()
         self._update_peers()
 
     def _record(self, event: fx.Emit) -> None:
         self.events.write(event)
         self.metrics.event(event)
 
-    def _stop_requested(self) -> None:
-        # A task may be on its way until the home has answered the announced leave.
-        if self._leave_heard or self.state.home_process not in self.state.connected:
-            self.stopped.set()
-
     def _update_peers(self) -> None:
         """Open streams to the peers, and to more entries while none is home."""
         peers = dict(self._peers)
@@ -180,7 +167,6 @@
         if self.leaving:
             return
         self.leaving = True
-        self._leave_ms = self.clock.now_ms()
         self.runner.post(fx.LeaveRequested())
         limit_s = self.settings.listen.stop_limit_ms / 1_000
         try:
--- a/catkincross/_freshness.py
+++ b/catkincross/_freshness.py
@@ -43,7 +43,3 @@
     def age_ms(self, now_ms: int) -> int:
         """Return the age of the evidence, or `NO_EVIDENCE`."""
         return NO_EVIDENCE if self.evidence_ms is None else now_ms - self.evidence_ms
-
-    def expires_ms(self) -> int | None:
-        """Return when the lease lapses, or None without evidence."""
-        return None if self.evidence_ms is None else self.evidence_ms + self.lease_ms
--- a/scenarios/invariants.py
+++ b/scenarios/invariants.py
@@ -15,7 +15,6 @@
 from .driver import Driver
 
 DRAIN_BOUND_MS = 3_000
-IN_FORCE_BOUND_MS = 3_000
 
 Check = Callable[[Driver], list[str]]
 INVARIANTS: dict[str, Check] = {}
--- a/scenarios/network.py
+++ b/scenarios/network.py
@@ -38,7 +38,6 @@
     wake_at: int | None = None
     due_at: int | None = None
     peers: dict[str, str] = attrs.field(factory=dict)
-    reading: bool = False
 
 
 @attrs.frozen
