--- a/catkincross/_clock.py
+++ b/catkincross/_clock.py
@@ -14,11 +14,15 @@
 
 
 class SystemClock:
-    """Monotonic clock of the host; it keeps counting while the process is stopped."""
+    """Clock of the host that keeps counting while process or host are suspended.
+
+    The monotonic clock stands still during a suspension, and a lease that ended
+    meanwhile would seem valid.
+    """
 
     def now_ms(self) -> int:
-        """Return the host's monotonic time in milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Return the host's time since its start in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 class ManualClock:
--- /dev/null
+++ b/catkincross/daemons/_agent.py
@@ -0,0 +1,236 @@
+"""The agent daemon beside a worker."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import Any
+
+from .._background import spawn
+from .._http_server import HttpServer
+from ..clock import Clock
+from ..peers import Greeting, Link, Members, connect
+from ..platform import (
+    ControlApp,
+    HoldRefused,
+    NodeSettings,
+    StoreClient,
+    WorkerClient,
+)
+from ..workers import (
+    CallStart,
+    CallStop,
+    Note,
+    Registration,
+    ToEntry,
+    WorkerCore,
+    WorkerLimits,
+)
+from ._log import DecisionLog
+from ._members import Owners
+
+CONNECT_LIMIT_S = 0.5
+# Interval of the search for entries, in seconds.
+LINKS_INTERVAL_S = 0.2
+# Interval of asking the store for owners while a link is open, in seconds; entries
+# tell their agents of changes sooner.
+OWNERS_INTERVAL_S = 5.0
+# Links on which no lease came for this long are closed, in milliseconds.
+SILENT_LINK_MS = 1_600
+# Pause between two looks at the worker that brought nothing new, in seconds.
+HOLD_PAUSE_S = 0.015
+# Pause after the worker gave no answer, in seconds.
+HOLD_RETRY_S = 0.05
+# Part of the time to SIGKILL that is left when the process ends, in seconds.
+EXIT_RESERVE_S = 1.0
+LEAVE_CHECK_S = 0.05
+MS_PER_S = 1_000
+
+
+class AgentDaemon:
+    """One agent.
+
+    Args:
+        settings: What the platform tells the process.
+        clock: Clock of the process.
+        log: Log of the process.
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock, log: DecisionLog) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.log = log
+        self.incarnation = time.time_ns() // 1_000_000
+        limits = WorkerLimits(shards=settings.shards, lease_ms=settings.lease_ms)
+        self.core = WorkerCore(limits, self.incarnation)
+        self.store = StoreClient(settings.store)
+        self.owners = Owners(self.store, clock)
+        self.worker = WorkerClient(settings.worker)
+        self.links: dict[str, Link] = {}
+        self.connecting: set[str] = set()
+        self.leaving = False
+        self.stopped = asyncio.Event()
+        self._look = asyncio.Event()
+        self._step_due = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self.log.note("start", worker_address=self.settings.worker)
+        app = ControlApp(self._heartbeat, self._left, self._bad_heartbeat)
+        self.control = HttpServer(app, self.settings.control)
+        self.control.start()
+        spawn(self._keep_links())
+        spawn(self._follow_owners())
+        spawn(self._hold_forever())
+        self._wake()
+
+    async def run(self) -> None:
+        """Serve until the process may end."""
+        await self.stopped.wait()
+
+    async def leave(self) -> None:
+        """Let the runs end and their ends be logged, then end."""
+        if self.leaving:
+            return
+        self.log.note("stop", runs=len(self.core.state.runs))
+        self.leaving = True
+        self.core.leave(self.clock.now_ms())
+        self._wake()
+        limit_ms = self.settings.grace_ms - EXIT_RESERVE_S * MS_PER_S
+        end_ms = self.clock.now_ms() + limit_ms
+        while self.core.busy and self.clock.now_ms() < end_ms:
+            await asyncio.sleep(LEAVE_CHECK_S)
+        await self.control.stop(LEAVE_CHECK_S)
+        self.log.note("stopped", runs=len(self.core.state.runs))
+        self.stopped.set()
+
+    # The worker.
+
+    def _heartbeat(self, content: Registration) -> None:
+        if self.core.registered(self.clock.now_ms(), content):
+            self._look.set()
+            self._wake()
+
+    def _left(self, worker: str) -> None:
+        self.core.left(self.clock.now_ms(), worker)
+        self._wake()
+
+    def _bad_heartbeat(self, worker: str) -> None:
+        self.log.note("heartbeat not read", worker=worker)
+
+    async def _hold_forever(self) -> None:
+        while True:
+            call = self.core.hold_call(self.clock.now_ms())
+            if call is None:
+                self._look.clear()
+                await self._look.wait()
+                continue
+            sent_ms = self.clock.now_ms()
+            try:
+                view = await self.worker.hold(call)
+            except HoldRefused:
+                self.core.hold_fenced(self.clock.now_ms(), call)
+                continue
+            if view is None:
+                await asyncio.sleep(HOLD_RETRY_S)
+                continue
+            self.core.held(self.clock.now_ms(), sent_ms, call, view)
+            self._wake()
+            # Ends that are not logged yet are listed again at once.
+            await asyncio.sleep(HOLD_PAUSE_S)
+
+    async def _start_run(self, order: CallStart) -> None:
+        worker = self.core.state.registration
+        if worker is None:
+            return
+        outcome = await self.worker.start(worker.worker, order)
+        self.core.start_answered(self.clock.now_ms(), order.task, order.run, outcome)
+        self._wake()
+
+    async def _stop_run(self, order: CallStop) -> None:
+        worker = self.core.state.registration
+        if worker is not None:
+            await self.worker.stop(worker.worker, order)
+
+    # The entries.
+
+    async def _follow_owners(self) -> None:
+        while True:
+            read = await self.owners.read()
+            linked = bool(self.links) and read
+            await asyncio.sleep(OWNERS_INTERVAL_S if linked else LINKS_INTERVAL_S)
+
+    async def _keep_links(self) -> None:
+        while True:
+            now_ms = self.clock.now_ms()
+            for address, link in list(self.links.items()):
+                row = self.core.state.entries.get(address)
+                if row is not None and now_ms - row.lease_ms > SILENT_LINK_MS:
+                    self.log.note("entry silent", entry=address)
+                    link.close()
+            for address in self.owners.addresses():
+                if address not in self.links and address not in self.connecting:
+                    self.connecting.add(address)
+                    spawn(self._connect(address))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.owners.changed.wait(), LINKS_INTERVAL_S)
+
+    async def _connect(self, address: str) -> None:
+        def make() -> Link:
+            return Link(self._on_message, self._on_close)
+
+        try:
+            link = await connect(address, make, CONNECT_LIMIT_S)
+        except (OSError, TimeoutError) as error:
+            self.log.note("entry not reached", entry=address, error=repr(error))
+            self.connecting.discard(address)
+            return
+        self.connecting.discard(address)
+        link.peer = address
+        self.links[address] = link
+        link.send(Greeting("agent", self.settings.name, self.incarnation))
+        self.core.entry_connected(self.clock.now_ms(), address)
+        self.log.note("entry connected", entry=address)
+        self._wake()
+
+    def _on_message(self, link: Link, content: Any) -> None:
+        if isinstance(content, Members):
+            self.owners.take_addresses(content.addresses)
+            return
+        self.core.entry_said(self.clock.now_ms(), link.peer, content)
+        self._wake()
+
+    def _on_close(self, link: Link) -> None:
+        if self.links.get(link.peer) is link:
+            del self.links[link.peer]
+            self.core.entry_lost(self.clock.now_ms(), link.peer)
+            self.log.note("entry lost", entry=link.peer)
+
+    # Steps of the core.
+
+    def _wake(self) -> None:
+        if not self._step_due:
+            self._step_due = True
+            asyncio.get_running_loop().call_soon(self._step)
+
+    def _step(self) -> None:
+        self._step_due = False
+        now_ms = self.clock.now_ms()
+        for effect in self.core.step(now_ms):
+            match effect:
+                case ToEntry(entry, content):
+                    link = self.links.get(entry)
+                    if link is not None:
+                        link.send(content)
+                case CallStart():
+                    spawn(self._start_run(effect))
+                case CallStop():
+                    spawn(self._stop_run(effect))
+                case Note(event, fields):
+                    self.log.note(event, **fields)
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_s = max(self.core.next_due_ms() - now_ms, 1) / MS_PER_S
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._wake)
--- /dev/null
+++ b/catkincross/daemons/_asking.py
@@ -0,0 +1,209 @@
+"""Requests that go to the owner of a job, which may be another entry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from ..clock import Clock
+from ..jobs import shard_of
+from ..peers import Answer, Ask, Greeting, Link, PendingCounts, connect
+from ._members import Owners, member_address
+
+CONNECT_LIMIT_S = 0.5
+# Pause before a request goes to the same owner again, in seconds.
+RETRY_S = 0.03
+# Rest of a request's time that is left for the answer to travel, in milliseconds.
+ANSWER_RESERVE_MS = 150
+# An owner that gives no answer for this long is asked again on a new link.
+ANSWER_LIMIT_S = 1.0
+# Links on which nothing came for this long are closed, in milliseconds; counts come
+# every 500 ms.
+SILENT_LINK_MS = 1_600
+COUNTS_INTERVAL_S = 0.5
+MS_PER_S = 1_000
+
+
+@attrs.define(eq=False)
+class PeerLink:
+    """An open link to another entry."""
+
+    link: Link
+    heard_ms: int
+    number: int = 0
+    waiting: dict[int, asyncio.Future[Answer]] = attrs.field(factory=dict)
+    counts: dict[str, int] = attrs.field(factory=dict)
+
+
+class OwnerRequests:
+    """Sends requests to the owners of jobs.
+
+    Args:
+        owners: Owners of the shards.
+        clock: Clock of the process.
+        greeting: First message on links.
+        member: Name of this entry in the group.
+        shards: Number of shards.
+        ask_here: Asks the core of this process.
+    """
+
+    def __init__(
+        self,
+        owners: Owners,
+        clock: Clock,
+        greeting: Greeting,
+        member: str,
+        shards: int,
+        ask_here: Callable[[Ask], asyncio.Future[Answer]],
+    ) -> None:
+        self.owners = owners
+        self.clock = clock
+        self.greeting = greeting
+        self.member = member
+        self.shards = shards
+        self.ask_here = ask_here
+        self.links: dict[str, PeerLink] = {}
+        self.on_connected: Callable[[Link], None] | None = None
+        self.connecting: dict[str, asyncio.Task[PeerLink | None]] = {}
+
+    async def ask(
+        self, verb: str, job_id: str, body: dict[str, Any] | None, limit_ms: int
+    ) -> Answer:
+        """Return the owner's answer, or what is known when the time is up.
+
+        A submission whose owner could not be reached at all is rejected; one that an
+        owner may have accepted is `unknown`.
+        """
+        end_ms = self.clock.now_ms() + limit_ms - ANSWER_RESERVE_MS
+        may_be_accepted = False
+        detail = "no owner"
+        while True:
+            left_s = (end_ms - self.clock.now_ms()) / MS_PER_S
+            if left_s <= 0:
+                break
+            ask = Ask(0, verb, job_id, body)
+            answer = await self._ask_owner(ask, min(left_s, ANSWER_LIMIT_S))
+            if answer is not None and answer.outcome not in ("moved", "unknown"):
+                if answer.outcome == "rejected" and may_be_accepted:
+                    break
+                return answer
+            if answer is not None:
+                detail = answer.detail
+            if answer is not None and answer.outcome == "unknown":
+                may_be_accepted = True
+            left_s = (end_ms - self.clock.now_ms()) / MS_PER_S
+            if left_s > 0:
+                await self.owners.wait_for_change(min(RETRY_S, left_s))
+        if verb == "submit" and not may_be_accepted:
+            return Answer(0, "rejected", "no_owner", MS_PER_S)
+        return Answer(0, "unknown", detail)
+
+    async def ask_entry(self, address: str, ask: Ask) -> Answer | None:
+        """Ask an entry for the end of a job that it has; None without a link."""
+        peer = await self._peer(address)
+        if peer is None:
+            return None
+        future = self._send(peer, ask)
+        limit_s = ask.limit_ms / MS_PER_S
+        done, _ = await asyncio.wait({future}, timeout=limit_s)
+        return future.result() if done else None
+
+    def _send(self, peer: PeerLink, ask: Ask) -> asyncio.Future[Answer]:
+        peer.number += 1
+        future = asyncio.get_running_loop().create_future()
+        peer.waiting[peer.number] = future
+        peer.link.send(attrs.evolve(ask, number=peer.number))
+        return future
+
+    def tell_all(self, content: Any) -> None:
+        """Send a message to all entries that own shards."""
+        for peer in self.links.values():
+            peer.link.send(content)
+
+    async def _ask_owner(self, ask: Ask, limit_s: float) -> Answer | None:
+        """Ask once; None if the request was not sent."""
+        member = self.owners.by_shard.get(shard_of(ask.job_id, self.shards), "")
+        if member == self.member:
+            future = self.ask_here(ask)
+        else:
+            address = member_address(member)
+            peer = await self._peer(address) if address else None
+            if peer is None:
+                return None
+            future = self._send(peer, ask)
+        done, _ = await asyncio.wait({future}, timeout=limit_s)
+        if done:
+            return future.result()
+        return Answer(0, "unknown", "no answer of the owner")
+
+    async def _peer(self, address: str) -> PeerLink | None:
+        found = self.links.get(address)
+        if found is not None and not found.link.closed:
+            return found
+        task = self.connecting.get(address)
+        if task is None:
+            task = asyncio.create_task(self._connect(address))
+            self.connecting[address] = task
+            task.add_done_callback(lambda _: self.connecting.pop(address, None))
+        return await asyncio.shield(task)
+
+    async def _connect(self, address: str) -> PeerLink | None:
+        def make() -> Link:
+            return Link(self._on_message, self._on_close)
+
+        try:
+            link = await connect(address, make, CONNECT_LIMIT_S)
+        except (OSError, TimeoutError):
+            return None
+        peer = PeerLink(link, self.clock.now_ms())
+        link.peer = peer
+        self.links[address] = peer
+        link.send(self.greeting)
+        if self.on_connected is not None:
+            self.on_connected(link)
+        return peer
+
+    def _on_message(self, link: Link, content: Any) -> None:
+        peer: PeerLink = link.peer
+        peer.heard_ms = self.clock.now_ms()
+        if isinstance(content, Answer):
+            future = peer.waiting.pop(content.number, None)
+            if future is not None and not future.done():
+                future.set_result(content)
+        elif isinstance(content, PendingCounts):
+            peer.counts = content.counts
+
+    def _on_close(self, link: Link) -> None:
+        peer: PeerLink | None = link.peer
+        if peer is None:
+            return
+        for future in peer.waiting.values():
+            if not future.done():
+                future.set_result(Answer(0, "unknown", "link to the owner closed"))
+        peer.waiting.clear()
+
+    async def keep_links(self, counts: Callable[[], dict[str, int]]) -> None:
+        """Keep links to all owners, and close silent ones."""
+        while True:
+            now_ms = self.clock.now_ms()
+            own = member_address(self.member)
+            current = set(self.owners.addresses()) - {own}
+            for address, peer in list(self.links.items()):
+                if now_ms - peer.heard_ms > SILENT_LINK_MS:
+                    peer.link.close()
+                if peer.link.closed or address not in current and not peer.waiting:
+                    peer.link.close()
+                    self.links.pop(address, None)
+            for address in current:
+                if address not in self.links:
+                    asyncio.create_task(self._peer(address))
+            for peer in self.links.values():
+                peer.link.send(PendingCounts(counts()))
+            await asyncio.sleep(COUNTS_INTERVAL_S)
+
+    def pending(self, queue: str) -> int:
+        """Return the count of other entries for a queue."""
+        return sum(peer.counts.get(queue, 0) for peer in self.links.values())
--- /dev/null
+++ b/catkincross/daemons/_entry.py
@@ -0,0 +1,423 @@
+"""The entry daemon: requests of client accounts, and the owner of shards."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import cattrs
+
+from .._background import spawn
+from .._http_server import HttpServer
+from ..clock import Clock
+from ..dispatch import AtEntry, Here, JobsElsewhere
+from ..jobs import JobSpec
+from ..owner import Append, Claim, Note, OwnerCore, OwnerLimits, Reply, Tell
+from ..peers import (
+    Answer,
+    Ask,
+    Greeting,
+    Link,
+    Members,
+    PendingCounts,
+    VolatileJobs,
+    serve_links,
+)
+from ..platform import (
+    DeclaredFeed,
+    FrontApp,
+    Membership,
+    NodeSettings,
+    StoreClient,
+)
+from ._asking import OwnerRequests
+from ._log import DecisionLog
+from ._members import Owners, keep_joined, member_name
+from ._store_work import append, claim
+
+# After SIGTERM the entry goes on serving for this long, in seconds: the balancer
+# takes a host out after two probes, one second apart.
+LEAVE_S = 2.4
+# Longest time for handing over the shards, in seconds.
+HANDOVER_S = 1.0
+# Part of the time to SIGKILL that is left when the process ends, in seconds.
+EXIT_RESERVE_S = 1.0
+# Pause after the store gave no answer to a read of the declarations, in seconds.
+FOLLOW_RETRY_S = 0.2
+# Links of agents on which nothing came for this long are closed, in milliseconds.
+SILENT_AGENT_MS = 1_600
+MS_PER_S = 1_000
+# Interval of telling other entries of volatile jobs, in seconds; a request comes
+# again 1.3 s after a broken answer at the soonest.
+NEWS_INTERVAL_S = 0.05
+# Pause before an entry that has a job is asked again, in milliseconds.
+ELSEWHERE_WAIT_MS = 50
+
+_converter = cattrs.Converter(omit_if_default=True)
+
+
+class EntryDaemon:
+    """One entry.
+
+    Args:
+        settings: What the platform tells the process.
+        clock: Clock of the process.
+        log: Log of the process.
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock, log: DecisionLog) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.log = log
+        self.incarnation = time.time_ns() // 1_000_000
+        self.address = f"{settings.ip}:{settings.first_port}"
+        self.member = member_name(settings.name, self.address, self.incarnation)
+        limits = OwnerLimits(
+            shards=settings.shards,
+            status_ms=settings.status_ms,
+            keep_ms=settings.keep_ms,
+            remote_factor=settings.remote_factor,
+        )
+        self.core = OwnerCore(settings.name, limits, self.incarnation)
+        self.store = StoreClient(settings.store)
+        self.feed = DeclaredFeed(self.store)
+        self.owners = Owners(self.store, clock)
+        self.owners.on_change = self._owners_changed
+        greeting = Greeting("entry", settings.name, self.incarnation, self.address)
+        self.requests = OwnerRequests(
+            self.owners, clock, greeting, self.member, settings.shards, self._ask_here
+        )
+        self.requests.on_connected = lambda link: link.send(
+            VolatileJobs(self.core.volatile_jobs(), [])
+        )
+        self.elsewhere = JobsElsewhere()
+        self.agents: dict[str, Link] = {}
+        self.leaving = False
+        self.store_answers = True
+        self.open_requests = 0
+        self.stopped = asyncio.Event()
+        self._step_due = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._joining: asyncio.Task[None] | None = None
+
+    @property
+    def declared(self) -> Any:
+        """Declarations of the operators that are in force."""
+        return self.feed.declared
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections are wanted."""
+        known = self.declared.version >= 0 and bool(self.owners.by_shard)
+        return known and not self.leaving
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self.log.note(
+            "start", member=self.member, data_centre=self.settings.data_centre
+        )
+        await serve_links(self.address, lambda: Link(self._on_message, self._on_close))
+        self._joining = spawn(
+            keep_joined(
+                self.store,
+                self.clock,
+                self.member,
+                self.settings.member_ttl_ms,
+                self._joined,
+                self._join_missed,
+            )
+        )
+        app = FrontApp(self)
+        self.front = HttpServer(app, self.settings.front)
+        self.probes = HttpServer(app, self.settings.ready)
+        self.front.start()
+        self.probes.start()
+        spawn(self.owners.follow())
+        spawn(self._follow_declared())
+        spawn(self.requests.keep_links(self.core.pending_counts))
+        spawn(self._close_silent())
+        spawn(self._tell_news())
+        self._wake()
+
+    async def run(self) -> None:
+        """Serve until the process may end."""
+        await self.stopped.wait()
+
+    async def leave(self) -> None:
+        """Hand the shards over, finish open requests, and end."""
+        if self.leaving:
+            return
+        self.log.note("stop", open_requests=self.open_requests)
+        self.leaving = True
+        began_ms = self.clock.now_ms()
+        if self._joining is not None:
+            self._joining.cancel()
+        while self.core.state.shards:
+            self.core.leave(self.clock.now_ms())
+            self._wake()
+            await asyncio.sleep(0.01)
+            if self.clock.now_ms() - began_ms > HANDOVER_S * MS_PER_S:
+                break
+        await self.store.leave(self.member)
+        await self.owners.read()
+        served_s = (self.clock.now_ms() - began_ms) / MS_PER_S
+        await asyncio.sleep(max(0.0, LEAVE_S - served_s))
+        grace_s = self.settings.grace_ms / MS_PER_S - LEAVE_S - EXIT_RESERVE_S
+        await self.front.stop(max(grace_s, 0.5))
+        self.log.note("stopped")
+        self.stopped.set()
+
+    # Requests of client accounts.
+
+    async def submit(self, spec: JobSpec, limit_ms: int) -> Answer:
+        """Hand in a job."""
+        if spec.volatile:
+            return await self._submit_volatile(spec, limit_ms)
+        body = _converter.unstructure(spec)
+        return await self._request("submit", spec.id, body, limit_ms)
+
+    async def _submit_volatile(self, spec: JobSpec, limit_ms: int) -> Answer:
+        """Hand in a job that this entry keeps, unless another entry has it."""
+        end_ms = self.clock.now_ms() + limit_ms
+        while True:
+            place = self.elsewhere.place(spec.id, self.clock.now_ms())
+            left_ms = end_ms - self.clock.now_ms()
+            if isinstance(place, Here):
+                return await self._run_here(spec, left_ms)
+            if isinstance(place, AtEntry):
+                body = _converter.unstructure(spec)
+                ask = Ask(0, "submit", spec.id, body, left_ms)
+                answer = await self.requests.ask_entry(place.address, ask)
+                if answer is not None and answer.outcome != "unknown":
+                    return answer
+            wait_ms = max(place.wait_ms, ELSEWHERE_WAIT_MS)
+            if left_ms <= wait_ms:
+                return Answer(0, "unknown", "job was at a lost entry")
+            self.log.note("job waits", job=spec.id, place=repr(place))
+            await asyncio.sleep(wait_ms / MS_PER_S)
+
+    async def _run_here(self, spec: JobSpec, limit_ms: int) -> Answer:
+        future = asyncio.get_running_loop().create_future()
+        now_ms = self.clock.now_ms()
+        self.core.submit(now_ms, future, spec, limit_ms=limit_ms)
+        self._wake()
+        self.open_requests += 1
+        try:
+            return await future
+        finally:
+            self.open_requests -= 1
+            if not future.done() or future.cancelled():
+                self.core.abandon(self.clock.now_ms(), future, spec.id)
+                self._wake()
+
+    async def job_state(self, job_id: str, limit_ms: int) -> Answer:
+        """Ask for a job's state."""
+        return await self._request("state", job_id, None, limit_ms)
+
+    async def cancel(self, job_id: str, limit_ms: int) -> Answer:
+        """Cancel a job."""
+        return await self._request("cancel", job_id, None, limit_ms)
+
+    async def _request(
+        self, verb: str, job_id: str, body: dict[str, Any] | None, limit_ms: int
+    ) -> Answer:
+        self.open_requests += 1
+        try:
+            return await self.requests.ask(verb, job_id, body, limit_ms)
+        finally:
+            self.open_requests -= 1
+
+    def pending(self, queue: str) -> int:
+        """Return the accepted jobs of a queue of which no task has started."""
+        own = self.core.pending_counts().get(queue, 0)
+        return own + self.requests.pending(queue)
+
+    def answered(self, verb: str, job_id: str, status: int, detail: str) -> None:
+        """Note the answer to a request."""
+        if verb == "GET" and status == 200:
+            return
+        version = self.declared.version
+        self.log.note(
+            "answered",
+            verb=verb,
+            job=job_id,
+            status=status,
+            detail=detail,
+            version=version,
+        )
+
+    def _ask_here(self, ask: Ask) -> asyncio.Future[Answer]:
+        future = asyncio.get_running_loop().create_future()
+        self._ask(future, ask)
+        return future
+
+    def _ask(self, request: Any, ask: Ask) -> None:
+        now_ms = self.clock.now_ms()
+        match ask.verb:
+            case "submit":
+                spec = _converter.structure(ask.body, JobSpec)
+                wall_ms = time.time_ns() // 1_000_000
+                self.core.submit(
+                    now_ms,
+                    request,
+                    spec,
+                    accepted_ms=wall_ms,
+                    limit_ms=ask.limit_ms,
+                )
+            case "state":
+                self.core.job_state(now_ms, request, ask.job_id)
+            case "cancel":
+                self.core.cancel(now_ms, request, ask.job_id)
+        self._wake()
+
+    # Links that others open.
+
+    def _on_message(self, link: Link, content: Any) -> None:
+        now_ms = self.clock.now_ms()
+        if isinstance(content, Greeting):
+            self._greeted(link, content)
+        elif isinstance(content, Ask):
+            self._ask((link, content.number), content)
+        elif isinstance(content, PendingCounts):
+            link.send(PendingCounts(self.core.pending_counts()))
+        elif isinstance(content, VolatileJobs):
+            self.elsewhere.take(link.peer, content)
+        elif link.peer is not None and self.agents.get(link.peer.name) is link:
+            self.core.agent_said(now_ms, link.peer.name, content)
+            self._wake()
+
+    def _greeted(self, link: Link, greeting: Greeting) -> None:
+        link.peer = greeting
+        if greeting.role == "entry":
+            self.elsewhere.connected(greeting)
+        if greeting.role != "agent":
+            return
+        old = self.agents.pop(greeting.name, None)
+        if old is not None:
+            old.close()
+            self.core.agent_lost(self.clock.now_ms(), greeting.name)
+        self.agents[greeting.name] = link
+        self.core.agent_connected(
+            self.clock.now_ms(), greeting.name, greeting.incarnation
+        )
+        link.send(Members(self.owners.addresses()))
+        self._wake()
+
+    def _on_close(self, link: Link) -> None:
+        greeting = link.peer
+        if greeting is not None and greeting.role == "entry":
+            self.elsewhere.lost(greeting, now_ms=self.clock.now_ms())
+        if greeting is None or self.agents.get(greeting.name) is not link:
+            return
+        del self.agents[greeting.name]
+        self.core.agent_lost(self.clock.now_ms(), greeting.name)
+        self._wake()
+
+    async def _close_silent(self) -> None:
+        while True:
+            await asyncio.sleep(SILENT_AGENT_MS / 4 / MS_PER_S)
+            now_ms = self.clock.now_ms()
+            for name, link in list(self.agents.items()):
+                row = self.core.state.agents[name]
+                heard_ms = max(row.received_ms, row.connected_ms)
+                if now_ms - heard_ms > SILENT_AGENT_MS:
+                    self.log.note("agent silent", agent=name, age_ms=now_ms - heard_ms)
+                    link.close()
+
+    async def _tell_news(self) -> None:
+        """Tell other entries which volatile jobs are here."""
+        while True:
+            await asyncio.sleep(NEWS_INTERVAL_S)
+            begun, ended = self.core.take_news()
+            if begun or ended:
+                self.requests.tell_all(VolatileJobs(begun, ended))
+
+    def _owners_changed(self) -> None:
+        self.log.note("owners", owners=sorted(set(self.owners.by_shard.values())))
+        members = Members(self.owners.addresses())
+        for link in self.agents.values():
+            link.send(members)
+
+    # The store.
+
+    def _joined(self, sent_ms: int, found: Membership) -> None:
+        if not self.store_answers:
+            self.store_answers = True
+            self.log.note("store answers again")
+        if self.leaving:
+            return
+        owners = max(len(set(self.owners.by_shard.values())), 1)
+        self.core.assigned(
+            self.clock.now_ms(), sent_ms, found.shards, found.generation, owners
+        )
+        self._wake()
+
+    def _join_missed(self) -> None:
+        if self.store_answers:
+            self.store_answers = False
+            self.log.note("store gives no answer")
+
+    async def _follow_declared(self) -> None:
+        while True:
+            changed = await self.feed.follow()
+            if changed is None:
+                await asyncio.sleep(FOLLOW_RETRY_S)
+                continue
+            if changed:
+                declared = self.feed.declared
+                self.log.note(
+                    "declarations",
+                    version=declared.version,
+                    queues=len(declared.queues),
+                    evacuated=sorted(declared.evacuated),
+                )
+                self.core.declare(self.clock.now_ms(), declared)
+                self._wake()
+
+    # Steps of the core.
+
+    def _wake(self) -> None:
+        if not self._step_due:
+            self._step_due = True
+            asyncio.get_running_loop().call_soon(self._step)
+
+    def _step(self) -> None:
+        self._step_due = False
+        now_ms = self.clock.now_ms()
+        for effect in self.core.step(now_ms):
+            self._carry_out(effect)
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_s = max(self.core.next_due_ms() - now_ms, 1) / MS_PER_S
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._wake)
+
+    def _carry_out(self, effect: Any) -> None:
+        match effect:
+            case Tell(agent, content):
+                link = self.agents.get(agent)
+                if link is not None:
+                    link.send(content)
+            case Reply(request, answer):
+                self._reply(request, answer)
+            case Append():
+                spawn(
+                    self._then_wake(append(self.core, self.store, self.clock, effect))
+                )
+            case Claim():
+                work = claim(self.core, self.store, self.clock, self.log, effect)
+                spawn(self._then_wake(work))
+            case Note(event, fields):
+                self.log.note(event, **fields)
+
+    async def _then_wake(self, work: Any) -> None:
+        await work
+        self._wake()
+
+    def _reply(self, request: Any, answer: Answer) -> None:
+        if isinstance(request, asyncio.Future):
+            if not request.done():
+                request.set_result(answer)
+            return
+        link, number = request
+        link.send(Answer(number, answer.outcome, answer.detail, answer.retry_after_ms))
--- /dev/null
+++ b/catkincross/daemons/_log.py
@@ -0,0 +1,70 @@
+"""Structured log lines on standard output, bounded and never blocking."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import Any
+
+import eliot
+import orjson
+
+from ..clock import Clock
+
+# Lines a second beyond which lines are dropped and counted; a host at the standard
+# load writes about 150.
+MAX_LINES_PER_S = 800
+MS_PER_S = 1_000
+
+
+class DecisionLog:
+    """Writes one line for each decision.
+
+    Lines that cannot be written at once, or that come too fast, are dropped; the next
+    line that is written tells how many.
+
+    Args:
+        process: Name of the process.
+        clock: Clock of the process.
+        output: File descriptor of the lines.
+    """
+
+    def __init__(self, process: str, clock: Clock, output: int | None = None) -> None:
+        self.process = process
+        self.clock = clock
+        self.output = sys.stdout.fileno() if output is None else output
+        self.dropped = 0
+        self.counts: dict[str, int] = {}
+        self._second = -1
+        self._lines = 0
+        eliot.add_destinations(self._write)
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Write a line.
+
+        Args:
+            event: What happened, as a short text.
+            fields: Inputs with their age or version, and the outcome.
+        """
+        self.counts[event] = self.counts.get(event, 0) + 1
+        now_ms = self.clock.now_ms()
+        second = now_ms // MS_PER_S
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines > MAX_LINES_PER_S:
+            self.dropped += 1
+            return
+        if self.dropped:
+            fields["dropped_lines"], self.dropped = self.dropped, 0
+        eliot.log_message(
+            message_type=f"{self.process}: {event}", clock_ms=now_ms, **fields
+        )
+
+    def _write(self, line: dict[str, Any]) -> None:
+        line.pop("task_uuid", None)
+        line.pop("task_level", None)
+        try:
+            os.write(self.output, orjson.dumps(line, default=str) + b"\n")
+        except (BlockingIOError, OSError):
+            self.dropped += 1
--- /dev/null
+++ b/catkincross/daemons/_members.py
@@ -0,0 +1,118 @@
+"""Membership of an entry in the group of owners, and the addresses of the others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from ..clock import Clock
+from ..platform import Membership, StoreClient
+
+# Interval of joins, a quarter of the time after which a silent member is dropped.
+JOIN_SHARE = 4
+# Interval of reading the owners of all shards, in seconds.
+OWNERS_INTERVAL_S = 0.5
+# Shortest pause between two readings that requests ask for, in seconds.
+OWNERS_PAUSE_S = 0.1
+MS_PER_S = 1_000
+
+
+def member_name(host: str, address: str, incarnation: int) -> str:
+    """Return a name in the group that tells other processes the address."""
+    return f"{host}|{address}|{incarnation}"
+
+
+def member_address(member: str) -> str:
+    """Return the address in a member's name; empty if there is none."""
+    parts = member.split("|")
+    return parts[1] if len(parts) == 3 else ""
+
+
+@attrs.define(eq=False)
+class Owners:
+    """Which entry owns each shard, as far as it was read.
+
+    Attributes:
+        store: The store.
+        by_shard: Names of members.
+        changed: Is set anew with each change.
+        read_ms: When it was read last.
+        told: Addresses that others have told since.
+        on_change: Is called after each change.
+    """
+
+    store: StoreClient
+    clock: Clock
+    by_shard: dict[int, str] = attrs.field(factory=dict)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    read_ms: int = -1_000_000
+    told: set[str] = attrs.field(factory=set)
+    on_change: Callable[[], None] | None = None
+
+    async def read(self) -> bool:
+        """Read the owners; return whether the store answered."""
+        sent_ms = self.clock.now_ms()
+        found = await self.store.owners()
+        if found is None:
+            return False
+        self.read_ms = sent_ms
+        self.told.clear()
+        if found != self.by_shard:
+            self.by_shard = found
+            self._announce()
+        return True
+
+    def take_addresses(self, addresses: list[str]) -> None:
+        """Take addresses that an entry has told, until the store is read again."""
+        new = set(addresses) - set(self.addresses())
+        if new:
+            self.told |= new
+            self._announce()
+
+    def _announce(self) -> None:
+        old, self.changed = self.changed, asyncio.Event()
+        old.set()
+        if self.on_change is not None:
+            self.on_change()
+
+    async def follow(self) -> None:
+        """Read the owners at intervals, and sooner if a request doubts them."""
+        while True:
+            await self.read()
+            await asyncio.sleep(OWNERS_INTERVAL_S)
+
+    async def wait_for_change(self, limit_s: float) -> None:
+        """Wait until the owners have changed or the limit has passed."""
+        try:
+            await asyncio.wait_for(self.changed.wait(), limit_s)
+        except TimeoutError:
+            return
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of all entries that own a shard."""
+        found = {member_address(member) for member in self.by_shard.values()}
+        return sorted((found | self.told) - {""})
+
+
+async def keep_joined(
+    store: StoreClient,
+    clock: Clock,
+    member: str,
+    ttl_ms: int,
+    on_joined: Callable[[int, Membership], None],
+    on_missed: Callable[[], None],
+) -> None:
+    """Stay in the group of owners until cancelled."""
+    generation = 0
+    interval_s = ttl_ms / JOIN_SHARE / MS_PER_S
+    while True:
+        sent_ms = clock.now_ms()
+        found = await store.join(member, ttl_ms, generation)
+        if found is None:
+            on_missed()
+        else:
+            generation = found.generation
+            on_joined(sent_ms, found)
+        await asyncio.sleep(interval_s)
--- /dev/null
+++ b/catkincross/daemons/_store_work.py
@@ -0,0 +1,74 @@
+"""Claims and appends that the owner's core asks for."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..clock import Clock
+from ..jobs import JobRecord, decode_record
+from ..owner import Append, AppendOutcome, Claim, OwnerCore
+from ..platform import Gap, StoreClient, Topic
+from ._log import DecisionLog
+
+# Pause before a claim is tried again, in seconds.
+CLAIM_RETRY_S = 0.1
+MS_PER_S = 1_000
+
+
+async def claim(
+    core: OwnerCore, store: StoreClient, clock: Clock, log: DecisionLog, work: Claim
+) -> None:
+    """Fence earlier owners of a shard, read its records, and tell the core."""
+    while _still_claimed(core, work):
+        outcome = await store.fence(work.shard, work.epoch)
+        if outcome is AppendOutcome.FENCED:
+            core.fenced(clock.now_ms(), work.shard, work.epoch)
+            return
+        if outcome is AppendOutcome.DONE:
+            records = await read_shard(store, log, work.shard)
+            if records is not None:
+                core.claimed(clock.now_ms(), work.shard, work.epoch, records)
+                return
+        await asyncio.sleep(CLAIM_RETRY_S)
+
+
+def _still_claimed(core: OwnerCore, work: Claim) -> bool:
+    shard = core.state.shards.get(work.shard)
+    return shard is not None and shard.epoch == work.epoch
+
+
+async def read_shard(
+    store: StoreClient, log: DecisionLog, shard: int
+) -> list[JobRecord] | None:
+    """Return all records of a shard that are kept, or None without an answer."""
+    records: list[JobRecord] = []
+    offset = 0
+    while True:
+        found = await store.read(Topic.JOBS, shard, offset)
+        if found is None:
+            return None
+        if isinstance(found, Gap):
+            records.clear()
+            offset = found.first
+            continue
+        for data in found.records:
+            offset += 1
+            try:
+                records.append(decode_record(data))
+            except ValueError as error:
+                log.note("record not read", shard=shard, offset=offset, error=error)
+        if offset >= found.end or not found.records:
+            return records
+
+
+async def append(
+    core: OwnerCore, store: StoreClient, clock: Clock, work: Append
+) -> None:
+    """Carry out one append and tell the core what became of it."""
+    if work.wait_ms:
+        await asyncio.sleep(work.wait_ms / MS_PER_S)
+    sent_ms = clock.now_ms()
+    outcome = await store.append(work.shard, work.epoch, work.sequence, work.records)
+    if outcome is AppendOutcome.DONE:
+        core.contact(sent_ms)
+    core.appended(clock.now_ms(), work.shard, work.epoch, work.sequence, outcome)
--- /dev/null
+++ b/catkincross/dispatch/__init__.py
@@ -0,0 +1,27 @@
+"""Decisions on load: in which order work waits, where it runs, what is rejected."""
+
+from __future__ import annotations
+
+from ._admission import Rejected, admit
+from ._elsewhere import AtEntry, AtLostEntry, Here, JobsElsewhere
+from ._estimates import Estimates
+from ._health import AgentHealth
+from ._placement import AgentRoom, choose_agent
+from ._waiting import WaitingQueue, hopeless, latest_start_ms, objective_ms
+
+__all__ = [
+    "AgentHealth",
+    "AgentRoom",
+    "AtEntry",
+    "AtLostEntry",
+    "Estimates",
+    "Here",
+    "JobsElsewhere",
+    "Rejected",
+    "WaitingQueue",
+    "admit",
+    "choose_agent",
+    "hopeless",
+    "latest_start_ms",
+    "objective_ms",
+]
--- /dev/null
+++ b/catkincross/dispatch/_waiting.py
@@ -0,0 +1,111 @@
+"""Order in which tasks wait for room.
+
+Load pattern: more work arrives than the workers can run. Tasks start in the order of
+the latest time at which they can start and still meet their job's objective. Tasks of
+a job that cannot even be late any more (three times its objective) come after all
+others: they are owed an end, but no time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+from sortedcontainers import SortedKeyList
+
+from ..jobs import Job, Task
+from ._estimates import Estimates
+
+# A job that ends later than this many times its objective is worth nothing to its
+# caller, by the service level of the platform.
+LATE_LIMIT = 3.0
+# Run time on the fastest workers as a part of the ordinary one.
+FASTEST_SHARE = 0.5
+# Position behind all work that can still be served in time, in milliseconds.
+HOPELESS_MS = 1 << 40
+
+
+def chain_ms(job: Job, estimates: Estimates) -> float:
+    """Return the expected time of a job's longest chain of steps."""
+    ends: list[float] = []
+    for step in job.spec.steps:
+        own = estimates.run_ms(job.spec.policy.queue, step.estimate_ms)
+        before = [ends[number] for number in step.after if number < len(ends)]
+        ends.append(own + max(before, default=0.0))
+    return max(ends, default=0.0)
+
+
+def objective_ms(job: Job, estimates: Estimates) -> float:
+    """Return the time within which a job should end."""
+    policy = job.spec.policy
+    return policy.stretch * chain_ms(job, estimates) + policy.slo_ms
+
+
+def latest_start_ms(task: Task, estimates: Estimates, now_ms: int) -> float:
+    """Return the key by which a task waits."""
+    job = task.job
+    objective = objective_ms(job, estimates)
+    chain = chain_ms(job, estimates)
+    latest = job.arrived_ms + objective - chain
+    if now_ms > job.arrived_ms + LATE_LIMIT * objective - chain:
+        return latest + HOPELESS_MS
+    return latest
+
+
+def hopeless(job: Job, estimates: Estimates, now_ms: int) -> bool:
+    """Whether a job cannot end while its client account waits, even if it starts now.
+
+    The fastest worker may take much less than the estimate, so half of it counts.
+    """
+    if not job.deadline_ms:
+        return False
+    return now_ms + chain_ms(job, estimates) * FASTEST_SHARE > job.deadline_ms
+
+
+@attrs.define
+class WaitingQueue:
+    """Tasks that wait, in the order in which they are to start."""
+
+    _rows: SortedKeyList = attrs.field(
+        factory=lambda: SortedKeyList(key=lambda row: row[:2])
+    )
+    _keys: dict[Task, tuple[float, int, Task]] = attrs.field(factory=dict)
+    _added: int = 0
+    cpu_ms: float = 0.0
+    _work: dict[Task, float] = attrs.field(factory=dict)
+
+    def add(self, task: Task, estimates: Estimates, now_ms: int) -> None:
+        """Let a task wait; one that waits already keeps its place."""
+        if task in self._keys:
+            return
+        self._added += 1
+        key = latest_start_ms(task, estimates, now_ms)
+        row = (key, self._added, task)
+        self._keys[task] = row
+        self._rows.add(row)
+        needs = task.needs
+        work = needs.cpu * estimates.run_ms(
+            task.job.spec.policy.queue, needs.estimate_ms
+        )
+        self._work[task] = work
+        self.cpu_ms += work
+
+    def remove(self, task: Task) -> None:
+        """Take a task out if it waits."""
+        row = self._keys.pop(task, None)
+        if row is not None:
+            self._rows.remove(row)
+            self.cpu_ms -= self._work.pop(task)
+
+    def __len__(self) -> int:
+        """Return the number of tasks that wait."""
+        return len(self._rows)
+
+    def in_order(self) -> Iterator[Task]:
+        """Yield the tasks in order; they may be removed meanwhile."""
+        for row in list(self._rows):
+            yield row[2]
+
+    def first(self, count: int) -> list[Task]:
+        """Return the first tasks in order."""
+        return [row[2] for row in self._rows[:count]]
--- /dev/null
+++ b/catkincross/jobs/__init__.py
@@ -0,0 +1,36 @@
+"""Durable jobs: their model, their records in the log, and their progress."""
+
+from __future__ import annotations
+
+from ._job import Job, JobState, Task, TaskState
+from ._records import (
+    AgentsUsed,
+    JobAccepted,
+    JobCancelled,
+    JobRecord,
+    TaskEnd,
+    TasksEnded,
+    decode_record,
+    encode_record,
+)
+from ._spec import VOLATILE_SHARD, JobSpec, QueuePolicy, Step, shard_of
+
+__all__ = [
+    "VOLATILE_SHARD",
+    "AgentsUsed",
+    "Job",
+    "JobAccepted",
+    "JobCancelled",
+    "JobRecord",
+    "JobSpec",
+    "JobState",
+    "QueuePolicy",
+    "Step",
+    "Task",
+    "TaskEnd",
+    "TaskState",
+    "TasksEnded",
+    "decode_record",
+    "encode_record",
+    "shard_of",
+]
--- /dev/null
+++ b/catkincross/operations/__init__.py
@@ -0,0 +1,7 @@
+"""What operators have declared: queues, services, evacuated data centres."""
+
+from __future__ import annotations
+
+from ._declared import Declared, Queue, Service
+
+__all__ = ["Declared", "Queue", "Service"]
--- /dev/null
+++ b/catkincross/owner/_fleet.py
@@ -0,0 +1,93 @@
+"""Agents as an owner sees them."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..dispatch import AgentRoom, Estimates
+from ..jobs import Step, Task
+from ..peers import AgentState
+
+
+@attrs.define(eq=False)
+class AgentRow:
+    """One agent.
+
+    Attributes:
+        name: Name of the agent's host.
+        incarnation: Number of its process.
+        connected: Whether a link to it is open.
+        state: What it said last; None before that on the link.
+        received_ms: When it said so.
+        connected_ms: When the link was opened.
+        lease_sent_ms: When the newest lease was sent; its tasks end some time later.
+        orders: Number of the last order on the link.
+        open_orders: What orders need that the state does not count yet, by number.
+        reported: Shards that it has reported on the link.
+        assigned: Tasks whose newest run it has, or may have.
+    """
+
+    name: str
+    incarnation: int = 0
+    connected: bool = False
+    state: AgentState | None = None
+    received_ms: int = 0
+    connected_ms: int = 0
+    lease_sent_ms: int = 0
+    orders: int = 0
+    open_orders: dict[int, Step] = attrs.field(factory=dict)
+    reported: set[int] = attrs.field(factory=set)
+    assigned: set[Task] = attrs.field(factory=set)
+
+    def link_opened(self, incarnation: int, now_ms: int) -> None:
+        """Start anew on a new link."""
+        self.incarnation = incarnation
+        self.connected = True
+        self.connected_ms = now_ms
+        self.state = None
+        self.orders = 0
+        self.open_orders.clear()
+        self.reported.clear()
+
+    def link_closed(self) -> None:
+        """Note that the link has ended."""
+        self.connected = False
+        self.state = None
+        self.reported.clear()
+
+    def take_state(self, state: AgentState, now_ms: int) -> None:
+        """Take what the agent says."""
+        self.state = state
+        self.received_ms = now_ms
+        done = [order for order in self.open_orders if order <= state.done_order]
+        for order in done:
+            del self.open_orders[order]
+
+    def order(self, needs: Step) -> int:
+        """Return the number of a new order."""
+        self.orders += 1
+        self.open_orders[self.orders] = needs
+        return self.orders
+
+    @property
+    def kind(self) -> str:
+        """Kind of the worker: its first label."""
+        return self.state.labels[0] if self.state and self.state.labels else ""
+
+    def room(self, estimates: Estimates) -> AgentRoom | None:
+        """Return the room of the worker, or None if nothing may be sent."""
+        state = self.state
+        if not self.connected or state is None or not state.ready:
+            return None
+        sent = self.open_orders.values()
+        return AgentRoom(
+            self.name,
+            state.cpu_free - sum(step.cpu for step in sent),
+            state.memory_free_mb - sum(step.memory_mb for step in sent),
+            state.gpu_free - sum(step.gpu for step in sent),
+            tuple(state.labels),
+            estimates.slowness(self.name, self.kind),
+            state.cpu,
+            state.memory_mb,
+            state.gpu,
+        )
--- /dev/null
+++ b/catkincross/owner/_recovery.py
@@ -0,0 +1,268 @@
+"""Taking shards over, and settling what earlier owners and lost agents had."""
+
+from __future__ import annotations
+
+from ..jobs import VOLATILE_SHARD, AgentsUsed, JobRecord, TaskState
+from ..peers import AgentState, Ends, Lease, Report, RunningTask, Sizes, Stop
+from ._effects import Claim
+from ._fleet import AgentRow
+from ._runs import ends
+from ._shard import Shard, ShardPhase
+from ._state import OwnerState, agent_handler, owner_system
+
+# Shortest time between two leases to an agent, in milliseconds: below the interval of
+# its states, so that each state at rest gets one.
+LEASE_INTERVAL_MS = 100
+
+
+def assign_shards(state: OwnerState, numbers: list[int], generation: int) -> None:
+    """Take the shards that the group gives to this entry, and drop the others."""
+    for number in set(state.shards) - set(numbers):
+        drop_shard(state, number, "assigned to another")
+    for number in numbers:
+        if number not in state.shards:
+            claim_shard(state, number, generation)
+
+
+def claim_shard(state: OwnerState, number: int, epoch: int) -> None:
+    """Begin to own a shard."""
+    state.shards[number] = Shard(number, epoch)
+    state.effects.append(Claim(number, epoch))
+    state.note("shard claimed", shard=number, epoch=epoch)
+
+
+def drop_shard(state: OwnerState, number: int, reason: str) -> None:
+    """Stop to own a shard; its runs go on for its next owner."""
+    shard = state.shards.pop(number)
+    for job in shard.open_jobs.values():
+        for task in job.all_tasks():
+            state.waiting.remove(task)
+            row = state.agents.get(task.agent)
+            if row is not None:
+                row.assigned.discard(task)
+    for row in state.agents.values():
+        row.reported.discard(number)
+    shard.lost()
+    held, shard.held = shard.held, []
+    for call in held:
+        call(True)
+    state.note("shard dropped", shard=number, epoch=shard.epoch, reason=reason)
+
+
+def shard_read(
+    state: OwnerState, number: int, epoch: int, records: list[JobRecord]
+) -> None:
+    """Open a shard whose earlier owners are fenced and whose records were read."""
+    shard = state.shards.get(number)
+    if shard is None or shard.epoch != epoch or shard.phase is ShardPhase.OPEN:
+        return
+    for content in records:
+        shard.fold(content, state.now_ms)
+    shard.phase = ShardPhase.OPEN
+    shard.unresolved = set(shard.used)
+    limits = state.limits
+    shard.unresolved_until_ms = state.now_ms + limits.authority_ms + limits.lapse_ms
+    name_agents(state, shard)
+    state.note(
+        "shard opened",
+        shard=number,
+        epoch=epoch,
+        records=len(records),
+        open_jobs=len(shard.open_jobs),
+        unresolved=sorted(shard.unresolved),
+    )
+    for job in list(shard.open_jobs.values()):
+        state.enqueue(shard, job)
+    held, shard.held = shard.held, []
+    for call in held:
+        call(False)
+    for row in state.agents.values():
+        if row.connected and row.state is not None:
+            send_lease(state, row)
+
+
+def name_agents(state: OwnerState, shard: Shard) -> None:
+    """Write the agents that may get tasks of a shard before they get any."""
+    connected = {row.name for row in state.agents.values() if row.connected}
+    names = connected - shard.used - shard.used_asked
+    if not names:
+        return
+    shard.used_asked |= names
+
+    def durable(now_ms: int) -> None:
+        shard.used_asked -= names
+        shard.used |= names
+
+    shard.append(AgentsUsed(tuple(sorted(names))), state.now_ms, on_durable=durable)
+
+
+def send_lease(state: OwnerState, row: AgentRow) -> None:
+    """Give an agent the right to start and keep tasks of all open shards."""
+    assert row.state is not None
+    limits = state.limits
+    end_ms = min(
+        row.received_ms + limits.silence_ms,
+        state.store_contact_ms + limits.authority_ms,
+    )
+    valid_ms = max(0, end_ms - row.received_ms)
+    volatile = state.volatile
+    epochs = [
+        [shard.number, shard.epoch]
+        for shard in state.shards.values()
+        if shard.phase is ShardPhase.OPEN
+    ]
+    row.lease_sent_ms = state.now_ms
+    content = Lease(
+        row.state.clock_ms,
+        valid_ms,
+        epochs,
+        volatile.epoch,
+        limits.volatile_silence_ms,
+    )
+    state.tell(row.name, content)
+
+
+@agent_handler(AgentState)
+def agent_state(state: OwnerState, row: AgentRow, content: AgentState) -> None:
+    """Take an agent's state, and renew its lease."""
+    first = row.state is None
+    old = row.state
+    row.take_state(content, state.now_ms)
+    if first or old is None or old.ready != content.ready:
+        state.note(
+            "agent state",
+            agent=row.name,
+            worker=content.worker,
+            ready=content.ready,
+            data_centre=content.data_centre,
+        )
+    if first:
+        for shard in state.shards.values():
+            if shard.phase is ShardPhase.OPEN:
+                name_agents(state, shard)
+    if first or state.now_ms - row.lease_sent_ms >= LEASE_INTERVAL_MS:
+        send_lease(state, row)
+
+
+@agent_handler(Report)
+def report(state: OwnerState, row: AgentRow, content: Report) -> None:
+    """Settle what an agent's worker has of a shard."""
+    shard: Shard | None = state.volatile
+    if content.shard != VOLATILE_SHARD:
+        shard = state.shards.get(content.shard)
+    if shard is None or shard.epoch != content.epoch:
+        return
+    if shard.phase is not ShardPhase.OPEN:
+        return
+    row.reported.add(shard.number)
+    ends(state, row, Ends(content.ended))
+    _settle_running(state, shard, row, content)
+    shard.unresolved.discard(row.name)
+    state.note(
+        "shard reported",
+        shard=shard.number,
+        epoch=shard.epoch,
+        agent=row.name,
+        running=len(content.running),
+        ended=len(content.ended),
+        unresolved=len(shard.unresolved),
+    )
+    if not shard.unresolved:
+        _resolved(state, shard)
+
+
+def _settle_running(
+    state: OwnerState, shard: Shard, row: AgentRow, content: Report
+) -> None:
+    sizes = []
+    held: set[tuple[str, int]] = {(ended.task, ended.run) for ended in content.ended}
+    for running in content.running:
+        held.add((running.task, running.run))
+        found = state.find_task(running.task)
+        if found is not None:
+            needs = found[1].needs
+            volatile = shard is state.volatile
+            row_of_task = [running.task, needs.cpu, needs.memory_mb, needs.gpu]
+            sizes.append([*row_of_task, volatile])
+        elsewhere = found is None and shard is state.volatile
+        if not elsewhere and not _adopt(state, row, running):
+            stop = Stop(shard.number, shard.epoch, running.task, running.run)
+            state.tell(row.name, stop)
+    if sizes:
+        state.tell(row.name, Sizes(sizes))
+    for task in list(row.assigned):
+        if state.shard_for(task.job.spec.id) is not shard:
+            continue
+        key = (task.name, task.run)
+        if key not in held and key not in shard.ending:
+            state.note("run is not on its worker", task=key[0], run=key[1])
+            state.release(task)
+
+
+def _adopt(state: OwnerState, row: AgentRow, running: RunningTask) -> bool:
+    """Take a run over that a worker has; return False if it has to be stopped."""
+    found = state.find_task(running.task)
+    if found is None:
+        return False
+    _, task = found
+    if task.state is TaskState.DONE or running.run < task.run:
+        return False
+    if task.job.state_end is not None:
+        return False
+    if running.run == task.run and task.agent == row.name:
+        return not task.stopping
+    state.assign(task, row, running.run)
+    return True
+
+
+def _resolved(state: OwnerState, shard: Shard) -> None:
+    names = {row.name for row in state.agents.values() if row.connected}
+    holders = {task.agent for task in _assigned_of(state, shard)}
+    names |= holders | shard.used_asked
+    if shard.used - names:
+        shard.used = shard.used & names
+        shard.append(AgentsUsed(tuple(sorted(names)), replaces=True), state.now_ms)
+    for job in list(shard.open_jobs.values()):
+        state.enqueue(shard, job)
+
+
+def _assigned_of(state: OwnerState, shard: Shard) -> list:
+    return [
+        task
+        for row in state.agents.values()
+        for task in row.assigned
+        if state.shard_for(task.job.spec.id) is shard
+    ]
+
+
+@owner_system(order=100)
+def give_up_on_lost_agents(state: OwnerState) -> None:
+    """Release tasks of agents that must have let go of them by now."""
+    limits = state.limits
+    for row in state.agents.values():
+        if row.connected or not row.assigned:
+            continue
+        silent_ms = state.now_ms - row.lease_sent_ms - limits.lapse_ms
+        for task in list(row.assigned):
+            volatile = task.job.spec.volatile
+            limit_ms = limits.volatile_silence_ms if volatile else limits.silence_ms
+            if silent_ms < limit_ms:
+                continue
+            state.note("run of a lost agent given up", agent=row.name, task=task.name)
+            if (task.name, task.run) not in _ending_of(state, task):
+                state.release(task)
+            row.assigned.discard(task)
+    for shard in state.shards.values():
+        if shard.unresolved and state.now_ms >= shard.unresolved_until_ms:
+            state.note(
+                "agents of earlier owners given up",
+                shard=shard.number,
+                agents=sorted(shard.unresolved),
+            )
+            shard.unresolved.clear()
+            _resolved(state, shard)
+
+
+def _ending_of(state: OwnerState, task) -> set[tuple[str, int]]:
+    shard = state.shard_for(task.job.spec.id)
+    return shard.ending if shard is not None else set()
--- /dev/null
+++ b/catkincross/owner/_requests.py
@@ -0,0 +1,220 @@
+"""Requests of client accounts: hand in a job, ask for its state, cancel it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..dispatch import Rejected, admit
+from ..jobs import Job, JobAccepted, JobCancelled, JobSpec, JobState, TaskState
+from ..peers import Answer, Stop
+from ._effects import Reply
+from ._shard import Shard, ShardPhase
+from ._state import OwnerState
+
+# Retry-After while the store takes no appends, in milliseconds; outages last seconds.
+STORE_RETRY_MS = 1_000
+# Retry-After while no worker of the service is known, in milliseconds: a lost agent
+# returns, or a new worker registers, within about this time.
+NO_WORKER_RETRY_MS = 1_000
+
+
+def reply(
+    state: OwnerState, request: Any, outcome: str, detail: str = "", retry_ms: int = 0
+) -> None:
+    """Answer a request."""
+    answer = Answer(0, outcome, detail, retry_ms)
+    state.effects.append(Reply(request, answer))
+
+
+def _open_shard(state: OwnerState, request: Any, job_id: str, again: Any) -> Any:
+    """Return the open shard of a job, or None after the request was dealt with."""
+    shard = state.shard_for(job_id)
+    if shard is None or not state.has_authority:
+        reply(state, request, "moved", "shard" if shard is None else "authority")
+        return None
+    if shard.phase is not ShardPhase.OPEN:
+        shard.held.append(again)
+        return None
+    return shard
+
+
+def submit(state: OwnerState, request: Any, spec: JobSpec, accepted_ms: int) -> None:
+    """Accept a job, or reject it.
+
+    Args:
+        state: The owner.
+        request: Whom to answer.
+        spec: The job.
+        accepted_ms: Time of day.
+    """
+
+    def again(lost: bool) -> None:
+        if lost:
+            reply(state, request, "moved", "shard")
+        else:
+            submit(state, request, spec, accepted_ms)
+
+    shard = _open_shard(state, request, spec.id, again)
+    if shard is None:
+        return
+    if spec.id in shard.jobs:
+        reply(state, request, "accepted", "known")
+        return
+    if spec.id in shard.accepting:
+        shard.accepting[spec.id].append(request)
+        return
+    content = JobAccepted(spec, accepted_ms, shard.epoch)
+    job = Job.from_record(content, state.now_ms)
+    rejected = reject(state, shard, job)
+    if rejected is not None:
+        state.note(
+            "job rejected",
+            job=spec.id,
+            reason=rejected.reason,
+            retry_after_ms=rejected.retry_after_ms,
+            waiting=len(state.waiting),
+        )
+        reply(state, request, "rejected", rejected.reason, rejected.retry_after_ms)
+        return
+    shard.accepting[spec.id] = [request]
+    shard.append(
+        content,
+        state.now_ms,
+        on_durable=lambda now_ms: _accepted(state, shard, job),
+        on_lost=lambda may_exist: _not_accepted(state, shard, spec.id, may_exist),
+    )
+
+
+def _accepted(state: OwnerState, shard: Shard, job: Job) -> None:
+    job_id = job.spec.id
+    shard.jobs[job_id] = job
+    shard.recorded_ms[job_id] = state.now_ms
+    shard.settle(job)
+    for request in shard.accepting.pop(job_id, []):
+        reply(state, request, "accepted")
+    state.enqueue(shard, job)
+    state.note(
+        "job accepted",
+        job=job_id,
+        queue=job.spec.policy.queue,
+        shard=shard.number,
+        epoch=shard.epoch,
+        waited_ms=state.now_ms - job.arrived_ms,
+    )
+
+
+def _not_accepted(
+    state: OwnerState, shard: Shard, job_id: str, may_exist: bool
+) -> None:
+    outcome = ("unknown", "append") if may_exist else ("rejected", "store_unreachable")
+    retry_ms = 0 if may_exist else STORE_RETRY_MS
+    for request in shard.accepting.pop(job_id, []):
+        reply(state, request, *outcome, retry_ms)
+    state.note("job not accepted", job=job_id, may_exist=may_exist)
+
+
+def reject(state: OwnerState, shard: Shard, job: Job) -> Rejected | None:
+    """Return why a job cannot be accepted, or None."""
+    if shard.stuck_since_ms is not None:
+        return Rejected("store_unreachable", STORE_RETRY_MS)
+    service = job.spec.policy.service
+    capacity = 0
+    usable = False
+    for row in state.agents.values():
+        if row.state is None or row.state.service != service:
+            continue
+        room = row.room(state.estimates)
+        if room is None or row.state.data_centre in state.declared.evacuated:
+            continue
+        capacity += row.state.cpu
+        usable = usable or all(room.could_fit(step) for step in job.spec.steps)
+    if not usable:
+        return Rejected("no_worker", NO_WORKER_RETRY_MS)
+    return admit(
+        job,
+        state.estimates,
+        waiting_cpu_ms=state.waiting.cpu_ms,
+        cpu_capacity=capacity / max(state.owners, 1),
+    )
+
+
+def job_state(state: OwnerState, request: Any, job_id: str) -> None:
+    """Answer the state of a job."""
+
+    def again(lost: bool) -> None:
+        if lost:
+            reply(state, request, "moved", "shard")
+        else:
+            job_state(state, request, job_id)
+
+    shard = _open_shard(state, request, job_id, again)
+    if shard is None:
+        return
+    if job_id in shard.accepting:
+        reply(state, request, "state", JobState.QUEUED)
+        return
+    job = shard.jobs.get(job_id)
+    if job is None:
+        reply(state, request, "gone")
+        state.note("job asked for is not known", job=job_id, shard=shard.number)
+    else:
+        reply(state, request, "state", job.state)
+
+
+def cancel(state: OwnerState, request: Any, job_id: str) -> None:
+    """Cancel a job."""
+
+    def again(lost: bool) -> None:
+        if lost:
+            reply(state, request, "moved", "shard")
+        else:
+            cancel(state, request, job_id)
+
+    shard = _open_shard(state, request, job_id, again)
+    if shard is None:
+        return
+    job = shard.jobs.get(job_id)
+    if job is None:
+        outcome = "unknown" if job_id in shard.accepting else "gone"
+        reply(state, request, outcome)
+        return
+    if job.state_end is not None:
+        reply(state, request, "cancelled", job.state_end)
+        return
+
+    def durable(now_ms: int) -> None:
+        if job.state_end is None:
+            job.finish(JobState.CANCELLED, now_ms)
+            job_ended(state, shard, job)
+        reply(state, request, "cancelled")
+
+    shard.append(
+        JobCancelled(job_id),
+        state.now_ms,
+        on_durable=durable,
+        on_lost=lambda may_exist: reply(state, request, "unknown"),
+    )
+
+
+def job_ended(state: OwnerState, shard: Shard, job: Job) -> None:
+    """Stop what is left of a job that has its final state."""
+    shard.settle(job)
+    for task in job.all_tasks():
+        if task.state is TaskState.WAITING:
+            state.waiting.remove(task)
+        elif task.state is TaskState.ASSIGNED:
+            stop_run(state, shard, task)
+    state.note(
+        "job ended",
+        job=job.spec.id,
+        queue=job.spec.policy.queue,
+        state=str(job.state),
+        total_ms=job.ended_ms - job.arrived_ms,
+    )
+
+
+def stop_run(state: OwnerState, shard: Shard, task: Any) -> None:
+    """Order the stop of a task's run."""
+    task.stopping = True
+    stop = Stop(shard.number, shard.epoch, task.name, task.run)
+    state.tell(task.agent, stop)
--- /dev/null
+++ b/catkincross/owner/_runs.py
@@ -0,0 +1,208 @@
+"""Ends and progress of runs."""
+
+from __future__ import annotations
+
+from ..jobs import Task, TaskEnd, TasksEnded, TaskState
+from ..peers import EndedRun, Ends, Logged, NotStarted, Progress
+from ._fleet import AgentRow
+from ._requests import job_ended, stop_run
+from ._shard import END_DELAY_MS, Shard
+from ._state import OwnerState, agent_handler
+
+# A run whose progress has not grown for this long stands still, in milliseconds; a
+# task of 70 s still grows by one percent in it.
+STANDSTILL_MS = 700
+# Reason with which a worker rejects a run that is not higher than an earlier one.
+OLD_RUN = "old"
+# Part of the expected run time without progress after which a run stands still.
+STANDSTILL_SHARE = 0.1
+
+
+@agent_handler(Ends)
+def ends(state: OwnerState, row: AgentRow, content: Ends) -> None:
+    """Take ends that an agent reports."""
+    forget: list[int] = []
+    for ended in content.ended:
+        if _end(state, row, ended) and ended.number:
+            forget.append(ended.number)
+    if forget and row.state is not None:
+        state.tell(row.name, Logged(forget, row.state.worker))
+
+
+def _end(state: OwnerState, row: AgentRow, ended: EndedRun) -> bool:
+    """Take one end; return whether the worker may forget it now."""
+    if not state.owns(ended.task):
+        return False
+    found = state.find_task(ended.task)
+    if found is None:
+        return True
+    shard, task = found
+    if (ended.task, ended.run) in shard.ending:
+        return False
+    if task.state is TaskState.DONE or ended.run < task.run:
+        state.note(
+            "end of a superseded run",
+            task=ended.task,
+            run=ended.run,
+            newest_run=task.run,
+            how=ended.how,
+        )
+        return True
+    task.run = ended.run
+    if ended.how not in ("done", "failed"):
+        task.checkpoint = ended.checkpoint or task.checkpoint
+        state.note(
+            "run ended early",
+            task=ended.task,
+            run=ended.run,
+            agent=row.name,
+            how=ended.how,
+        )
+        state.release(task)
+        return True
+    _log_end(state, shard, row, task, ended)
+    return False
+
+
+def _log_end(
+    state: OwnerState, shard: Shard, row: AgentRow, task: Task, ended: EndedRun
+) -> None:
+    key = (ended.task, ended.run)
+    shard.ending.add(key)
+    if task.state is TaskState.WAITING:
+        state.assign(task, row, ended.run)
+    job = task.job
+    kind = row.kind
+    policy = job.spec.policy
+    if ended.how == "done":
+        state.health.done(row.name)
+        state.estimates.learn(
+            queue=policy.queue,
+            estimate_ms=task.needs.estimate_ms,
+            agent=row.name,
+            kind=kind,
+            run_ms=ended.run_ms,
+        )
+    elif state.health.failed(row.name, job.spec.id, state.now_ms, len(state.agents)):
+        state.note("worker ejected", agent=row.name, task=ended.task, run=ended.run)
+    worker = row.state.worker if row.state is not None else ""
+
+    def durable(now_ms: int) -> None:
+        shard.ending.discard(key)
+        agent = state.agents.get(task.agent)
+        if agent is not None:
+            agent.assigned.discard(task)
+        before = job.state_end
+        job.apply_end(content, now_ms)
+        if ended.how == "failed" and ended.run == task.run:
+            task.avoid = (*task.avoid, row.name)
+            state.release(task)
+        if ended.number:
+            state.tell(row.name, Logged([ended.number], worker))
+        state.note(
+            "run ended",
+            task=ended.task,
+            run=ended.run,
+            agent=row.name,
+            how=ended.how,
+            run_ms=ended.run_ms,
+            failures=task.failures,
+        )
+        if before is None and job.state_end is not None:
+            job_ended(state, shard, job)
+        elif before is not None:
+            state.left_worker(job)
+        elif job.left[task.step] == 0:
+            state.enqueue(shard, job)
+
+    content = TaskEnd(
+        job.spec.id, task.step, task.index, ended.run, ended.how, ended.checkpoint
+    )
+    urgent = ended.how == "failed" or _completes(shard, task)
+    shard.append(
+        TasksEnded((content,)),
+        state.now_ms,
+        delay_ms=0 if urgent else END_DELAY_MS,
+        on_durable=durable,
+    )
+
+
+def _completes(shard: Shard, task: Task) -> bool:
+    """Whether all other tasks of the step have ended, or their end is on its way."""
+    for other in task.job.tasks[task.step]:
+        if other.state is TaskState.DONE or other is task:
+            continue
+        if (other.name, other.run) not in shard.ending:
+            return False
+    return True
+
+
+@agent_handler(NotStarted)
+def not_started(state: OwnerState, row: AgentRow, content: NotStarted) -> None:
+    """Take a run back that was not started."""
+    found = state.find_task(content.task)
+    if found is None:
+        return
+    _, task = found
+    if task.state is not TaskState.ASSIGNED or task.run != content.run:
+        return
+    if task.agent != row.name:
+        return
+    if content.reason == OLD_RUN:
+        # The worker has ended a run of this or a higher number for another entry.
+        task.run *= 2
+    state.health.unanswered(row.name)
+    state.note(
+        "run not started",
+        task=content.task,
+        run=content.run,
+        agent=row.name,
+        reason=content.reason,
+    )
+    state.release(task)
+
+
+@agent_handler(Progress)
+def progress(state: OwnerState, row: AgentRow, content: Progress) -> None:
+    """Take the progress of runs, and stop those that stand still."""
+    for running in content.running:
+        found = state.find_task(running.task)
+        if found is None:
+            continue
+        shard, task = found
+        if task.state is not TaskState.ASSIGNED or task.run != running.run:
+            continue
+        if task.stopping:
+            stop_run(state, shard, task)
+            continue
+        task.checkpoint = running.checkpoint or task.checkpoint
+        if running.percent > task.percent:
+            task.percent = running.percent
+            task.progress_ms = state.now_ms
+        elif running.percent < 100:
+            _check_standstill(state, shard, row, task)
+
+
+def _check_standstill(
+    state: OwnerState, shard: Shard, row: AgentRow, task: Task
+) -> None:
+    queue = task.job.spec.policy.queue
+    expected = state.estimates.run_ms(queue, task.needs.estimate_ms)
+    expected *= state.estimates.slowness(row.name, row.kind)
+    limit = max(STANDSTILL_MS, expected * STANDSTILL_SHARE)
+    if state.now_ms - task.progress_ms <= limit:
+        return
+    task.avoid = (*task.avoid, row.name)
+    ejected = state.health.failed(
+        row.name, task.job.spec.id, state.now_ms, len(state.agents)
+    )
+    state.note(
+        "run stands still",
+        task=task.name,
+        run=task.run,
+        agent=row.name,
+        percent=task.percent,
+        still_ms=state.now_ms - task.progress_ms,
+        ejected=ejected,
+    )
+    stop_run(state, shard, task)
--- /dev/null
+++ b/catkincross/owner/_state.py
@@ -0,0 +1,211 @@
+"""Tables of the owner, and the registries of what runs over them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from ..dispatch import AgentHealth, Estimates, WaitingQueue
+from ..jobs import Job, JobState, Task, TaskState, shard_of
+from ..operations import Declared
+from ._effects import Effect, Note, Tell
+from ._fleet import AgentRow
+from ._shard import Shard, ShardPhase, VolatileShard
+
+
+@attrs.frozen
+class OwnerLimits:
+    """Times of the owner, in milliseconds unless named otherwise.
+
+    Attributes:
+        shards: Number of shards.
+        authority_ms: How long after the last contact with the store an owner may
+            start tasks and keep them; a new owner waits this long for agents that it
+            cannot ask.
+        silence_ms: How long an agent keeps tasks of an owner that is silent.
+        volatile_silence_ms: The same for the volatile jobs of an entry.
+        lapse_ms: Longest time from the end of a lease until the worker has ended its
+            tasks.
+        status_ms: How long an ended job may be asked for.
+        keep_ms: How long the log keeps a record.
+        remote_factor: Longer run time away from the rack of a task's data.
+    """
+
+    shards: int = 16
+    # A total outage of the store longer than this stops accepted work; the tasks of
+    # the users' jobs are shorter.
+    authority_ms: int = 3_000
+    # Above the time in which a shard gets a new owner (1,000 ms until the group drops
+    # a member, 250 ms until the next join, and the claim), so that tasks survive it.
+    silence_ms: int = 2_000
+    # Client accounts send a volatile job again 1,300 ms after a broken answer; its
+    # runs of the lost entry have to be gone by then.
+    volatile_silence_ms: int = 800
+    # Lease of the worker (1,000 ms, with a clock that is 2 % slow), a stop of 50 ms,
+    # and 300 ms in which the agent waits for stops to be carried out.
+    lapse_ms: int = 1_450
+    status_ms: int = 120_000
+    keep_ms: int = 300_000
+    remote_factor: float = 1.5
+
+
+@attrs.define(eq=False)
+class OwnerState:
+    """All that an owner knows.
+
+    Attributes:
+        name: Name of the entry.
+        limits: Times.
+        volatile: Volatile jobs of this entry.
+        now_ms: Time of the step that runs.
+        store_contact_ms: When the last successful call to the store was sent.
+        owners: Number of entries that own shards.
+        begun: Volatile jobs begun since other entries were told.
+        ended: Volatile jobs ended since other entries were told.
+    """
+
+    name: str
+    limits: OwnerLimits
+    volatile: VolatileShard
+    now_ms: int = 0
+    store_contact_ms: int = -1_000_000
+    owners: int = 1
+    declared: Declared = attrs.field(factory=Declared)
+    shards: dict[int, Shard] = attrs.field(factory=dict)
+    agents: dict[str, AgentRow] = attrs.field(factory=dict)
+    waiting: WaitingQueue = attrs.field(factory=WaitingQueue)
+    estimates: Estimates = attrs.field(factory=Estimates)
+    health: AgentHealth = attrs.field(factory=AgentHealth)
+    effects: list[Effect] = attrs.field(factory=list)
+    next_upkeep_ms: int = 0
+    next_check_ms: int = 0
+    begun: list[str] = attrs.field(factory=list)
+    ended: list[str] = attrs.field(factory=list)
+
+    @property
+    def has_authority(self) -> bool:
+        """Whether tasks may be started and requests answered."""
+        return self.now_ms < self.store_contact_ms + self.limits.authority_ms
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Write a log line."""
+        self.effects.append(Note(event, fields))
+
+    def tell(self, agent: str, content: Any) -> None:
+        """Send a message to an agent."""
+        self.effects.append(Tell(agent, content))
+
+    def shard_for(self, job_id: str) -> Shard | None:
+        """Return the shard of a job if this entry owns it."""
+        if job_id in self.volatile.jobs:
+            return self.volatile
+        return self.shards.get(shard_of(job_id, self.limits.shards))
+
+    def find_task(self, name: str) -> tuple[Shard, Task] | None:
+        """Return the shard and the task of a task's name, if both are here."""
+        try:
+            job_id, _, step, index = name.split(".")
+            place = int(step), int(index)
+        except ValueError:
+            return None
+        shard = self.shard_for(job_id)
+        if shard is None or shard.phase is not ShardPhase.OPEN:
+            return None
+        job = shard.jobs.get(job_id)
+        task = job.task(*place) if job is not None else None
+        return (shard, task) if task is not None else None
+
+    def owns(self, task_name: str) -> bool:
+        """Whether this entry has the shard of a task open."""
+        shard = self.shard_for(task_name.partition(".")[0])
+        return shard is not None and shard.phase is ShardPhase.OPEN
+
+    def enqueue(self, shard: Shard, job: Job) -> None:
+        """Let the tasks of a job wait whose turn has come."""
+        if job.state_end is not None:
+            return
+        if shard.unresolved and job.epoch < shard.epoch:
+            return
+        for number, tasks in enumerate(job.tasks):
+            if job.left[number] == 0 or not job.step_ready(number):
+                continue
+            for task in tasks:
+                if task.state is TaskState.WAITING:
+                    self.waiting.add(task, self.estimates, self.now_ms)
+
+    def release(self, task: Task) -> None:
+        """Let a task wait again whose run is known to have ended."""
+        row = self.agents.get(task.agent)
+        if row is not None:
+            row.assigned.discard(task)
+        if task.state is not TaskState.ASSIGNED:
+            return
+        task.release()
+        if task.job.state_end is not None:
+            self.left_worker(task.job)
+            return
+        shard = self.shard_for(task.job.spec.id)
+        if shard is not None:
+            self.enqueue(shard, task.job)
+
+    def retry_after_ms(self) -> int:
+        """Return when the work that waits now is expected to have been started."""
+        capacity = sum(row.state.cpu for row in self.agents.values() if row.state)
+        share = capacity / max(self.owners, 1)
+        return int(self.waiting.cpu_ms / share) + 1 if share else 0
+
+    def left_worker(self, job: Job) -> None:
+        """Forget a volatile job that was given up, once no worker has a run of it."""
+        if self.volatile.jobs.get(job.spec.id) is not job:
+            return
+        if any(task.state is TaskState.ASSIGNED for task in job.all_tasks()):
+            return
+        self.ended.append(job.spec.id)
+        if job.state_end is not JobState.CANCELLED:
+            return
+        self.volatile.forget(job.spec.id)
+        for call in self.volatile.again.pop(job.spec.id, []):
+            call()
+
+    def assign(self, task: Task, row: AgentRow, run: int) -> None:
+        """Note that an agent has a run, or may have it."""
+        self.waiting.remove(task)
+        old = self.agents.get(task.agent)
+        if old is not None:
+            old.assigned.discard(task)
+        task.state = TaskState.ASSIGNED
+        task.agent = row.name
+        task.run = run
+        task.sent_ms = self.now_ms
+        task.progress_ms = self.now_ms
+        task.percent = 0
+        task.stopping = False
+        task.job.started = True
+        row.assigned.add(task)
+
+
+OWNER_SYSTEMS: list[tuple[int, Callable[[OwnerState], None]]] = []
+AGENT_HANDLERS: dict[type[Any], Callable[[OwnerState, AgentRow, Any], None]] = {}
+
+
+def owner_system(*, order: int) -> Any:
+    """Register a function that runs over the tables in each step."""
+
+    def add(function: Any) -> Any:
+        OWNER_SYSTEMS.append((order, function))
+        OWNER_SYSTEMS.sort(key=lambda row: row[0])
+        return function
+
+    return add
+
+
+def agent_handler(kind: type[Any]) -> Any:
+    """Register the handler of an agent's message."""
+
+    def add(function: Any) -> Any:
+        AGENT_HANDLERS[kind] = function
+        return function
+
+    return add
--- /dev/null
+++ b/catkincross/owner/_upkeep.py
@@ -0,0 +1,59 @@
+"""Appends that are due, and jobs that are forgotten or carried forward."""
+
+from __future__ import annotations
+
+from ._effects import Append
+from ._shard import Shard, ShardPhase
+from ._state import OwnerState, owner_system
+
+# Interval of the search for old jobs, in milliseconds.
+UPKEEP_INTERVAL_MS = 1_000
+# A job whose newest full record is older than this part of the log's retention is
+# written again.
+CARRY_SHARE = 1 / 3
+
+
+@owner_system(order=900)
+def send_appends(state: OwnerState) -> None:
+    """Send the appends that are due."""
+    for shard in state.shards.values():
+        append = shard.next_append(state.now_ms)
+        if append is not None:
+            state.effects.append(append)
+            if append.wait_ms:
+                shard.reject_waiting()
+                _note_repeat(state, append)
+
+
+def _note_repeat(state: OwnerState, append: Append) -> None:
+    state.note(
+        "append repeated",
+        shard=append.shard,
+        epoch=append.epoch,
+        sequence=append.sequence,
+        records=len(append.records),
+    )
+
+
+@owner_system(order=950)
+def keep_records(state: OwnerState) -> None:
+    """Forget jobs nobody may ask for, and write those again that would expire."""
+    if state.now_ms < state.next_upkeep_ms:
+        return
+    state.next_upkeep_ms = state.now_ms + UPKEEP_INTERVAL_MS
+    for shard in state.shards.values():
+        if shard.phase is ShardPhase.OPEN:
+            _keep_shard(state, shard)
+
+
+def _keep_shard(state: OwnerState, shard: Shard) -> None:
+    limits = state.limits
+    for job_id, job in list(shard.jobs.items()):
+        ended = job.state_end is not None
+        if ended and state.now_ms - job.ended_ms > limits.status_ms:
+            shard.forget(job_id)
+            continue
+        age_ms = state.now_ms - shard.recorded_ms[job_id]
+        if age_ms > limits.keep_ms * CARRY_SHARE:
+            shard.recorded_ms[job_id] = state.now_ms
+            shard.append(job.carried(), state.now_ms)
--- /dev/null
+++ b/catkincross/owner/_volatile.py
@@ -0,0 +1,113 @@
+"""Volatile jobs: kept by the entry alone, answered at their end."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..dispatch import hopeless
+from ..jobs import Job, JobAccepted, JobSpec, JobState, TaskState
+from ._requests import job_ended, reject, reply
+from ._state import OwnerState, owner_system
+
+# An ended job is known for this long, in milliseconds, so that a repeat of its
+# request, 1,300 ms after a broken answer, gets the same answer.
+KEPT_MS = 4_000
+# Interval of the check for jobs that cannot end in time, in milliseconds.
+CHECK_INTERVAL_MS = 50
+
+
+def submit_volatile(
+    state: OwnerState, request: Any, spec: JobSpec, limit_ms: int
+) -> None:
+    """Begin a volatile job, or reject it.
+
+    Args:
+        state: The owner.
+        request: Whom to answer at the end.
+        spec: The job.
+        limit_ms: How long the client account waits.
+    """
+    shard = state.volatile
+    known = shard.jobs.get(spec.id)
+    if known is not None and known.state_end is JobState.CANCELLED:
+        calls = shard.again.setdefault(spec.id, [])
+        calls.append(lambda: submit_volatile(state, request, spec, limit_ms))
+        return
+    if known is not None and known.state_end is not None:
+        reply(state, request, "state", known.state)
+        return
+    if known is not None:
+        shard.requests[spec.id].append(request)
+        return
+    job = Job.from_record(JobAccepted(spec, 0, shard.epoch), state.now_ms)
+    job.deadline_ms = state.now_ms + limit_ms
+    rejected = reject(state, shard, job)
+    if rejected is not None:
+        reply(state, request, "rejected", rejected.reason, rejected.retry_after_ms)
+        return
+    shard.jobs[spec.id] = job
+    shard.settle(job)
+    shard.requests[spec.id] = [request]
+    state.begun.append(spec.id)
+    state.enqueue(shard, job)
+    state.note("job begun", job=spec.id, queue=spec.policy.queue, limit_ms=limit_ms)
+
+
+def abandon(state: OwnerState, request: Any, job_id: str) -> None:
+    """Give a job up whose client account has left."""
+    requests = state.volatile.requests.get(job_id, [])
+    if request not in requests:
+        return
+    requests.remove(request)
+    if not requests:
+        give_up(state, state.volatile.jobs[job_id], "client left")
+
+
+def give_up(state: OwnerState, job: Job, reason: str) -> None:
+    """Stop a job that nobody waits for, or that cannot end in time."""
+    job.finish(JobState.CANCELLED, state.now_ms)
+    state.note("job given up", job=job.spec.id, reason=reason, started=job.started)
+    job_ended(state, state.volatile, job)
+    state.left_worker(job)
+
+
+def answer_end(state: OwnerState, job: Job) -> None:
+    """Answer the requests that wait for a job that has ended."""
+    for request in state.volatile.requests.pop(job.spec.id, []):
+        reply(state, request, "state", job.state)
+
+
+@owner_system(order=700)
+def end_volatile_jobs(state: OwnerState) -> None:
+    """Answer jobs that have ended, and give those up that cannot end in time."""
+    shard = state.volatile
+    for job_id in [*shard.requests]:
+        job = shard.jobs[job_id]
+        if job.state_end is not None:
+            answer_end(state, job)
+            state.left_worker(job)
+    if state.now_ms < state.next_check_ms:
+        return
+    state.next_check_ms = state.now_ms + CHECK_INTERVAL_MS
+    for job in list(shard.open_jobs.values()):
+        _check(state, job)
+    for job_id, job in list(shard.jobs.items()):
+        if job.state_end is not None and state.now_ms - job.ended_ms > KEPT_MS:
+            if job.state_end is not JobState.CANCELLED:
+                shard.forget(job_id)
+
+
+def _check(state: OwnerState, job: Job) -> None:
+    waits = any(task.state is TaskState.WAITING for task in job.all_tasks())
+    late = state.now_ms >= job.deadline_ms
+    if not late and not (waits and hopeless(job, state.estimates, state.now_ms)):
+        return
+    requests = state.volatile.requests.pop(job.spec.id, [])
+    for request in requests:
+        if not job.started:
+            reply(state, request, "rejected", "backlog", state.retry_after_ms())
+        elif late:
+            reply(state, request, "unknown", "deadline")
+        else:
+            reply(state, request, "state", JobState.FAILED)
+    give_up(state, job, "cannot end in time")
--- /dev/null
+++ b/catkincross/platform/__init__.py
@@ -0,0 +1,30 @@
+"""Translation between the users' platform and the product; nothing is decided here."""
+
+from __future__ import annotations
+
+from ._cluster import Gap, Membership, StoreClient, Topic
+from ._control import ControlApp
+from ._declared import DeclaredFeed
+from ._front import Dispatcher, FrontApp
+from ._jobs import BadJob, read_job, read_route
+from ._settings import NodeSettings, load_node_settings
+from ._worker import HoldRefused, WorkerClient, read_heartbeat
+
+__all__ = [
+    "BadJob",
+    "ControlApp",
+    "DeclaredFeed",
+    "Dispatcher",
+    "FrontApp",
+    "Gap",
+    "Membership",
+    "NodeSettings",
+    "StoreClient",
+    "Topic",
+    "HoldRefused",
+    "WorkerClient",
+    "load_node_settings",
+    "read_heartbeat",
+    "read_job",
+    "read_route",
+]
--- /dev/null
+++ b/catkincross/platform/_cluster.py
@@ -0,0 +1,254 @@
+"""Client of the platform's store: topics of records, and groups that share them."""
+
+from __future__ import annotations
+
+import base64
+import enum
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+
+from ..owner import AppendOutcome
+
+LENGTH_BYTES = 4
+OFFSET_BYTES = 8
+# Answers of the store take 4 ms, and 60 times as long while it is slow.
+CALL_TIMEOUT_S = 0.8
+READ_KB = 1_024
+# Calls that never reached the store, or whose answer was lost.
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class Topic(enum.StrEnum):
+    """Topics of the store that the product uses."""
+
+    JOBS = "jobs"
+    # The operators' declarations; the platform writes it.
+    OPERATOR = "keyed.op"
+
+
+@attrs.frozen
+class Membership:
+    """A group's answer to a member that joined.
+
+    Attributes:
+        generation: Number that rises with each change of the group.
+        shards: Partitions of this member.
+    """
+
+    generation: int
+    shards: list[int]
+
+
+@attrs.frozen
+class ReadResult:
+    """Records that were read.
+
+    Attributes:
+        end: Offset after the last record of the partition.
+        first: First offset that is still kept.
+        records: Contents, from the offset that was asked for.
+    """
+
+    end: int
+    first: int
+    records: list[bytes]
+
+
+@attrs.frozen
+class Gap:
+    """The records asked for have expired.
+
+    Attributes:
+        first: First offset that is still kept.
+    """
+
+    first: int
+
+
+class StoreClient:
+    """Calls of one process to the store.
+
+    Args:
+        address: `IP:port` of the store.
+
+    Attributes:
+        calls: Calls made so far.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.url = f"http://{address}"
+        self.calls = 0
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def fence(self, shard: int, epoch: int) -> AppendOutcome:
+        """Let no append of a lower epoch be carried out on a shard any more."""
+        return await self.append(shard, epoch, 0, ())
+
+    async def append(
+        self, shard: int, epoch: int, sequence: int, records: tuple[bytes, ...]
+    ) -> AppendOutcome:
+        """Append records to a shard of jobs, all or nothing.
+
+        A repeat with the same epoch and sequence is carried out at most once.
+        """
+        query = {
+            "topic": Topic.JOBS,
+            "part": shard,
+            "producer": "owner",
+            "epoch": epoch,
+            "seq": sequence,
+        }
+        body = b"".join(
+            len(data).to_bytes(LENGTH_BYTES, "big") + data for data in records
+        )
+        try:
+            status, answer = await self._call("POST", "/log-append", query, body)
+        except CALL_ERRORS:
+            return AppendOutcome.UNKNOWN
+        if status == 200:
+            return AppendOutcome.DONE
+        if status == 409 and _reason(answer) == "fenced":
+            return AppendOutcome.FENCED
+        if status in (429, 503, 507):
+            return AppendOutcome.BUSY
+        return AppendOutcome.UNKNOWN
+
+    async def read(
+        self, topic: str, part: int, start: int, *, wait_ms: int = 0
+    ) -> ReadResult | Gap | None:
+        """Read records from an offset; None if the store gave no answer."""
+        query = {"topic": topic, "part": part, "from": start, "max_kb": READ_KB}
+        if wait_ms:
+            query["wait_ms"] = wait_ms
+        limit_s = CALL_TIMEOUT_S + wait_ms / 1_000
+        try:
+            status, body = await self._call("GET", "/log-read", query, None, limit_s)
+        except CALL_ERRORS:
+            return None
+        if status == 410:
+            return Gap(int(orjson.loads(body)["first"]))
+        if status != 200:
+            return None
+        return _read_result(body)
+
+    async def newest(self, topic: str) -> tuple[dict[str, bytes], int] | None:
+        """Return the newest value of each key and the end; None without an answer."""
+        values: dict[str, bytes] = {}
+        query: dict[str, Any] = {"topic": topic, "part": 0}
+        end: int | None = None
+        while True:
+            try:
+                status, body = await self._call("GET", "/log-newest", query, None)
+            except CALL_ERRORS:
+                return None
+            if status != 200:
+                return None
+            page = orjson.loads(body)
+            # Pages are no snapshot: what changed after the first is read again.
+            end = page["end"] if end is None else min(end, page["end"])
+            for item in page["items"]:
+                values[item["key"]] = base64.b64decode(item["value"])
+            if not page.get("truncated") or not page["items"]:
+                return values, end
+            query["after"] = page["items"][-1]["key"]
+
+    async def join(
+        self, member: str, ttl_ms: int, generation: int
+    ) -> Membership | None:
+        """Join the group of owners, or stay in it; None without an answer."""
+        body = {
+            "group": Topic.JOBS,
+            "member": member,
+            "topics": [Topic.JOBS],
+            "ttl_ms": ttl_ms,
+            "generation": generation,
+        }
+        try:
+            status, answer = await self._call("POST", "/log-join", {}, body)
+        except CALL_ERRORS:
+            return None
+        if status != 200:
+            return None
+        fields = orjson.loads(answer)
+        return Membership(fields["generation"], [row[1] for row in fields["parts"]])
+
+    async def leave(self, member: str) -> bool:
+        """Leave the group of owners; return whether the store confirmed it."""
+        body = {"group": Topic.JOBS, "member": member}
+        try:
+            status, _ = await self._call("POST", "/log-leave", {}, body)
+        except CALL_ERRORS:
+            return False
+        return status == 200
+
+    async def owners(self) -> dict[int, str] | None:
+        """Return the member that has each shard; None without an answer."""
+        query = {"group": Topic.JOBS}
+        try:
+            status, answer = await self._call("GET", "/log-owners", query, None)
+        except CALL_ERRORS:
+            return None
+        if status != 200:
+            return None
+        rows = orjson.loads(answer)
+        rows = rows if isinstance(rows, list) else _rows(rows)
+        return {row[1]: row[2] for row in rows if row[2]}
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: Any,
+        limit_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        data, headers = body, {}
+        if isinstance(body, dict):
+            data = orjson.dumps(body)
+            headers = {"Content-Type": "application/json"}
+        timeout = aiohttp.ClientTimeout(total=limit_s)
+        url = self.url + path
+        async with self._session.request(
+            method, url, params=query, data=data, headers=headers, timeout=timeout
+        ) as response:
+            return response.status, await response.read()
+
+
+def _rows(fields: dict[str, Any]) -> list[list[Any]]:
+    """Return the rows of an answer, whose field has no name on the pages."""
+    for value in fields.values():
+        if isinstance(value, list):
+            return value
+    return []
+
+
+def _reason(body: bytes) -> str:
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return ""
+    return fields.get("reason", "") if isinstance(fields, dict) else ""
+
+
+def _read_result(body: bytes) -> ReadResult:
+    end = int.from_bytes(body[:OFFSET_BYTES], "big")
+    first = int.from_bytes(body[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
+    records = []
+    place = 2 * OFFSET_BYTES
+    while place < len(body):
+        length = int.from_bytes(body[place : place + LENGTH_BYTES], "big")
+        place += LENGTH_BYTES
+        records.append(body[place : place + length])
+        place += length
+    return ReadResult(end, first, records)
--- /dev/null
+++ b/catkincross/platform/_control.py
@@ -0,0 +1,67 @@
+"""Heartbeats of the worker on this host, as the platform sends them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+
+from ..workers import Registration
+from ._worker import read_heartbeat
+
+INSTANCES = "/instances/"
+MAX_HEARTBEAT_BYTES = 4_194_304
+
+
+class ControlApp:
+    """ASGI application for a worker's heartbeats.
+
+    Args:
+        on_heartbeat: Takes a heartbeat.
+        on_leave: Takes the identity of a worker that leaves.
+        on_bad: Takes the identity of a heartbeat that names no worker to use.
+    """
+
+    def __init__(
+        self,
+        on_heartbeat: Callable[[Registration], None],
+        on_leave: Callable[[str], None],
+        on_bad: Callable[[str], None],
+    ) -> None:
+        self.on_heartbeat = on_heartbeat
+        self.on_leave = on_leave
+        self.on_bad = on_bad
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        request = Request(scope, receive)
+        try:
+            status = await self._answer(request)
+        except ClientDisconnect:
+            return
+        response = Response(b"{}", status, media_type="application/json")
+        await response(scope, receive, send)
+
+    async def _answer(self, request: Request) -> int:
+        path = request.url.path
+        if not path.startswith(INSTANCES):
+            return 404
+        worker = path.removeprefix(INSTANCES)
+        if request.method == "DELETE":
+            self.on_leave(worker)
+            return 200
+        if request.method != "PUT":
+            return 405
+        body = await request.body()
+        if len(body) > MAX_HEARTBEAT_BYTES:
+            return 413
+        found = read_heartbeat(worker, body)
+        if found is None:
+            self.on_bad(worker)
+            return 400
+        self.on_heartbeat(found)
+        return 200
--- /dev/null
+++ b/catkincross/platform/_declared.py
@@ -0,0 +1,110 @@
+"""The operators' declarations, as the platform's store keeps them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from ..jobs import QueuePolicy
+from ..operations import Declared, Queue, Service
+from ._cluster import Gap, StoreClient, Topic
+
+# How long the store may hold a read until something changes, in milliseconds; one
+# call in this time on a quiet day.
+FOLLOW_WAIT_MS = 10_000
+EVACUATE = "evacuate/"
+
+
+class DeclaredFeed:
+    """Follows the operators' declarations.
+
+    Args:
+        store: The store.
+
+    Attributes:
+        declared: What is in force, as far as it was read.
+    """
+
+    def __init__(self, store: StoreClient) -> None:
+        self.store = store
+        self.declared = Declared()
+        self._offset: int | None = None
+
+    async def follow(self) -> bool | None:
+        """Read what has changed, waiting for it if nothing has.
+
+        Returns:
+            Whether something changed; None without an answer of the store.
+        """
+        if self._offset is None:
+            return await self._read_all()
+        wait_ms = FOLLOW_WAIT_MS
+        found = await self.store.read(Topic.OPERATOR, 0, self._offset, wait_ms=wait_ms)
+        if found is None:
+            return None
+        if isinstance(found, Gap):
+            self._offset = None
+            return await self._read_all()
+        changed = False
+        for data in found.records:
+            self._offset += 1
+            length = data[0] if data else 0
+            key = data[1 : 1 + length].decode("utf-8", "replace")
+            changed = self._take(key, data[1 + length :]) or changed
+        return changed
+
+    async def _read_all(self) -> bool | None:
+        found = await self.store.newest(Topic.OPERATOR)
+        if found is None:
+            return None
+        values, self._offset = found
+        self.declared.evacuated = frozenset()
+        changed = [self._take(key, value) for key, value in values.items()]
+        return any(changed)
+
+    def _take(self, key: str, value: bytes) -> bool:
+        if key.startswith(EVACUATE):
+            data_centre = key.removeprefix(EVACUATE)
+            old = self.declared.evacuated
+            new = old | {data_centre} if value else old - {data_centre}
+            self.declared.evacuated = new
+            return new != old
+        if key == "config" and value:
+            return self.declared.take(read_config(value))
+        return False
+
+
+def read_config(value: bytes) -> Declared:
+    """Return the configuration in a record of the operators."""
+    fields = orjson.loads(value)
+    queues = [_queue(route) for route in fields["routes"]]
+    services = [
+        Service(row["name"], row.get("rejects_overload", False), row.get("standby"))
+        for row in fields["services"]
+    ]
+    return Declared(
+        fields["version"],
+        queues,
+        {service.name: service for service in services},
+        max_body_bytes=fields.get("limits", {}).get("max_body_bytes", 262_144),
+    )
+
+
+def _queue(route: dict[str, Any]) -> Queue:
+    # A route of the platform is a queue of jobs.
+    policy = QueuePolicy(
+        queue=route["name"],
+        service=route["service"],
+        priority=route.get("priority", 0),
+        max_attempts=route.get("max_attempts", 1),
+        stretch=float(route.get("stretch", 1.0)),
+        slo_ms=route.get("slo_ms", 0),
+    )
+    return Queue(
+        route["host"],
+        route["path_prefix"],
+        policy,
+        route.get("timeout_ms", 0),
+        bool(route.get("advice")),
+    )
--- /dev/null
+++ b/catkincross/platform/_front.py
@@ -0,0 +1,175 @@
+"""Requests of client accounts, as the platform sends them."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import Any, Protocol
+
+import orjson
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+
+from ..jobs import JobSpec
+from ..operations import Declared, Queue
+from ..peers import Answer
+from ._jobs import BadJob, read_job, read_route
+
+DEADLINE_HEADER = "x-catkincross-deadline-ms"
+DEFAULT_DEADLINE_MS = 1_500
+# The platform asks each host whether it wants new connections.
+READY_PATH = "/readiness"
+REJECTED_STATUS = {"backlog": 429}
+MS_PER_S = 1_000
+
+
+class Dispatcher(Protocol):
+    """What answers the requests."""
+
+    declared: Declared
+    ready: bool
+
+    async def submit(self, spec: JobSpec, limit_ms: int) -> Answer:
+        """Hand in a job."""
+
+    async def job_state(self, job_id: str, limit_ms: int) -> Answer:
+        """Ask for a job's state."""
+
+    async def cancel(self, job_id: str, limit_ms: int) -> Answer:
+        """Cancel a job."""
+
+    def pending(self, queue: str) -> int:
+        """Return the accepted jobs of a queue of which no task has started."""
+
+    def answered(self, verb: str, job_id: str, status: int, detail: str) -> None:
+        """Note the answer to a request."""
+
+
+class FrontApp:
+    """ASGI application for client accounts and the platform's readiness probe.
+
+    Args:
+        dispatcher: What answers the requests.
+    """
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        request = Request(scope, receive)
+        try:
+            response = await self._answer(request)
+        except ClientDisconnect:
+            return
+        if not self.dispatcher.ready:
+            response.headers["connection"] = "close"
+        await response(scope, receive, send)
+
+    async def _answer(self, request: Request) -> Response:
+        path = request.url.path
+        if path == READY_PATH:
+            return Response(status_code=200 if self.dispatcher.ready else 503)
+        declared = self.dispatcher.declared
+        if declared.version < 0:
+            return _rejection("no_configuration", MS_PER_S)
+        host = request.headers.get("host", "").partition(":")[0]
+        queue = declared.queue_for(host, path)
+        if queue is None:
+            return _json({"error": "no such queue"}, 404)
+        job_id = read_route(path, queue.path_prefix)
+        response = await self._answer_queue(request, queue, job_id)
+        self.dispatcher.answered(
+            request.method,
+            job_id,
+            response.status_code,
+            response.headers.get("x-reason", ""),
+        )
+        return response
+
+    async def _answer_queue(
+        self, request: Request, queue: Queue, job_id: str
+    ) -> Response:
+        limit_ms = _limit_ms(request)
+        match request.method:
+            case "GET" if not job_id:
+                count = self.dispatcher.pending(queue.policy.queue)
+                return _json({"pending": count})
+            case "GET":
+                answer = await self.dispatcher.job_state(job_id, limit_ms)
+            case "DELETE":
+                answer = await self.dispatcher.cancel(job_id, limit_ms)
+            case "POST":
+                return await self._submit(request, queue, job_id, limit_ms)
+            case _:
+                return _json({"error": "method not allowed"}, 405)
+        return _from_answer(answer)
+
+    async def _submit(
+        self, request: Request, queue: Queue, job_id: str, limit_ms: int
+    ) -> Response:
+        body = await request.body()
+        if len(body) > self.dispatcher.declared.max_body_bytes:
+            return _json({"error": "body too large"}, 413)
+        spec = read_job(job_id, body, queue.policy)
+        if isinstance(spec, BadJob):
+            if spec.unsupported:
+                return _rejection(f"unsupported: {spec.text}", 0)
+            return _json({"error": spec.text}, 400)
+        work = asyncio.ensure_future(self.dispatcher.submit(spec, limit_ms))
+        left = asyncio.ensure_future(_client_left(request))
+        try:
+            await asyncio.wait({work, left}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            left.cancel()
+            if not work.done():
+                work.cancel()
+        if work.cancelled() or not work.done():
+            raise ClientDisconnect
+        return _from_answer(work.result())
+
+
+async def _client_left(request: Request) -> None:
+    """Return once the client account has closed its connection."""
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+def _limit_ms(request: Request) -> int:
+    text = request.headers.get(DEADLINE_HEADER, "")
+    return int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+
+
+def _from_answer(answer: Answer) -> Response:
+    match answer.outcome:
+        case "accepted":
+            return _json({})
+        case "state":
+            return _json({"state": answer.detail})
+        case "cancelled":
+            return _json({})
+        case "gone":
+            return _json({"error": "no such job"}, 410)
+        case "rejected":
+            return _rejection(answer.detail, answer.retry_after_ms)
+        case _:
+            return _json({"error": "not known in time", "detail": answer.detail}, 504)
+
+
+def _rejection(reason: str, retry_after_ms: int) -> Response:
+    """Return an answer that is true: the job was not accepted and never runs."""
+    response = _json(
+        {"error": reason, "not_run": True}, REJECTED_STATUS.get(reason, 503)
+    )
+    response.headers["x-reason"] = reason
+    if retry_after_ms:
+        response.headers["retry-after"] = str(math.ceil(retry_after_ms / MS_PER_S))
+    return response
+
+
+def _json(content: dict[str, Any], status: int = 200) -> Response:
+    return Response(orjson.dumps(content), status, media_type="application/json")
--- /dev/null
+++ b/catkincross/platform/_jobs.py
@@ -0,0 +1,106 @@
+"""Jobs as client accounts hand them in on the platform."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import orjson
+
+from ..jobs import JobSpec, QueuePolicy, Step
+
+ID_DIGITS = 16
+MAX_PAYLOAD_BYTES = 4_000
+# Fields of a step that ask for what the product cannot do yet.
+UNSUPPORTED_STEP = ("gang", "fills", "may_miss", "target_ms")
+UNSUPPORTED_JOB = ("repeat_count", "long_running")
+
+
+@attrs.frozen
+class BadJob:
+    """A body that is no job that can be run.
+
+    Attributes:
+        text: Which field is wrong, and how.
+        unsupported: Whether it is well-formed and asks for what is not supported.
+    """
+
+    text: str
+    unsupported: bool = False
+
+
+def read_route(path: str, prefix: str) -> str:
+    """Return the job id in a path; empty if the path names the queue itself."""
+    return path[len(prefix) :].strip("/")
+
+
+def read_job(job_id: str, body: bytes, policy: QueuePolicy) -> JobSpec | BadJob:
+    """Return the job in the body of a request."""
+    if len(job_id) != ID_DIGITS or not _is_hex(job_id):
+        return BadJob("the id has to have 16 hexadecimal digits")
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return BadJob("the body is not JSON")
+    if not isinstance(fields, dict):
+        return BadJob("the body is not an object")
+    payload = fields.get("spec", "")
+    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+        return BadJob("spec: not a text of at most 4,000 bytes")
+    steps = fields.get("steps")
+    if not isinstance(steps, list) or not steps:
+        return BadJob("steps: not a list with an entry")
+    for name in UNSUPPORTED_JOB:
+        if fields.get(name):
+            return BadJob(f"{name}: not supported", unsupported=True)
+    read: list[Step] = []
+    for number, step in enumerate(steps):
+        found = _read_step(number, step)
+        if isinstance(found, BadJob):
+            return found
+        read.append(found)
+    # The platform calls a job that need not be stored best effort.
+    volatile = bool(fields.get("best_effort", False))
+    return JobSpec(job_id, payload, tuple(read), policy, volatile)
+
+
+def _is_hex(text: str) -> bool:
+    return all(digit in "0123456789abcdefABCDEF" for digit in text)
+
+
+def _read_step(number: int, fields: Any) -> Step | BadJob:
+    place = f"steps.{number}"
+    if not isinstance(fields, dict):
+        return BadJob(f"{place}: not an object")
+    for name in UNSUPPORTED_STEP + UNSUPPORTED_JOB:
+        if fields.get(name):
+            return BadJob(f"{place}.{name}: not supported", unsupported=True)
+    numbers = {}
+    for name in ("count", "cpu", "mem_mb", "gpu", "estimate_ms", "anti_affinity"):
+        value = fields.get(name, 0)
+        if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+            return BadJob(f"{place}.{name}: not a whole number")
+        numbers[name] = value
+    if not numbers["count"]:
+        return BadJob(f"{place}.count: has to be 1 or more")
+    after = fields.get("after", [])
+    if not isinstance(after, list) or not all(
+        isinstance(step, int) and 0 <= step < number for step in after
+    ):
+        return BadJob(f"{place}.after: not a list of earlier steps")
+    for name in ("requires", "data_rack"):
+        if not isinstance(fields.get(name, ""), str):
+            return BadJob(f"{place}.{name}: not a text")
+    return Step(
+        numbers["count"],
+        numbers["cpu"],
+        numbers["mem_mb"],
+        numbers["gpu"],
+        numbers["estimate_ms"],
+        tuple(after),
+        bool(fields.get("checkpointing", False)),
+        fields.get("requires", ""),
+        fields.get("data_rack", ""),
+        numbers["anti_affinity"],
+        bool(fields.get("allow_duplicates", False)),
+    )
--- /dev/null
+++ b/catkincross/platform/_worker.py
@@ -0,0 +1,181 @@
+"""The worker on an agent's host: its heartbeats, and calls to it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+import orjson
+
+from ..peers import EndedRun, RunningTask
+from ..workers import (
+    CallStart,
+    CallStop,
+    HoldCall,
+    HoldView,
+    Registration,
+    StartOutcome,
+)
+
+# Orders are answered within a few milliseconds; one without an answer may still be
+# carried out seconds later.
+ORDER_TIMEOUT_S = 0.3
+INSTANCE_HEADER = "X-Catkincross-Target-Instance"
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+# Reasons with which a worker rejects an order to start.
+START_REASONS = {
+    "fence": StartOutcome.FENCED,
+    "old": StartOutcome.OLD,
+    "late": StartOutcome.LATE,
+    "room": StartOutcome.NO_ROOM,
+}
+STATES = ("ready", "draining")
+
+
+def read_heartbeat(worker: str, body: bytes) -> Registration | None:
+    """Return what a heartbeat says, or None if it names no worker to use."""
+    try:
+        fields = orjson.loads(body)
+        capacity = fields["capacity"]
+        numbers = [
+            fields["seq"],
+            fields.get("born", 0),
+            capacity["cpu"],
+            capacity["mem_mb"],
+            capacity.get("gpu", 0),
+        ]
+        texts = [fields["service"], fields["zone"], *fields.get("labels", [])]
+        state = fields["state"]
+    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError):
+        return None
+    if not all(isinstance(number, int) for number in numbers):
+        return None
+    if not all(isinstance(text, str) for text in texts) or state not in STATES:
+        return None
+    return Registration(
+        worker,
+        texts[0],
+        texts[1],
+        tuple(texts[2:]),
+        numbers[2],
+        numbers[3],
+        numbers[4],
+        state == "draining",
+        numbers[1],
+        numbers[0],
+    )
+
+
+class HoldRefused(Exception):
+    """The worker refused a hold because of its fencing token."""
+
+
+class WorkerClient:
+    """Calls to the worker on this host.
+
+    Args:
+        address: `IP:port` of the worker.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.url = f"http://{address}"
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60)
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def start(self, worker: str, order: CallStart) -> StartOutcome:
+        """Order the start of a run."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run_id": order.run,
+            "spec": order.payload,
+            "until_ms": order.until_ms,
+            "fencing_token": order.fence,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        try:
+            status, answer = await self._call(worker, "/run-start", body)
+        except CALL_ERRORS:
+            return StartOutcome.UNANSWERED
+        if status == 200:
+            return StartOutcome.STARTED
+        if status == 409:
+            reason = _fields(answer).get("reason", "")
+            return START_REASONS.get(reason, StartOutcome.REFUSED)
+        if status in (400, 421, 429, 503):
+            return StartOutcome.REFUSED
+        return StartOutcome.UNANSWERED
+
+    async def stop(self, worker: str, order: CallStop) -> bool:
+        """Order the stop of a run; return whether the worker answered."""
+        body = {
+            "task": order.task,
+            "run_id": order.run,
+            "fencing_token": order.fence,
+        }
+        try:
+            status, _ = await self._call(worker, "/run-stop", body)
+        except CALL_ERRORS:
+            return False
+        return status == 200
+
+    async def hold(self, call: HoldCall) -> HoldView | None:
+        """Renew the lease and look at the lists; None without an answer.
+
+        Raises:
+            HoldRefused: If the fencing token was too low.
+        """
+        body: dict[str, Any] = {
+            "fencing_token": call.fence,
+            "ack_cursor": call.ack,
+        }
+        if call.until_ms is not None:
+            body["until_ms"] = call.until_ms
+        if call.wait_ms:
+            body["wait_ms"] = call.wait_ms
+        limit_s = ORDER_TIMEOUT_S + call.wait_ms / 1_000
+        try:
+            status, answer = await self._call(call.worker, "/hold", body, limit_s)
+        except CALL_ERRORS:
+            return None
+        if status == 409:
+            raise HoldRefused(_fields(answer).get("reason", ""))
+        return _hold_view(_fields(answer)) if status == 200 else None
+
+    async def _call(
+        self,
+        worker: str,
+        path: str,
+        body: dict[str, Any],
+        limit_s: float = ORDER_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        headers = {"Content-Type": "application/json", INSTANCE_HEADER: worker}
+        timeout = aiohttp.ClientTimeout(total=limit_s)
+        async with self._session.post(
+            self.url + path, data=orjson.dumps(body), headers=headers, timeout=timeout
+        ) as response:
+            return response.status, await response.read()
+
+
+def _fields(body: bytes) -> dict[str, Any]:
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def _hold_view(fields: dict[str, Any]) -> HoldView:
+    # A row of `running` may have a fifth entry: tail latency or processor in use.
+    running = tuple(
+        RunningTask(row[0], row[1], row[2], row[3]) for row in fields["running"]
+    )
+    finished = tuple(
+        EndedRun(row[0], row[1], row[2], row[3], row[4]) for row in fields["finished"]
+    )
+    return HoldView(fields.get("born", 1), fields["clock_ms"], running, finished)
--- /dev/null
+++ b/catkincross/workers/__init__.py
@@ -0,0 +1,26 @@
+"""The agent beside a worker: it alone decides what its worker starts and keeps."""
+
+from __future__ import annotations
+
+from ._core import WorkerCore
+from ._effects import CallStart, CallStop, Note, ToEntry
+from ._state import (
+    HoldCall,
+    HoldView,
+    Registration,
+    StartOutcome,
+    WorkerLimits,
+)
+
+__all__ = [
+    "CallStart",
+    "CallStop",
+    "HoldCall",
+    "HoldView",
+    "Note",
+    "Registration",
+    "StartOutcome",
+    "ToEntry",
+    "WorkerCore",
+    "WorkerLimits",
+]
--- /dev/null
+++ b/catkincross/workers/_core.py
@@ -0,0 +1,239 @@
+"""The agent's core: events in, effects out, without clocks or sockets."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..peers import AgentState, Progress, RunningTask
+from ._effects import Effect
+from ._observing import held, left, registered, start_answered
+from ._orders import ENTRY_HANDLERS, stop_run
+from ._state import (
+    EntryRow,
+    HoldCall,
+    HoldView,
+    Registration,
+    StartOutcome,
+    WorkerLimits,
+    WorkerState,
+)
+
+# A stop that has shown no effect is sent again after this long, in milliseconds;
+# stops take at most 50 ms.
+STOP_REPEAT_MS = 150
+# The worker's clock may be this much slower than the agent's; its leases last longer.
+CLOCK_ERROR = 0.02
+# Step of the fencing token after the worker has refused it as too low. Tokens start
+# from the time of day, which may have been set back by seconds.
+FENCE_STEP = 60_000
+# How often the systems run if no event comes, in milliseconds.
+IDLE_STEP_MS = 100
+
+
+class WorkerCore:
+    """Decisions on one worker.
+
+    Args:
+        limits: Times.
+        fence: First fencing token: the time of day in milliseconds, so that it is
+            above all tokens of earlier processes.
+    """
+
+    def __init__(self, limits: WorkerLimits, fence: int) -> None:
+        self.state = WorkerState(limits, fence)
+
+    def step(self, now_ms: int) -> list[Effect]:
+        """Run what is due; return what is to be done."""
+        state = self.state
+        state.now_ms = now_ms
+        self._end_leases()
+        self._repeat_stops()
+        for row in state.entries.values():
+            self._send_state(row)
+        effects, state.effects = state.effects, []
+        return effects
+
+    def next_due_ms(self) -> int:
+        """Return when the next step is due without an event."""
+        state = self.state
+        due = state.now_ms + IDLE_STEP_MS
+        for row in state.entries.values():
+            if row.changed:
+                due = min(due, row.state_sent_ms + state.limits.change_interval_ms)
+        return due
+
+    def registered(self, now_ms: int, content: Registration) -> bool:
+        """Take a heartbeat of the worker; return whether it counts."""
+        self.state.now_ms = now_ms
+        return registered(self.state, content)
+
+    def left(self, now_ms: int, worker: str) -> None:
+        """Note that the worker has left."""
+        self.state.now_ms = now_ms
+        left(self.state, worker)
+
+    def entry_connected(self, now_ms: int, name: str) -> None:
+        """Note a new link to an entry."""
+        self.state.now_ms = now_ms
+        self.state.entries[name] = EntryRow(name, lease_ms=now_ms)
+
+    def entry_lost(self, now_ms: int, name: str) -> None:
+        """Note that the link to an entry has ended."""
+        self.state.now_ms = now_ms
+        self.state.entries.pop(name, None)
+
+    def entry_said(self, now_ms: int, name: str, content: Any) -> None:
+        """Take a message of an entry."""
+        self.state.now_ms = now_ms
+        row = self.state.entries.get(name)
+        if row is not None:
+            ENTRY_HANDLERS[type(content)](self.state, row, content)
+
+    def leave(self, now_ms: int) -> None:
+        """Take no more work."""
+        self.state.now_ms = now_ms
+        self.state.leaving = True
+        self.state.room_changed()
+
+    @property
+    def busy(self) -> bool:
+        """Whether runs go on, or ends are not in the log."""
+        return bool(self.state.runs or self.state.ends)
+
+    def hold_call(self, now_ms: int) -> HoldCall | None:
+        """Return the next hold to send, or None while no worker is known."""
+        state = self.state
+        state.now_ms = now_ms
+        if state.registration is None:
+            return None
+        until_ms = state.until_ms() if self._renews() else None
+        settling = any(run.unanswered for run in state.runs.values())
+        wait_ms = 0 if settling or not state.born else state.limits.hold_wait_ms
+        return HoldCall(
+            state.registration.worker, state.fence, state.ack, until_ms, wait_ms
+        )
+
+    def held(self, now_ms: int, sent_ms: int, call: HoldCall, view: HoldView) -> None:
+        """Take the answer to a hold."""
+        state = self.state
+        state.now_ms = now_ms
+        if state.registration and state.registration.worker == call.worker:
+            held(state, sent_ms, call.fence, view)
+
+    def hold_fenced(self, now_ms: int, call: HoldCall) -> None:
+        """Raise the token after the worker has refused it as too low."""
+        self.state.now_ms = now_ms
+        if self.state.fence <= call.fence:
+            self.state.fence = call.fence + FENCE_STEP
+            self.state.note("token raised", fence=self.state.fence)
+
+    def start_answered(
+        self, now_ms: int, task: str, run: int, outcome: StartOutcome
+    ) -> None:
+        """Take the outcome of an order to start."""
+        self.state.now_ms = now_ms
+        start_answered(self.state, task, run, outcome)
+
+    def _renews(self) -> bool:
+        state = self.state
+        if not state.runs or not state.born:
+            return False
+        if state.now_ms < state.no_renewal_until_ms:
+            return False
+        ends = (run.end_by_ms for run in state.runs.values())
+        return not any(end is not None and state.now_ms >= end for end in ends)
+
+    def _end_leases(self) -> None:
+        """Stop the runs of shards whose owner's lease has ended.
+
+        The worker's lease then lapses once if it has ended tasks of the shard `done`
+        that nobody has taken note of: after the lapse the next owner is free to run
+        them again.
+        """
+        state = self.state
+        self._end_volatile_leases()
+        for shard, found in state.authority.items():
+            if found.settled or state.now_ms < found.valid_until_ms:
+                continue
+            found.settled = True
+            runs = [run for run in state.runs.values() if run.shard == shard]
+            ends = [e for e in state.ends.values() if state.shard(e.task) == shard]
+            if not runs and not ends:
+                continue
+            state.note(
+                "lease of owner ended",
+                shard=shard,
+                epoch=found.epoch,
+                entry=found.entry,
+                runs=len(runs),
+                ends=len(ends),
+            )
+            for run in runs:
+                run.end_by_ms = state.now_ms + state.limits.stop_grace_ms
+                stop_run(state, run, "lease of owner ended")
+            if any(end.how == "done" for end in ends):
+                pause = state.limits.lease_ms * (1 + CLOCK_ERROR)
+                state.no_renewal_until_ms = state.now_ms + int(pause) + 1
+                state.room_changed()
+
+    def _end_volatile_leases(self) -> None:
+        """Stop runs of volatile jobs whose entry is silent or has started anew."""
+        state = self.state
+        for run in list(state.runs.values()):
+            if not run.keep_until_ms or run.end_by_ms is not None:
+                continue
+            if state.now_ms >= run.keep_until_ms:
+                run.end_by_ms = state.now_ms + state.limits.stop_grace_ms
+                stop_run(state, run, "entry silent")
+
+    def _repeat_stops(self) -> None:
+        state = self.state
+        for run in state.runs.values():
+            if run.stop_ms is None:
+                continue
+            if state.now_ms - run.stop_ms >= STOP_REPEAT_MS:
+                stop_run(state, run, "repeated")
+
+    def _send_state(self, row: EntryRow) -> None:
+        state = self.state
+        age = state.now_ms - row.state_sent_ms
+        limits = state.limits
+        changed = row.changed and age >= limits.change_interval_ms
+        if not changed and age < limits.state_interval_ms:
+            return
+        row.changed = False
+        row.state_sent_ms = state.now_ms
+        registration = state.registration
+        cpu, memory_mb, gpu = state.free()
+        known = registration is not None
+        state.tell(
+            row.name,
+            AgentState(
+                state.now_ms,
+                registration.worker if known else "",
+                registration.service if known else "",
+                registration.data_centre if known else "",
+                list(registration.labels) if known else [],
+                registration.cpu if known else 0,
+                registration.memory_mb if known else 0,
+                registration.gpu if known else 0,
+                cpu,
+                memory_mb,
+                gpu,
+                state.ready,
+                row.done_order,
+            ),
+        )
+        if state.now_ms - row.progress_sent_ms >= limits.progress_interval_ms:
+            row.progress_sent_ms = state.now_ms
+            self._send_progress(row)
+
+    def _send_progress(self, row: EntryRow) -> None:
+        state = self.state
+        running = [
+            RunningTask(run.task, run.number, run.checkpoint, run.percent)
+            for run in state.runs.values()
+            if run.confirmed_ms is not None and state.owner_of(run) == row.name
+        ]
+        if running:
+            state.tell(row.name, Progress(running))
--- /dev/null
+++ b/catkincross/workers/_observing.py
@@ -0,0 +1,194 @@
+"""What the worker answers: its lists, and the outcomes of orders."""
+
+from __future__ import annotations
+
+from ..jobs import VOLATILE_SHARD
+from ..peers import EndedRun, Ends, NotStarted
+from ._orders import forget_end, report
+from ._state import (
+    Authority,
+    HoldView,
+    Registration,
+    Run,
+    StartOutcome,
+    WorkerState,
+)
+
+# Epoch below those of all owners.
+NO_EPOCH = -1
+
+
+def registered(state: WorkerState, content: Registration) -> bool:
+    """Take a heartbeat.
+
+    Returns:
+        Whether it is from the worker's present life, and not overtaken by a later one.
+    """
+    old = state.registration
+    if old is not None and old.worker == content.worker and old.born == content.born:
+        if content.sequence < old.sequence:
+            return False
+    elif old is not None and content.born and content.born < old.born:
+        state.note("heartbeat of an earlier worker", worker=content.worker)
+        return False
+    if old is None or (old.worker, old.born) != (content.worker, content.born):
+        state.note("worker registered", worker=content.worker, born=content.born)
+        if old is not None and old.worker != content.worker:
+            new_life(state, 0)
+    if old is None or old.draining != content.draining:
+        state.note("worker state", worker=content.worker, draining=content.draining)
+    state.registration = content
+    state.room_changed()
+    return True
+
+
+def left(state: WorkerState, worker: str) -> None:
+    """Note that a worker has left."""
+    if state.registration is not None and state.registration.worker == worker:
+        state.note("worker left", worker=worker)
+        new_life(state, 0)
+        state.registration = None
+
+
+def new_life(state: WorkerState, born: int) -> None:
+    """Forget all that an earlier life of the worker had."""
+    for run in list(state.runs.values()):
+        _end(state, run, EndedRun(0, run.task, run.number, "lost"))
+    state.ends.clear()
+    state.logged.clear()
+    state.ack = 0
+    state.born = born
+    state.no_renewal_until_ms = 0
+    state.room_changed()
+
+
+def held(state: WorkerState, sent_ms: int, fence: int, view: HoldView) -> None:
+    """Take the worker's lists.
+
+    Args:
+        state: The agent.
+        sent_ms: When the call was sent.
+        fence: Its fencing token.
+        view: The answer.
+    """
+    first = state.born == 0
+    if view.born != state.born:
+        if not first:
+            state.note("worker has begun another life", born=view.born)
+        new_life(state, view.born)
+    # The answer is never older than the call, so the worker's clock is not behind.
+    state.clock_offset_ms = view.clock_ms - state.now_ms
+    for ended in view.finished:
+        _take_end(state, ended)
+    _take_running(state, view)
+    _settle_absent(state, sent_ms, fence, view)
+    if first:
+        for row in state.entries.values():
+            for shard, authority in state.authority.items():
+                if authority.entry == row.name:
+                    report(state, row, shard, authority.epoch)
+            if row.incarnation:
+                report(state, row, VOLATILE_SHARD, row.incarnation)
+        state.room_changed()
+
+
+def _take_end(state: WorkerState, ended: EndedRun) -> None:
+    number = ended.number
+    if number <= state.ack or number in state.ends or number in state.logged:
+        return
+    run = state.runs.get((ended.task, ended.run))
+    if run is not None:
+        began = run.confirmed_ms
+        run_ms = state.now_ms - began if began is not None else 0
+        ended = EndedRun(
+            number, ended.task, ended.run, ended.how, ended.checkpoint, run_ms
+        )
+    state.ends[number] = ended
+    if run is not None:
+        if run.shard == VOLATILE_SHARD:
+            forget_end(state, number)
+        _end(state, run, ended)
+    else:
+        state.tell(state.owner(state.shard(ended.task)), Ends([ended]))
+
+
+def _end(state: WorkerState, run: Run, ended: EndedRun) -> None:
+    state.runs.pop((run.task, run.number), None)
+    state.room_changed()
+    state.tell(state.owner_of(run), Ends([ended]))
+    state.note(
+        "run ended",
+        task=run.task,
+        run=run.number,
+        how=ended.how,
+        number=ended.number,
+        run_ms=ended.run_ms,
+    )
+
+
+def _take_running(state: WorkerState, view: HoldView) -> None:
+    for row in view.running:
+        run = state.runs.get((row.task, row.run))
+        if run is None:
+            run = Run(row.task, row.run, state.shard(row.task))
+            run.fence = state.fence
+            state.runs[row.task, row.run] = run
+            if run.shard not in state.authority:
+                until_ms = state.now_ms + state.limits.found_run_ms
+                state.authority[run.shard] = Authority(NO_EPOCH, "", until_ms)
+            state.room_changed()
+            state.note("run found on the worker", task=row.task, run=row.run)
+        if run.confirmed_ms is None:
+            run.confirmed_ms = state.now_ms
+        run.unanswered = False
+        run.percent = row.percent
+        run.checkpoint = row.checkpoint or run.checkpoint
+
+
+def _settle_absent(
+    state: WorkerState, sent_ms: int, fence: int, view: HoldView
+) -> None:
+    """Settle runs that the worker does not list.
+
+    An order without an answer can no longer be carried out once the worker has
+    answered a call with a higher token. A run that was confirmed before the call was
+    sent, and is neither running nor ended, is lost.
+    """
+    there = {(row.task, row.run) for row in view.running}
+    for key, run in list(state.runs.items()):
+        if key in there:
+            continue
+        if run.unanswered and fence > run.fence:
+            not_started(state, run, "unanswered")
+        elif run.confirmed_ms is not None and run.confirmed_ms < sent_ms:
+            _end(state, run, EndedRun(0, run.task, run.number, "absent"))
+
+
+def not_started(state: WorkerState, run: Run, reason: str) -> None:
+    """Take back a run that the worker has not started and cannot start any more."""
+    state.runs.pop((run.task, run.number), None)
+    state.room_changed()
+    state.note("run not started", task=run.task, run=run.number, reason=reason)
+    state.tell(state.owner_of(run), NotStarted(run.task, run.number, reason))
+
+
+def start_answered(
+    state: WorkerState, task: str, number: int, outcome: StartOutcome
+) -> None:
+    """Take the outcome of an order to start."""
+    run = state.runs.get((task, number))
+    if run is None:
+        return
+    match outcome:
+        case StartOutcome.STARTED:
+            if run.confirmed_ms is None:
+                run.confirmed_ms = state.now_ms
+        case StartOutcome.UNANSWERED:
+            run.unanswered = True
+            if run.fence == state.fence:
+                state.fence += 1
+            state.note(
+                "start unanswered", task=task, run=number, next_fence=state.fence
+            )
+        case _ if run.confirmed_ms is None:
+            not_started(state, run, outcome.value)
