--- a/catkincross/jobs/_spec.py
+++ b/catkincross/jobs/_spec.py
@@ -88,4 +88,4 @@
         job_id: Identity of the job.
         shards: Number of shards.
     """
-    return xxhash.xxh64_intdigest(job_id) % shards
+    return xxhash.xxh64_intdigest(job_id.encode()) % shards
--- /dev/null
+++ b/scenarios/platform_model.py
@@ -0,0 +1,355 @@
+"""Virtual-time model of entries, agents, workers and the store on the platform.
+
+The cores are the product's; the model moves their messages and calls with fixed delays
+and applies faults: cut links, killed or frozen processes, lost orders, a store that is
+down. Each run of a task is checked against the rules as it happens.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from catkincross.jobs import JobSpec, QueuePolicy, Step, decode_record
+from catkincross.operations import Declared
+from catkincross.owner import Append, Claim, Note, OwnerCore, OwnerLimits, Reply, Tell
+from catkincross.peers import Answer
+from catkincross.workers import (
+    CallStart,
+    CallStop,
+    Registration,
+    StartOutcome,
+    ToEntry,
+    WorkerCore,
+    WorkerLimits,
+)
+from standins.platform_store import PlatformStore
+from standins.platform_worker import PlatformWorker
+
+LINK_MS = 1
+STORE_MS = 4
+CALL_MS = 1
+HOLD_MS = 50
+STEP_MS = 5
+ORDER_TIMEOUT_MS = 300
+SHARDS = 4
+SERVICE = "checks"
+
+
+def job(job_id: str, *, count: int = 4, volatile: bool = False, **step: Any) -> JobSpec:
+    """Return a job of one step."""
+    policy = QueuePolicy("q", SERVICE, max_attempts=3, stretch=1.6, slo_ms=60)
+    step.setdefault("estimate_ms", 100)
+    needs = Step(count, cpu=1_000, memory_mb=64, **step)
+    return JobSpec(job_id, "text", (needs,), policy, volatile)
+
+
+@attrs.define(eq=False)
+class Host:
+    """A process of the system.
+
+    Attributes:
+        core: Its core.
+        up: Whether it runs.
+        frozen_until_ms: Until when it stands still.
+    """
+
+    name: str
+    core: Any
+    up: bool = True
+    frozen_until_ms: int = 0
+
+
+@attrs.define(eq=False)
+class Model:
+    """The model; `run` moves the time.
+
+    Attributes:
+        answers: Answers to requests by name of the request.
+        cut: Pairs of entry and agent between which nothing passes.
+        lost_orders: Number of orders that get no answer and are carried out late.
+        notes: Log lines of all cores.
+    """
+
+    entries: int = 2
+    agents: int = 3
+    now_ms: int = 1_000
+    store: PlatformStore = attrs.field(factory=PlatformStore)
+    owners: dict[str, Host] = attrs.field(factory=dict)
+    workers: dict[str, Host] = attrs.field(factory=dict)
+    machines: dict[str, PlatformWorker] = attrs.field(factory=dict)
+    answers: dict[str, Answer] = attrs.field(factory=dict)
+    cut: set[tuple[str, str]] = attrs.field(factory=set)
+    store_cut: set[str] = attrs.field(factory=set)
+    lost_orders: int = 0
+    late_ms: int = 3_000
+    notes: list[tuple[int, str, str, dict[str, Any]]] = attrs.field(factory=list)
+    generation: int = 0
+    _queue: list[tuple[int, int, Callable[[], None]]] = attrs.field(factory=list)
+    _count: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Start all processes."""
+        for number in range(self.agents):
+            name = f"u{number}"
+            self.machines[name] = PlatformWorker(worker=f"w-{name}")
+            self.start_agent(name)
+        for number in range(self.entries):
+            self.start_entry(f"e{number}")
+        self.assign()
+        self.at(STEP_MS, self._tick)
+
+    # Time.
+
+    def at(self, delay_ms: int, call: Callable[[], None]) -> None:
+        """Call something after a delay."""
+        self._count += 1
+        heapq.heappush(self._queue, (self.now_ms + delay_ms, self._count, call))
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass."""
+        end_ms = self.now_ms + for_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            self.now_ms, _, call = heapq.heappop(self._queue)
+            call()
+        self.now_ms = end_ms
+
+    def _tick(self) -> None:
+        for host in (*self.owners.values(), *self.workers.values()):
+            self.step(host)
+        for machine in self.machines.values():
+            machine.advance(self.now_ms)
+        self.at(STEP_MS, self._tick)
+
+    def awake(self, host: Host) -> bool:
+        """Whether a process runs."""
+        return host.up and self.now_ms >= host.frozen_until_ms
+
+    # Processes.
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry."""
+        limits = OwnerLimits(shards=SHARDS)
+        host = Host(name, OwnerCore(name, limits, self.now_ms))
+        host.core.declare(self.now_ms, Declared(version=1))
+        self.owners[name] = host
+        for agent in self.workers:
+            self.connect(name, agent)
+
+    def start_agent(self, name: str) -> None:
+        """Start an agent."""
+        limits = WorkerLimits(shards=SHARDS)
+        host = Host(name, WorkerCore(limits, 1_000 + self.now_ms))
+        self.workers[name] = host
+        self.register(name)
+        for entry in self.owners:
+            self.connect(entry, name)
+        self.at(1, lambda: self._hold(host))
+
+    def register(self, name: str, *, draining: bool = False) -> None:
+        """Let a worker send a heartbeat."""
+        machine = self.machines[name]
+        content = Registration(
+            machine.worker,
+            SERVICE,
+            "perth",
+            ("a", "r1"),
+            4_000,
+            8_192,
+            0,
+            draining,
+            machine.born,
+            self.now_ms,
+        )
+        self.workers[name].core.registered(self.now_ms, content)
+
+    def kill(self, name: str) -> None:
+        """Kill a process; its links end."""
+        table = self.owners if name in self.owners else self.workers
+        host = table.pop(name)
+        host.up = False
+        for other in (*self.owners.values(), *self.workers.values()):
+            if name.startswith("e") and isinstance(other.core, WorkerCore):
+                other.core.entry_lost(self.now_ms, name)
+            if name.startswith("u") and isinstance(other.core, OwnerCore):
+                other.core.agent_lost(self.now_ms, name)
+
+    def connect(self, entry: str, agent: str) -> None:
+        """Open a link."""
+        if entry in self.owners and agent in self.workers:
+            core = self.workers[agent].core
+            core.entry_connected(self.now_ms, entry)
+            self.owners[entry].core.agent_connected(self.now_ms, agent, self.now_ms)
+
+    def cut_link(self, entry: str, agent: str) -> None:
+        """Cut a link; both sides note it after a while."""
+        self.cut.add((entry, agent))
+
+    def heal_link(self, entry: str, agent: str) -> None:
+        """Heal a cut; the link is opened anew."""
+        self.cut.discard((entry, agent))
+        self.owners[entry].core.agent_lost(self.now_ms, agent)
+        self.workers[agent].core.entry_lost(self.now_ms, entry)
+        self.connect(entry, agent)
+
+    def assign(self) -> None:
+        """Deal the shards evenly to the entries that reach the store."""
+        self.generation += 1
+        names = [name for name in sorted(self.owners) if name not in self.store_cut]
+        for place, name in enumerate(names):
+            shards = [s for s in range(SHARDS) if s % len(names) == place]
+            host = self.owners[name]
+            now_ms = self.now_ms
+            host.core.assigned(now_ms, now_ms, shards, self.generation, len(names))
+            self.step(host)
+
+    # Requests.
+
+    def submit(self, name: str, spec: JobSpec, entry: str, limit_ms: int = 0) -> None:
+        """Hand in a job at an entry."""
+        core = self.owners[entry].core
+        core.submit(self.now_ms, name, spec, accepted_ms=0, limit_ms=limit_ms)
+        self.step(self.owners[entry])
+
+    def owner_of(self, spec: JobSpec) -> str:
+        """Return the entry that owns a durable job."""
+        for name, host in self.owners.items():
+            if host.core.state.shard_for(spec.id) is not None:
+                return name
+        raise AssertionError("no owner")
+
+    # Effects.
+
+    def step(self, host: Host) -> None:
+        """Run a core and carry out its effects."""
+        if not self.awake(host):
+            return
+        if isinstance(host.core, OwnerCore) and host.name not in self.store_cut:
+            if not self.store.down:
+                host.core.contact(self.now_ms)
+        for effect in host.core.step(self.now_ms):
+            self._carry_out(host, effect)
+
+    def _carry_out(self, host: Host, effect: Any) -> None:
+        match effect:
+            case Tell(agent, content):
+                self._pass(host.name, agent, content, to_agent=True)
+            case ToEntry(entry, content):
+                self._pass(entry, host.name, content, to_agent=False)
+            case Reply(request, answer):
+                self.answers[request] = answer
+            case Append():
+                self.at(STORE_MS + effect.wait_ms, lambda: self._append(host, effect))
+            case Claim():
+                self.at(STORE_MS, lambda: self._claim(host, effect))
+            case CallStart():
+                self.at(CALL_MS, lambda: self._start(host, effect))
+            case CallStop():
+                machine = self.machines[host.name]
+                self.at(CALL_MS, lambda: machine.stop(self.now_ms, effect))
+            case Note(event, fields):
+                self.notes.append((self.now_ms, host.name, event, fields))
+            case _:
+                row = (self.now_ms, host.name, effect.event, effect.fields)
+                self.notes.append(row)
+
+    def _pass(self, entry: str, agent: str, content: Any, *, to_agent: bool) -> None:
+        owner, worker = self.owners.get(entry), self.workers.get(agent)
+
+        def arrive() -> None:
+            if (entry, agent) in self.cut or owner is None or worker is None:
+                return
+            if self.owners.get(entry) is not owner:
+                return
+            if self.workers.get(agent) is not worker:
+                return
+            target = worker if to_agent else owner
+            if not self.awake(target):
+                self.at(target.frozen_until_ms - self.now_ms, arrive)
+            elif to_agent:
+                worker.core.entry_said(self.now_ms, entry, content)
+                self.step(worker)
+            else:
+                owner.core.agent_said(self.now_ms, agent, content)
+                self.step(owner)
+
+        self.at(LINK_MS, arrive)
+
+    def _append(self, host: Host, work: Append) -> None:
+        if not self._reaches_store(host):
+            self.at(STORE_MS, lambda: self._append(host, work))
+            return
+        outcome = self.store.append(work.shard, work.epoch, work.sequence, work.records)
+        if self.awake(host):
+            args = work.shard, work.epoch, work.sequence, outcome
+            host.core.appended(self.now_ms, *args)
+            self.step(host)
+
+    def _claim(self, host: Host, work: Claim) -> None:
+        if not self._reaches_store(host) or self.store.down:
+            self.at(STORE_MS, lambda: self._claim(host, work))
+            return
+        self.store.append(work.shard, work.epoch, 0, ())
+        records = [decode_record(data) for data in self.store.read(work.shard)]
+        host.core.claimed(self.now_ms, work.shard, work.epoch, records)
+        self.step(host)
+
+    def _reaches_store(self, host: Host) -> bool:
+        return self.awake(host) and host.name not in self.store_cut
+
+    def _start(self, host: Host, order: CallStart) -> None:
+        machine = self.machines[host.name]
+
+        def answer(outcome: StartOutcome) -> None:
+            if self.awake(host):
+                host.core.start_answered(self.now_ms, order.task, order.run, outcome)
+                self.step(host)
+
+        if self.lost_orders:
+            self.lost_orders -= 1
+            self.at(self.late_ms, lambda: machine.start(self.now_ms, order))
+            self.at(ORDER_TIMEOUT_MS, lambda: answer(StartOutcome.UNANSWERED))
+        else:
+            answer(machine.start(self.now_ms, order))
+
+    def _hold(self, host: Host) -> None:
+        if self.workers.get(host.name) is not host:
+            return
+        if self.awake(host):
+            call = host.core.hold_call(self.now_ms)
+            machine = self.machines[host.name]
+            view = machine.hold(self.now_ms, call) if call is not None else None
+            if view is not None:
+                host.core.held(self.now_ms, self.now_ms, call, view)
+            elif call is not None:
+                host.core.hold_fenced(self.now_ms, call)
+            self.step(host)
+        self.at(HOLD_MS, lambda: self._hold(host))
+
+    # What happened.
+
+    def runs(self) -> list[tuple[int, str, str, int, str]]:
+        """Return time, event, task, run and agent of all events on workers."""
+        rows = [
+            (at, what, task, run, agent)
+            for agent, machine in self.machines.items()
+            for at, what, task, run in machine.log
+        ]
+        return sorted(rows)
+
+    def overlapping(self) -> list[str]:
+        """Return the tasks of which two runs went on at the same time."""
+        found = []
+        active: dict[str, int] = {}
+        for _, what, task, _, _ in self.runs():
+            active[task] = active.get(task, 0) + (1 if what == "start" else -1)
+            if active[task] > 1:
+                found.append(task)
+        return found
+
+    def count(self, what: str, task: str = "") -> int:
+        """Return how often something happened, of one task or of all."""
+        return sum(1 for row in self.runs() if row[1] == what and task in row[2])
