Forget the requests of an abandoned job, and stop a process whose step fails

An error in a callback or a link's protocol now ends the process. Ruled out: load (entries used 13 % of a core).

--- a/catkincross/_background.py
+++ b/catkincross/_background.py
@@ -30,7 +30,15 @@
 def stop_on_failed_task(
     loop: asyncio.AbstractEventLoop, context: dict[str, Any]
 ) -> None:
-    """Show an error of the loop, and stop it if a background task failed."""
+    """Show an error of the loop, and stop it if a broken invariant may be behind it.
+
+    That is the failure of a background task, of a callback, or of a link's protocol.
+    A process that goes on after one may never answer what it has accepted.
+    """
     loop.default_exception_handler(context)
-    if context["message"] == FAILED_TASK:
+    if (
+        context["message"] == FAILED_TASK
+        or "handle" in context
+        or "protocol" in context
+    ):
         loop.stop()
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -60,6 +60,7 @@
         return
     requests.remove(request)
     if not requests:
+        del state.volatile.requests[job_id]
         give_up(state, state.volatile.jobs[job_id], "client left")
 
 
--- a/catkincross/peers/_link.py
+++ b/catkincross/peers/_link.py
@@ -66,7 +66,12 @@
             end = start + LENGTH_BYTES + length
             if len(self._received) < end:
                 break
-            content = decode_message(bytes(self._received[start + LENGTH_BYTES : end]))
+            try:
+                content = decode_message(self._received[start + LENGTH_BYTES : end])
+            except ValueError:
+                # The peer is of another version; the link is closed, which both log.
+                self.close()
+                return
             start = end
             self.on_message(self, content)
         del self._received[:start]
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -34,3 +34,19 @@
         return "done"
 
     assert asyncio.run(serve()) == "done"
+
+
+def test_an_error_in_a_callback_stops_the_loop() -> None:
+    """A process whose steps fail must not go on without answering anybody."""
+
+    def step() -> None:
+        raise KeyError("unexpected")
+
+    async def serve() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(stop_on_failed_task)
+        loop.call_soon(step)
+        await asyncio.Event().wait()
+
+    with pytest.raises(RuntimeError, match="stopped before"):
+        asyncio.run(serve())
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -385,3 +385,17 @@
         model.run(400)
     assert model.count("done") == 24
     assert model.machines["u0"].finished == []
+
+
+def test_a_client_account_leaves_before_any_task_has_started() -> None:
+    """A job that is forgotten at once must leave no request behind."""
+    model = ready_model(agents=1)
+    for machine in model.machines.values():
+        machine.run_ms = 1_000
+    model.submit("first", job("0" * 16, volatile=True), "e0", limit_ms=5_000)
+    model.submit("waits", job(JOB, volatile=True), "e0", limit_ms=5_000)
+    model.run(100)
+    model.owners["e0"].core.abandon(model.now_ms, "waits", JOB)
+    model.run(3_000)
+    assert model.answers["first"].detail == "completed"
+    assert model.count("start", JOB) == 0
