--- a/catkincross/owner/_placing.py
+++ b/catkincross/owner/_placing.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from ..dispatch import AgentRoom, choose_agent
-from ..jobs import Task
+from ..jobs import Step, Task
 from ..peers import Start
 from ._fleet import AgentRow
 from ._shard import Shard
@@ -13,6 +13,9 @@
 
 # Tasks in a row that fit nowhere after which the rest is not tried in this step.
 MAX_MISSES = 24
+# Interval of trying to place tasks if no event gave room, in milliseconds; it bounds
+# the delay after a change that only time brings, such as the end of an ejection.
+PLACE_INTERVAL_MS = 50
 # An agent that has said nothing for this long gets no task, in milliseconds; it
 # speaks every 400 ms.
 STALE_STATE_MS = 1_300
@@ -23,28 +26,85 @@
     """Send the tasks that wait, in their order, while there is room."""
     if not len(state.waiting):
         return
-    rooms = _rooms(state)
+    if not state.room_grew and state.now_ms < state.next_place_ms:
+        return
+    state.room_grew = False
+    state.next_place_ms = state.now_ms + PLACE_INTERVAL_MS
+    rooms = Rooms(state)
     misses = 0
     for task in state.waiting.in_order():
-        if misses >= MAX_MISSES or not rooms:
+        if misses >= MAX_MISSES or not rooms.any:
             return
         shard = state.shard_for(task.job.spec.id)
-        if shard is None:
+        if shard is None or rooms.known_full(task):
             continue
         if shard is not state.volatile and not state.has_authority:
             continue
         room = choose_agent(
             task.needs,
-            _allowed(state, rooms, shard, task),
+            rooms.allowed(shard, task),
             avoid=task.avoid,
             remote_factor=state.limits.remote_factor,
         )
         if room is None:
             misses += 1
+            rooms.missed(task)
             continue
         _send(state, shard, task, room)
         if not state.health.usable(room.name, state.now_ms):
-            rooms = [other for other in rooms if other is not room]
+            rooms.drop(room)
+
+
+class Rooms:
+    """Rooms of all workers in one step, and which needs found none.
+
+    Args:
+        state: The owner.
+    """
+
+    def __init__(self, state: OwnerState) -> None:
+        self.state = state
+        self.all = _rooms(state)
+        self._by_place: dict[tuple[str, int], list[AgentRoom]] = {}
+        self._full: dict[str, list[Step]] = {}
+
+    @property
+    def any(self) -> bool:
+        """Whether a worker is left."""
+        return bool(self.all)
+
+    def drop(self, room: AgentRoom) -> None:
+        """Leave a worker out for the rest of the step."""
+        self.all.remove(room)
+        self._by_place.clear()
+
+    def missed(self, task: Task) -> None:
+        """Note that a task fits nowhere: no larger one of its service does."""
+        needs = task.needs
+        if not (needs.requires or needs.anti_affinity):
+            self._full.setdefault(task.job.spec.policy.service, []).append(needs)
+
+    def known_full(self, task: Task) -> bool:
+        """Whether a task that needs no more has found no room in this step."""
+        needs = task.needs
+        return any(
+            other.cpu <= needs.cpu
+            and other.memory_mb <= needs.memory_mb
+            and other.gpu <= needs.gpu
+            for other in self._full.get(task.job.spec.policy.service, ())
+        )
+
+    def allowed(self, shard: Shard, task: Task) -> list[AgentRoom]:
+        """Return the rooms that a task may take."""
+        key = task.job.spec.policy.service, shard.number
+        found = self._by_place.get(key)
+        if found is None:
+            found = self._by_place[key] = _allowed(self.state, self.all, shard, task)
+        limit = task.needs.anti_affinity
+        if not limit:
+            return found
+        counts = Counter(t.agent for t in task.job.tasks[task.step] if t.agent)
+        return [room for room in found if counts[room.name] < limit]
 
 
 def _rooms(state: OwnerState) -> list[AgentRoom]:
@@ -72,10 +132,6 @@
     state: OwnerState, rooms: list[AgentRoom], shard: Shard, task: Task
 ) -> list[AgentRoom]:
     service = task.job.spec.policy.service
-    limit = task.needs.anti_affinity
-    counts: Counter[str] = Counter()
-    if limit:
-        counts.update(t.agent for t in task.job.tasks[task.step] if t.agent)
     allowed = []
     for room in rooms:
         row = state.agents[room.name]
@@ -85,8 +141,6 @@
             continue
         if shard is not state.volatile and room.name not in shard.used:
             continue
-        if limit and counts[room.name] >= limit:
-            continue
         allowed.append(room)
     return allowed
 
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -128,6 +128,8 @@
     first = row.state is None
     old = row.state
     row.take_state(content, state.now_ms)
+    if old is None or content.ready != old.ready or content.cpu_free > old.cpu_free:
+        state.room_grew = True
     if first or old is None or old.ready != content.ready:
         state.note(
             "agent state",
@@ -155,6 +157,7 @@
     if shard.phase is not ShardPhase.OPEN:
         return
     row.reported.add(shard.number)
+    state.room_grew = True
     ends(state, row, Ends(content.ended))
     _settle_running(state, shard, row, content)
     shard.unresolved.discard(row.name)
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -62,6 +62,8 @@
         now_ms: Time of the step that runs.
         store_contact_ms: When the last successful call to the store was sent.
         owners: Number of entries that own shards.
+        next_place_ms: When waiting tasks are tried again if no room grows.
+        room_grew: Whether a waiting task may fit that did not fit before.
         begun: Volatile jobs begun since other entries were told.
         ended: Volatile jobs ended since other entries were told.
     """
@@ -81,6 +83,8 @@
     effects: list[Effect] = attrs.field(factory=list)
     next_upkeep_ms: int = 0
     next_check_ms: int = 0
+    next_place_ms: int = 0
+    room_grew: bool = False
     begun: list[str] = attrs.field(factory=list)
     ended: list[str] = attrs.field(factory=list)
 
@@ -133,6 +137,7 @@
                 continue
             for task in tasks:
                 if task.state is TaskState.WAITING:
+                    self.room_grew = True
                     self.waiting.add(task, self.estimates, self.now_ms)
 
     def release(self, task: Task) -> None:
