Let late jobs give way, keep runs over a restart of the agent, and wait for agents at the start

After the loss of all processes 81 jobs were refused within the second in which agents return, and runs lapsed, since an agent looked at its worker only after the next heartbeat (every 1.5 s).

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -71,7 +71,6 @@
         self.connecting: set[str] = set()
         self.leaving = False
         self.stopped = asyncio.Event()
-        self._look = asyncio.Event()
         self._step_due = False
         self._timer: asyncio.TimerHandle | None = None
 
@@ -110,7 +109,6 @@
 
     def _heartbeat(self, content: Registration) -> None:
         if self.core.registered(self.clock.now_ms(), content):
-            self._look.set()
             self._wake()
 
     def _left(self, worker: str) -> None:
@@ -123,10 +121,6 @@
     async def _hold_forever(self) -> None:
         while True:
             call = self.core.hold_call(self.clock.now_ms())
-            if call is None:
-                self._look.clear()
-                await self._look.wait()
-                continue
             sent_ms = self.clock.now_ms()
             try:
                 view = await self.worker.hold(call)
--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -1,9 +1,11 @@
 """Order in which tasks wait for room.
 
 Load pattern: more work arrives than the workers can run. Tasks start in the order of
-the latest time at which they can start and still meet their job's objective. Tasks of
-a job that cannot even be late any more (three times its objective) come after all
-others: they are owed an end, but no time.
+the latest time at which they can start and still meet their job's objective. A job that
+has missed that time before any of its tasks started comes after all that can still meet
+it: served in the order of arrival alone, a burst makes every later job late as well.
+Tasks of a job that cannot even be late any more (three times its objective) come last:
+they are owed an end, but no time.
 """
 
 from __future__ import annotations
@@ -19,8 +21,12 @@
 # A job that ends later than this many times its objective is worth nothing to its
 # caller, by the service level of the platform.
 LATE_LIMIT = 3.0
+# Rows looked at in one go when late ones are put behind.
+LATE_BATCH = 64
 # Run time on the fastest workers as a part of the ordinary one.
 FASTEST_SHARE = 0.5
+# Position behind all work that can still meet its objective, in milliseconds.
+LATE_MS = 1 << 30
 # Position behind all work that can still be served in time, in milliseconds.
 HOPELESS_MS = 1 << 40
 
@@ -90,6 +96,22 @@
         self._work[task] = work
         self.cpu_ms += work
 
+    def put_late_behind(self, now_ms: int) -> None:
+        """Let jobs of which nothing has started give way once they must be late."""
+        while self._rows and self._rows[0][0] < now_ms:
+            late = [row for row in self._rows[:LATE_BATCH] if row[0] < now_ms]
+            moved = False
+            for key, added, task in late:
+                if task.job.started or key < 0:
+                    continue
+                row = (key + LATE_MS, added, task)
+                self._rows.remove(self._keys[task])
+                self._rows.add(row)
+                self._keys[task] = row
+                moved = True
+            if not moved:
+                return
+
     def remove(self, task: Task) -> None:
         """Take a task out if it waits."""
         row = self._keys.pop(task, None)
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -39,6 +39,8 @@
     def step(self, now_ms: int) -> list[Effect]:
         """Run the systems; return what is to be done."""
         self.state.now_ms = now_ms
+        if self.state.started_ms is None:
+            self.state.started_ms = now_ms
         for _, system in OWNER_SYSTEMS:
             system(self.state)
         effects, self.state.effects = self.state.effects, []
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -184,11 +184,12 @@
         found = state.find_task(running.task)
         if found is not None:
             needs = found[1].needs
-            volatile = shard is state.volatile
+            volatile = found[0] is state.volatile
             row_of_task = [running.task, needs.cpu, needs.memory_mb, needs.gpu]
             sizes.append([*row_of_task, volatile])
-        elsewhere = found is None and shard is state.volatile
-        if not elsewhere and not _adopt(state, row, running):
+        # A run of an unknown job may be of a volatile job of another entry; the agent
+        # ends it if no entry knows it.
+        if found is not None and not _adopt(state, row, running):
             stop = Stop(shard.number, shard.epoch, running.task, running.run)
             state.tell(row.name, stop)
     if sizes:
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -17,6 +17,10 @@
 # returns, or a new worker registers, within about this time.
 NO_WORKER_RETRY_MS = 1_000
 
+# After its start an entry has no agents yet: they connect within some 100 ms and their
+# workers register within 1,500 ms. For this long jobs wait instead, in milliseconds.
+WARM_UP_MS = 3_000
+
 
 def reply(
     state: OwnerState, request: Any, outcome: str, detail: str = "", retry_ms: int = 0
@@ -119,16 +123,19 @@
         return Rejected("store_unreachable", STORE_RETRY_MS)
     service = job.spec.policy.service
     capacity = 0
-    usable = False
+    usable = seen = False
     for row in state.agents.values():
         if row.state is None or row.state.service != service:
             continue
+        seen = True
         room = row.room(state.estimates)
         if room is None or row.state.data_centre in state.declared.evacuated:
             continue
         capacity += row.state.cpu
         usable = usable or all(room.could_fit(step) for step in job.spec.steps)
     if not usable:
+        if not seen and state.now_ms - (state.started_ms or 0) < WARM_UP_MS:
+            return None
         return Rejected("no_worker", NO_WORKER_RETRY_MS)
     return admit(
         job,
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -62,6 +62,8 @@
         now_ms: Time of the step that runs.
         store_contact_ms: When the last successful call to the store was sent.
         owners: Number of entries that own shards.
+        started_ms: When the first event came.
+        put_late_behind: Whether late jobs give way to those that can be in time.
         next_place_ms: When waiting tasks are tried again if no room grows.
         room_grew: Whether a waiting task may fit that did not fit before.
         begun: Volatile jobs begun since other entries were told.
@@ -83,6 +85,8 @@
     effects: list[Effect] = attrs.field(factory=list)
     next_upkeep_ms: int = 0
     next_check_ms: int = 0
+    started_ms: int | None = None
+    put_late_behind: bool = True
     next_place_ms: int = 0
     room_grew: bool = False
     begun: list[str] = attrs.field(factory=list)
--- a/catkincross/platform/_worker.py
+++ b/catkincross/platform/_worker.py
@@ -154,7 +154,9 @@
         body: dict[str, Any],
         limit_s: float = ORDER_TIMEOUT_S,
     ) -> tuple[int, bytes]:
-        headers = {"Content-Type": "application/json", INSTANCE_HEADER: worker}
+        headers = {"Content-Type": "application/json"}
+        if worker:
+            headers[INSTANCE_HEADER] = worker
         timeout = aiohttp.ClientTimeout(total=limit_s)
         async with self._session.post(
             self.url + path, data=orjson.dumps(body), headers=headers, timeout=timeout
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -100,24 +100,24 @@
         """Whether runs go on, or ends are not in the log."""
         return bool(self.state.runs or self.state.ends)
 
-    def hold_call(self, now_ms: int) -> HoldCall | None:
-        """Return the next hold to send, or None while no worker is known."""
+    def hold_call(self, now_ms: int) -> HoldCall:
+        """Return the next hold to send.
+
+        Runs may have outlived an earlier agent, and the worker registers only at its
+        next heartbeat; so the first holds go to whichever worker is there.
+        """
         state = self.state
         state.now_ms = now_ms
-        if state.registration is None:
-            return None
         until_ms = state.until_ms() if self._renews() else None
         settling = any(run.unanswered for run in state.runs.values())
         wait_ms = 0 if settling or not state.born else state.limits.hold_wait_ms
-        return HoldCall(
-            state.registration.worker, state.fence, state.ack, until_ms, wait_ms
-        )
+        return HoldCall(state.worker, state.fence, state.ack, until_ms, wait_ms)
 
     def held(self, now_ms: int, sent_ms: int, call: HoldCall, view: HoldView) -> None:
         """Take the answer to a hold."""
         state = self.state
         state.now_ms = now_ms
-        if state.registration and state.registration.worker == call.worker:
+        if call.worker in ("", state.worker):
             held(state, sent_ms, call.fence, view)
 
     def hold_fenced(self, now_ms: int, call: HoldCall) -> None:
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -6,7 +6,6 @@
 from ..peers import EndedRun, Ends, NotStarted
 from ._orders import forget_end, report
 from ._state import (
-    Authority,
     HoldView,
     Registration,
     Run,
@@ -14,9 +13,6 @@
     WorkerState,
 )
 
-# Epoch below those of all owners.
-NO_EPOCH = -1
-
 
 def registered(state: WorkerState, content: Registration) -> bool:
     """Take a heartbeat.
@@ -46,8 +42,8 @@
     """Note that a worker has left."""
     if state.registration is not None and state.registration.worker == worker:
         state.note("worker left", worker=worker)
-        new_life(state, 0)
         state.registration = None
+        new_life(state, 0)
 
 
 def new_life(state: WorkerState, born: int) -> None:
@@ -133,9 +129,7 @@
             run = Run(row.task, row.run, state.shard(row.task))
             run.fence = state.fence
             state.runs[row.task, row.run] = run
-            if run.shard not in state.authority:
-                until_ms = state.now_ms + state.limits.found_run_ms
-                state.authority[run.shard] = Authority(NO_EPOCH, "", until_ms)
+            run.keep_until_ms = state.now_ms + state.limits.found_run_ms
             state.room_changed()
             state.note("run found on the worker", task=row.task, run=row.run)
         if run.confirmed_ms is None:
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -215,6 +215,7 @@
         for run in state.runs.values():
             if run.task == task and run.cpu is None:
                 run.cpu, run.memory_mb, run.gpu = cpu, memory_mb, gpu
+                run.keep_until_ms = 0
                 state.room_changed()
                 if volatile:
                     run.shard = VOLATILE_SHARD
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -79,7 +79,7 @@
     """A renewal of the worker's lease that also looks at its lists.
 
     Attributes:
-        worker: Identity of the worker.
+        worker: Identity of the worker; empty while it has not registered.
         fence: Fencing token.
         ack: Number of the last end that the worker may forget.
         until_ms: End of the lease on the worker's clock; None to leave it.
@@ -278,10 +278,15 @@
             return run.entry
         return self.owner(run.shard) or run.entry
 
+    @property
+    def worker(self) -> str:
+        """Identity of the worker; empty while it has not registered."""
+        return self.registration.worker if self.registration is not None else ""
+
     @property
     def lists_known(self) -> bool:
         """Whether the worker's lists were read in its present life."""
-        return self.registration is not None and self.born != 0
+        return self.born != 0
 
     @property
     def ready(self) -> bool:
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -139,12 +139,13 @@
         for agent in self.workers:
             self.connect(name, agent)
 
-    def start_agent(self, name: str) -> None:
-        """Start an agent."""
+    def start_agent(self, name: str, *, registers: bool = True) -> None:
+        """Start an agent, and let its worker register at once or not."""
         limits = WorkerLimits(shards=SHARDS)
         host = Host(name, WorkerCore(limits, 1_000 + self.now_ms))
         self.workers[name] = host
-        self.register(name)
+        if registers:
+            self.register(name)
         for entry in self.owners:
             self.connect(entry, name)
         self.at(1, lambda: self._hold(host))
@@ -321,10 +322,10 @@
         if self.awake(host):
             call = host.core.hold_call(self.now_ms)
             machine = self.machines[host.name]
-            view = machine.hold(self.now_ms, call) if call is not None else None
+            view = machine.hold(self.now_ms, call)
             if view is not None:
                 host.core.held(self.now_ms, self.now_ms, call, view)
-            elif call is not None:
+            else:
                 host.core.hold_fenced(self.now_ms, call)
             self.step(host)
         self.at(HOLD_MS, lambda: self._hold(host))
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -399,3 +399,27 @@
     model.run(3_000)
     assert model.answers["first"].detail == "completed"
     assert model.count("start", JOB) == 0
+
+
+def test_runs_go_on_while_the_worker_has_not_registered_again() -> None:
+    """A worker's heartbeat may come after its lease has lapsed."""
+    model = ready_model(agents=1)
+    model.machines["u0"].run_ms = 2_500
+    model.submit("post", job(JOB, volatile=True), "e0", limit_ms=9_000)
+    model.run(200)
+    model.kill("u0")
+    model.run(500)
+    model.start_agent("u0", registers=False)
+    model.run(1_400)
+    model.register("u0")
+    model.run(3_000)
+    assert model.answers["post"].detail == "completed"
+    assert model.count("start") == 4
+
+
+def test_jobs_wait_for_the_agents_of_an_entry_that_has_just_started() -> None:
+    """After the loss of all processes no job must be refused with workers free."""
+    model = Model()
+    model.submit("post", job(JOB, volatile=True), "e0", limit_ms=3_000)
+    model.run(1_500)
+    assert model.answers["post"].detail == "completed"
