--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -158,7 +158,7 @@
         return
     row.reported.add(shard.number)
     state.room_grew = True
-    ends(state, row, Ends(content.ended))
+    ends(state, row, Ends(content.ended, content.born))
     _settle_running(state, shard, row, content)
     shard.unresolved.discard(row.name)
     state.note(
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -23,13 +23,13 @@
     """Take ends that an agent reports."""
     forget: list[int] = []
     for ended in content.ended:
-        if _end(state, row, ended) and ended.number:
+        if _end(state, row, ended, content.born) and ended.number:
             forget.append(ended.number)
-    if forget and row.state is not None:
-        state.tell(row.name, Logged(forget, row.state.worker))
+    if forget:
+        state.tell(row.name, Logged(forget, content.born))
 
 
-def _end(state: OwnerState, row: AgentRow, ended: EndedRun) -> bool:
+def _end(state: OwnerState, row: AgentRow, ended: EndedRun, born: int) -> bool:
     """Take one end; return whether the worker may forget it now."""
     if not state.owns(ended.task):
         return False
@@ -60,12 +60,17 @@
         )
         state.release(task)
         return True
-    _log_end(state, shard, row, task, ended)
+    _log_end(state, shard, row, task, ended, born)
     return False
 
 
 def _log_end(
-    state: OwnerState, shard: Shard, row: AgentRow, task: Task, ended: EndedRun
+    state: OwnerState,
+    shard: Shard,
+    row: AgentRow,
+    task: Task,
+    ended: EndedRun,
+    born: int,
 ) -> None:
     key = (ended.task, ended.run)
     shard.ending.add(key)
@@ -85,7 +90,6 @@
         )
     elif state.health.failed(row.name, job.spec.id, state.now_ms, len(state.agents)):
         state.note("worker ejected", agent=row.name, task=ended.task, run=ended.run)
-    worker = row.state.worker if row.state is not None else ""
 
     def durable(now_ms: int) -> None:
         shard.ending.discard(key)
@@ -98,7 +102,7 @@
             task.avoid = (*task.avoid, row.name)
             state.release(task)
         if ended.number:
-            state.tell(row.name, Logged([ended.number], worker))
+            state.tell(row.name, Logged([ended.number], born))
         state.note(
             "run ended",
             task=ended.task,
--- a/catkincross/peers/_messages.py
+++ b/catkincross/peers/_messages.py
@@ -81,6 +81,7 @@
     Attributes:
         clock_ms: The agent's clock as this was sent.
         worker: Identity of the worker; empty while none is known.
+        born: Start of the worker's life; 0 while its lists are not known.
         service: Service of the worker.
         data_centre: Data centre of the worker.
         labels: Labels of the worker: its kind and its rack.
@@ -96,6 +97,7 @@
 
     clock_ms: int
     worker: str
+    born: int
     service: str
     data_centre: str
     labels: list[str]
@@ -139,12 +141,14 @@
         epoch: Epoch of the lease.
         running: Runs that the worker has.
         ended: Ends that are not in the log yet.
+        born: Start of the worker's life.
     """
 
     shard: int
     epoch: int
     running: list[RunningTask]
     ended: list[EndedRun]
+    born: int
 
 
 @message
@@ -207,9 +211,15 @@
 @message
 @attrs.frozen
 class Ends:
-    """Runs that ended on the worker, for the owner of their shard."""
+    """Runs that ended on the worker, for the owner of their shard.
+
+    Attributes:
+        ended: The runs.
+        born: Start of the worker's life in which they are numbered.
+    """
 
     ended: list[EndedRun]
+    born: int
 
 
 @message
@@ -223,10 +233,15 @@
 @message
 @attrs.frozen
 class Logged:
-    """Ends that are in the log, so that the worker may forget them."""
+    """Ends that are in the log, so that the worker may forget them.
+
+    Attributes:
+        numbers: Numbers of the ends.
+        born: Start of the worker's life in which they are numbered.
+    """
 
     numbers: list[int]
-    worker: str
+    born: int
 
 
 @message
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ..peers import AgentState, Progress, RunningTask
+from ..peers import AgentState, EndedRun, Ends, Progress, RunningTask
 from ._effects import Effect
 from ._observing import held, left, registered, start_answered
 from ._orders import ENTRY_HANDLERS, stop_run
@@ -21,6 +21,9 @@
 # A stop that has shown no effect is sent again after this long, in milliseconds;
 # stops take at most 50 ms.
 STOP_REPEAT_MS = 150
+# Ends that are not logged yet are told again after this long, in milliseconds; an
+# append takes a few milliseconds.
+ENDS_REPEAT_MS = 500
 # The worker's clock may be this much slower than the agent's; its leases last longer.
 CLOCK_ERROR = 0.02
 # Step of the fencing token after the worker has refused it as too low. Tokens start
@@ -48,6 +51,7 @@
         state.now_ms = now_ms
         self._end_leases()
         self._repeat_stops()
+        self._repeat_ends()
         for row in state.entries.values():
             self._send_state(row)
         effects, state.effects = state.effects, []
@@ -194,14 +198,30 @@
             if state.now_ms - run.stop_ms >= STOP_REPEAT_MS:
                 stop_run(state, run, "repeated")
 
+    def _repeat_ends(self) -> None:
+        """Tell the owners again of ends that they have not logged."""
+        state = self.state
+        if not state.ends or state.now_ms < state.repeat_ends_ms:
+            return
+        state.repeat_ends_ms = state.now_ms + ENDS_REPEAT_MS
+        by_owner: dict[str, list[EndedRun]] = {}
+        for ended in state.ends.values():
+            owner = state.owner(state.shard(ended.task))
+            by_owner.setdefault(owner, []).append(ended)
+        for owner, ended_runs in by_owner.items():
+            state.tell(owner, Ends(ended_runs, state.born))
+
     def _send_state(self, row: EntryRow) -> None:
         state = self.state
         age = state.now_ms - row.state_sent_ms
         limits = state.limits
-        changed = row.changed and age >= limits.change_interval_ms
+        interval_ms = limits.change_interval_ms
+        if not row.runs_changed:
+            interval_ms = limits.others_interval_ms
+        changed = row.changed and age >= interval_ms
         if not changed and age < limits.state_interval_ms:
             return
-        row.changed = False
+        row.changed = row.runs_changed = False
         row.state_sent_ms = state.now_ms
         registration = state.registration
         cpu, memory_mb, gpu = state.free()
@@ -211,6 +231,7 @@
             AgentState(
                 state.now_ms,
                 registration.worker if known else "",
+                state.born,
                 registration.service if known else "",
                 registration.data_centre if known else "",
                 list(registration.labels) if known else [],
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -105,13 +105,16 @@
             forget_end(state, number)
         _end(state, run, ended)
     else:
-        state.tell(state.owner(state.shard(ended.task)), Ends([ended]))
+        state.tell(state.owner(state.shard(ended.task)), Ends([ended], state.born))
 
 
 def _end(state: WorkerState, run: Run, ended: EndedRun) -> None:
     state.runs.pop((run.task, run.number), None)
     state.room_changed()
-    state.tell(state.owner_of(run), Ends([ended]))
+    row = state.entries.get(state.owner_of(run))
+    if row is not None:
+        row.runs_changed = True
+    state.tell(state.owner_of(run), Ends([ended], state.born))
     state.note(
         "run ended",
         task=run.task,
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -81,7 +81,7 @@
         if _belongs(run, shard, row)
     ]
     ended = [end for end in state.ends.values() if state.shard(end.task) == shard]
-    state.tell(row.name, Report(shard, epoch, running, ended))
+    state.tell(row.name, Report(shard, epoch, running, ended, state.born))
 
 
 def _belongs(run: Run, shard: int, row: EntryRow) -> bool:
@@ -104,7 +104,7 @@
 def start(state: WorkerState, row: EntryRow, content: Start) -> None:
     """Start a run, or say at once that it is not started."""
     row.done_order = max(row.done_order, content.order)
-    row.changed = True
+    row.changed = row.runs_changed = True
     reason = _refusal(state, row, content)
     if reason:
         state.note("start refused", task=content.task, run=content.run, reason=reason)
@@ -179,7 +179,7 @@
         )
         if not known:
             ended = EndedRun(0, content.task, content.run, "absent")
-            state.tell(row.name, Ends([ended]))
+            state.tell(row.name, Ends([ended], state.born))
         return
     stop_run(state, run, "ordered")
 
@@ -195,7 +195,7 @@
 @entry_handler(Logged)
 def logged(state: WorkerState, row: EntryRow, content: Logged) -> None:
     """Let the worker forget ends that are in the log."""
-    if state.registration is None or content.worker != state.registration.worker:
+    if content.born != state.born:
         return
     for number in content.numbers:
         forget_end(state, number)
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -25,7 +25,9 @@
             of the agent, until an owner is heard.
         state_interval_ms: Longest time between two states sent to an entry.
         progress_interval_ms: Time between two reports of progress to an entry.
-        change_interval_ms: Shortest time between two states sent to an entry.
+        change_interval_ms: Shortest time between two states sent to an entry whose
+            runs have changed.
+        others_interval_ms: The same for the other entries.
         hold_wait_ms: How long the worker may wait for an end before it answers a hold.
     """
 
@@ -41,6 +43,8 @@
     progress_interval_ms: int = 300
     # Joins changes that come together; well below the shortest tasks of 50 ms.
     change_interval_ms: int = 10
+    # States to all entries after each start and end are most of the messages.
+    others_interval_ms: int = 30
     # A quarter of the lease, so that three renewals in a row may fail.
     hold_wait_ms: int = 250
 
@@ -195,6 +199,7 @@
         done_order: Number of the last order that is counted.
         state_sent_ms: When the newest state was sent.
         changed: Whether the worker's room has changed since.
+        runs_changed: Whether it has by a run of this entry.
         lease_ms: When the newest lease arrived.
         incarnation: Number of the entry's process; 0 before its first lease.
         volatile_until_ms: End of its right to its volatile jobs.
@@ -206,6 +211,7 @@
     state_sent_ms: int = -1_000_000
     progress_sent_ms: int = -1_000_000
     changed: bool = True
+    runs_changed: bool = True
     lease_ms: int = 0
     incarnation: int = 0
     volatile_until_ms: int = 0
@@ -228,6 +234,7 @@
         authority: Owners by shard.
         entries: Entries with an open link.
         no_renewal_until_ms: Time until which the lease is not renewed.
+        repeat_ends_ms: When ends that are not logged are told again.
         leaving: Whether the agent is about to stop.
     """
 
@@ -244,6 +251,7 @@
     authority: dict[int, Authority] = attrs.field(factory=dict)
     entries: dict[str, EntryRow] = attrs.field(factory=dict)
     no_renewal_until_ms: int = 0
+    repeat_ends_ms: int = 0
     leaving: bool = False
     effects: list[Effect] = attrs.field(factory=list)
 
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -423,3 +423,18 @@
     model.submit("post", job(JOB, volatile=True), "e0", limit_ms=3_000)
     model.run(1_500)
     assert model.answers["post"].detail == "completed"
+
+
+def test_ends_that_were_logged_before_the_worker_registers_are_forgotten() -> None:
+    """An end that is never forgotten hides later ones behind a list of 500."""
+    model = ready_model(agents=1)
+    model.submit("post", job(JOB, volatile=True), "e0", limit_ms=9_000)
+    model.run(40)
+    model.kill("u0")
+    model.run(500)
+    assert len(model.machines["u0"].finished) == 4
+    model.start_agent("u0", registers=False)
+    model.run(1_000)
+    model.register("u0")
+    model.run(2_000)
+    assert model.machines["u0"].finished == []
