--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -233,7 +233,9 @@
         own = self.core.pending_counts().get(queue, 0)
         return own + self.requests.pending(queue)
 
-    def answered(self, verb: str, job_id: str, status: int, detail: str) -> None:
+    def answered(
+        self, verb: str, job_id: str, status: int, detail: str, *, took_ms: int
+    ) -> None:
         """Note the answer to a request."""
         if verb == "GET" and status == 200:
             return
@@ -245,6 +247,7 @@
             status=status,
             detail=detail,
             version=version,
+            took_ms=took_ms,
         )
 
     def _ask_here(self, ask: Ask) -> asyncio.Future[Answer]:
--- a/catkincross/daemons/_log.py
+++ b/catkincross/daemons/_log.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import eliot
@@ -27,14 +28,23 @@
         process: Name of the process.
         clock: Clock of the process.
         output: File descriptor of the lines.
+
+    Attributes:
+        dropped: Lines dropped since the last one that was written.
+        all_dropped: Lines dropped since the start.
+        counts: Number of notes by event.
+        on_note: Is called with each event and its fields.
     """
 
     def __init__(self, process: str, clock: Clock, output: int | None = None) -> None:
         self.process = process
         self.clock = clock
         self.output = sys.stdout.fileno() if output is None else output
+        os.set_blocking(self.output, False)
         self.dropped = 0
+        self.all_dropped = 0
         self.counts: dict[str, int] = {}
+        self.on_note: Callable[[str, dict[str, Any]], None] | None = None
         self._second = -1
         self._lines = 0
         eliot.add_destinations(self._write)
@@ -47,13 +57,15 @@
             fields: Inputs with their age or version, and the outcome.
         """
         self.counts[event] = self.counts.get(event, 0) + 1
+        if self.on_note is not None:
+            self.on_note(event, fields)
         now_ms = self.clock.now_ms()
         second = now_ms // MS_PER_S
         if second != self._second:
             self._second, self._lines = second, 0
         self._lines += 1
         if self._lines > MAX_LINES_PER_S:
-            self.dropped += 1
+            self._drop()
             return
         if self.dropped:
             fields["dropped_lines"], self.dropped = self.dropped, 0
@@ -66,5 +78,10 @@
         line.pop("task_level", None)
         try:
             os.write(self.output, orjson.dumps(line, default=str) + b"\n")
-        except (BlockingIOError, OSError):
-            self.dropped += 1
+        except OSError:
+            # A full pipe must not hold the process up.
+            self._drop()
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self.all_dropped += 1
--- /dev/null
+++ b/catkincross/daemons/_metrics.py
@@ -0,0 +1,78 @@
+"""Counters and latency histograms of a daemon, in the text format of Prometheus."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, Metric
+from starlette.responses import Response
+
+from ._log import DecisionLog
+
+# Port and path that `deploy/system.toml` names as the metrics address.
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+# Bounds of the buckets in milliseconds: from a start on an idle worker (5 ms) to the
+# longest wait of a client account (10 s).
+BUCKETS_MS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
+# Durations that are observed, by event and field of its log line.
+DURATIONS = {
+    ("job ended", "total_ms"): "job_total",
+    ("run sent", "waited_ms"): "run_wait",
+    ("run ended", "run_ms"): "run",
+    ("answered", "took_ms"): "answer",
+}
+
+
+class Metrics:
+    """Metrics of one process, taken from its log.
+
+    Args:
+        log: The log; lines that it drops are counted as well.
+    """
+
+    def __init__(self, log: DecisionLog) -> None:
+        self.log = log
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+        self.histograms = {
+            key: Histogram(
+                f"catkincross_{name}_ms",
+                f"Field {key[1]} of '{key[0]}' in milliseconds.",
+                buckets=BUCKETS_MS,
+                registry=self.registry,
+            )
+            for key, name in DURATIONS.items()
+        }
+        log.on_note = self.observe
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the count of each event since the start of the process."""
+        events = CounterMetricFamily(
+            "catkincross_events", "Events since the start.", labels=["event"]
+        )
+        for event, count in self.log.counts.items():
+            events.add_metric([event], count)
+        yield events
+        dropped = CounterMetricFamily(
+            "catkincross_dropped_lines", "Log lines that were not written."
+        )
+        dropped.add_metric([], self.log.all_dropped)
+        yield dropped
+
+    def observe(self, event: str, fields: dict[str, Any]) -> None:
+        """Take the durations in an event."""
+        for (name, field), histogram in self.histograms.items():
+            if name == event and field in fields:
+                histogram.observe(fields[field])
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer a request for the metrics."""
+        if scope["type"] != "http":
+            return
+        found = scope["path"] == METRICS_PATH
+        body = generate_latest(self.registry) if found else b""
+        response = Response(body, 200 if found else 404, media_type="text/plain")
+        await response(scope, receive, send)
--- a/catkincross/daemons/_run.py
+++ b/catkincross/daemons/_run.py
@@ -6,10 +6,12 @@
 import sys
 from typing import Any
 
+from .._http_server import HttpServer
 from .._main import run_daemon
 from ..clock import SystemClock
 from ..platform import load_node_settings
 from ._log import DecisionLog
+from ._metrics import METRICS_PORT, Metrics
 
 EXIT_BAD_SETTINGS = 2
 
@@ -27,6 +29,7 @@
     async def serve() -> None:
         daemon = daemon_class(settings, clock, log)
         await daemon.start()
+        HttpServer(Metrics(log), f"{settings.ip}:{METRICS_PORT}").start()
         await run_daemon(daemon)
 
     asyncio.run(serve())
--- a/catkincross/platform/_front.py
+++ b/catkincross/platform/_front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import time
 from typing import Any, Protocol
 
 import orjson
@@ -41,7 +42,9 @@
     def pending(self, queue: str) -> int:
         """Return the accepted jobs of a queue of which no task has started."""
 
-    def answered(self, verb: str, job_id: str, status: int, detail: str) -> None:
+    def answered(
+        self, verb: str, job_id: str, status: int, detail: str, *, took_ms: int
+    ) -> None:
         """Note the answer to a request."""
 
 
@@ -80,12 +83,14 @@
         if queue is None:
             return _json({"error": "no such queue"}, 404)
         job_id = read_route(path, queue.path_prefix)
+        began_s = time.monotonic()
         response = await self._answer_queue(request, queue, job_id)
         self.dispatcher.answered(
             request.method,
             job_id,
             response.status_code,
             response.headers.get("x-reason", ""),
+            took_ms=int((time.monotonic() - began_s) * MS_PER_S),
         )
         return response
 
