Run both daemons over loopback against stand-ins of the published protocol

Stored and volatile jobs, steps, cancels, bad input, heartbeats of other writers, the bounded log and the metrics; a test keeps the platform's names in its folder.

--- /dev/null
+++ b/standins/platform_http.py
@@ -0,0 +1,201 @@
+"""The platform's store and worker behind their published HTTP protocol.
+
+The rules are in `platform_store` and `platform_worker`; here are paths, bodies and
+status codes. Only what the product calls is served.
+"""
+
+from __future__ import annotations
+
+import base64
+import time
+from typing import Any
+
+import orjson
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from catkincross.owner import AppendOutcome
+from catkincross.workers import CallStart, CallStop, HoldCall, StartOutcome
+
+from .platform_store import PlatformStore
+from .platform_worker import PlatformWorker
+
+PARTS = 16
+APPEND_ANSWERS = {
+    AppendOutcome.DONE: (200, {}),
+    AppendOutcome.BUSY: (503, {}),
+    AppendOutcome.FENCED: (409, {"reason": "fenced"}),
+}
+START_REASONS = {
+    StartOutcome.FENCED: "fence",
+    StartOutcome.OLD: "old",
+    StartOutcome.LATE: "late",
+    StartOutcome.NO_ROOM: "room",
+}
+
+
+def now_ms() -> int:
+    """Return the stand-in's steady clock in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+def answer(content: Any, status: int = 200) -> Response:
+    """Return a JSON answer."""
+    return Response(orjson.dumps(content), status, media_type="application/json")
+
+
+class StoreHttp:
+    """The store.
+
+    Attributes:
+        store: Partitions of the topic of jobs.
+        declared: Records of the operators: keys and values, oldest first.
+        members: Members of the group of owners, in the order of joining.
+    """
+
+    def __init__(self) -> None:
+        self.store = PlatformStore()
+        self.declared: list[tuple[str, bytes]] = []
+        self.members: list[str] = []
+        self.generation = 0
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        routes = [
+            Route("/log-append", self.append, methods=["POST"]),
+            Route("/log-read", self.read),
+            Route("/log-newest", self.newest),
+            Route("/log-join", self.join, methods=["POST"]),
+            Route("/log-leave", self.leave, methods=["POST"]),
+            Route("/log-owners", self.owners),
+        ]
+        return Starlette(routes=routes)
+
+    async def append(self, request: Request) -> Response:
+        """Append records of a producer."""
+        query = request.query_params
+        body = await request.body()
+        records = []
+        while body:
+            length = int.from_bytes(body[:4], "big")
+            records.append(body[4 : 4 + length])
+            body = body[4 + length :]
+        part, epoch = int(query["part"]), int(query["epoch"])
+        outcome = self.store.append(part, epoch, int(query["seq"]), tuple(records))
+        status, fields = APPEND_ANSWERS[outcome]
+        return answer(fields, status)
+
+    async def read(self, request: Request) -> Response:
+        """Return records from an offset; waits are cut to nothing."""
+        query = request.query_params
+        if query["topic"] == "keyed.op":
+            records = [
+                bytes([len(key)]) + key.encode() + value for key, value in self.declared
+            ]
+        else:
+            records = self.store.read(int(query["part"]))
+        head = len(records).to_bytes(8, "big") + (0).to_bytes(8, "big")
+        found = records[int(query["from"]) :]
+        body = b"".join(len(r).to_bytes(4, "big") + r for r in found)
+        return Response(head + body, media_type="application/octet-stream")
+
+    async def newest(self, request: Request) -> Response:
+        """Return the newest record of each key."""
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": place}
+            for place, (key, value) in enumerate(self.declared)
+        ]
+        end = len(self.declared)
+        return answer({"items": items, "truncated": False, "end": end})
+
+    async def join(self, request: Request) -> Response:
+        """Join the group, or stay in it."""
+        member = (await request.json())["member"]
+        if member not in self.members:
+            self.members.append(member)
+            self.generation += 1
+        parts = [["jobs", part, 0] for part in self._parts(member)]
+        return answer({"generation": self.generation, "ttl_ms": 1_000, "parts": parts})
+
+    async def leave(self, request: Request) -> Response:
+        """Leave the group."""
+        member = (await request.json())["member"]
+        if member in self.members:
+            self.members.remove(member)
+            self.generation += 1
+        return answer({})
+
+    async def owners(self, request: Request) -> Response:
+        """Return the member that has each partition."""
+        rows = [
+            ["jobs", part, member, 0]
+            for member in self.members
+            for part in self._parts(member)
+        ]
+        return answer({"owners": rows})
+
+    def _parts(self, member: str) -> range:
+        return range(self.members.index(member), PARTS, len(self.members))
+
+
+class WorkerHttp:
+    """One worker."""
+
+    def __init__(self, worker: PlatformWorker) -> None:
+        self.worker = worker
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        routes = [
+            Route("/run-start", self.start, methods=["POST"]),
+            Route("/run-stop", self.stop, methods=["POST"]),
+            Route("/hold", self.hold, methods=["POST"]),
+        ]
+        return Starlette(routes=routes)
+
+    async def start(self, request: Request) -> Response:
+        """Start a run."""
+        body = await request.json()
+        order = CallStart(
+            body["task"],
+            body["run_id"],
+            body["spec"],
+            body.get("checkpoint", ""),
+            body["until_ms"],
+            body["fencing_token"],
+        )
+        outcome = self.worker.start(now_ms(), order)
+        fields: dict[str, Any] = {"clock_ms": now_ms(), "born": self.worker.born}
+        if outcome is StartOutcome.STARTED:
+            return answer(fields)
+        return answer({**fields, "reason": START_REASONS[outcome]}, 409)
+
+    async def stop(self, request: Request) -> Response:
+        """Stop a run."""
+        body = await request.json()
+        order = CallStop(body["task"], body["run_id"], body["fencing_token"])
+        self.worker.stop(now_ms(), order)
+        return answer({"clock_ms": now_ms(), "born": self.worker.born})
+
+    async def hold(self, request: Request) -> Response:
+        """Renew the lease and return both lists."""
+        body = await request.json()
+        call = HoldCall(
+            self.worker.worker,
+            body["fencing_token"],
+            body["ack_cursor"],
+            body.get("until_ms"),
+            0,
+        )
+        view = self.worker.hold(now_ms(), call)
+        if view is None:
+            return answer({"clock_ms": now_ms(), "reason": "fence"}, 409)
+        running = [[r.task, r.run, r.checkpoint, r.percent] for r in view.running]
+        finished = [
+            [end.number, end.task, end.run, end.how, end.checkpoint]
+            for end in view.finished
+        ]
+        fields = {"clock_ms": view.clock_ms, "born": view.born}
+        return answer({**fields, "running": running, "finished": finished})
--- /dev/null
+++ b/tests/test_platform_daemons.py
@@ -0,0 +1,329 @@
+"""Guards against daemons and translation that differ from the published protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import orjson
+import pytest
+
+from catkincross._http_server import HttpServer
+from catkincross.clock import SystemClock
+from catkincross.daemons._agent import AgentDaemon
+from catkincross.daemons._entry import EntryDaemon
+from catkincross.daemons._log import DecisionLog
+from catkincross.daemons._metrics import Metrics
+from catkincross.jobs import QueuePolicy
+from catkincross.platform import (
+    BadJob,
+    NodeSettings,
+    load_node_settings,
+    read_heartbeat,
+    read_job,
+)
+from standins.platform_http import StoreHttp, WorkerHttp
+from standins.platform_worker import PlatformWorker
+
+LIMIT_S = 20.0
+JOB = "5c0e7a21d94b36f8"
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "nony24.example",
+            "path_prefix": "/lohu930/",
+            "timeout_ms": 1500,
+            "slo_ms": 60,
+            "priority": 0,
+            "service": "huvo11a",
+            "max_attempts": 2,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [{"name": "huvo11a", "rejects_overload": False, "standby": False}],
+    "limits": {"max_body_bytes": 262_144},
+}
+HEARTBEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "perth",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482_113,
+    "seq": 4,
+    "born": 1,
+}
+STEPS = [
+    {"count": 4, "cpu": 500, "mem_mb": 256, "estimate_ms": 50},
+    {"count": 2, "cpu": 2_000, "mem_mb": 1_024, "estimate_ms": 50, "after": [0]},
+]
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def settings_for(name: str, **addresses: str) -> NodeSettings:
+    fields: dict[str, Any] = {
+        "front": "",
+        "ready": "",
+        "control": "",
+        "worker": "",
+        "store": "",
+    }
+    return NodeSettings(
+        name=name,
+        ip="127.0.0.1",
+        data_centre="perth",
+        first_port=free_port(),
+        shards=16,
+        keep_ms=300_000,
+        member_ttl_ms=1_000,
+        lease_ms=1_000,
+        status_ms=120_000,
+        grace_ms=6_000,
+        remote_factor=1.5,
+        **(fields | addresses),
+    )
+
+
+class Client:
+    """Requests of a client account at one entry."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self.session = session
+        self.address = address
+
+    async def ask(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        headers = {"Host": "nony24.example", "X-Catkincross-Deadline-Ms": "5000"}
+        data = body if isinstance(body, bytes) else orjson.dumps(body)
+        url = f"http://{self.address}{path}"
+        async with self.session.request(
+            method, url, headers=headers, data=data
+        ) as response:
+            return response.status, orjson.loads(await response.read() or b"null")
+
+    async def until(self, path: str, state: str) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while (await self.ask("GET", path))[1] != {"state": state}:
+                await asyncio.sleep(0.02)
+
+
+Work = Callable[[Client, Client, PlatformWorker], Awaitable[None]]
+
+
+async def play(work: Work) -> None:
+    """Run two entries, one agent and the stand-ins over loopback."""
+    store = StoreHttp()
+    store.declared.append(("config", orjson.dumps(CONFIG)))
+    store_server = HttpServer(store.app(), "127.0.0.1:0")
+    worker = PlatformWorker(run_ms=40)
+    worker_server = HttpServer(WorkerHttp(worker).app(), "127.0.0.1:0")
+    clock = SystemClock()
+    entries = []
+    sink = os.open(os.devnull, os.O_WRONLY)
+    for name in ("e1", "e2"):
+        settings = settings_for(
+            name,
+            store=store_server.address,
+            front=f"127.0.0.1:{free_port()}",
+            ready=f"127.0.0.1:{free_port()}",
+        )
+        entries.append(EntryDaemon(settings, clock, DecisionLog(name, clock, sink)))
+    agent_settings = settings_for(
+        "u1",
+        store=store_server.address,
+        control=f"127.0.0.1:{free_port()}",
+        worker=worker_server.address,
+    )
+    agent = AgentDaemon(agent_settings, clock, DecisionLog("u1", clock, sink))
+    store_server.start()
+    worker_server.start()
+    for daemon in (*entries, agent):
+        await daemon.start()
+    async with aiohttp.ClientSession() as session:
+        clients = [Client(session, entry.settings.front) for entry in entries]
+        control = Client(session, agent_settings.control)
+        async with asyncio.timeout(LIMIT_S):
+            for entry in entries:
+                while not entry.ready:
+                    await asyncio.sleep(0.02)
+            status, _ = await control.ask("PUT", "/instances/w-1", HEARTBEAT)
+            assert status == 200
+            await work(clients[0], clients[1], worker)
+    for server in (store_server, worker_server):
+        await server.stop(0.1)
+    for entry in entries:
+        await entry.front.stop(0.1)
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for daemon in (*entries, agent):
+        await daemon.store.close()
+    await agent.worker.close()
+
+
+def test_a_stored_job_runs_and_every_entry_knows_it() -> None:
+    """A job handed in at one entry must be answered by all, whoever owns it."""
+
+    async def work(one: Client, two: Client, worker: PlatformWorker) -> None:
+        for number in range(8):
+            path = f"/lohu930/{number:016x}"
+            assert (await one.ask("POST", path, {"spec": "x", "steps": STEPS}))[
+                0
+            ] == 200
+            await two.until(path, "completed")
+        started = [row for row in worker.log if row[1] == "start"]
+        assert len(started) == len({row[2] for row in started}) == 48
+        assert (await one.ask("GET", "/lohu930/ffffffffffffffff"))[0] == 410
+        assert await one.ask("GET", "/lohu930/") == (200, {"pending": 0})
+
+    asyncio.run(play(work))
+
+
+def test_steps_run_in_order() -> None:
+    """No task may start before all tasks of the steps before are done."""
+
+    async def work(one: Client, two: Client, worker: PlatformWorker) -> None:
+        await one.ask("POST", f"/lohu930/{JOB}", {"spec": "x", "steps": STEPS})
+        await one.until(f"/lohu930/{JOB}", "completed")
+        first_done = [row for row in worker.log if row[1] == "done"][:4]
+        assert all(row[2].split(".")[2] == "0" for row in first_done)
+        later = [row[0] for row in worker.log if row[2].split(".")[2] == "1"]
+        assert min(later) >= max(row[0] for row in first_done)
+
+    asyncio.run(play(work))
+
+
+def test_a_cancel_stops_a_job() -> None:
+    """A cancelled job must end for good at every entry."""
+
+    async def work(one: Client, two: Client, worker: PlatformWorker) -> None:
+        worker.run_ms = 10_000
+        path = f"/lohu930/{JOB}"
+        await one.ask("POST", path, {"spec": "x", "steps": STEPS})
+        await two.until(path, "running")
+        assert (await two.ask("DELETE", path))[0] == 200
+        await one.until(path, "cancelled")
+        assert (await one.ask("DELETE", "/lohu930/0123456789abcdef"))[0] == 410
+
+    asyncio.run(play(work))
+
+
+def test_a_volatile_job_is_answered_with_its_end() -> None:
+    """The answer to a job that is not stored must be its end."""
+
+    async def work(one: Client, two: Client, worker: PlatformWorker) -> None:
+        body = {"spec": "x", "steps": STEPS, "best_effort": True}
+        found = await one.ask("POST", f"/lohu930/{JOB}", body)
+        assert found == (200, {"state": "completed"})
+
+    asyncio.run(play(work))
+
+
+def test_bad_requests_get_a_clear_answer() -> None:
+    """Bad input must be named, and must not harm what others hand in."""
+
+    async def work(one: Client, two: Client, worker: PlatformWorker) -> None:
+        path = f"/lohu930/{JOB}"
+        assert (await one.ask("POST", path, b"{not json"))[0] == 400
+        assert (await one.ask("POST", path, {"steps": "no"}))[0] == 400
+        assert (await one.ask("POST", path, b"x" * 300_000))[0] == 413
+        assert (await one.ask("POST", "/unknown/1", {}))[0] == 404
+        assert (await one.ask("GET", "/readiness"))[0] == 200
+        job = {"spec": "x", "steps": STEPS, "best_effort": True}
+        assert (await one.ask("POST", path, job))[0] == 200
+
+    asyncio.run(play(work))
+
+
+POLICY = QueuePolicy("q", "s")
+
+
+@pytest.mark.parametrize(
+    ("steps", "field"),
+    [
+        ([{"count": 0}], "steps.0.count"),
+        ([{"count": "4"}], "steps.0.count"),
+        ([{"count": 1, "cpu": -1}], "steps.0.cpu"),
+        ([{"count": 1, "after": [0]}], "steps.0.after"),
+        ([{"count": 1, "requires": 4}], "steps.0.requires"),
+        (["x"], "steps.0"),
+        ([], "steps"),
+    ],
+)
+def test_a_wrong_field_of_a_job_is_named(steps: list[Any], field: str) -> None:
+    """A caller must learn which field is wrong."""
+    found = read_job(JOB, orjson.dumps({"spec": "x", "steps": steps}), POLICY)
+    assert isinstance(found, BadJob)
+    assert found.text.startswith(field)
+    assert not found.unsupported
+
+
+def test_a_field_that_cannot_be_kept_is_not_ignored() -> None:
+    """A job whose promise cannot be kept must be rejected, not run without it."""
+    body = orjson.dumps({"spec": "x", "steps": [{"count": 2, "gang": True}]})
+    found = read_job(JOB, body, POLICY)
+    assert isinstance(found, BadJob)
+    assert found.unsupported
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"state": "odd"}, {"seq": "4"}, {"capacity": None}, {"labels": [1]}],
+)
+def test_a_heartbeat_of_another_writer_names_no_worker(change: dict[str, Any]) -> None:
+    """Fields of another type must not reach the decisions."""
+    assert read_heartbeat("w", orjson.dumps(HEARTBEAT | change)) is None
+    assert read_heartbeat("w", b"\xff") is None
+    assert read_heartbeat("w", orjson.dumps(HEARTBEAT)) is not None
+
+
+def test_wrong_settings_are_named(tmp_path: Path) -> None:
+    """A process must say which field of its settings is missing."""
+    path = tmp_path / "node.toml"
+    path.write_text('node_id = "x"\n[bounds]\n[platform]\n')
+    with pytest.raises(ValueError, match="field missing"):
+        load_node_settings(str(path))
+
+
+def test_the_log_never_blocks_and_counts_what_it_drops() -> None:
+    """A pipe that nobody reads must not hold the process up."""
+    reading, writing = os.pipe()
+    log = DecisionLog("x", SystemClock(), writing)
+    metrics = Metrics(log)
+    for number in range(700):
+        log.note("run ended", run_ms=number, text="x" * 500)
+    os.close(reading)
+    assert log.all_dropped > 0
+    assert log.counts["run ended"] == 700
+    counts = {m.name: m for m in metrics.collect()}
+    assert counts["catkincross_dropped_lines"].samples[0].value == log.all_dropped
+
+
+def test_names_of_the_platform_stay_in_its_folder() -> None:
+    """Code outside the folder must not depend on the platform's wording."""
+    names = ("fencing_token", "ack_cursor", "best_effort", "run_id", "minion", "tenant")
+    root = Path(__file__).resolve().parent.parent / "catkincross"
+    found = [
+        f"{path.name}: {name}"
+        for path in root.rglob("*.py")
+        if "platform" not in path.parent.name
+        for name in names
+        if name in path.read_text(encoding="utf-8")
+    ]
+    assert found == []
