--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -93,7 +93,7 @@
         accepted_ms: Time of day of the acceptance.
         epoch: Epoch of the shard at the acceptance.
         tasks: Tasks by step.
-        started: Whether a run of any task was sent.
+        sent_runs: Runs that were sent, less those that have certainly not started.
         state_end: Final state, or None while it is open.
         ended_ms: Time on the owner's clock at which it ended.
         left: Tasks not done, by step.
@@ -106,7 +106,7 @@
     accepted_ms: int
     epoch: int
     tasks: list[list[Task]] = attrs.field(factory=list)
-    started: bool = False
+    sent_runs: int = 0
     state_end: JobState | None = None
     ended_ms: int = 0
     left: list[int] = attrs.field(factory=list)
@@ -126,6 +126,11 @@
             job.finish(JobState.CANCELLED, now_ms)
         return job
 
+    @property
+    def started(self) -> bool:
+        """Whether a run of any task has started, or may have."""
+        return self.sent_runs > 0
+
     @property
     def state(self) -> JobState:
         """State as the client account sees it."""
@@ -162,7 +167,7 @@
         task = self.task(end.step, end.index)
         if task is None or task.state is TaskState.DONE:
             return None
-        self.started = True
+        self.sent_runs = max(self.sent_runs, 1)
         task.run = max(task.run, end.run)
         task.checkpoint = end.checkpoint or task.checkpoint
         if end.how == "done":
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -156,6 +156,7 @@
         # The worker has ended a run of this or a higher number for another entry.
         task.run *= 2
     state.health.unanswered(row.name)
+    task.job.sent_runs -= 1
     state.note(
         "run not started",
         task=content.task,
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -191,7 +191,7 @@
         task.progress_ms = self.now_ms
         task.percent = 0
         task.stopping = False
-        task.job.started = True
+        task.job.sent_runs += 1
         row.assigned.add(task)
 
 
--- a/tests/test_platform_dispatch.py
+++ b/tests/test_platform_dispatch.py
@@ -64,7 +64,7 @@
     queue = WaitingQueue()
     estimates = Estimates()
     begun = make_job(1, 0, count=2)
-    begun.started = True
+    begun.sent_runs = 1
     queue.add(begun.tasks[0][1], estimates, 0)
     queue.add(next(make_job(2, 900).all_tasks()), estimates, 900)
     queue.put_late_behind(1_000)
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -438,3 +438,17 @@
     model.register("u0")
     model.run(2_000)
     assert model.machines["u0"].finished == []
+
+
+def test_a_job_of_which_every_order_was_refused_has_not_run() -> None:
+    """An order that a full worker refuses must not make "not run" false."""
+    model = ready_model(entries=2, agents=1)
+    model.machines["u0"].run_ms = 3_000
+    first = job("0" * 16, volatile=True, estimate_ms=1_000)
+    second = job(JOB, volatile=True, estimate_ms=1_000)
+    model.submit("first", first, "e0", limit_ms=9_000)
+    model.submit("second", second, "e1", limit_ms=800)
+    model.run(790)
+    assert any(row[2] == "run not started" for row in model.notes)
+    assert model.count("start", JOB) == 0
+    assert model.answers["second"].outcome == "rejected"
