--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -51,6 +51,8 @@
         percent: Progress that was last reported, 0 to 100.
         progress_ms: When the progress last grew.
         stopping: Whether a stop was sent for the run.
+        order: Number of the order on the agent's link; 0 if it was sent on an earlier
+            link.
     """
 
     job: Job
@@ -66,6 +68,7 @@
     percent: int = 0
     progress_ms: int = 0
     stopping: bool = False
+    order: int = 0
 
     @property
     def name(self) -> str:
--- a/catkincross/owner/_fleet.py
+++ b/catkincross/owner/_fleet.py
@@ -48,6 +48,8 @@
         self.orders = 0
         self.open_orders.clear()
         self.reported.clear()
+        for task in self.assigned:
+            task.order = 0
 
     def link_closed(self) -> None:
         """Note that the link has ended."""
--- a/catkincross/owner/_placing.py
+++ b/catkincross/owner/_placing.py
@@ -155,8 +155,9 @@
     needs = task.needs
     room.take(needs)
     state.health.sent(row.name)
+    task.order = row.order(needs)
     start = Start(
-        row.order(needs),
+        task.order,
         shard.number,
         shard.epoch,
         task.name,
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -198,6 +198,9 @@
         if state.shard_for(task.job.spec.id) is not shard:
             continue
         key = (task.name, task.run)
+        if task.order > content.done_order:
+            # The order was on its way as the agent wrote the report.
+            continue
         if key not in held and key not in shard.ending:
             state.note("run is not on its worker", task=key[0], run=key[1])
             state.release(task)
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -191,6 +191,7 @@
         task.progress_ms = self.now_ms
         task.percent = 0
         task.stopping = False
+        task.order = 0
         task.job.sent_runs += 1
         row.assigned.add(task)
 
--- a/catkincross/peers/_messages.py
+++ b/catkincross/peers/_messages.py
@@ -142,6 +142,8 @@
         running: Runs that the worker has.
         ended: Ends that are not in the log yet.
         born: Start of the worker's life.
+        done_order: Number of the last order of this entry that is counted here; runs
+            of later ones are not part of the report.
     """
 
     shard: int
@@ -149,6 +151,7 @@
     running: list[RunningTask]
     ended: list[EndedRun]
     born: int
+    done_order: int
 
 
 @message
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -81,7 +81,8 @@
         if _belongs(run, shard, row)
     ]
     ended = [end for end in state.ends.values() if state.shard(end.task) == shard]
-    state.tell(row.name, Report(shard, epoch, running, ended, state.born))
+    content = Report(shard, epoch, running, ended, state.born, row.done_order)
+    state.tell(row.name, content)
 
 
 def _belongs(run: Run, shard: int, row: EntryRow) -> bool:
