Claim shards anew after a gap in membership, and keep runs of a reborn worker

All shards are dropped and claimed anew if the group changed during a gap in joins; 410 is answered only while no other entry can own the shard.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -75,6 +75,7 @@
         self.member = member_name(settings.name, self.address, self.incarnation)
         limits = OwnerLimits(
             shards=settings.shards,
+            member_ttl_ms=settings.member_ttl_ms,
             status_ms=settings.status_ms,
             keep_ms=settings.keep_ms,
             remote_factor=settings.remote_factor,
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -10,7 +10,12 @@
 from . import _placing as _placing, _upkeep as _upkeep
 from ._effects import AppendOutcome, Effect
 from ._fleet import AgentRow
-from ._recovery import assign_shards, drop_shard, shard_read
+from ._recovery import (
+    assign_shards,
+    check_membership,
+    drop_shard,
+    shard_read,
+)
 from ._requests import cancel, job_state, submit
 from ._shard import ShardPhase, VolatileShard
 from ._state import AGENT_HANDLERS, OWNER_SYSTEMS, OwnerLimits, OwnerState
@@ -118,6 +123,7 @@
         self.state.now_ms = now_ms
         self.contact(sent_ms)
         self.state.owners = owners
+        check_membership(self.state, sent_ms, generation)
         assign_shards(self.state, shards, generation)
 
     def contact(self, sent_ms: int) -> None:
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -24,6 +24,21 @@
             claim_shard(state, number, generation)
 
 
+def check_membership(state: OwnerState, sent_ms: int, generation: int) -> None:
+    """Drop all shards if the group may have given them to others meanwhile.
+
+    That is so after a gap between two joins in which the membership lapses: another
+    entry may have owned a shard that is listed here again.
+    """
+    gap_ms = sent_ms - state.joined_ms
+    lapsed = gap_ms >= state.limits.member_ttl_ms
+    if lapsed and generation != state.generation:
+        for number in list(state.shards):
+            drop_shard(state, number, "membership lapsed")
+    state.joined_ms = sent_ms
+    state.generation = generation
+
+
 def claim_shard(state: OwnerState, number: int, epoch: int) -> None:
     """Begin to own a shard."""
     state.shards[number] = Shard(number, epoch)
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -161,7 +161,9 @@
         reply(state, request, "state", JobState.QUEUED)
         return
     job = shard.jobs.get(job_id)
-    if job is None:
+    if job is None and not state.is_member:
+        reply(state, request, "moved", "membership")
+    elif job is None:
         reply(state, request, "gone")
         state.note("job asked for is not known", job=job_id, shard=shard.number)
     else:
@@ -182,8 +184,8 @@
         return
     job = shard.jobs.get(job_id)
     if job is None:
-        outcome = "unknown" if job_id in shard.accepting else "gone"
-        reply(state, request, outcome)
+        known = job_id not in shard.accepting and state.is_member
+        reply(state, request, "gone" if known else "unknown")
         return
     if job.state_end is not None:
         reply(state, request, "cancelled", job.state_end)
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -26,6 +26,7 @@
             cannot ask.
         silence_ms: How long an agent keeps tasks of an owner that is silent.
         volatile_silence_ms: The same for the volatile jobs of an entry.
+        member_ttl_ms: Time after which the group drops a silent member.
         lapse_ms: Longest time from the end of a lease until the worker has ended its
             tasks.
         status_ms: How long an ended job may be asked for.
@@ -43,6 +44,7 @@
     # Client accounts send a volatile job again 1,300 ms after a broken answer; its
     # runs of the lost entry have to be gone by then.
     volatile_silence_ms: int = 800
+    member_ttl_ms: int = 1_000
     # Lease of the worker (1,000 ms, with a clock that is 2 % slow), a stop of 50 ms,
     # and 300 ms in which the agent waits for stops to be carried out.
     lapse_ms: int = 1_450
@@ -62,6 +64,8 @@
         now_ms: Time of the step that runs.
         store_contact_ms: When the last successful call to the store was sent.
         owners: Number of entries that own shards.
+        joined_ms: When the last successful join was sent.
+        generation: Generation of the group at that join.
         started_ms: When the first event came.
         put_late_behind: Whether late jobs give way to those that can be in time.
         next_place_ms: When waiting tasks are tried again if no room grows.
@@ -83,6 +87,8 @@
     estimates: Estimates = attrs.field(factory=Estimates)
     health: AgentHealth = attrs.field(factory=AgentHealth)
     effects: list[Effect] = attrs.field(factory=list)
+    joined_ms: int = -1_000_000
+    generation: int = 0
     next_upkeep_ms: int = 0
     next_check_ms: int = 0
     started_ms: int | None = None
@@ -97,6 +103,11 @@
         """Whether tasks may be started and requests answered."""
         return self.now_ms < self.store_contact_ms + self.limits.authority_ms
 
+    @property
+    def is_member(self) -> bool:
+        """Whether no other entry can own a shard of this one yet."""
+        return self.now_ms < self.joined_ms + self.limits.member_ttl_ms
+
     def note(self, event: str, **fields: Any) -> None:
         """Write a log line."""
         self.effects.append(Note(event, fields))
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -50,6 +50,11 @@
     """Forget all that an earlier life of the worker had."""
     for run in list(state.runs.values()):
         _end(state, run, EndedRun(0, run.task, run.number, "lost"))
+    number_ends_anew(state, born)
+
+
+def number_ends_anew(state: WorkerState, born: int) -> None:
+    """Begin the numbers of ends of another life."""
     state.ends.clear()
     state.ack = state.newest_end = 0
     state.born = born
@@ -70,7 +75,8 @@
     if view.born != state.born:
         if not first:
             state.note("worker has begun another life", born=view.born)
-        new_life(state, view.born)
+        # Runs that were ordered since are in the new lists; others are absent there.
+        number_ends_anew(state, view.born)
     # The answer is never older than the call, so the worker's clock is not behind.
     state.clock_offset_ms = view.clock_ms - state.now_ms
     for ended in view.finished:
