--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -12,7 +12,7 @@
     6: "the same, with two workers",
     9: "an order that crossed a repeated report was taken for absent",
     13: "a start after a crash, as in seed 5",
-    17: "an entry that was cut from the store kept a shard that another had owned since",
+    17: "an entry cut from the store kept a shard that another had owned since",
     23: "as seed 17",
 }
 SEEDS = sorted({*FAILED_SEEDS, *range(100, 124)})
