Reject a late job at once that the backlog will not let start in time

Failing first: five jobs of 400 ms on a worker that takes 2,000 ms; none was answered within 600 ms. Also shares the stepping of both daemons, and splits the tests of volatile jobs off.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -27,6 +27,7 @@
     WorkerCore,
     WorkerLimits,
 )
+from ._core_loop import CoreLoop
 from ._log import DecisionLog
 from ._members import Owners
 
@@ -71,8 +72,7 @@
         self.connecting: set[str] = set()
         self.leaving = False
         self.stopped = asyncio.Event()
-        self._step_due = False
-        self._timer: asyncio.TimerHandle | None = None
+        self.loop = CoreLoop(self.core, clock, self._carry_out)
 
     async def start(self) -> None:
         """Begin to serve."""
@@ -83,7 +83,7 @@
         spawn(self._keep_links())
         spawn(self._follow_owners())
         spawn(self._hold_forever())
-        self._wake()
+        self.loop.wake()
 
     async def run(self) -> None:
         """Serve until the process may end."""
@@ -96,7 +96,7 @@
         self.log.note("stop", runs=len(self.core.state.runs))
         self.leaving = True
         self.core.leave(self.clock.now_ms())
-        self._wake()
+        self.loop.wake()
         limit_ms = self.settings.grace_ms - EXIT_RESERVE_S * MS_PER_S
         end_ms = self.clock.now_ms() + limit_ms
         while self.core.busy and self.clock.now_ms() < end_ms:
@@ -109,11 +109,11 @@
 
     def _heartbeat(self, content: Registration) -> None:
         if self.core.registered(self.clock.now_ms(), content):
-            self._wake()
+            self.loop.wake()
 
     def _left(self, worker: str) -> None:
         self.core.left(self.clock.now_ms(), worker)
-        self._wake()
+        self.loop.wake()
 
     def _bad_heartbeat(self, worker: str) -> None:
         self.log.note("heartbeat not read", worker=worker)
@@ -131,7 +131,7 @@
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
             self.core.held(self.clock.now_ms(), sent_ms, call, view)
-            self._wake()
+            self.loop.wake()
             # Ends that are not logged yet are listed again at once.
             await asyncio.sleep(HOLD_PAUSE_S)
 
@@ -141,7 +141,7 @@
             return
         outcome = await self.worker.start(worker.worker, order)
         self.core.start_answered(self.clock.now_ms(), order.task, order.run, outcome)
-        self._wake()
+        self.loop.wake()
 
     async def _stop_run(self, order: CallStop) -> None:
         worker = self.core.state.registration
@@ -187,14 +187,14 @@
         link.send(Greeting("agent", self.settings.name, self.incarnation))
         self.core.entry_connected(self.clock.now_ms(), address)
         self.log.note("entry connected", entry=address)
-        self._wake()
+        self.loop.wake()
 
     def _on_message(self, link: Link, content: Any) -> None:
         if isinstance(content, Members):
             self.owners.take_addresses(content.addresses)
             return
         self.core.entry_said(self.clock.now_ms(), link.peer, content)
-        self._wake()
+        self.loop.wake()
 
     def _on_close(self, link: Link) -> None:
         if self.links.get(link.peer) is link:
@@ -202,29 +202,17 @@
             self.core.entry_lost(self.clock.now_ms(), link.peer)
             self.log.note("entry lost", entry=link.peer)
 
-    # Steps of the core.
-
-    def _wake(self) -> None:
-        if not self._step_due:
-            self._step_due = True
-            asyncio.get_running_loop().call_soon(self._step)
-
-    def _step(self) -> None:
-        self._step_due = False
-        now_ms = self.clock.now_ms()
-        for effect in self.core.step(now_ms):
-            match effect:
-                case ToEntry(entry, content):
-                    link = self.links.get(entry)
-                    if link is not None:
-                        link.send(content)
-                case CallStart():
-                    spawn(self._start_run(effect))
-                case CallStop():
-                    spawn(self._stop_run(effect))
-                case Note(event, fields):
-                    self.log.note(event, **fields)
-        if self._timer is not None:
-            self._timer.cancel()
-        delay_s = max(self.core.next_due_ms() - now_ms, 1) / MS_PER_S
-        self._timer = asyncio.get_running_loop().call_later(delay_s, self._wake)
+    # What the core asks for.
+
+    def _carry_out(self, effect: Any) -> None:
+        match effect:
+            case ToEntry(entry, content):
+                link = self.links.get(entry)
+                if link is not None:
+                    link.send(content)
+            case CallStart():
+                spawn(self._start_run(effect))
+            case CallStop():
+                spawn(self._stop_run(effect))
+            case Note(event, fields):
+                self.log.note(event, **fields)
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -32,6 +32,7 @@
     StoreClient,
 )
 from ._asking import OwnerRequests
+from ._core_loop import CoreLoop
 from ._log import DecisionLog
 from ._members import Owners, keep_joined, member_name
 from ._store_work import append, claim
@@ -98,8 +99,7 @@
         self.store_answers = True
         self.open_requests = 0
         self.stopped = asyncio.Event()
-        self._step_due = False
-        self._timer: asyncio.TimerHandle | None = None
+        self.loop = CoreLoop(self.core, clock, self._carry_out)
         self._joining: asyncio.Task[None] | None = None
 
     @property
@@ -139,7 +139,7 @@
         spawn(self.requests.keep_links(self.core.pending_counts))
         spawn(self._close_silent())
         spawn(self._tell_news())
-        self._wake()
+        self.loop.wake()
 
     async def run(self) -> None:
         """Serve until the process may end."""
@@ -156,7 +156,7 @@
             self._joining.cancel()
         while self.core.state.shards:
             self.core.leave(self.clock.now_ms())
-            self._wake()
+            self.loop.wake()
             await asyncio.sleep(0.01)
             if self.clock.now_ms() - began_ms > HANDOVER_S * MS_PER_S:
                 break
@@ -182,8 +182,9 @@
         """Hand in a job that this entry keeps, unless another entry has it."""
         end_ms = self.clock.now_ms() + limit_ms
         while True:
-            place = self.elsewhere.place(spec.id, self.clock.now_ms())
-            left_ms = end_ms - self.clock.now_ms()
+            now_ms = self.clock.now_ms()
+            place = self.elsewhere.place(spec.id, now_ms)
+            left_ms = end_ms - now_ms
             if isinstance(place, Here):
                 return await self._run_here(spec, left_ms)
             if isinstance(place, AtEntry):
@@ -202,7 +203,7 @@
         future = asyncio.get_running_loop().create_future()
         now_ms = self.clock.now_ms()
         self.core.submit(now_ms, future, spec, limit_ms=limit_ms)
-        self._wake()
+        self.loop.wake()
         self.open_requests += 1
         try:
             return await future
@@ -210,7 +211,7 @@
             self.open_requests -= 1
             if not future.done() or future.cancelled():
                 self.core.abandon(self.clock.now_ms(), future, spec.id)
-                self._wake()
+                self.loop.wake()
 
     async def job_state(self, job_id: str, limit_ms: int) -> Answer:
         """Ask for a job's state."""
@@ -273,7 +274,7 @@
                 self.core.job_state(now_ms, request, ask.job_id)
             case "cancel":
                 self.core.cancel(now_ms, request, ask.job_id)
-        self._wake()
+        self.loop.wake()
 
     # Links that others open.
 
@@ -289,7 +290,7 @@
             self.elsewhere.take(link.peer, content)
         elif link.peer is not None and self.agents.get(link.peer.name) is link:
             self.core.agent_said(now_ms, link.peer.name, content)
-            self._wake()
+            self.loop.wake()
 
     def _greeted(self, link: Link, greeting: Greeting) -> None:
         link.peer = greeting
@@ -306,7 +307,7 @@
             self.clock.now_ms(), greeting.name, greeting.incarnation
         )
         link.send(Members(self.owners.addresses()))
-        self._wake()
+        self.loop.wake()
 
     def _on_close(self, link: Link) -> None:
         greeting = link.peer
@@ -316,7 +317,7 @@
             return
         del self.agents[greeting.name]
         self.core.agent_lost(self.clock.now_ms(), greeting.name)
-        self._wake()
+        self.loop.wake()
 
     async def _close_silent(self) -> None:
         while True:
@@ -355,7 +356,7 @@
         self.core.assigned(
             self.clock.now_ms(), sent_ms, found.shards, found.generation, owners
         )
-        self._wake()
+        self.loop.wake()
 
     def _join_missed(self) -> None:
         if self.store_answers:
@@ -377,24 +378,9 @@
                     evacuated=sorted(declared.evacuated),
                 )
                 self.core.declare(self.clock.now_ms(), declared)
-                self._wake()
-
-    # Steps of the core.
+                self.loop.wake()
 
-    def _wake(self) -> None:
-        if not self._step_due:
-            self._step_due = True
-            asyncio.get_running_loop().call_soon(self._step)
-
-    def _step(self) -> None:
-        self._step_due = False
-        now_ms = self.clock.now_ms()
-        for effect in self.core.step(now_ms):
-            self._carry_out(effect)
-        if self._timer is not None:
-            self._timer.cancel()
-        delay_s = max(self.core.next_due_ms() - now_ms, 1) / MS_PER_S
-        self._timer = asyncio.get_running_loop().call_later(delay_s, self._wake)
+    # What the core asks for.
 
     def _carry_out(self, effect: Any) -> None:
         match effect:
@@ -416,7 +402,7 @@
 
     async def _then_wake(self, work: Any) -> None:
         await work
-        self._wake()
+        self.loop.wake()
 
     def _reply(self, request: Any, answer: Answer) -> None:
         if isinstance(request, asyncio.Future):
--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -7,7 +7,13 @@
 from ._estimates import Estimates
 from ._health import AgentHealth
 from ._placement import AgentRoom, choose_agent
-from ._waiting import WaitingQueue, hopeless, latest_start_ms, objective_ms
+from ._waiting import (
+    WaitingQueue,
+    chain_ms,
+    hopeless,
+    latest_start_ms,
+    objective_ms,
+)
 
 __all__ = [
     "AgentHealth",
@@ -20,6 +26,7 @@
     "Rejected",
     "WaitingQueue",
     "admit",
+    "chain_ms",
     "choose_agent",
     "hopeless",
     "latest_start_ms",
--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -47,13 +47,18 @@
     return policy.stretch * chain_ms(job, estimates) + policy.slo_ms
 
 
-def latest_start_ms(task: Task, estimates: Estimates, now_ms: int) -> float:
+def latest_start_ms(job: Job, estimates: Estimates) -> float:
+    """Return the latest time at which a job can start and still be in time."""
+    wait_ms = objective_ms(job, estimates) - chain_ms(job, estimates)
+    return job.arrived_ms + wait_ms
+
+
+def waiting_key(task: Task, estimates: Estimates, now_ms: int) -> float:
     """Return the key by which a task waits."""
     job = task.job
-    objective = objective_ms(job, estimates)
-    chain = chain_ms(job, estimates)
-    latest = job.arrived_ms + objective - chain
-    if now_ms > job.arrived_ms + LATE_LIMIT * objective - chain:
+    latest = latest_start_ms(job, estimates)
+    late_ms = LATE_LIMIT * objective_ms(job, estimates) - chain_ms(job, estimates)
+    if now_ms > job.arrived_ms + late_ms:
         return latest + HOPELESS_MS
     return latest
 
@@ -85,7 +90,7 @@
         if task in self._keys:
             return
         self._added += 1
-        key = latest_start_ms(task, estimates, now_ms)
+        key = waiting_key(task, estimates, now_ms)
         row = (key, self._added, task)
         self._keys[task] = row
         self._rows.add(row)
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ..dispatch import hopeless
+from ..dispatch import chain_ms, hopeless, latest_start_ms
 from ..jobs import Job, JobAccepted, JobSpec, JobState, TaskState
 from ._requests import job_ended, reject, reply
 from ._state import OwnerState, owner_system
@@ -98,10 +98,19 @@
                 shard.forget(job_id)
 
 
+def _not_reached(state: OwnerState, job: Job) -> bool:
+    """Whether a job that must be late waits behind more work than its time allows."""
+    if job.started or state.now_ms <= latest_start_ms(job, state.estimates):
+        return False
+    wait_ms = state.retry_after_ms() + chain_ms(job, state.estimates)
+    return state.now_ms + wait_ms > job.deadline_ms
+
+
 def _check(state: OwnerState, job: Job) -> None:
     waits = any(task.state is TaskState.WAITING for task in job.all_tasks())
     late = state.now_ms >= job.deadline_ms
-    if not late and not (waits and hopeless(job, state.estimates, state.now_ms)):
+    given_up = hopeless(job, state.estimates, state.now_ms) or _not_reached(state, job)
+    if not late and not (waits and given_up):
         return
     requests = state.volatile.requests.pop(job.spec.id, [])
     for request in requests:
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -46,6 +46,8 @@
 JOIN_MS = 250
 ORDER_TIMEOUT_MS = 300
 SHARDS = 4
+# Time in which all processes of the model come to know each other.
+SETTLE_MS = 600
 SERVICE = "checks"
 
 
@@ -385,3 +387,10 @@
     def count(self, what: str, task: str = "") -> int:
         """Return how often something happened, of one task or of all."""
         return sum(1 for row in self.runs() if row[1] == what and task in row[2])
+
+
+def ready_model(**options: int) -> Model:
+    """Return a model whose processes know each other."""
+    model = Model(**options)
+    model.run(SETTLE_MS)
+    return model
--- /dev/null
+++ b/tests/test_platform_volatile.py
@@ -0,0 +1,220 @@
+"""Guards against volatile jobs that run twice at a time, hang, or waste workers."""
+
+from __future__ import annotations
+
+from catkincross.operations import Declared
+from catkincross.workers import CallStart
+from scenarios.platform_model import SETTLE_MS, Model, job, ready_model
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def test_a_volatile_job_is_answered_at_its_end_and_not_stored() -> None:
+    """A job that need not be kept must not wait for the store."""
+    model = ready_model()
+    model.store.down = True
+    model.submit("post", job(JOB, volatile=True), "e1", limit_ms=2_000)
+    model.run(400)
+    assert model.answers["post"].detail == "completed"
+    assert model.overlapping() == []
+    assert model.count("done") == 4
+
+
+def test_a_volatile_job_stops_when_its_client_account_leaves() -> None:
+    """Work that nobody waits for must not hold workers."""
+    model = ready_model()
+    for machine in model.machines.values():
+        machine.run_ms = 5_000
+    model.submit("post", job(JOB, volatile=True), "e1", limit_ms=9_000)
+    model.run(200)
+    model.owners["e1"].core.abandon(model.now_ms, "post", JOB)
+    model.run(200)
+    assert model.count("stopped") == 4
+    model.submit("again", job(JOB, volatile=True), "e1", limit_ms=9_000)
+    model.run(6_000)
+    assert model.answers["again"].detail == "completed"
+    assert model.overlapping() == []
+
+
+def test_runs_of_a_lost_entry_end_before_its_clients_come_again() -> None:
+    """A client account sends a job again 1,300 ms after its entry was lost."""
+    model = ready_model()
+    for machine in model.machines.values():
+        machine.run_ms = 5_000
+    model.submit("post", job(JOB, volatile=True), "e1", limit_ms=9_000)
+    model.run(200)
+    model.kill("e1")
+    model.run(1_300)
+    assert model.count("stopped") == 4
+    model.submit("again", job(JOB, volatile=True), "e0", limit_ms=9_000)
+    model.run(9_000)
+    assert model.answers["again"].detail == "completed"
+    assert model.overlapping() == []
+
+
+def test_a_volatile_job_that_cannot_end_in_time_is_answered_at_once() -> None:
+    """Work that is given up must not hold its answer back until the deadline."""
+    model = ready_model(agents=1)
+    for machine in model.machines.values():
+        machine.run_ms = 3_000
+    for number in range(4):
+        name = f"{number:016x}"
+        spec = job(name, count=4, volatile=True, estimate_ms=1_000)
+        model.submit(name, spec, "e0", limit_ms=800)
+    model.run(400)
+    outcomes = [model.answers[f"{n:016x}"].outcome for n in range(1, 4)]
+    assert outcomes == ["rejected"] * 3
+    assert model.count("start", f"{3:016x}") == 0
+
+
+def test_no_task_starts_in_an_evacuated_data_centre() -> None:
+    """Operators must be able to take a data centre out of service."""
+    model = ready_model()
+    for host in model.owners.values():
+        declared = Declared(version=2, evacuated=frozenset({"perth"}))
+        host.core.declare(model.now_ms, declared)
+    model.submit("post", job(JOB, volatile=True), "e0", limit_ms=1_000)
+    model.run(500)
+    assert model.answers["post"].detail == "no_worker"
+    assert model.runs() == []
+
+
+def test_a_worker_that_fails_everything_is_left_out() -> None:
+    """One bad worker must not fail the jobs that others can run."""
+    model = ready_model()
+    model.machines["u1"].fail_all = True
+    for number in range(6):
+        model.submit(f"{number}", job(f"{number:016x}", volatile=True), "e0", 4_000)
+        model.run(300)
+    details = {model.answers[f"{number}"].detail for number in range(6)}
+    assert details == {"completed"}
+    failed = [row for row in model.runs() if row[1] == "failed"]
+    assert len(failed) <= 8
+
+
+def test_starts_never_exceed_the_capacity_of_a_worker() -> None:
+    """A worker starts what it is given, so the agent has to keep its room."""
+    model = ready_model(entries=2, agents=2)
+    for number in range(20):
+        spec = job(f"{number:016x}", count=3, volatile=True)
+        model.submit(f"{number}", spec, f"e{number % 2}", limit_ms=9_000)
+    model.run(5_000)
+    active: dict[str, int] = {}
+    for _, what, _, _, agent in model.runs():
+        active[agent] = active.get(agent, 0) + (1 if what == "start" else -1)
+        assert active[agent] <= 4
+    assert model.count("done") == 60
+    assert model.overlapping() == []
+
+
+def test_the_token_rises_above_one_that_the_worker_has_seen() -> None:
+    """A clock that was set back must not leave an agent without its worker."""
+    model = Model(agents=1)
+    order = CallStart("x.0.0.0", 1, "", "", 0, 50_000)
+    model.machines["u0"].start(model.now_ms, order)
+    model.run(SETTLE_MS)
+    spec = job(JOB, volatile=True)
+    model.submit("post", spec, "e0", limit_ms=2_000)
+    model.run(1_000)
+    assert model.answers["post"].detail == "completed"
+
+
+def test_a_restarted_agent_lets_its_worker_forget_ends() -> None:
+    """Ends that pile up hide new ones: a worker lists 500 of them at a time."""
+    model = ready_model(agents=1)
+    for number in range(3):
+        model.submit(f"{number}", job(f"{number:016x}", volatile=True), "e0", 4_000)
+        model.run(400)
+    model.kill("u0")
+    model.run(300)
+    model.start_agent("u0")
+    model.run(300)
+    for number in range(3, 6):
+        model.submit(f"{number}", job(f"{number:016x}", volatile=True), "e0", 4_000)
+        model.run(400)
+    assert model.count("done") == 24
+    assert model.machines["u0"].finished == []
+
+
+def test_a_client_account_leaves_before_any_task_has_started() -> None:
+    """A job that is forgotten at once must leave no request behind."""
+    model = ready_model(agents=1)
+    for machine in model.machines.values():
+        machine.run_ms = 1_000
+    model.submit("first", job("0" * 16, volatile=True), "e0", limit_ms=5_000)
+    model.submit("waits", job(JOB, volatile=True), "e0", limit_ms=5_000)
+    model.run(100)
+    model.owners["e0"].core.abandon(model.now_ms, "waits", JOB)
+    model.run(3_000)
+    assert model.answers["first"].detail == "completed"
+    assert model.count("start", JOB) == 0
+
+
+def test_runs_go_on_while_the_worker_has_not_registered_again() -> None:
+    """A worker's heartbeat may come after its lease has lapsed."""
+    model = ready_model(agents=1)
+    model.machines["u0"].run_ms = 2_500
+    model.submit("post", job(JOB, volatile=True), "e0", limit_ms=9_000)
+    model.run(200)
+    model.kill("u0")
+    model.run(500)
+    model.start_agent("u0", registers=False)
+    model.run(1_400)
+    model.register("u0")
+    model.run(3_000)
+    assert model.answers["post"].detail == "completed"
+    assert model.count("start") == 4
+
+
+def test_jobs_wait_for_the_agents_of_an_entry_that_has_just_started() -> None:
+    """After the loss of all processes no job must be refused with workers free."""
+    model = Model()
+    model.submit("post", job(JOB, volatile=True), "e0", limit_ms=3_000)
+    model.run(1_500)
+    assert model.answers["post"].detail == "completed"
+
+
+def test_ends_that_were_logged_before_the_worker_registers_are_forgotten() -> None:
+    """An end that is never forgotten hides later ones behind a list of 500."""
+    model = ready_model(agents=1)
+    model.submit("post", job(JOB, volatile=True), "e0", limit_ms=9_000)
+    model.run(40)
+    model.kill("u0")
+    model.run(500)
+    assert len(model.machines["u0"].finished) == 4
+    model.start_agent("u0", registers=False)
+    model.run(1_000)
+    model.register("u0")
+    model.run(2_000)
+    assert model.machines["u0"].finished == []
+
+
+def test_a_job_of_which_every_order_was_refused_has_not_run() -> None:
+    """An order that a full worker refuses must not make "not run" false."""
+    model = ready_model(entries=2, agents=1)
+    model.machines["u0"].run_ms = 3_000
+    first = job("0" * 16, volatile=True, estimate_ms=1_000)
+    second = job(JOB, volatile=True, estimate_ms=1_000)
+    model.submit("first", first, "e0", limit_ms=9_000)
+    model.submit("second", second, "e1", limit_ms=800)
+    model.run(790)
+    assert any(row[2] == "run not started" for row in model.notes)
+    assert model.count("start", JOB) == 0
+    assert model.answers["second"].outcome == "rejected"
+
+
+def test_a_late_job_behind_a_long_backlog_is_rejected_before_its_deadline() -> None:
+    """A job that will not be reached must not be held until its caller gives up."""
+    model = ready_model(agents=1, entries=1)
+    model.machines["u0"].run_ms = 2_000
+    for number in range(5):
+        spec = job(f"{number:016x}", volatile=True, estimate_ms=400)
+        model.submit(f"{number}", spec, "e0", limit_ms=1_900)
+    model.run(50)
+    assert model.answers == {}
+    model.run(550)
+    assert "1" in model.answers
+    for number, answer in model.answers.items():
+        assert answer.outcome == "rejected"
+        assert answer.retry_after_ms > 0
+        assert model.count("start", f"{int(number):016x}") == 0
