--- a/catkincross/platform/__init__.py
+++ b/catkincross/platform/__init__.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from ._cluster import Gap, Membership, StoreClient, Topic
 from ._control import ControlApp
 from ._declared import DeclaredFeed
 from ._front import Dispatcher, FrontApp
 from ._jobs import BadJob, read_job, read_route
 from ._settings import NodeSettings, load_node_settings
+from ._store import Gap, Membership, StoreClient, Topic
 from ._worker import HoldRefused, WorkerClient, read_heartbeat
 
 __all__ = [
--- a/catkincross/platform/_declared.py
+++ b/catkincross/platform/_declared.py
@@ -8,7 +8,7 @@
 
 from ..jobs import QueuePolicy
 from ..operations import Declared, Queue, Service
-from ._cluster import Gap, StoreClient, Topic
+from ._store import Gap, StoreClient, Topic
 
 # How long the store may hold a read until something changes, in milliseconds. An open
 # connection may go silent for good, which only the time limit of the read shows: this
--- a/catkincross/platform/_cluster.py
+++ b/catkincross/platform/_store.py
@@ -11,14 +11,13 @@
 import orjson
 
 from ..owner import AppendOutcome
+from ._calls import CALL_ERRORS, fields_of
 
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 # Answers of the store take 4 ms, and 60 times as long while it is slow.
 CALL_TIMEOUT_S = 0.8
 READ_KB = 1_024
-# Calls that never reached the store, or whose answer was lost.
-CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
 class Topic(enum.StrEnum):
@@ -117,7 +116,7 @@
             return AppendOutcome.UNKNOWN
         if status == 200:
             return AppendOutcome.DONE
-        if status == 409 and _reason(answer) == "fenced":
+        if status == 409 and fields_of(answer).get("reason") == "fenced":
             return AppendOutcome.FENCED
         if status in (429, 503, 507):
             return AppendOutcome.BUSY
@@ -233,14 +232,6 @@
     return []
 
 
-def _reason(body: bytes) -> str:
-    try:
-        fields = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return ""
-    return fields.get("reason", "") if isinstance(fields, dict) else ""
-
-
 def _read_result(body: bytes) -> ReadResult:
     end = int.from_bytes(body[:OFFSET_BYTES], "big")
     first = int.from_bytes(body[OFFSET_BYTES : 2 * OFFSET_BYTES], "big")
--- a/catkincross/platform/_worker.py
+++ b/catkincross/platform/_worker.py
@@ -16,12 +16,12 @@
     Registration,
     StartOutcome,
 )
+from ._calls import CALL_ERRORS, fields_of
 
 # Orders are answered within a few milliseconds; one without an answer may still be
 # carried out seconds later.
 ORDER_TIMEOUT_S = 0.3
 INSTANCE_HEADER = "X-Catkincross-Target-Instance"
-CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 # Reasons with which a worker rejects an order to start.
 START_REASONS = {
     "fence": StartOutcome.FENCED,
@@ -105,7 +105,7 @@
         if status == 200:
             return StartOutcome.STARTED
         if status == 409:
-            reason = _fields(answer).get("reason", "")
+            reason = fields_of(answer).get("reason", "")
             return START_REASONS.get(reason, StartOutcome.REFUSED)
         if status in (400, 421, 429, 503):
             return StartOutcome.REFUSED
@@ -144,8 +144,8 @@
         except CALL_ERRORS:
             return None
         if status == 409:
-            raise HoldRefused(_fields(answer).get("reason", ""))
-        return _hold_view(_fields(answer)) if status == 200 else None
+            raise HoldRefused(fields_of(answer).get("reason", ""))
+        return _hold_view(fields_of(answer)) if status == 200 else None
 
     async def _call(
         self,
@@ -164,14 +164,6 @@
             return response.status, await response.read()
 
 
-def _fields(body: bytes) -> dict[str, Any]:
-    try:
-        fields = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return {}
-    return fields if isinstance(fields, dict) else {}
-
-
 def _hold_view(fields: dict[str, Any]) -> HoldView:
     # A row of `running` may have a fifth entry: tail latency or processor in use.
     running = tuple(
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -338,7 +338,10 @@
         machine = self.machines[host.name]
 
         def answer(outcome: StartOutcome) -> None:
-            if self.awake(host):
+            if host.up and not self.awake(host):
+                # A call that was answered during a freeze is read after it.
+                self.at(host.frozen_until_ms - self.now_ms, lambda: answer(outcome))
+            elif host.up:
                 host.core.start_answered(self.now_ms, order.task, order.run, outcome)
                 self.step(host)
 
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -14,6 +14,8 @@
     13: "a start after a crash, as in seed 5",
     17: "an entry cut from the store kept a shard that another had owned since",
     23: "as seed 17",
+    308: "the model lost the answers of calls that came during a freeze",
+    344: "as seed 308",
 }
 SEEDS = sorted({*FAILED_SEEDS, *range(100, 124)})
 
