--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -23,6 +23,7 @@
     CallStop,
     Note,
     Registration,
+    StartOutcome,
     ToEntry,
     WorkerCore,
     WorkerLimits,
@@ -136,17 +137,16 @@
             await asyncio.sleep(HOLD_PAUSE_S)
 
     async def _start_run(self, order: CallStart) -> None:
-        worker = self.core.state.registration
-        if worker is None:
-            return
-        outcome = await self.worker.start(worker.worker, order)
+        worker = self.core.state.worker
+        outcome = StartOutcome.REFUSED
+        if worker:
+            outcome = await self.worker.start(worker, order)
         self.core.start_answered(self.clock.now_ms(), order.task, order.run, outcome)
         self.loop.wake()
 
     async def _stop_run(self, order: CallStop) -> None:
-        worker = self.core.state.registration
-        if worker is not None:
-            await self.worker.stop(worker.worker, order)
+        if self.core.state.worker:
+            await self.worker.stop(self.core.state.worker, order)
 
     # The entries.
 
