--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..jobs import VOLATILE_SHARD, AgentsUsed, JobRecord, TaskState
+from ..jobs import VOLATILE_SHARD, AgentsUsed, JobRecord, Task, TaskState
 from ..peers import AgentState, Ends, Lease, Report, RunningTask, Sizes, Stop
 from ._effects import Claim
 from ._fleet import AgentRow
@@ -248,7 +248,7 @@
         state.enqueue(shard, job)
 
 
-def _assigned_of(state: OwnerState, shard: Shard) -> list:
+def _assigned_of(state: OwnerState, shard: Shard) -> list[Task]:
     return [
         task
         for row in state.agents.values()
@@ -285,6 +285,6 @@
             _resolved(state, shard)
 
 
-def _ending_of(state: OwnerState, task) -> set[tuple[str, int]]:
+def _ending_of(state: OwnerState, task: Task) -> set[tuple[str, int]]:
     shard = state.shard_for(task.job.spec.id)
     return shard.ending if shard is not None else set()
