--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -67,7 +67,7 @@
         limits = WorkerLimits(shards=settings.shards, lease_ms=settings.lease_ms)
         self.core = WorkerCore(limits, self.incarnation)
         self.store = StoreClient(settings.store)
-        self.owners = Owners(self.store, clock)
+        self.owners = Owners(self.store)
         self.worker = WorkerClient(settings.worker)
         self.links: dict[str, Link] = {}
         self.connecting: set[str] = set()
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -84,7 +84,7 @@
         self.core = OwnerCore(settings.name, limits, self.incarnation)
         self.store = StoreClient(settings.store)
         self.feed = DeclaredFeed(self.store)
-        self.owners = Owners(self.store, clock)
+        self.owners = Owners(self.store)
         self.owners.on_change = self._owners_changed
         greeting = Greeting("entry", settings.name, self.incarnation, self.address)
         self.requests = OwnerRequests(
--- a/catkincross/daemons/_members.py
+++ b/catkincross/daemons/_members.py
@@ -14,8 +14,6 @@
 JOIN_SHARE = 4
 # Interval of reading the owners of all shards, in seconds.
 OWNERS_INTERVAL_S = 0.5
-# Shortest pause between two readings that requests ask for, in seconds.
-OWNERS_PAUSE_S = 0.1
 MS_PER_S = 1_000
 
 
@@ -38,26 +36,21 @@
         store: The store.
         by_shard: Names of members.
         changed: Is set anew with each change.
-        read_ms: When it was read last.
         told: Addresses that others have told since.
         on_change: Is called after each change.
     """
 
     store: StoreClient
-    clock: Clock
     by_shard: dict[int, str] = attrs.field(factory=dict)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    read_ms: int = -1_000_000
     told: set[str] = attrs.field(factory=set)
     on_change: Callable[[], None] | None = None
 
     async def read(self) -> bool:
         """Read the owners; return whether the store answered."""
-        sent_ms = self.clock.now_ms()
         found = await self.store.owners()
         if found is None:
             return False
-        self.read_ms = sent_ms
         self.told.clear()
         if found != self.by_shard:
             self.by_shard = found
--- a/catkincross/owner/_placing.py
+++ b/catkincross/owner/_placing.py
@@ -32,8 +32,7 @@
     state.next_place_ms = state.now_ms + PLACE_INTERVAL_MS
     rooms = Rooms(state)
     misses = 0
-    if state.put_late_behind:
-        state.waiting.put_late_behind(state.now_ms)
+    state.waiting.put_late_behind(state.now_ms)
     for task in state.waiting.in_order():
         if misses >= MAX_MISSES or not rooms.any:
             return
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -67,7 +67,6 @@
         joined_ms: When the last successful join was sent.
         generation: Generation of the group at that join.
         started_ms: When the first event came.
-        put_late_behind: Whether late jobs give way to those that can be in time.
         next_place_ms: When waiting tasks are tried again if no room grows.
         room_grew: Whether a waiting task may fit that did not fit before.
         begun: Volatile jobs begun since other entries were told.
@@ -92,7 +91,6 @@
     next_upkeep_ms: int = 0
     next_check_ms: int = 0
     started_ms: int | None = None
-    put_late_behind: bool = True
     next_place_ms: int = 0
     room_grew: bool = False
     begun: list[str] = attrs.field(factory=list)
