Offer an agent's room to few entries, and send short messages

Agents now offer room to three entries of their own data centre and two others, and speak to the rest every 700 ms. What a worker is goes in a message of its own, and messages carry fields under their position.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -65,7 +65,12 @@
         self.log = log
         self.incarnation = time.time_ns() // 1_000_000
         limits = WorkerLimits(shards=settings.shards, lease_ms=settings.lease_ms)
-        self.core = WorkerCore(limits, self.incarnation)
+        self.core = WorkerCore(
+            limits,
+            self.incarnation,
+            host=settings.name,
+            data_centre=settings.data_centre,
+        )
         self.store = StoreClient(settings.store)
         self.owners = Owners(self.store)
         self.worker = WorkerClient(settings.worker)
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -49,9 +49,10 @@
 # Links of agents on which nothing came for this long are closed, in milliseconds.
 SILENT_AGENT_MS = 1_600
 MS_PER_S = 1_000
-# Interval of telling other entries of volatile jobs, in seconds; a request comes
-# again 1.3 s after a broken answer at the soonest.
-NEWS_INTERVAL_S = 0.05
+# Interval of telling other entries of volatile jobs, in seconds. A request comes again
+# 1.3 s after a broken answer at the soonest, and agents end the runs of a lost entry
+# after 0.85 s, so a job that was not told of has no run left by then.
+NEWS_INTERVAL_S = 0.1
 # Pause before an entry that has a job is asked again, in milliseconds.
 ELSEWHERE_WAIT_MS = 50
 
@@ -86,9 +87,20 @@
         self.feed = DeclaredFeed(self.store)
         self.owners = Owners(self.store)
         self.owners.on_change = self._owners_changed
-        greeting = Greeting("entry", settings.name, self.incarnation, self.address)
+        self.greeting = Greeting(
+            "entry",
+            settings.name,
+            self.incarnation,
+            self.address,
+            settings.data_centre,
+        )
         self.requests = OwnerRequests(
-            self.owners, clock, greeting, self.member, settings.shards, self._ask_here
+            self.owners,
+            clock,
+            self.greeting,
+            self.member,
+            settings.shards,
+            self._ask_here,
         )
         self.requests.on_connected = lambda link: link.send(
             VolatileJobs(self.core.volatile_jobs(), [])
@@ -306,6 +318,7 @@
         self.core.agent_connected(
             self.clock.now_ms(), greeting.name, greeting.incarnation
         )
+        link.send(self.greeting)
         link.send(Members(self.owners.addresses()))
         self.loop.wake()
 
--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -6,6 +6,7 @@
 from ._elsewhere import AtEntry, AtLostEntry, Here, JobsElsewhere
 from ._estimates import Estimates
 from ._health import AgentHealth
+from ._offering import offered_entries
 from ._placement import AgentRoom, choose_agent
 from ._waiting import (
     WaitingQueue,
@@ -31,4 +32,5 @@
     "hopeless",
     "latest_start_ms",
     "objective_ms",
+    "offered_entries",
 ]
--- a/catkincross/owner/_fleet.py
+++ b/catkincross/owner/_fleet.py
@@ -6,7 +6,7 @@
 
 from ..dispatch import AgentRoom, Estimates
 from ..jobs import Step, Task
-from ..peers import AgentState
+from ..peers import AgentState, WorkerProfile
 
 
 @attrs.define(eq=False)
@@ -17,6 +17,7 @@
         name: Name of the agent's host.
         incarnation: Number of its process.
         connected: Whether a link to it is open.
+        profile: What its worker is; None before it said so on the link.
         state: What it said last; None before that on the link.
         received_ms: When it said so.
         connected_ms: When the link was opened.
@@ -30,6 +31,7 @@
     name: str
     incarnation: int = 0
     connected: bool = False
+    profile: WorkerProfile | None = None
     state: AgentState | None = None
     received_ms: int = 0
     connected_ms: int = 0
@@ -44,7 +46,7 @@
         self.incarnation = incarnation
         self.connected = True
         self.connected_ms = now_ms
-        self.state = None
+        self.profile = self.state = None
         self.orders = 0
         self.open_orders.clear()
         self.reported.clear()
@@ -54,7 +56,7 @@
     def link_closed(self) -> None:
         """Note that the link has ended."""
         self.connected = False
-        self.state = None
+        self.profile = self.state = None
         self.reported.clear()
 
     def take_state(self, state: AgentState, now_ms: int) -> None:
@@ -74,12 +76,23 @@
     @property
     def kind(self) -> str:
         """Kind of the worker: its first label."""
-        return self.state.labels[0] if self.state and self.state.labels else ""
+        return self.profile.labels[0] if self.profile and self.profile.labels else ""
+
+    @property
+    def cpu_share(self) -> float:
+        """This entry's part of the capacity, in thousandths of a core."""
+        if self.profile is None or self.state is None or not self.state.ready:
+            return 0.0
+        return self.profile.cpu / max(self.profile.offered_to, 1)
+
+    def serves(self, service: str) -> bool:
+        """Whether its worker is one of a service."""
+        return self.profile is not None and self.profile.service == service
 
     def room(self, estimates: Estimates) -> AgentRoom | None:
         """Return the room of the worker, or None if nothing may be sent."""
-        state = self.state
-        if not self.connected or state is None or not state.ready:
+        state, profile = self.state, self.profile
+        if not self.connected or state is None or profile is None or not state.ready:
             return None
         sent = self.open_orders.values()
         return AgentRoom(
@@ -87,9 +100,9 @@
             state.cpu_free - sum(step.cpu for step in sent),
             state.memory_free_mb - sum(step.memory_mb for step in sent),
             state.gpu_free - sum(step.gpu for step in sent),
-            tuple(state.labels),
+            tuple(profile.labels),
             estimates.slowness(self.name, self.kind),
-            state.cpu,
-            state.memory_mb,
-            state.gpu,
+            profile.cpu,
+            profile.memory_mb,
+            profile.gpu,
         )
--- a/catkincross/owner/_placing.py
+++ b/catkincross/owner/_placing.py
@@ -120,9 +120,9 @@
 
 
 def _takes_work(state: OwnerState, row: AgentRow) -> bool:
-    if row.state is None or not row.state.ready:
+    if row.profile is None or row.state is None or not row.state.ready:
         return False
-    if row.state.data_centre in state.declared.evacuated:
+    if row.profile.data_centre in state.declared.evacuated:
         return False
     if state.now_ms - row.received_ms > STALE_STATE_MS:
         return False
@@ -136,7 +136,7 @@
     allowed = []
     for room in rooms:
         row = state.agents[room.name]
-        if row.state is None or row.state.service != service:
+        if not row.serves(service):
             continue
         if shard.number not in row.reported:
             continue
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -3,7 +3,16 @@
 from __future__ import annotations
 
 from ..jobs import VOLATILE_SHARD, AgentsUsed, JobRecord, Task, TaskState
-from ..peers import AgentState, Ends, Lease, Report, RunningTask, Sizes, Stop
+from ..peers import (
+    AgentState,
+    Ends,
+    Lease,
+    Report,
+    RunningTask,
+    Sizes,
+    Stop,
+    WorkerProfile,
+)
 from ._effects import Claim
 from ._fleet import AgentRow
 from ._runs import ends
@@ -12,7 +21,7 @@
 
 # Shortest time between two leases to an agent, in milliseconds: below the interval of
 # its states, so that each state at rest gets one.
-LEASE_INTERVAL_MS = 100
+LEASE_INTERVAL_MS = 180
 
 
 def assign_shards(state: OwnerState, numbers: list[int], generation: int) -> None:
@@ -137,6 +146,21 @@
     state.tell(row.name, content)
 
 
+@agent_handler(WorkerProfile)
+def worker_profile(state: OwnerState, row: AgentRow, content: WorkerProfile) -> None:
+    """Take what an agent's worker is."""
+    row.profile = content
+    state.room_grew = True
+    state.note(
+        "worker profile",
+        agent=row.name,
+        worker=content.worker,
+        born=content.born,
+        data_centre=content.data_centre,
+        offered_to=content.offered_to,
+    )
+
+
 @agent_handler(AgentState)
 def agent_state(state: OwnerState, row: AgentRow, content: AgentState) -> None:
     """Take an agent's state, and renew its lease."""
@@ -146,13 +170,7 @@
     if old is None or content.ready != old.ready or content.cpu_free > old.cpu_free:
         state.room_grew = True
     if first or old is None or old.ready != content.ready:
-        state.note(
-            "agent state",
-            agent=row.name,
-            worker=content.worker,
-            ready=content.ready,
-            data_centre=content.data_centre,
-        )
+        state.note("agent state", agent=row.name, ready=content.ready)
     if first:
         for shard in state.shards.values():
             if shard.phase is ShardPhase.OPEN:
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -122,16 +122,16 @@
     if shard.stuck_since_ms is not None:
         return Rejected("store_unreachable", STORE_RETRY_MS)
     service = job.spec.policy.service
-    capacity = 0
+    capacity = 0.0
     usable = seen = False
     for row in state.agents.values():
-        if row.state is None or row.state.service != service:
+        if row.profile is None or not row.serves(service):
             continue
         seen = True
         room = row.room(state.estimates)
-        if room is None or row.state.data_centre in state.declared.evacuated:
+        if room is None or row.profile.data_centre in state.declared.evacuated:
             continue
-        capacity += row.state.cpu
+        capacity += row.cpu_share
         usable = usable or all(room.could_fit(step) for step in job.spec.steps)
     if not usable:
         if not seen and state.now_ms - (state.started_ms or 0) < WARM_UP_MS:
@@ -141,7 +141,7 @@
         job,
         state.estimates,
         waiting_cpu_ms=state.waiting.cpu_ms,
-        cpu_capacity=capacity / max(state.owners, 1),
+        cpu_capacity=capacity,
     )
 
 
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -170,8 +170,7 @@
 
     def retry_after_ms(self) -> int:
         """Return when the work that waits now is expected to have been started."""
-        capacity = sum(row.state.cpu for row in self.agents.values() if row.state)
-        share = capacity / max(self.owners, 1)
+        share = sum(row.cpu_share for row in self.agents.values())
         return int(self.waiting.cpu_ms / share) + 1 if share else 0
 
     def left_worker(self, job: Job) -> None:
--- a/catkincross/peers/__init__.py
+++ b/catkincross/peers/__init__.py
@@ -22,6 +22,7 @@
     Start,
     Stop,
     VolatileJobs,
+    WorkerProfile,
     decode_message,
     encode_message,
 )
@@ -46,6 +47,7 @@
     "Start",
     "Stop",
     "VolatileJobs",
+    "WorkerProfile",
     "connect",
     "decode_message",
     "encode_message",
--- a/catkincross/peers/_messages.py
+++ b/catkincross/peers/_messages.py
@@ -7,6 +7,7 @@
 import attrs
 import cattrs
 import orjson
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 
 MESSAGE_KINDS: dict[str, type[Any]] = {}
 
@@ -58,28 +59,29 @@
 @message
 @attrs.frozen
 class Greeting:
-    """First message on a link: who has opened it.
+    """First message of a process on a link: who it is.
 
     Attributes:
         role: `entry` or `agent`.
         name: Name of the host's process.
         incarnation: Number that differs between two starts of the process.
         address: Address for links to an entry; empty for an agent.
+        data_centre: Data centre of the process.
     """
 
     role: str
     name: str
     incarnation: int
     address: str = ""
+    data_centre: str = ""
 
 
 @message
 @attrs.frozen
-class AgentState:
-    """What an agent says of its worker, at intervals and when room changes.
+class WorkerProfile:
+    """What an agent's worker is: first on a link, and again when it changes.
 
     Attributes:
-        clock_ms: The agent's clock as this was sent.
         worker: Identity of the worker; empty while none is known.
         born: Start of the worker's life; 0 while its lists are not known.
         service: Service of the worker.
@@ -88,14 +90,9 @@
         cpu: Capacity in thousandths of a core.
         memory_mb: Capacity in MB.
         gpu: Accelerators.
-        cpu_free: Thousandths of a core that no run holds.
-        memory_free_mb: MB that no run holds.
-        gpu_free: Accelerators that no run holds.
-        ready: Whether tasks may be sent.
-        done_order: Number of the last order of this entry that is counted here.
+        offered_to: Number of entries that may send tasks and share the capacity.
     """
 
-    clock_ms: int
     worker: str
     born: int
     service: str
@@ -104,11 +101,29 @@
     cpu: int
     memory_mb: int
     gpu: int
-    cpu_free: int
-    memory_free_mb: int
-    gpu_free: int
-    ready: bool
-    done_order: int
+    offered_to: int = 1
+
+
+@message
+@attrs.frozen
+class AgentState:
+    """What an agent has to give, at intervals and when room changes.
+
+    Attributes:
+        clock_ms: The agent's clock as this was sent.
+        cpu_free: Thousandths of a core that no run holds.
+        memory_free_mb: MB that no run holds.
+        gpu_free: Accelerators that no run holds.
+        ready: Whether this entry may send tasks.
+        done_order: Number of the last order of this entry that is counted here.
+    """
+
+    clock_ms: int
+    cpu_free: int = 0
+    memory_free_mb: int = 0
+    gpu_free: int = 0
+    ready: bool = False
+    done_order: int = 0
 
 
 @message
@@ -323,7 +338,28 @@
     counts: dict[str, int]
 
 
-_converter = cattrs.Converter(omit_if_default=True, prefer_attrib_converters=True)
+def _make_converter() -> cattrs.Converter:
+    """Return a converter that writes fields under their position instead of name.
+
+    Bytes between data centres are priced, and the names would be most of a message.
+    """
+    converter = cattrs.Converter(prefer_attrib_converters=True)
+    for cls in (RunningTask, EndedRun, *MESSAGE_KINDS.values()):
+        names = [field.name for field in attrs.fields(attrs.resolve_types(cls))]
+        keys: dict[str, Any] = {
+            name: override(rename=str(place)) for place, name in enumerate(names)
+        }
+        write = make_dict_unstructure_fn(
+            cls, converter, _cattrs_omit_if_default=True, **keys
+        )
+        converter.register_unstructure_hook(cls, write)
+        converter.register_structure_hook(
+            cls, make_dict_structure_fn(cls, converter, **keys)
+        )
+    return converter
+
+
+_converter = _make_converter()
 
 
 def encode_message(content: Any) -> bytes:
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -4,7 +4,16 @@
 
 from typing import Any
 
-from ..peers import AgentState, EndedRun, Ends, Progress, RunningTask
+from ..dispatch import offered_entries
+from ..peers import (
+    AgentState,
+    EndedRun,
+    Ends,
+    Greeting,
+    Progress,
+    RunningTask,
+    WorkerProfile,
+)
 from ._effects import Effect
 from ._observing import held, left, registered, start_answered
 from ._orders import ENTRY_HANDLERS, stop_run
@@ -40,10 +49,14 @@
         limits: Times.
         fence: First fencing token: the time of day in milliseconds, so that it is
             above all tokens of earlier processes.
+        host: Name of the host.
+        data_centre: Data centre of the host.
     """
 
-    def __init__(self, limits: WorkerLimits, fence: int) -> None:
-        self.state = WorkerState(limits, fence)
+    def __init__(
+        self, limits: WorkerLimits, fence: int, *, host: str = "", data_centre: str = ""
+    ) -> None:
+        self.state = WorkerState(limits, fence, host, data_centre)
 
     def step(self, now_ms: int) -> list[Effect]:
         """Run what is due; return what is to be done."""
@@ -63,7 +76,7 @@
         due = state.now_ms + IDLE_STEP_MS
         for row in state.entries.values():
             if row.changed:
-                due = min(due, row.state_sent_ms + state.limits.change_interval_ms)
+                due = min(due, row.state_sent_ms + self._change_interval_ms(row))
         return due
 
     def registered(self, now_ms: int, content: Registration) -> bool:
@@ -80,17 +93,24 @@
         """Note a new link to an entry."""
         self.state.now_ms = now_ms
         self.state.entries[name] = EntryRow(name, lease_ms=now_ms)
+        self._offer()
 
     def entry_lost(self, now_ms: int, name: str) -> None:
         """Note that the link to an entry has ended."""
         self.state.now_ms = now_ms
-        self.state.entries.pop(name, None)
+        if self.state.entries.pop(name, None) is not None:
+            self._offer()
 
     def entry_said(self, now_ms: int, name: str, content: Any) -> None:
         """Take a message of an entry."""
         self.state.now_ms = now_ms
         row = self.state.entries.get(name)
-        if row is not None:
+        if row is None:
+            return
+        if isinstance(content, Greeting):
+            row.data_centre = content.data_centre
+            self._offer()
+        else:
             ENTRY_HANDLERS[type(content)](self.state, row, content)
 
     def leave(self, now_ms: int) -> None:
@@ -211,44 +231,68 @@
         for owner, ended_runs in by_owner.items():
             state.tell(owner, Ends(ended_runs, state.born))
 
+    def _offer(self) -> None:
+        """Decide anew which entries may send tasks."""
+        state = self.state
+        places = {row.name: row.data_centre for row in state.entries.values()}
+        offered = offered_entries(
+            state.host, state.data_centre, places, state.limits.offered_entries
+        )
+        if offered != state.offered:
+            state.offered = offered
+            state.room_changed()
+            state.note("offered to entries", entries=sorted(offered))
+
+    def _change_interval_ms(self, row: EntryRow) -> int:
+        limits = self.state.limits
+        if row.runs_changed:
+            return limits.change_interval_ms
+        if row.name in self.state.offered:
+            return limits.others_interval_ms
+        return limits.far_interval_ms
+
     def _send_state(self, row: EntryRow) -> None:
         state = self.state
         age = state.now_ms - row.state_sent_ms
         limits = state.limits
-        interval_ms = limits.change_interval_ms
-        if not row.runs_changed:
-            interval_ms = limits.others_interval_ms
-        changed = row.changed and age >= interval_ms
-        if not changed and age < limits.state_interval_ms:
+        offered = row.name in state.offered
+        near = offered or any(run.entry == row.name for run in state.runs.values())
+        rest_ms = limits.state_interval_ms if near else limits.far_interval_ms
+        changed = row.changed and age >= self._change_interval_ms(row)
+        if not changed and age < rest_ms:
             return
         row.changed = row.runs_changed = False
         row.state_sent_ms = state.now_ms
-        registration = state.registration
+        profile = self._profile()
+        if profile != row.profile:
+            row.profile = profile
+            state.tell(row.name, profile)
         cpu, memory_mb, gpu = state.free()
-        known = registration is not None
-        state.tell(
-            row.name,
-            AgentState(
-                state.now_ms,
-                registration.worker if known else "",
-                state.born,
-                registration.service if known else "",
-                registration.data_centre if known else "",
-                list(registration.labels) if known else [],
-                registration.cpu if known else 0,
-                registration.memory_mb if known else 0,
-                registration.gpu if known else 0,
-                cpu,
-                memory_mb,
-                gpu,
-                state.ready,
-                row.done_order,
-            ),
-        )
-        if state.now_ms - row.progress_sent_ms >= limits.progress_interval_ms:
+        ready = state.ready and offered
+        content = AgentState(state.now_ms, cpu, memory_mb, gpu, ready, row.done_order)
+        state.tell(row.name, content)
+        if near and state.now_ms - row.progress_sent_ms >= limits.progress_interval_ms:
             row.progress_sent_ms = state.now_ms
             self._send_progress(row)
 
+    def _profile(self) -> WorkerProfile:
+        state = self.state
+        known = state.registration
+        offered_to = max(len(state.offered), 1)
+        if known is None:
+            return WorkerProfile("", state.born, "", "", [], 0, 0, 0, offered_to)
+        return WorkerProfile(
+            known.worker,
+            state.born,
+            known.service,
+            known.data_centre,
+            list(known.labels),
+            known.cpu,
+            known.memory_mb,
+            known.gpu,
+            offered_to,
+        )
+
     def _send_progress(self, row: EntryRow) -> None:
         state = self.state
         running = [
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ..jobs import VOLATILE_SHARD, shard_of
-from ..peers import EndedRun, RunningTask
+from ..peers import EndedRun, RunningTask, WorkerProfile
 from ._effects import Effect, Note, ToEntry
 
 
@@ -27,7 +27,9 @@
         progress_interval_ms: Time between two reports of progress to an entry.
         change_interval_ms: Shortest time between two states sent to an entry whose
             runs have changed.
-        others_interval_ms: The same for the other entries.
+        others_interval_ms: The same for the other entries that may send tasks.
+        far_interval_ms: Time between two states sent to an entry that may not.
+        offered_entries: Number of entries that may send tasks.
         hold_wait_ms: How long the worker may wait for an end before it answers a hold.
     """
 
@@ -43,8 +45,13 @@
     progress_interval_ms: int = 300
     # Joins changes that come together; well below the shortest tasks of 50 ms.
     change_interval_ms: int = 10
-    # States to all entries after each start and end are most of the messages.
+    # States to other entries after each start and end are most of the messages.
     others_interval_ms: int = 30
+    # Links are closed as silent after 1,600 ms, so one state may be lost.
+    far_interval_ms: int = 700
+    # A data centre has up to three entries, and two of others take over its bursts.
+    # Messages grow with this number instead of with the number of entries.
+    offered_entries: int = 5
     # A quarter of the lease, so that three renewals in a row may fail.
     hold_wait_ms: int = 250
 
@@ -203,6 +210,8 @@
         lease_ms: When the newest lease arrived.
         incarnation: Number of the entry's process; 0 before its first lease.
         volatile_until_ms: End of its right to its volatile jobs.
+        data_centre: Data centre of the entry; empty before it has said so.
+        profile: What it was last told of the worker.
     """
 
     name: str
@@ -215,6 +224,8 @@
     lease_ms: int = 0
     incarnation: int = 0
     volatile_until_ms: int = 0
+    data_centre: str = ""
+    profile: WorkerProfile | None = None
 
 
 @attrs.define(eq=False)
@@ -224,6 +235,9 @@
     Attributes:
         limits: Times.
         fence: Fencing token of the agent's calls.
+        host: Name of the agent's host.
+        data_centre: Data centre of the agent's host.
+        offered: Entries that may send tasks.
         registration: What the worker said last; None while none is known.
         born: Start of the worker's life; 0 while its lists are not known.
         clock_offset_ms: Worker's clock minus this agent's.
@@ -240,6 +254,9 @@
 
     limits: WorkerLimits
     fence: int
+    host: str = ""
+    data_centre: str = ""
+    offered: frozenset[str] = frozenset()
     now_ms: int = 0
     registration: Registration | None = None
     born: int = 0
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -84,6 +85,7 @@
         cut: Pairs of entry and agent between which nothing passes.
         lost_orders: Number of orders that get no answer and are carried out late.
         notes: Log lines of all cores.
+        sent: Number of messages by agent and class.
     """
 
     entries: int = 2
@@ -99,6 +101,7 @@
     lost_orders: int = 0
     late_ms: int = 3_000
     notes: list[tuple[int, str, str, dict[str, Any]]] = attrs.field(factory=list)
+    sent: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     generation: int = 0
     assignment: dict[str, list[int]] = attrs.field(factory=dict)
     _queue: list[tuple[int, int, Callable[[], None]]] = attrs.field(factory=list)
@@ -289,6 +292,7 @@
 
     def _pass(self, entry: str, agent: str, content: Any, *, to_agent: bool) -> None:
         owner, worker = self.owners.get(entry), self.workers.get(agent)
+        self.sent[agent, type(content).__name__] += 1
 
         def arrive() -> None:
             if (entry, agent) in self.cut or owner is None or worker is None:
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -245,7 +245,7 @@
     model = ready_model()
     row = model.owners["e0"].core.state.agents["u0"]
     assert row.state is not None
-    assert row.state.service == SERVICE
+    assert row.profile.service == SERVICE
     assert row.state.ready
 
 
