--- /dev/null
+++ b/catkincross/agent_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an agent."""
--- a/catkincross/_agent_core.py
+++ b/catkincross/agent_core/_agent_core.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from ..protocol._core import Core
+
 # Importing these modules registers their handlers and systems.
 from . import _agent_membership, _agent_results, _agent_tasks  # noqa: F401
 from ._agent_registry import AGENT
 from ._agent_state import AgentState
-from ._core import Core
 
 
 class AgentCore(Core[AgentState]):
--- a/catkincross/_agent_membership.py
+++ b/catkincross/agent_core/_agent_membership.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from ._agent_registry import AGENT
-from ._agent_results import repeat_results
-from ._agent_state import AgentState
-from ._effects import (
+from ..foundation._ids import entry_process
+from ..protocol._effects import (
     Connected,
     Disconnected,
     LeaveRequested,
@@ -13,15 +11,17 @@
     UpstreamAnnounced,
     WorkerUsage,
 )
-from ._home_selection import ranked_entries, select_home, set_peers
-from ._ids import entry_process
-from ._messages import (
+from ..protocol._messages import (
     NO_EVIDENCE,
     AgentHeartbeat,
     AgentHello,
     AgentView,
     HeartbeatReply,
 )
+from ._agent_registry import AGENT
+from ._agent_results import repeat_results
+from ._agent_state import AgentState
+from ._home_selection import ranked_entries, select_home, set_peers
 
 UNANSWERED_HEARTBEATS = 4
 
--- a/catkincross/_agent_registry.py
+++ b/catkincross/agent_core/_agent_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
+from ..foundation._systems import CoreRegistry
 from ._agent_state import AgentState
-from ._systems import CoreRegistry
 
 AGENT: CoreRegistry[AgentState] = CoreRegistry("agent")
--- a/catkincross/_agent_results.py
+++ b/catkincross/agent_core/_agent_results.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from ..protocol._messages import CensusReply, CensusRequest, TaskResults
 from ._agent_registry import AGENT
 from ._agent_state import AgentState
-from ._messages import CensusReply, CensusRequest, TaskResults
 
 
 @AGENT.handles(CensusRequest)
--- a/catkincross/_agent_state.py
+++ b/catkincross/agent_core/_agent_state.py
@@ -4,14 +4,14 @@
 
 import attrs
 
-from ._effects import AbortUpstream, CallUpstream, Effect, Emit, Send
-from ._freshness import Freshness
-from ._guards import ALL_GUARDS, Guards
+from ..foundation._guards import ALL_GUARDS, Guards
+from ..foundation._ids import Incarnation, TaskId, entry_process
+from ..foundation._tables import DueQueue, Table
+from ..protocol._effects import AbortUpstream, CallUpstream, Effect, Emit, Send
+from ..protocol._messages import AgentView, Message, OwnedTask, TaskResult, TaskStart
+from ..resources._freshness import Freshness
+from ..settings._settings import AgentSettings
 from ._home_selection import EntryLinks
-from ._ids import Incarnation, TaskId, entry_process
-from ._messages import AgentView, Message, OwnedTask, TaskResult, TaskStart
-from ._settings import AgentSettings
-from ._tables import DueQueue, Table
 
 
 @attrs.define
--- a/catkincross/_agent_tasks.py
+++ b/catkincross/agent_core/_agent_tasks.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from ._agent_registry import AGENT
-from ._agent_state import AgentState, StartRow
-from ._effects import UpstreamAnswered
-from ._ids import Incarnation
-from ._messages import (
+from ..foundation._ids import Incarnation
+from ..protocol._effects import UpstreamAnswered
+from ..protocol._messages import (
     CancelTasks,
     OwnedTask,
     Reason,
@@ -17,6 +15,8 @@
     TaskStart,
     TaskStatus,
 )
+from ._agent_registry import AGENT
+from ._agent_state import AgentState, StartRow
 from ._start_rules import refusal
 
 
--- a/catkincross/_home_selection.py
+++ b/catkincross/agent_core/_home_selection.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from ._effects import SetPeers
-from ._ids import entry_process
-from ._rendezvous import rank
+from ..foundation._ids import entry_process
+from ..foundation._rendezvous import rank
+from ..protocol._effects import SetPeers
 
 # A stream that breaks for less than this time does not move the agent's slots.
 REHOME_MS = 1_000
--- a/catkincross/_start_rules.py
+++ b/catkincross/agent_core/_start_rules.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Callable
 
+from ..protocol._messages import Reason, TaskStart
 from ._agent_state import AgentState
-from ._messages import Reason, TaskStart
 
 StartRule = Callable[[AgentState, str, TaskStart], bool]
 START_RULES: list[tuple[Reason, StartRule]] = []
--- a/catkincross/cli.py
+++ b/catkincross/cli.py
@@ -5,11 +5,11 @@
 import click
 
 from . import __version__
-from ._cli_demo import demo
-from ._cli_files import check_config, timeline
-from ._cli_jobs import cancel, request, submit
-from ._cli_output import EXIT_HELP
-from ._cli_resources import apply, delete, drain, get, restore, watch
+from .command_line._cli_demo import demo
+from .command_line._cli_files import check_config, timeline
+from .command_line._cli_jobs import cancel, request, submit
+from .command_line._cli_output import EXIT_HELP
+from .command_line._cli_resources import apply, delete, drain, get, restore, watch
 
 
 @click.group(epilog=EXIT_HELP)
--- a/catkincross/clock.py
+++ b/catkincross/clock.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from ._clock import Clock, ManualClock, SystemClock
+from .foundation._clock import Clock, ManualClock, SystemClock
 
 __all__ = ["Clock", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/catkincross/command_line/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' command line."""
--- a/catkincross/_cli_demo.py
+++ b/catkincross/command_line/_cli_demo.py
@@ -8,10 +8,10 @@
 
 import click
 
+from ..observability._timeline import TimelineEvent, text_lines
 from ._cli_jobs import print_job
 from ._cli_output import ExitCode
 from ._cli_resources import print_documents
-from ._timeline import TimelineEvent, text_lines
 
 
 @click.command()
@@ -21,7 +21,7 @@
     # gRPC logs each planned end of a stream; it reads the level when it is loaded.
     os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
     # The daemons and the stand-ins are loaded for this command only.
-    from ._demo import run_demo
+    from ..programs._demo import run_demo
 
     click.echo("starting 3 entries, 4 agents with upstreams, and a log in memory")
     good = asyncio.run(run_demo(_show, _show_events, tasks=tasks))
--- a/catkincross/_cli_files.py
+++ b/catkincross/command_line/_cli_files.py
@@ -8,11 +8,17 @@
 import click
 from returns.result import Failure, Success
 
+from ..observability._timeline import (
+    TimelineFilter,
+    merge,
+    parse_lines,
+    parse_time,
+    text_lines,
+)
+from ..observability._timeline_svg import svg_picture
+from ..settings._ini import TOP_SECTIONS, detect_kind, load_settings
+from ..settings._settings_list import setting_rows
 from ._cli_output import ExitCode, fail, print_json, print_table
-from ._ini import TOP_SECTIONS, detect_kind, load_settings
-from ._settings_list import setting_rows
-from ._timeline import TimelineFilter, merge, parse_lines, parse_time, text_lines
-from ._timeline_svg import svg_picture
 
 
 @click.command("check-config")
--- a/catkincross/_cli_resources.py
+++ b/catkincross/command_line/_cli_resources.py
@@ -13,6 +13,7 @@
 import click
 from returns.result import Failure, Success
 
+from ..http_api._resource_specs import KINDS
 from ._cli_client import ApiAnswer, ApiClient, client_options, lines_of, read_answer
 from ._cli_jobs import get_job
 from ._cli_output import (
@@ -25,7 +26,6 @@
     print_table,
 )
 from ._resource_files import Declared, read_resources
-from ._resource_specs import KINDS
 
 DRAIN_KINDS = {"datacentre": "datacentres", "upstream": "upstreams"}
 CHANGE_TRIES = 5
--- a/catkincross/_resource_files.py
+++ b/catkincross/command_line/_resource_files.py
@@ -10,7 +10,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from ._resource_specs import KINDS, SPECS, check_name, check_spec
+from ..http_api._resource_specs import KINDS, SPECS, check_name, check_spec
 
 
 @attrs.frozen
--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -7,9 +7,8 @@
 import time
 from typing import Any
 
-from .._background import spawn
-from .._http_server import HttpServer
 from ..clock import Clock
+from ..foundation._background import spawn
 from ..peers import Greeting, Link, Members, connect
 from ..platform import (
     ControlApp,
@@ -18,6 +17,7 @@
     StoreClient,
     WorkerClient,
 )
+from ..transport._http_server import HttpServer
 from ..workers import (
     CallStart,
     CallStop,
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -8,10 +8,9 @@
 
 import cattrs
 
-from .._background import spawn
-from .._http_server import HttpServer
 from ..clock import Clock
 from ..dispatch import AtEntry, Here, JobsElsewhere
+from ..foundation._background import spawn
 from ..jobs import JobSpec
 from ..owner import Append, Claim, Note, OwnerCore, OwnerLimits, Reply, Tell
 from ..peers import (
@@ -31,6 +30,7 @@
     NodeSettings,
     StoreClient,
 )
+from ..transport._http_server import HttpServer
 from ._asking import OwnerRequests
 from ._core_loop import CoreLoop
 from ._log import DecisionLog
--- a/catkincross/daemons/_run.py
+++ b/catkincross/daemons/_run.py
@@ -6,10 +6,10 @@
 import sys
 from typing import Any
 
-from .._http_server import HttpServer
-from .._main import run_daemon
 from ..clock import SystemClock
+from ..foundation._main import run_daemon
 from ..platform import load_node_settings
+from ..transport._http_server import HttpServer
 from ._log import DecisionLog
 from ._metrics import METRICS_PORT, Metrics
 
--- a/catkincross/effects.py
+++ b/catkincross/effects.py
@@ -2,4 +2,4 @@
 
 from __future__ import annotations
 
-from ._effects import *  # noqa: F403
+from .protocol._effects import *  # noqa: F403
--- a/catkincross/entry.py
+++ b/catkincross/entry.py
@@ -7,11 +7,11 @@
 
 import click
 
-from ._entry_daemon import EntryDaemon
-from ._ini import settings_or_exit
-from ._logs import start_logs
-from ._main import run_daemon
-from ._settings import EntrySettings
+from .foundation._main import run_daemon
+from .observability._logs import start_logs
+from .programs._entry_daemon import EntryDaemon
+from .settings._ini import settings_or_exit
+from .settings._settings import EntrySettings
 
 
 @click.command()
--- /dev/null
+++ b/catkincross/entry_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an entry: arrival, owner and home of tasks, membership, recovery."""
--- a/catkincross/_admission.py
+++ b/catkincross/entry_core/_admission.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from ..policies._quotas import team_share
+from ..protocol._messages import ForwardJob, Reason
 from ._entry_rows import JobRow
 from ._entry_state import EntryState
-from ._messages import ForwardJob, Reason
-from ._quotas import team_share
 
 
 def refusal(state: EntryState, message: ForwardJob) -> Reason:
--- a/catkincross/_appends.py
+++ b/catkincross/entry_core/_appends.py
@@ -6,13 +6,9 @@
 
 import attrs
 
-from ._append_queue import PendingAppend
-from ._effects import Append, AppendEnded, ChangeProposed, ChangeReply
-from ._entry_registry import ENTRY
-from ._entry_state import EntryState
-from ._fold import LOST_RACE
-from ._messages import Reason
-from ._records import (
+from ..protocol._effects import Append, AppendEnded, ChangeProposed, ChangeReply
+from ..protocol._messages import Reason
+from ..protocol._records import (
     Barrier,
     EntryEnded,
     EntryJoined,
@@ -20,6 +16,10 @@
     ResourceDeleted,
     ResourcePut,
 )
+from ..resources._append_queue import PendingAppend
+from ..resources._fold import LOST_RACE
+from ._entry_registry import ENTRY
+from ._entry_state import EntryState
 
 ACCEPTED = "accepted"
 REFUSED = "refused"
--- a/catkincross/_arrival.py
+++ b/catkincross/entry_core/_arrival.py
@@ -4,14 +4,15 @@
 
 import attrs
 
-from ._effects import CallerGone, JobCancelRequested, JobLookedUp, JobSubmitted
-from ._entry_registry import ENTRY
-from ._entry_rows import RequestRow
-from ._entry_state import EntryState
-from ._held_requests import relay_answer, unknown_answer
-from ._ids import entry_process, hash_key
-from ._key_settlement import owner_of
-from ._messages import (
+from ..foundation._ids import entry_process, hash_key
+from ..foundation._rendezvous import choose
+from ..protocol._effects import (
+    CallerGone,
+    JobCancelRequested,
+    JobLookedUp,
+    JobSubmitted,
+)
+from ..protocol._messages import (
     CancelJob,
     ForwardJob,
     JobAnswer,
@@ -20,8 +21,12 @@
     Reason,
     Truth,
 )
+from ._entry_registry import ENTRY
+from ._entry_rows import RequestRow
+from ._entry_state import EntryState
+from ._held_requests import relay_answer, unknown_answer
+from ._key_settlement import owner_of
 from ._owner import ask_job, cancel_job, own_job
-from ._rendezvous import choose
 
 RETRY_AFTER_MS = 1_000
 
--- a/catkincross/_cancellation.py
+++ b/catkincross/entry_core/_cancellation.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from ..foundation._ids import agent_process, entry_process
+from ..protocol._messages import CancelTasks, OwnedTask, Reason
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 from ._home import decline
-from ._ids import agent_process, entry_process
-from ._messages import CancelTasks, OwnedTask, Reason
 
 
 @ENTRY.handles(CancelTasks)
--- a/catkincross/_census.py
+++ b/catkincross/entry_core/_census.py
@@ -4,13 +4,13 @@
 
 from collections import defaultdict
 
-from ._control_state import AgentMember
+from ..foundation._ids import Incarnation, agent_process, entry_process, split_process
+from ..protocol._messages import CensusReply, CensusRequest, Reason
+from ..resources._control_state import AgentMember
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 from ._home import decline
-from ._ids import Incarnation, agent_process, entry_process, split_process
 from ._key_fate import KeyFate
-from ._messages import CensusReply, CensusRequest, Reason
 from ._recovery_rows import Census, HomeCensus
 
 REPEAT_MS = 500
--- a/catkincross/_entry_core.py
+++ b/catkincross/entry_core/_entry_core.py
@@ -5,6 +5,9 @@
 from collections.abc import Sequence
 from typing import Any
 
+from ..protocol._core import Core
+from ..protocol._effects import Effect
+
 # Importing these modules registers their handlers and systems.
 from . import (  # noqa: F401
     _appends,
@@ -26,8 +29,6 @@
     _suspicion,
     _task_recovery,
 )
-from ._core import Core
-from ._effects import Effect
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 
--- a/catkincross/_entry_heartbeats.py
+++ b/catkincross/entry_core/_entry_heartbeats.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
+from ..foundation._ids import entry_process, split_process
+from ..protocol._effects import Connected, Disconnected
+from ..protocol._messages import NO_EVIDENCE, PeerHeartbeat, RecordsTail, StateRequest
+from ..protocol._records import encode_record
 from ._appends import restrictive_pending
 from ._arrival import repeat_forwards
-from ._effects import Connected, Disconnected
 from ._entry_registry import ENTRY
 from ._entry_rows import PeerRow
 from ._entry_state import EntryState
 from ._held_requests import send_relayed_again
 from ._home_capacity import capacity_summaries
 from ._home_choice import peer_reported
-from ._ids import entry_process, split_process
 from ._key_queries import send_key_lists
-from ._messages import NO_EVIDENCE, PeerHeartbeat, RecordsTail, StateRequest
 from ._observations import drain_reports, observed_versions
-from ._records import encode_record
 from ._snapshots import send_state
 
 RELAYED_RECORDS = 200
--- a/catkincross/_entry_registry.py
+++ b/catkincross/entry_core/_entry_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
+from ..foundation._systems import CoreRegistry
 from ._entry_state import EntryState
-from ._systems import CoreRegistry
 
 ENTRY: CoreRegistry[EntryState] = CoreRegistry("entry")
--- a/catkincross/_entry_rows.py
+++ b/catkincross/entry_core/_entry_rows.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from ._ids import Incarnation, TaskId
-from ._messages import (
+from ..foundation._ids import Incarnation, TaskId
+from ..protocol._messages import (
     AgentHello,
     AgentView,
     CancelJob,
--- a/catkincross/_entry_state.py
+++ b/catkincross/entry_core/_entry_state.py
@@ -7,15 +7,12 @@
 
 import attrs
 
-from ._append_queue import AppendQueue
-from ._control_state import ControlState
-from ._dispatch_state import Dispatch
-from ._effects import Effect, Emit, Reply, Send
-from ._entry_rows import AgentRow, HomeTask, JobRow, PeerRow, Recovery, RequestRow
-from ._freshness import Freshness
-from ._guards import ALL_GUARDS, Guards
-from ._ids import Incarnation, TaskId, entry_process
-from ._messages import (
+from ..foundation._guards import ALL_GUARDS, Guards
+from ..foundation._ids import Incarnation, TaskId, entry_process
+from ..foundation._tables import DueQueue, Table
+from ..policies._dispatch_state import Dispatch
+from ..protocol._effects import Effect, Emit, Reply, Send
+from ..protocol._messages import (
     AgentHello,
     CancelTasks,
     CapacitySummary,
@@ -30,11 +27,14 @@
     TaskResults,
     TaskStart,
 )
-from ._recent_records import RecentRecords
-from ._records import Record, RecordBody
+from ..protocol._records import Record, RecordBody
+from ..resources._append_queue import AppendQueue
+from ..resources._control_state import ControlState
+from ..resources._freshness import Freshness
+from ..resources._recent_records import RecentRecords
+from ..settings._settings import EntrySettings
+from ._entry_rows import AgentRow, HomeTask, JobRow, PeerRow, Recovery, RequestRow
 from ._recovery_rows import Censuses, HeldRequest, KeyQueries
-from ._settings import EntrySettings
-from ._tables import DueQueue, Table
 
 
 @attrs.define
--- a/catkincross/_hedging.py
+++ b/catkincross/entry_core/_hedging.py
@@ -2,50 +2,14 @@
 
 from __future__ import annotations
 
-import attrs
-
+from ..policies._hedges import EarlierAttempt, Quantile
+from ..policies._retry_budget import backoff_ms
+from ..protocol._messages import OwnedTask, TaskResult, TaskStatus
 from ._cancellation import cancel_at
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow, TaskPhase, TaskRow
 from ._entry_state import EntryState
 from ._home_choice import left_home
-from ._messages import OwnedTask, TaskResult, TaskStatus
-from ._retry_budget import backoff_ms
-
-# Weight of one answer in the learned percentile, relative to its value.
-QUANTILE_STEP = 0.02
-
-
-@attrs.define
-class Quantile:
-    """Running estimate of a percentile.
-
-    Attributes:
-        share: Share of the values below the estimate, from 0 to 1.
-        count: Values seen.
-    """
-
-    share: float
-    value: float = 0.0
-    count: int = 0
-
-    def add(self, value: float) -> None:
-        """Take a value."""
-        self.count += 1
-        if self.count == 1:
-            self.value = value
-            return
-        step = max(1.0, self.value) * max(QUANTILE_STEP, 1.0 / self.count)
-        self.value += step * (self.share - (value <= self.value))
-        self.value = max(0.0, self.value)
-
-
-@attrs.frozen
-class EarlierAttempt:
-    """An attempt that still runs while a hedge of the same request does."""
-
-    home: str
-    attempt: int
 
 
 def is_single(job: JobRow) -> bool:
--- a/catkincross/_held_requests.py
+++ b/catkincross/entry_core/_held_requests.py
@@ -4,13 +4,20 @@
 
 import attrs
 
+from ..foundation._ids import entry_process
+from ..protocol._messages import (
+    CancelJob,
+    ForwardJob,
+    JobAnswer,
+    JobAsked,
+    JobState,
+    Reason,
+)
 from ._entry_registry import ENTRY
 from ._entry_rows import Waiter
 from ._entry_state import EntryState
-from ._ids import entry_process
 from ._job_end import answer_waiter
 from ._key_settlement import KeyFate, keeper_of, settle_key
-from ._messages import CancelJob, ForwardJob, JobAnswer, JobAsked, JobState, Reason
 from ._owner import ask_job, cancel_job, own_job
 from ._recovery_rows import HeldRequest
 
--- a/catkincross/_home.py
+++ b/catkincross/entry_core/_home.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-from ._entry_registry import ENTRY
-from ._entry_rows import HomeTask
-from ._entry_state import EntryState
-from ._home_slots import forget_running, reindex_speed, release_slot
-from ._home_starts import dequeue, enqueue, fits_nowhere_here
-from ._messages import (
+from ..protocol._messages import (
     OwnedTask,
     PlacedTask,
     PlaceTasks,
@@ -15,6 +10,11 @@
     TaskResult,
     TaskStatus,
 )
+from ._entry_registry import ENTRY
+from ._entry_rows import HomeTask
+from ._entry_state import EntryState
+from ._home_slots import forget_running, reindex_speed, release_slot
+from ._home_starts import dequeue, enqueue, fits_nowhere_here
 from ._upstream_health import note_result
 
 CHECK_SHARE = 1.0
--- a/catkincross/_home_agents.py
+++ b/catkincross/entry_core/_home_agents.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from ..foundation._ids import Incarnation, agent_process
+from ..protocol._messages import AgentHeartbeat, AgentHello, AgentView, HeartbeatReply
+from ..protocol._records import AgentsRegistered, RegisteredAgent
 from ._entry_registry import ENTRY
 from ._entry_rows import AgentRow
 from ._entry_state import EntryState
-from ._ids import Incarnation, agent_process
-from ._messages import AgentHeartbeat, AgentHello, AgentView, HeartbeatReply
-from ._records import AgentsRegistered, RegisteredAgent
 
 # Ends of the same agent within this time lengthen its hold before it returns.
 REPEATED_END_MS = 600_000
--- a/catkincross/_home_capacity.py
+++ b/catkincross/entry_core/_home_capacity.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from ..placement._upstream import class_speed
+from ..protocol._messages import CapacitySummary
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
-from ._messages import CapacitySummary
-from ._upstream import class_speed
 
 
 def capacity_summaries(state: EntryState) -> list[CapacitySummary]:
--- a/catkincross/_home_choice.py
+++ b/catkincross/entry_core/_home_choice.py
@@ -4,17 +4,17 @@
 
 from collections import defaultdict
 
+from ..foundation._ids import TaskId
+from ..placement._fit import TaskNeed
+from ..policies._fair_queue import Turn
+from ..policies._home_index import NONE, HomeIndex, HomeRow
+from ..policies._lanes import Lanes
+from ..policies._quotas import team_share
+from ..protocol._messages import CapacitySummary, Reason, TaskResult, TaskStatus
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow, PeerRow, TaskPhase, TaskRow
 from ._entry_state import EntryState
-from ._fair_queue import Turn
-from ._fit import TaskNeed
 from ._home_capacity import service_summaries
-from ._home_index import NONE, HomeIndex, HomeRow
-from ._ids import TaskId
-from ._lanes import Lanes
-from ._messages import CapacitySummary, Reason, TaskResult, TaskStatus
-from ._quotas import team_share
 
 # One-way network times in which the slots that become free are counted: those of a
 # report and a placement, with a margin for messages that wait for a busy process.
--- a/catkincross/_home_slots.py
+++ b/catkincross/entry_core/_home_slots.py
@@ -4,12 +4,12 @@
 
 import attrs
 
+from ..placement._fit import TaskNeed
+from ..placement._upstream import Upstream, speed_class
+from ..protocol._messages import OwnedTask
 from ._entry_registry import ENTRY
 from ._entry_rows import AgentRow, HomeTask
 from ._entry_state import EntryState
-from ._fit import TaskNeed
-from ._messages import OwnedTask
-from ._upstream import Upstream, speed_class
 from ._upstream_health import usable_slots
 
 NO_NEED = TaskNeed()
--- a/catkincross/_home_starts.py
+++ b/catkincross/entry_core/_home_starts.py
@@ -6,20 +6,20 @@
 
 import attrs
 
+from ..foundation._ids import agent_process
+from ..placement._fit import TaskNeed
+from ..placement._upstream import Upstream, class_speed
+from ..policies._fair_queue import Turn
+from ..policies._lanes import Lanes
+from ..policies._quotas import team_share
+from ..policies._reserve import choose_unreserved
+from ..policies._service_slots import ServiceSlots
+from ..protocol._messages import OwnedTask, PlacedTask, TaskStart
 from ._entry_registry import ENTRY
 from ._entry_rows import AgentRow, HomeTask
 from ._entry_state import EntryState
-from ._fair_queue import Turn
-from ._fit import TaskNeed
 from ._home_slots import hold_slot
-from ._ids import agent_process
-from ._lanes import Lanes
-from ._messages import OwnedTask, PlacedTask, TaskStart
-from ._quotas import team_share
-from ._reserve import choose_unreserved
-from ._service_slots import ServiceSlots
 from ._stragglers import watch
-from ._upstream import Upstream, class_speed
 
 # Most tasks that wait for a faster slot in one pass over a queue.
 MAX_WAITING_FOR_SPEED = 32
--- a/catkincross/_job_end.py
+++ b/catkincross/entry_core/_job_end.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from ..foundation._ids import entry_process
+from ..protocol._messages import JobAnswer, JobState, OwnedTask, Reason, Truth
 from ._admission import job_closed
 from ._cancellation import cancel_at
 from ._entry_registry import ENTRY
@@ -13,8 +15,6 @@
 from ._entry_state import EntryState
 from ._hedging import cancel_attempts, forget_attempts
 from ._home_choice import left_home, unplaceable, unqueue
-from ._ids import entry_process
-from ._messages import JobAnswer, JobState, OwnedTask, Reason, Truth
 
 # Reasons of results that do not say whether the task ran to its end.
 UNKNOWN_ENDS = {
--- a/catkincross/_key_queries.py
+++ b/catkincross/entry_core/_key_queries.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from ..foundation._ids import Incarnation, entry_process, split_process
+from ..foundation._rendezvous import choose
+from ..protocol._messages import KeyQuery, KeyReply
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
-from ._ids import Incarnation, entry_process, split_process
-from ._messages import KeyQuery, KeyReply
 from ._recovery_rows import Inquiry, KeyList, Knowledge
-from ._rendezvous import choose
 
 REPEAT_MS = 500
 
--- a/catkincross/_key_settlement.py
+++ b/catkincross/entry_core/_key_settlement.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+from ..foundation._ids import Incarnation
+from ..foundation._rendezvous import choose, rank
 from ._census import census_fate
 from ._entry_state import EntryState
-from ._ids import Incarnation
 from ._key_fate import KeyFate
 from ._key_queries import ask_about
 from ._recovery_rows import Knowledge
-from ._rendezvous import choose, rank
 
 __all__ = ["KeyFate", "earlier_owners", "owner_of", "settle_key"]
 
--- a/catkincross/_leave.py
+++ b/catkincross/entry_core/_leave.py
@@ -4,17 +4,17 @@
 
 from collections import defaultdict
 
-from ._effects import LeaveRequested, Stop
+from ..foundation._ids import entry_process, hash_key
+from ..foundation._rendezvous import choose
+from ..protocol._effects import LeaveRequested, Stop
+from ..protocol._messages import FinishedKey, HandoverReceived, KeyHandover, Reason
+from ..protocol._records import EntryEnded, EntryLeaving, RecordBody
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow
 from ._entry_state import EntryState
 from ._home import decline
-from ._ids import entry_process, hash_key
 from ._job_end import fail_jobs
-from ._messages import FinishedKey, HandoverReceived, KeyHandover, Reason
 from ._observations import is_mine
-from ._records import EntryEnded, EntryLeaving, RecordBody
-from ._rendezvous import choose
 
 HANDOVER_ROWS = 100
 HANDOVER_REPEAT_MS = 1_000
--- a/catkincross/_membership.py
+++ b/catkincross/entry_core/_membership.py
@@ -4,16 +4,16 @@
 
 from collections.abc import Sequence
 
+from ..foundation._ids import Incarnation, entry_process
+from ..protocol._effects import LogRead, LogUnreachable, SetPeers
+from ..protocol._messages import LogRecord, RecordsTail
+from ..protocol._records import EntryJoined, decode_record
+from ..resources._fold import fold_record
 from ._appends import drop_appends, settle_folded
-from ._effects import LogRead, LogUnreachable, SetPeers
 from ._entry_registry import ENTRY
 from ._entry_rows import PeerRow
 from ._entry_state import EntryState
-from ._fold import fold_record
-from ._ids import Incarnation, entry_process
 from ._job_end import fail_jobs
-from ._messages import LogRecord, RecordsTail
-from ._records import EntryJoined, decode_record
 
 # Ends of the same process within this time lengthen its hold before it rejoins.
 REPEATED_END_MS = 600_000
--- a/catkincross/_observations.py
+++ b/catkincross/entry_core/_observations.py
@@ -4,9 +4,9 @@
 
 from collections import defaultdict
 
+from ..protocol._messages import DrainReport, ObservedVersion
 from ._entry_rows import AgentRow
 from ._entry_state import EntryState
-from ._messages import DrainReport, ObservedVersion
 
 NAMED_AGENTS = 10
 
--- a/catkincross/_outage.py
+++ b/catkincross/entry_core/_outage.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from ..protocol._messages import NO_EVIDENCE
 from ._entry_registry import ENTRY
 from ._entry_rows import PeerRow
 from ._entry_state import EntryState
-from ._messages import NO_EVIDENCE
 
 
 @ENTRY.system(order=120)
--- a/catkincross/_owner.py
+++ b/catkincross/entry_core/_owner.py
@@ -2,6 +2,20 @@
 
 from __future__ import annotations
 
+from ..foundation._ids import TaskId, entry_process, hash_key, split_process
+from ..protocol._messages import (
+    CancelJob,
+    ForwardJob,
+    JobAnswer,
+    JobAsked,
+    JobState,
+    PlacedTask,
+    Reason,
+    TaskResult,
+    TaskResults,
+    TaskStatus,
+    Truth,
+)
 from ._admission import job_opened, refusal
 from ._entry_registry import ENTRY
 from ._entry_rows import JobRow, TaskPhase, TaskRow, Waiter
@@ -21,22 +35,8 @@
     peer_reported,
     unqueue,
 )
-from ._ids import TaskId, entry_process, hash_key, split_process
 from ._job_end import answer_waiter, finish_job, stop_job
 from ._key_settlement import KeyFate, settle_key
-from ._messages import (
-    CancelJob,
-    ForwardJob,
-    JobAnswer,
-    JobAsked,
-    JobState,
-    PlacedTask,
-    Reason,
-    TaskResult,
-    TaskResults,
-    TaskStatus,
-    Truth,
-)
 from ._recovery_rows import HeldRequest
 
 REFUSED_RETRY_MS = 1_000
--- a/catkincross/_recovery_rows.py
+++ b/catkincross/entry_core/_recovery_rows.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from ._ids import Incarnation
-from ._messages import CancelJob, ForwardJob, JobAsked, KeyQuery
+from ..foundation._ids import Incarnation
+from ..protocol._messages import CancelJob, ForwardJob, JobAsked, KeyQuery
 
 
 @attrs.define
--- a/catkincross/_restrictions.py
+++ b/catkincross/entry_core/_restrictions.py
@@ -8,10 +8,10 @@
 
 from functools import lru_cache
 
+from ..protocol._records import EntryEnded, Record, ResourcePut, decode_record
 from ._appends import restrictive_pending
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState, Restrictions
-from ._records import EntryEnded, Record, ResourcePut, decode_record
 
 
 @ENTRY.system(order=190)
--- a/catkincross/_slotless.py
+++ b/catkincross/entry_core/_slotless.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from ..protocol._messages import Reason
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
 from ._home import decline
-from ._messages import Reason
 
 
 @ENTRY.system(order=455)
--- a/catkincross/_snapshots.py
+++ b/catkincross/entry_core/_snapshots.py
@@ -2,22 +2,22 @@
 
 from __future__ import annotations
 
-from ._appends import settle_snapshot
-from ._effects import (
+from ..foundation._ids import Incarnation, entry_process
+from ..foundation._rendezvous import rank
+from ..protocol._effects import (
     LogGap,
     ReadSnapshot,
     SnapshotEnded,
     SnapshotRead,
     WriteSnapshot,
 )
+from ..protocol._messages import ControlSnapshot, StateRequest
+from ..protocol._records import SnapshotNoted
+from ..resources._snapshot_codec import decode_snapshot, encode_snapshot
+from ._appends import settle_snapshot
 from ._entry_registry import ENTRY
 from ._entry_state import EntryState
-from ._ids import Incarnation, entry_process
 from ._membership import roster_changed
-from ._messages import ControlSnapshot, StateRequest
-from ._records import SnapshotNoted
-from ._rendezvous import rank
-from ._snapshot_codec import decode_snapshot, encode_snapshot
 
 READ_REPEAT_MS = 1_000
 NEXT_WRITER_MS = 10_000
--- a/catkincross/_stragglers.py
+++ b/catkincross/entry_core/_stragglers.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from ..foundation._ids import agent_process
+from ..protocol._messages import OwnedTask
 from ._entry_registry import ENTRY
 from ._entry_rows import AgentRow, HomeTask
 from ._entry_state import EntryState
-from ._ids import agent_process
-from ._messages import OwnedTask
 from ._upstream_health import health_of
 
 
--- a/catkincross/_suspicion.py
+++ b/catkincross/entry_core/_suspicion.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
+from ..foundation._ids import Incarnation
+from ..foundation._rendezvous import rank
+from ..protocol._records import AgentsEnded, EntryEnded
+from ..resources._control_state import AgentMember
 from ._appends import join_is_known
-from ._control_state import AgentMember
 from ._entry_registry import ENTRY
 from ._entry_rows import AgentRow, PeerRow
 from ._entry_state import EntryState
-from ._ids import Incarnation
-from ._records import AgentsEnded, EntryEnded
-from ._rendezvous import rank
 
 AGENT_SCAN_MS = 1_000
 
--- a/catkincross/_task_recovery.py
+++ b/catkincross/entry_core/_task_recovery.py
@@ -11,14 +11,8 @@
 
 from collections import defaultdict
 
-from ._arrival import forward
-from ._entry_registry import ENTRY
-from ._entry_rows import JobRow, TaskPhase, TaskRow
-from ._entry_state import EntryState
-from ._home import finish, lost_result
-from ._home_starts import send_start
-from ._ids import Incarnation, agent_process, entry_process
-from ._messages import (
+from ..foundation._ids import Incarnation, agent_process, entry_process
+from ..protocol._messages import (
     OwnedTask,
     PlaceTasks,
     Reason,
@@ -27,6 +21,12 @@
     TaskResult,
     TaskStatus,
 )
+from ._arrival import forward
+from ._entry_registry import ENTRY
+from ._entry_rows import JobRow, TaskPhase, TaskRow
+from ._entry_state import EntryState
+from ._home import finish, lost_result
+from ._home_starts import send_start
 from ._owner import placed_task, task_ended, task_row
 
 RECONCILE_INTERVAL_MS = 500
--- a/catkincross/_upstream_health.py
+++ b/catkincross/entry_core/_upstream_health.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import attrs
-
-from ._concurrency import ConcurrencyLimit
-from ._dispatch_state import Dispatch
-from ._ejection import Ejections, Standing
+from ..policies._concurrency import ConcurrencyLimit
+from ..policies._dispatch_state import Dispatch
+from ..policies._ejection import Ejections, Standing
+from ..policies._health import Health
+from ..policies._ramp import next_step_ms, ramp_slots
+from ..protocol._messages import Reason, TaskResult, TaskStatus
 from ._entry_registry import ENTRY
 from ._entry_rows import AgentRow, HomeTask
 from ._entry_state import EntryState
-from ._messages import Reason, TaskResult, TaskStatus
-from ._ramp import next_step_ms, ramp_slots
 
 UPSTREAM_FAILURES = {
     Reason.UPSTREAM_FAILED,
@@ -23,28 +22,6 @@
 LONGEST_PAUSE_MS = 1_000
 
 
-@attrs.define
-class Health:
-    """What limits the use of one upstream.
-
-    Attributes:
-        drained: It was seen out of service, so its return is a restore.
-        restored_ms: When it was restored, or None.
-        progress_ms: When a task ended there last.
-        stalled: It makes no progress while others do.
-        paused_until_ms: End of the pause after a refusal.
-        refusals: Refusals in a row.
-    """
-
-    concurrency: ConcurrencyLimit
-    drained: bool = False
-    restored_ms: int | None = None
-    progress_ms: int = 0
-    stalled: bool = False
-    paused_until_ms: int = 0
-    refusals: int = 0
-
-
 def health_of(state: EntryState, agent: AgentRow) -> Health:
     """Return the health of an agent's upstream, a good one for a new one."""
     health = state.dispatch.health.get(agent.name)
--- /dev/null
+++ b/catkincross/foundation/__init__.py
@@ -0,0 +1,1 @@
+"""What every other package builds on: clock, identities, tables, systems, hashing."""
--- a/catkincross/guards.py
+++ b/catkincross/guards.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from ._guards import ALL_GUARDS, Guards
+from .foundation._guards import ALL_GUARDS, Guards
 
 __all__ = ["ALL_GUARDS", "Guards"]
--- /dev/null
+++ b/catkincross/http_api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers and operators."""
--- a/catkincross/_gateway.py
+++ b/catkincross/http_api/_gateway.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from ._effects import ChangeReply
-from ._entry_state import EntryState
-from ._messages import JobAnswer
+from ..entry_core._entry_state import EntryState
+from ..protocol._effects import ChangeReply
+from ..protocol._messages import JobAnswer
 
 
 class EntryGateway(Protocol):
--- a/catkincross/_http_answers.py
+++ b/catkincross/http_api/_http_answers.py
@@ -15,8 +15,8 @@
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response
 
-from ._checked import Problem
-from ._messages import JobState, Truth
+from ..foundation._checked import Problem
+from ..protocol._messages import JobState, Truth
 
 Value = TypeVar("Value")
 Endpoint = Callable[[Request], Awaitable[Response]]
--- a/catkincross/_http_app.py
+++ b/catkincross/http_api/_http_app.py
@@ -12,13 +12,13 @@
 from starlette.routing import Route
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
+from ..observability._metrics import Metrics
+from ..protocol._messages import JobState, Reason, Truth
+from ..settings._settings import EntrySettings
 from ._gateway import EntryGateway
 from ._http_answers import RETRY_AFTER_MS, HttpReason, refusal
 from ._job_api import JobApi
-from ._messages import JobState, Reason, Truth
-from ._metrics import Metrics
 from ._resource_api import ResourceApi
-from ._settings import EntrySettings
 
 
 def build_app(
--- a/catkincross/_job_api.py
+++ b/catkincross/http_api/_job_api.py
@@ -12,8 +12,11 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from ._checked import Problem
-from ._effects import JobCancelRequested, JobLookedUp, JobSubmitted
+from ..foundation._checked import Problem
+from ..foundation._ids import job_key
+from ..protocol._effects import JobCancelRequested, JobLookedUp, JobSubmitted
+from ..protocol._messages import JobAnswer, JobState, Reason, Truth
+from ..settings._settings import EntrySettings
 from ._gateway import EntryGateway
 from ._http_answers import (
     JSON_LINES,
@@ -27,7 +30,6 @@
     unless_disconnected,
     whole_number,
 )
-from ._ids import job_key
 from ._job_bodies import (
     BadSubmission,
     JobBody,
@@ -37,8 +39,6 @@
     result_document,
     shown_truth,
 )
-from ._messages import JobAnswer, JobState, Reason, Truth
-from ._settings import EntrySettings
 
 # Time beyond a job's deadline for its final answer to reach the arrival entry.
 ANSWER_GRACE_MS = 2_000
--- a/catkincross/_job_bodies.py
+++ b/catkincross/http_api/_job_bodies.py
@@ -12,11 +12,11 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from ._checked import JSON_VALUES, Problem, read_fields
-from ._effects import JobSubmitted
-from ._ids import job_key
-from ._messages import JobAnswer, JobState, TaskResult, TaskSpec, Truth
-from ._settings import JobSettings, setting
+from ..foundation._checked import JSON_VALUES, Problem, read_fields
+from ..foundation._ids import job_key
+from ..protocol._effects import JobSubmitted
+from ..protocol._messages import JobAnswer, JobState, TaskResult, TaskSpec, Truth
+from ..settings._settings import JobSettings, setting
 
 DEFAULT_DEADLINE_MS = 60_000
 # `#` and `/` stay out of team names: keys of requests without one contain `#`, and
--- a/catkincross/_resource_api.py
+++ b/catkincross/http_api/_resource_api.py
@@ -11,10 +11,13 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from ._appends import ACCEPTED, REFUSED, UNKNOWN, change_status
-from ._checked import Problem
-from ._effects import ChangeProposed, ChangeReply
-from ._fold import LOST_RACE
+from ..entry_core._appends import ACCEPTED, REFUSED, UNKNOWN, change_status
+from ..foundation._checked import Problem
+from ..protocol._effects import ChangeProposed, ChangeReply
+from ..protocol._messages import Reason
+from ..protocol._records import Record, RecordBody, ResourceDeleted, ResourcePut
+from ..resources._fold import LOST_RACE
+from ..settings._settings import EntrySettings
 from ._gateway import EntryGateway
 from ._http_answers import (
     JSON_LINES,
@@ -29,12 +32,9 @@
     unless_disconnected,
     whole_number,
 )
-from ._messages import Reason
-from ._records import Record, RecordBody, ResourceDeleted, ResourcePut
 from ._resource_specs import KINDS, READ_ONLY_KINDS, check_name, check_spec
 from ._resource_status import resource_document
 from ._resource_watch import ResourceFeed, watch_lines
-from ._settings import EntrySettings
 
 NOT_APPLIED, APPLIED, MAY_APPLY = "not_applied", "applied", "may_be_applied"
 LIMIT_REASONS = {Reason.OVERLOADED, Reason.QUOTA}
--- a/catkincross/_resource_specs.py
+++ b/catkincross/http_api/_resource_specs.py
@@ -9,8 +9,8 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from ._checked import JSON_VALUES, Problem, read_fields
-from ._settings import setting
+from ..foundation._checked import JSON_VALUES, Problem, read_fields
+from ..settings._settings import setting
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 # All entries keep every configuration in memory, and a record travels whole.
--- a/catkincross/_resource_status.py
+++ b/catkincross/http_api/_resource_status.py
@@ -4,10 +4,10 @@
 
 from typing import Any
 
-from ._control_state import Resource
-from ._entry_state import EntryState
-from ._messages import DrainReport, ObservedVersion, RosterEntry
-from ._observations import drain_reports, observed_versions
+from ..entry_core._entry_state import EntryState
+from ..entry_core._observations import drain_reports, observed_versions
+from ..protocol._messages import DrainReport, ObservedVersion, RosterEntry
+from ..resources._control_state import Resource
 
 NAMED_MISSING = 20
 
--- a/catkincross/ids.py
+++ b/catkincross/ids.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._ids import (
+from .foundation._ids import (
     Incarnation,
     TaskId,
     agent_process,
--- a/catkincross/messages.py
+++ b/catkincross/messages.py
@@ -2,4 +2,4 @@
 
 from __future__ import annotations
 
-from ._messages import *  # noqa: F403
+from .protocol._messages import *  # noqa: F403
--- /dev/null
+++ b/catkincross/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the time line of events."""
--- a/catkincross/_logs.py
+++ b/catkincross/observability/_logs.py
@@ -7,9 +7,9 @@
 
 import eliot
 
-from ._effects import Emit
-from ._ids import agent_process, entry_process
-from ._settings import AgentSettings, EntrySettings, EventLogSettings
+from ..foundation._ids import agent_process, entry_process
+from ..protocol._effects import Emit
+from ..settings._settings import AgentSettings, EntrySettings, EventLogSettings
 
 # A log of changes leaves these out: there is one for each job or task.
 JOB_EVENTS = ("job ", "task ", "request ")
--- a/catkincross/_metrics.py
+++ b/catkincross/observability/_metrics.py
@@ -7,11 +7,11 @@
 
 import statsd
 
-from ._agent_state import AgentState
-from ._effects import Emit
-from ._entry_state import EntryState
-from ._ids import split_process
-from ._settings import MetricsSettings
+from ..agent_core._agent_state import AgentState
+from ..entry_core._entry_state import EntryState
+from ..foundation._ids import split_process
+from ..protocol._effects import Emit
+from ..settings._settings import MetricsSettings
 
 # Fields of events that are durations.
 TIMED_FIELDS = ("run_ms", "duration_ms")
--- a/catkincross/_timeline.py
+++ b/catkincross/observability/_timeline.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ._ids import hash_key
+from ..foundation._ids import hash_key
 from ._logs import JOB_DIGITS
 
 # Fields of a line that have a column of their own or only serve eliot.
--- a/catkincross/_fit.py
+++ b/catkincross/placement/_fit.py
@@ -5,7 +5,7 @@
 import attrs
 from sortedcontainers import SortedList
 
-from ._messages import TaskSpec
+from ..protocol._messages import TaskSpec
 from ._upstream import Upstream
 
 
--- /dev/null
+++ b/catkincross/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Policies of dispatch: limits, estimates, fair queues, quotas, ejection, retries."""
--- a/catkincross/_concurrency.py
+++ b/catkincross/policies/_concurrency.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ._settings import ConcurrencySettings
+from ..settings._settings import ConcurrencySettings
 
 # The base follows faster answers quickly and slower ones slowly, so that a long
 # overload does not become the normal state.
--- a/catkincross/_dispatch_state.py
+++ b/catkincross/policies/_dispatch_state.py
@@ -2,27 +2,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
+from ..foundation._ids import TaskId
+from ..foundation._tables import DueQueue
+from ..placement._fit import MemoryUse, TaskNeed
+from ..protocol._messages import OwnedTask
+from ..settings._settings import EntrySettings
 from ._ejection import Ejections
 from ._estimates import RunTimes, Speeds
-from ._fit import MemoryUse, TaskNeed
+from ._health import Health
+from ._hedges import EarlierAttempt, Quantile
 from ._home_index import HomeIndex
-from ._ids import TaskId
 from ._lanes import Lanes
-from ._messages import OwnedTask
 from ._quotas import TeamTable
 from ._reserve import Reserve
 from ._retry_budget import RetryBudget
 from ._service_slots import ServiceSlots
-from ._settings import EntrySettings
-from ._tables import DueQueue
-
-if TYPE_CHECKING:
-    from ._hedging import EarlierAttempt, Quantile
-    from ._upstream_health import Health
 
 
 @attrs.define
--- a/catkincross/_ejection.py
+++ b/catkincross/policies/_ejection.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ._settings import EjectionSettings
+from ..settings._settings import EjectionSettings
 
 
 class Standing(StrEnum):
--- a/catkincross/_estimates.py
+++ b/catkincross/policies/_estimates.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ._messages import TaskSpec
+from ..protocol._messages import TaskSpec
 
 
 @attrs.define
--- a/catkincross/_home_index.py
+++ b/catkincross/policies/_home_index.py
@@ -9,8 +9,8 @@
 import attrs
 from sortedcontainers import SortedList
 
-from ._fit import TaskNeed
-from ._ids import TaskId
+from ..foundation._ids import TaskId
+from ..placement._fit import TaskNeed
 
 # Finish times within 5 % count as equal; then the load decides, which spreads a burst.
 FINISH_CLASS_LOG = math.log(1.05)
--- a/catkincross/_lanes.py
+++ b/catkincross/policies/_lanes.py
@@ -9,8 +9,8 @@
 from collections.abc import Hashable
 from typing import Generic, TypeVar
 
+from ..placement._fit import TaskNeed
 from ._fair_queue import FairQueue, Turn
-from ._fit import TaskNeed
 
 Item = TypeVar("Item", bound=Hashable)
 
--- a/catkincross/_quotas.py
+++ b/catkincross/policies/_quotas.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ._control_state import ControlState
-from ._messages import TeamUsage
+from ..protocol._messages import TeamUsage
+from ..resources._control_state import ControlState
 
 LOWEST_WEIGHT = 0.001
 
--- a/catkincross/_reserve.py
+++ b/catkincross/policies/_reserve.py
@@ -10,10 +10,10 @@
 
 import attrs
 
-from ._dispatch_settings import QueueSettings
-from ._fit import TaskNeed
+from ..placement._fit import TaskNeed
+from ..placement._upstream import Upstream
+from ..settings._dispatch_settings import QueueSettings
 from ._service_slots import ServiceSlots
-from ._upstream import Upstream
 
 # Slots are kept back only while interactive tasks have arrived within this time.
 INTERACTIVE_MEMORY_MS = 10_000
--- a/catkincross/_service_slots.py
+++ b/catkincross/policies/_service_slots.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from ._fit import MemoryOrder
-from ._placement import PLACEMENT_POLICIES, PlacementPolicy
-from ._slot_forecast import SlotForecast
-from ._upstream import Upstream, class_speed
+from ..placement._fit import MemoryOrder
+from ..placement._placement import PLACEMENT_POLICIES, PlacementPolicy
+from ..placement._slot_forecast import SlotForecast
+from ..placement._upstream import Upstream, class_speed
 
 
 @attrs.define
--- /dev/null
+++ b/catkincross/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Processes that drive the cores: entry, agent and the demo."""
--- a/catkincross/_agent_daemon.py
+++ b/catkincross/programs/_agent_daemon.py
@@ -5,22 +5,22 @@
 import asyncio
 import random
 
-from . import _effects as fx
-from ._agent_core import AgentCore
+from ..agent_core._agent_core import AgentCore
+from ..agent_core._agent_state import AgentState
+from ..foundation._clock import Clock, SystemClock
+from ..foundation._ids import agent_process, entry_process
+from ..observability._logs import EventLog
+from ..observability._metrics import Metrics
+from ..protocol import _effects as fx
+from ..protocol._messages import AgentHello, Message, Reason, TaskStart
+from ..settings._settings import AgentSettings
+from ..transport._http_server import HttpServer
+from ..transport._transport import Transport
+from ..transport._upstream_client import UpstreamClient
+from ..transport._worker_client import WorkerClient
 from ._agent_http import build_agent_app
-from ._agent_state import AgentState
-from ._clock import Clock, SystemClock
-from ._http_server import HttpServer
-from ._ids import agent_process, entry_process
-from ._logs import EventLog
-from ._messages import AgentHello, Message, Reason, TaskStart
-from ._metrics import Metrics
 from ._runner import CoreRunner
 from ._serving import serve
-from ._settings import AgentSettings
-from ._transport import Transport
-from ._upstream_client import UpstreamClient
-from ._worker_client import WorkerClient
 
 FLUSH_LIMIT_S = 2.0
 
--- a/catkincross/_agent_http.py
+++ b/catkincross/programs/_agent_http.py
@@ -12,8 +12,8 @@
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
 
-from ._agent_state import AgentState
-from ._effects import UpstreamAnnounced
+from ..agent_core._agent_state import AgentState
+from ..protocol._effects import UpstreamAnnounced
 
 
 def build_agent_app(state: AgentState, post: Callable[[Any], None]) -> Starlette:
--- a/catkincross/_demo.py
+++ b/catkincross/programs/_demo.py
@@ -12,18 +12,18 @@
 
 from standins.upstream import Behaviour, Upstream
 
-from ._agent_daemon import AgentDaemon
-from ._embedded_log import EmbeddedLog
-from ._entry_daemon import EntryDaemon
-from ._http_server import HttpServer
-from ._settings import (
+from ..observability._timeline import TimelineEvent, TimelineFilter, events_of, merge
+from ..settings._settings import (
     AgentSettings,
     EntrySettings,
     ListenSettings,
     SeedSettings,
     UpstreamSettings,
 )
-from ._timeline import TimelineEvent, TimelineFilter, events_of, merge
+from ..transport._embedded_log import EmbeddedLog
+from ..transport._http_server import HttpServer
+from ._agent_daemon import AgentDaemon
+from ._entry_daemon import EntryDaemon
 
 DATA_CENTRES = ("perth", "stirling", "dundee")
 AGENTS = 4
--- a/catkincross/_entry_daemon.py
+++ b/catkincross/programs/_entry_daemon.py
@@ -7,22 +7,22 @@
 from collections.abc import Callable
 from typing import Any
 
-from . import _effects as fx
-from ._clock import Clock, SystemClock
-from ._entry_core import EntryCore
-from ._entry_state import EntryState
-from ._http_app import build_app
-from ._http_server import HttpServer
-from ._ids import Incarnation
-from ._log_client import HttpLogClient, LogClient
-from ._log_feed import LogFeed
-from ._logs import EventLog
-from ._messages import NO_EVIDENCE, JobAnswer, Message, PeerHeartbeat
-from ._metrics import Metrics
+from ..entry_core._entry_core import EntryCore
+from ..entry_core._entry_state import EntryState
+from ..foundation._clock import Clock, SystemClock
+from ..foundation._ids import Incarnation
+from ..http_api._http_app import build_app
+from ..observability._logs import EventLog
+from ..observability._metrics import Metrics
+from ..protocol import _effects as fx
+from ..protocol._messages import NO_EVIDENCE, JobAnswer, Message, PeerHeartbeat
+from ..settings._settings import EntrySettings
+from ..transport._http_server import HttpServer
+from ..transport._log_client import HttpLogClient, LogClient
+from ..transport._log_feed import LogFeed
+from ..transport._transport import Transport
 from ._runner import CoreRunner
 from ._serving import serve
-from ._settings import EntrySettings
-from ._transport import Transport
 
 FLUSH_LIMIT_S = 2.0
 
--- a/catkincross/_runner.py
+++ b/catkincross/programs/_runner.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
-from ._clock import Clock
-from ._effects import Effect
+from ..foundation._clock import Clock
+from ..protocol._effects import Effect
 
 MIN_WAIT_MS = 1
 
--- /dev/null
+++ b/catkincross/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, records and effects, and their bytes."""
--- a/catkincross/_agent_messages.py
+++ b/catkincross/protocol/_agent_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ._ids import Incarnation
+from ..foundation._ids import Incarnation
 from ._message_parts import (
     CapacitySummary,
     OwnedTask,
--- a/catkincross/_core.py
+++ b/catkincross/protocol/_core.py
@@ -5,8 +5,8 @@
 from collections.abc import Sequence
 from typing import Any, ClassVar, Generic, Protocol, TypeVar
 
+from ..foundation._systems import CoreRegistry
 from ._effects import Effect, Received
-from ._systems import CoreRegistry
 
 
 class CoreState(Protocol):
--- a/catkincross/_message_parts.py
+++ b/catkincross/protocol/_message_parts.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ._ids import Incarnation, TaskId
+from ..foundation._ids import Incarnation, TaskId
 
 NO_EVIDENCE = -1
 
--- a/catkincross/_records.py
+++ b/catkincross/protocol/_records.py
@@ -9,7 +9,7 @@
 from cattrs.preconf.json import make_converter
 from cattrs.strategies import configure_tagged_union
 
-from ._ids import Incarnation
+from ..foundation._ids import Incarnation
 
 
 @attrs.frozen
--- a/catkincross/_wire.py
+++ b/catkincross/protocol/_wire.py
@@ -13,8 +13,8 @@
 
 import attrs
 
+from ..wire_pb import catkincross_pb2 as pb
 from . import _messages
-from .wire_pb import catkincross_pb2 as pb
 
 Encoder = Callable[[Any], Any]
 
--- a/catkincross/records.py
+++ b/catkincross/records.py
@@ -2,4 +2,4 @@
 
 from __future__ import annotations
 
-from ._records import *  # noqa: F403
+from .protocol._records import *  # noqa: F403
--- a/catkincross/_append_queue.py
+++ b/catkincross/resources/_append_queue.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ._records import Record
+from ..protocol._records import Record
 
 KEPT_REASONS = 200
 
--- a/catkincross/_control_state.py
+++ b/catkincross/resources/_control_state.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from ._ids import Incarnation
-from ._messages import RosterEntry
-from ._records import RegisteredAgent
+from ..foundation._ids import Incarnation
+from ..protocol._messages import RosterEntry
+from ..protocol._records import RegisteredAgent
 
 
 @attrs.define
--- a/catkincross/_fold.py
+++ b/catkincross/resources/_fold.py
@@ -7,17 +7,8 @@
 
 import attrs
 
-from ._control_state import (
-    AgentMember,
-    ControlState,
-    EndedEntry,
-    HomeTerm,
-    RecordOutcome,
-    Resource,
-    RosterVersion,
-)
-from ._messages import RosterEntry
-from ._records import (
+from ..protocol._messages import RosterEntry
+from ..protocol._records import (
     AgentsEnded,
     AgentsRegistered,
     Barrier,
@@ -29,6 +20,15 @@
     ResourcePut,
     SnapshotNoted,
 )
+from ._control_state import (
+    AgentMember,
+    ControlState,
+    EndedEntry,
+    HomeTerm,
+    RecordOutcome,
+    Resource,
+    RosterVersion,
+)
 
 LOST_RACE = "lost_race"
 ENDED_AUTHOR = "ended_author"
--- a/catkincross/_freshness.py
+++ b/catkincross/resources/_freshness.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ._messages import NO_EVIDENCE
+from ..protocol._messages import NO_EVIDENCE
 
 
 @attrs.define
--- a/catkincross/_recent_records.py
+++ b/catkincross/resources/_recent_records.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ._messages import LogRecord
+from ..protocol._messages import LogRecord
 
 KEPT_RECORDS = 1_000
 
--- a/catkincross/_snapshot_codec.py
+++ b/catkincross/resources/_snapshot_codec.py
@@ -8,6 +8,7 @@
 import attrs
 from cattrs.preconf.json import make_converter
 
+from ..protocol._messages import RosterEntry
 from ._control_state import (
     AgentMember,
     ControlState,
@@ -17,7 +18,6 @@
     Resource,
     RosterVersion,
 )
-from ._messages import RosterEntry
 
 
 @attrs.frozen
--- a/catkincross/_dispatch_settings.py
+++ b/catkincross/settings/_dispatch_settings.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ._placement import PLACEMENT_POLICIES
-from ._setting import setting
+from ..foundation._setting import setting
+from ..placement._placement import PLACEMENT_POLICIES
 
 
 @attrs.define
--- a/catkincross/_ini.py
+++ b/catkincross/settings/_ini.py
@@ -10,7 +10,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from ._checked import INI_VALUES, Problem, fields_of, read_fields
+from ..foundation._checked import INI_VALUES, Problem, fields_of, read_fields
 from ._settings import AgentSettings, EntrySettings
 
 Settings = TypeVar("Settings")
--- a/catkincross/_settings.py
+++ b/catkincross/settings/_settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..foundation._setting import setting
 from ._dispatch_settings import (
     AdmissionSettings,
     ConcurrencySettings,
@@ -15,7 +16,6 @@
     RetrySettings,
     StragglerSettings,
 )
-from ._setting import setting
 
 
 @attrs.define
--- a/catkincross/_settings_list.py
+++ b/catkincross/settings/_settings_list.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ._checked import allowed_text, fields_of
+from ..foundation._checked import allowed_text, fields_of
 from ._ini import TOP_SECTIONS
 
 
--- a/catkincross/tables.py
+++ b/catkincross/tables.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from ._tables import DueQueue, InvariantError, Table
+from .foundation._tables import DueQueue, InvariantError, Table
 
 __all__ = ["DueQueue", "InvariantError", "Table"]
--- /dev/null
+++ b/catkincross/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections: streams between processes, HTTP server and clients."""
--- a/catkincross/_embedded_log.py
+++ b/catkincross/transport/_embedded_log.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from ..protocol._messages import LogRecord
 from ._log_client import Accepted, AppendOutcome, Gap, ReadOutcome, Records
-from ._messages import LogRecord
 
 
 @attrs.define
--- a/catkincross/_http_server.py
+++ b/catkincross/transport/_http_server.py
@@ -10,7 +10,7 @@
 
 import uvicorn
 
-from ._settings import TlsSettings
+from ..settings._settings import TlsSettings
 
 BACKLOG = 2_048
 
--- a/catkincross/_log_client.py
+++ b/catkincross/transport/_log_client.py
@@ -7,8 +7,8 @@
 import aiohttp
 import attrs
 
-from ._messages import LogRecord
-from ._settings import LogSettings
+from ..protocol._messages import LogRecord
+from ..settings._settings import LogSettings
 
 CONNECT_TIMEOUT_S = 0.5
 
--- a/catkincross/_log_feed.py
+++ b/catkincross/transport/_log_feed.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from ._background import spawn
-from ._clock import Clock
-from ._effects import (
+from ..foundation._background import spawn
+from ..foundation._clock import Clock
+from ..protocol._effects import (
     AppendEnded,
     LogGap,
     LogRead,
@@ -18,8 +18,8 @@
     SnapshotEnded,
     SnapshotRead,
 )
+from ..protocol._records import Record, encode_record
 from ._log_client import Accepted, Gap, LogClient, Records, Refused, Unreachable
-from ._records import Record, encode_record
 
 CONTROL_STREAM = "control"
 SNAPSHOT_STREAM = "snapshots"
--- a/catkincross/_outbox.py
+++ b/catkincross/transport/_outbox.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import deque
 
-from ._messages import Message
+from ..protocol._messages import Message
 
 MAX_MESSAGES = 20_000
 MAX_FRAME_MESSAGES = 256
--- a/catkincross/_stream_link.py
+++ b/catkincross/transport/_stream_link.py
@@ -8,12 +8,12 @@
 
 import grpc
 
-from ._background import spawn
-from ._messages import Message
+from ..foundation._background import spawn
+from ..protocol._messages import Message
+from ..protocol._wire import decode_frame, encode_frame
+from ..wire_pb import catkincross_pb2_grpc as pb_grpc
 from ._outbox import Outbox, OutboxFullError
 from ._stream_server import PROCESS_METADATA
-from ._wire import decode_frame, encode_frame
-from .wire_pb import catkincross_pb2_grpc as pb_grpc
 
 OPEN_TIMEOUT_S = 3.0
 FIRST_BACKOFF_MS = 50
--- a/catkincross/_stream_server.py
+++ b/catkincross/transport/_stream_server.py
@@ -8,11 +8,11 @@
 
 import grpc
 
-from ._effects import Connected, Disconnected, Received
-from ._ids import agent_process, entry_process
-from ._messages import AgentHello, Message, PeerHeartbeat
+from ..foundation._ids import agent_process, entry_process
+from ..protocol._effects import Connected, Disconnected, Received
+from ..protocol._messages import AgentHello, Message, PeerHeartbeat
+from ..protocol._wire import decode_frame, encode_frame
 from ._outbox import Outbox, OutboxFullError
-from ._wire import decode_frame, encode_frame
 
 PROCESS_METADATA = "catkincross-process-bin"
 
--- a/catkincross/_transport.py
+++ b/catkincross/transport/_transport.py
@@ -14,13 +14,13 @@
 
 import grpc
 
-from ._effects import Connected, Disconnected, Received
-from ._messages import Message
+from ..protocol._effects import Connected, Disconnected, Received
+from ..protocol._messages import Message
+from ..settings._settings import TlsSettings
+from ..wire_pb import catkincross_pb2_grpc as pb_grpc
 from ._outbox import Outbox
-from ._settings import TlsSettings
 from ._stream_link import Link
 from ._stream_server import StreamServicer
-from .wire_pb import catkincross_pb2_grpc as pb_grpc
 
 OPTIONS = [
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
--- a/catkincross/_upstream_client.py
+++ b/catkincross/transport/_upstream_client.py
@@ -8,12 +8,12 @@
 
 import aiohttp
 
-from ._background import spawn
-from ._clock import Clock
-from ._effects import UpstreamAnswered
-from ._ids import TaskId
-from ._messages import Reason, TaskStart, TaskStatus
-from ._settings import UpstreamSettings
+from ..foundation._background import spawn
+from ..foundation._clock import Clock
+from ..foundation._ids import TaskId
+from ..protocol._effects import UpstreamAnswered
+from ..protocol._messages import Reason, TaskStart, TaskStatus
+from ..settings._settings import UpstreamSettings
 
 KEY_HEADER = "Catkincross-Key"
 INDEX_HEADER = "Catkincross-Index"
--- a/catkincross/_worker_client.py
+++ b/catkincross/transport/_worker_client.py
@@ -8,9 +8,9 @@
 
 import aiohttp
 
-from ._background import spawn
-from ._effects import WorkerUsage
-from ._settings import WorkerSettings
+from ..foundation._background import spawn
+from ..protocol._effects import WorkerUsage
+from ..settings._settings import WorkerSettings
 
 TIMEOUT_S = 2.0
 
--- a/catkincross/wire.py
+++ b/catkincross/wire.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from ._wire import decode_frame, encode_frame
+from .protocol._wire import decode_frame, encode_frame
 
 __all__ = ["decode_frame", "encode_frame"]
--- a/catkincross_bench/_cases_control.py
+++ b/catkincross_bench/_cases_control.py
@@ -5,9 +5,8 @@
 import attrs
 
 from catkincross import effects as fx
-from catkincross._agent_core import AgentCore
-from catkincross._entry_core import EntryCore
-from catkincross._records import Record, ResourcePut, encode_record
+from catkincross.agent_core._agent_core import AgentCore
+from catkincross.entry_core._entry_core import EntryCore
 from catkincross.ids import agent_process, entry_process
 from catkincross.messages import (
     AgentHeartbeat,
@@ -21,6 +20,7 @@
     TaskStatus,
     TeamUsage,
 )
+from catkincross.protocol._records import Record, ResourcePut, encode_record
 from catkincross.wire import decode_frame, encode_frame
 from catkincross.wire_pb import catkincross_pb2 as pb
 
--- a/catkincross_bench/_cases_dispatch.py
+++ b/catkincross_bench/_cases_dispatch.py
@@ -5,11 +5,7 @@
 import random
 
 from catkincross import effects as fx
-from catkincross._entry_core import EntryCore
-from catkincross._fit import TaskNeed
-from catkincross._placement import PLACEMENT_POLICIES
-from catkincross._service_slots import ServiceSlots
-from catkincross._upstream import Upstream
+from catkincross.entry_core._entry_core import EntryCore
 from catkincross.ids import agent_process, entry_process
 from catkincross.messages import (
     PlaceTasks,
@@ -19,6 +15,10 @@
     TaskSpec,
     TaskStatus,
 )
+from catkincross.placement._fit import TaskNeed
+from catkincross.placement._placement import PLACEMENT_POLICIES
+from catkincross.placement._upstream import Upstream
+from catkincross.policies._service_slots import ServiceSlots
 
 from . import _fixtures as fix
 from ._case import case
--- a/catkincross_bench/_compare.py
+++ b/catkincross_bench/_compare.py
@@ -13,7 +13,7 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
-from catkincross._placement import PLACEMENT_POLICIES
+from catkincross.placement._placement import PLACEMENT_POLICIES
 
 from ._cores_run import drain_round, idle_round, steady_round
 from ._record_run import ROOT, environment
--- a/catkincross_bench/_cores_run.py
+++ b/catkincross_bench/_cores_run.py
@@ -8,9 +8,9 @@
 import attrs
 
 from catkincross import effects as fx
-from catkincross._records import Record, ResourcePut
 from catkincross.ids import agent_process, entry_process, split_process
 from catkincross.messages import JobState, TaskSpec, TaskStart
+from catkincross.protocol._records import Record, ResourcePut
 from catkincross.settings import PlacementSettings
 from scenarios.driver import LOG_POLL_MS, Driver
 
--- a/catkincross_bench/_fixtures.py
+++ b/catkincross_bench/_fixtures.py
@@ -3,17 +3,10 @@
 from __future__ import annotations
 
 from catkincross import effects as fx
-from catkincross._agent_core import AgentCore
-from catkincross._agent_state import AgentState
-from catkincross._entry_core import EntryCore
-from catkincross._entry_state import EntryState
-from catkincross._records import (
-    AgentsRegistered,
-    EntryJoined,
-    Record,
-    RegisteredAgent,
-    encode_record,
-)
+from catkincross.agent_core._agent_core import AgentCore
+from catkincross.agent_core._agent_state import AgentState
+from catkincross.entry_core._entry_core import EntryCore
+from catkincross.entry_core._entry_state import EntryState
 from catkincross.ids import Incarnation, TaskId, agent_process, entry_process
 from catkincross.messages import (
     AgentHello,
@@ -25,6 +18,13 @@
     TaskSpec,
     TaskStart,
 )
+from catkincross.protocol._records import (
+    AgentsRegistered,
+    EntryJoined,
+    Record,
+    RegisteredAgent,
+    encode_record,
+)
 from catkincross.settings import AgentSettings, EntrySettings
 
 SERVICE = "service"
--- a/catkincross_bench/_sleeping_agents.py
+++ b/catkincross_bench/_sleeping_agents.py
@@ -8,12 +8,12 @@
 
 import click
 
-from catkincross._agent_daemon import AgentDaemon
-from catkincross._ini import settings_or_exit
-from catkincross._settings import AgentSettings
 from catkincross.effects import UpstreamAnswered
 from catkincross.ids import TaskId
 from catkincross.messages import TaskStart, TaskStatus
+from catkincross.programs._agent_daemon import AgentDaemon
+from catkincross.settings._ini import settings_or_exit
+from catkincross.settings._settings import AgentSettings
 
 
 class SleepingUpstream:
--- a/catkincross_bench/cli.py
+++ b/catkincross_bench/cli.py
@@ -7,7 +7,7 @@
 
 import click
 
-from catkincross._placement import PLACEMENT_POLICIES
+from catkincross.placement._placement import PLACEMENT_POLICIES
 
 from . import _cases_control, _cases_dispatch  # noqa: F401
 from ._capacity_page import rewrite_page, slope_data
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -6,10 +6,10 @@
 
 from behave import given, step, then, when
 
-from catkincross._appends import change_status
-from catkincross._records import ResourcePut
-from catkincross._resource_status import resource_document
+from catkincross.entry_core._appends import change_status
+from catkincross.http_api._resource_status import resource_document
 from catkincross.ids import entry_process
+from catkincross.protocol._records import ResourcePut
 from catkincross.settings import ControlSettings
 
 
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -7,8 +7,8 @@
 
 from behave import given, step, then
 
-from catkincross._rendezvous import choose
 from catkincross.effects import JobSubmitted, LeaveRequested
+from catkincross.foundation._rendezvous import choose
 from catkincross.ids import entry_process, hash_key
 from catkincross.messages import StartTasks, TaskSpec, TaskStatus
 
--- a/scenarios/asgi.py
+++ b/scenarios/asgi.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from catkincross._entry_state import EntryState
-from catkincross._gateway import EntryGateway
+from catkincross.entry_core._entry_state import EntryState
+from catkincross.http_api._gateway import EntryGateway
 from catkincross.ids import Incarnation
 from catkincross.messages import RosterEntry
 from catkincross.settings import EntrySettings
--- a/scenarios/driver.py
+++ b/scenarios/driver.py
@@ -14,16 +14,16 @@
 import attrs
 
 from catkincross import effects as fx
-from catkincross._agent_core import AgentCore
-from catkincross._agent_state import AgentState
-from catkincross._embedded_log import Stream
-from catkincross._entry_core import EntryCore
-from catkincross._entry_state import EntryState
-from catkincross._records import Record, ResourcePut, encode_record
+from catkincross.agent_core._agent_core import AgentCore
+from catkincross.agent_core._agent_state import AgentState
+from catkincross.entry_core._entry_core import EntryCore
+from catkincross.entry_core._entry_state import EntryState
 from catkincross.guards import ALL_GUARDS, Guards
 from catkincross.ids import agent_process, entry_process
 from catkincross.messages import JobAnswer, TaskStart, TaskStatus
+from catkincross.protocol._records import Record, ResourcePut, encode_record
 from catkincross.settings import AgentSettings, EntrySettings
+from catkincross.transport._embedded_log import Stream
 
 from .network import MESSAGE_DELAY_MS, Network, Node, Start
 
--- a/scenarios/gateway.py
+++ b/scenarios/gateway.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from catkincross._entry_state import EntryState
-from catkincross._gateway import EntryGateway
-from catkincross._http_app import build_app
 from catkincross.effects import CallerGone
+from catkincross.entry_core._entry_state import EntryState
+from catkincross.http_api._gateway import EntryGateway
+from catkincross.http_api._http_app import build_app
 from catkincross.ids import entry_process
 
 from .asgi import Answer, call
--- a/scenarios/invariants.py
+++ b/scenarios/invariants.py
@@ -5,12 +5,12 @@
 from collections import Counter
 from collections.abc import Callable
 
-from catkincross._control_state import ControlState
-from catkincross._entry_core import EntryCore
-from catkincross._fold import fold_record
 from catkincross.effects import JobSubmitted
+from catkincross.entry_core._entry_core import EntryCore
 from catkincross.ids import hash_key
 from catkincross.messages import JobAnswer, JobState, Truth
+from catkincross.resources._control_state import ControlState
+from catkincross.resources._fold import fold_record
 
 from .driver import Driver
 
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
-from catkincross._records import encode_record
 from catkincross.effects import JobSubmitted
 from catkincross.messages import JobAnswer, TaskSpec
+from catkincross.protocol._records import encode_record
 from catkincross.records import Record, ResourcePut
 from catkincross.settings import PlacementSettings
 
--- a/scenarios/network.py
+++ b/scenarios/network.py
@@ -12,8 +12,8 @@
 import attrs
 
 from catkincross import effects as fx
-from catkincross._agent_core import AgentCore
-from catkincross._entry_core import EntryCore
+from catkincross.agent_core._agent_core import AgentCore
+from catkincross.entry_core._entry_core import EntryCore
 from catkincross.messages import TaskStart
 
 MESSAGE_DELAY_MS = 1
--- a/standins/_serve.py
+++ b/standins/_serve.py
@@ -8,7 +8,7 @@
 
 import click
 
-from catkincross._http_server import HttpServer
+from catkincross.transport._http_server import HttpServer
 
 
 def serve(app: Any, port: int) -> None:
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -13,8 +13,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from catkincross._embedded_log import EmbeddedLog
-from catkincross._log_client import Accepted, Gap, Records
+from catkincross.transport._embedded_log import EmbeddedLog
+from catkincross.transport._log_client import Accepted, Gap, Records
 
 from ._serve import serve
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -13,7 +13,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from catkincross._upstream_client import INDEX_HEADER, KEY_HEADER
+from catkincross.transport._upstream_client import INDEX_HEADER, KEY_HEADER
 
 from ._serve import serve
 
--- a/tests/test_agent_http.py
+++ b/tests/test_agent_http.py
@@ -8,11 +8,11 @@
 import aiohttp
 import pytest
 
-from catkincross._agent_http import build_agent_app
-from catkincross._agent_state import AgentState
-from catkincross._http_server import HttpServer
+from catkincross.agent_core._agent_state import AgentState
 from catkincross.effects import UpstreamAnnounced
+from catkincross.programs._agent_http import build_agent_app
 from catkincross.settings import AgentSettings
+from catkincross.transport._http_server import HttpServer
 
 
 def announce(body: Any) -> tuple[int, list[Any]]:
--- a/tests/test_agent_starts.py
+++ b/tests/test_agent_starts.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from catkincross._agent_core import AgentCore
-from catkincross._agent_state import AgentState
+from catkincross.agent_core._agent_core import AgentCore
+from catkincross.agent_core._agent_state import AgentState
 from catkincross.effects import CallUpstream, Connected, Received, Send, SetPeers
 from catkincross.ids import Incarnation, TaskId
 from catkincross.messages import (
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from catkincross._background import spawn, stop_on_failed_task
+from catkincross.foundation._background import spawn, stop_on_failed_task
 
 
 async def _fail() -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -15,12 +15,12 @@
 import uvicorn
 from click.testing import CliRunner, Result
 
-from catkincross._http_app import build_app
-from catkincross._messages import JobAnswer, JobState, Reason, Truth
 from catkincross.cli import main
 from catkincross.effects import ChangeProposed, ChangeReply, JobSubmitted
+from catkincross.http_api._http_app import build_app
 from catkincross.ids import Incarnation, TaskId
 from catkincross.messages import TaskResult, TaskStatus
+from catkincross.protocol._messages import JobAnswer, JobState, Reason, Truth
 from catkincross.settings import HttpSettings
 from scenarios.asgi import FakeGateway
 
@@ -229,7 +229,9 @@
         metadata = {"name": name, "generation": resource.generation}
         return {"metadata": metadata, "spec": resource.spec, "status": status}
 
-    monkeypatch.setattr("catkincross._resource_api.resource_document", document)
+    monkeypatch.setattr(
+        "catkincross.http_api._resource_api.resource_document", document
+    )
     shown = run("drain", "datacentre", "perth", "--wait")
     assert (shown.exit_code, shown.output) == (0, "datacentres/perth is drained\n")
     assert len(reads) > 4
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -6,9 +6,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from catkincross._control_state import ControlState
-from catkincross._fold import KEPT_OUTCOMES, LOST_RACE, fold_record
-from catkincross._records import (
+from catkincross.ids import Incarnation
+from catkincross.protocol._records import (
     AgentsEnded,
     AgentsRegistered,
     Barrier,
@@ -22,8 +21,9 @@
     decode_record,
     encode_record,
 )
-from catkincross._snapshot_codec import decode_snapshot, encode_snapshot
-from catkincross.ids import Incarnation
+from catkincross.resources._control_state import ControlState
+from catkincross.resources._fold import KEPT_OUTCOMES, LOST_RACE, fold_record
+from catkincross.resources._snapshot_codec import decode_snapshot, encode_snapshot
 
 WINDOW_MS = 1_000
 
--- a/tests/test_dispatch_admission.py
+++ b/tests/test_dispatch_admission.py
@@ -7,10 +7,10 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from catkincross._fair_queue import FairQueue, Turn
-from catkincross._quotas import TeamTable
 from catkincross.ids import hash_key
 from catkincross.messages import Reason, TaskSpec, TeamUsage, Truth
+from catkincross.policies._fair_queue import FairQueue, Turn
+from catkincross.policies._quotas import TeamTable
 from catkincross.settings import AdmissionSettings
 from scenarios.driver import Driver
 from scenarios.loads import answer, cluster, declare, submit
--- a/tests/test_dispatch_fit.py
+++ b/tests/test_dispatch_fit.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from catkincross._fit import MemoryUse
 from catkincross.messages import Reason, TaskSpec, Truth
+from catkincross.placement._fit import MemoryUse
 from scenarios.loads import answer, cluster, submit
 
 
--- a/tests/test_dispatch_health.py
+++ b/tests/test_dispatch_health.py
@@ -6,11 +6,11 @@
 
 from hypothesis import given, settings, strategies as st
 
-from catkincross._concurrency import ConcurrencyLimit
-from catkincross._ejection import Ejections, Standing
-from catkincross._ramp import next_step_ms, ramp_slots
-from catkincross._settings import ConcurrencySettings, EjectionSettings
 from catkincross.messages import TaskStatus
+from catkincross.policies._concurrency import ConcurrencyLimit
+from catkincross.policies._ejection import Ejections, Standing
+from catkincross.policies._ramp import next_step_ms, ramp_slots
+from catkincross.settings._settings import ConcurrencySettings, EjectionSettings
 from scenarios.loads import answer, cluster, declare, submit
 
 
--- a/tests/test_dispatch_retries.py
+++ b/tests/test_dispatch_retries.py
@@ -8,9 +8,9 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from catkincross._hedging import Quantile
-from catkincross._retry_budget import RetryBudget, backoff_ms
 from catkincross.messages import TaskStatus, Truth
+from catkincross.policies._hedges import Quantile
+from catkincross.policies._retry_budget import RetryBudget, backoff_ms
 from scenarios.loads import answer, cluster, submit
 
 
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -5,8 +5,8 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from catkincross._estimates import Average, RunTimes, Speeds
 from catkincross.messages import TaskSpec
+from catkincross.policies._estimates import Average, RunTimes, Speeds
 
 
 def test_a_wrong_declaration_is_corrected() -> None:
--- a/tests/test_https.py
+++ b/tests/test_https.py
@@ -12,7 +12,7 @@
 from starlette.responses import PlainTextResponse
 from starlette.routing import Route
 
-from catkincross._http_server import HttpServer
+from catkincross.transport._http_server import HttpServer
 
 from .test_transport_tls import write_certificate
 
--- a/tests/test_ini.py
+++ b/tests/test_ini.py
@@ -8,11 +8,10 @@
 import pytest
 from returns.result import Failure, Success
 
-from catkincross import _ini
-from catkincross._ini import detect_kind, load_settings
-from catkincross._settings import setting
-from catkincross._settings_list import setting_rows
-from catkincross.settings import AgentSettings, EntrySettings
+from catkincross.settings import AgentSettings, EntrySettings, _ini
+from catkincross.settings._ini import detect_kind, load_settings
+from catkincross.settings._settings import setting
+from catkincross.settings._settings_list import setting_rows
 
 ENTRY = "[entry]\nname = e1\nregion = r\ndata_centre = perth\n"
 
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from catkincross._http_app import build_app
 from catkincross.effects import JobCancelRequested, JobLookedUp, JobSubmitted
+from catkincross.http_api._http_app import build_app
 from catkincross.ids import Incarnation, TaskId
 from catkincross.messages import (
     JobAnswer,
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -7,8 +7,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from catkincross._http_server import HttpServer
-from catkincross._log_client import (
+from catkincross.clock import SystemClock
+from catkincross.effects import SnapshotEnded, SnapshotRead
+from catkincross.messages import LogRecord
+from catkincross.settings import LogSettings
+from catkincross.transport._http_server import HttpServer
+from catkincross.transport._log_client import (
     Accepted,
     Gap,
     HttpLogClient,
@@ -17,11 +21,7 @@
     Unknown,
     Unreachable,
 )
-from catkincross._log_feed import LogFeed
-from catkincross.clock import SystemClock
-from catkincross.effects import SnapshotEnded, SnapshotRead
-from catkincross.messages import LogRecord
-from catkincross.settings import LogSettings
+from catkincross.transport._log_feed import LogFeed
 from standins.log_service import Faults, LogService
 
 LIMIT_S = 20.0
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,10 +9,10 @@
 import eliot
 import pytest
 
-from catkincross._http_app import build_app
-from catkincross._logs import EventLog
-from catkincross._metrics import Metrics
 from catkincross.effects import Emit
+from catkincross.http_api._http_app import build_app
+from catkincross.observability._logs import EventLog
+from catkincross.observability._metrics import Metrics
 from catkincross.settings import AgentSettings, MetricsSettings
 from scenarios.asgi import FakeGateway, call
 
--- a/tests/test_package_imports.py
+++ b/tests/test_package_imports.py
@@ -8,6 +8,19 @@
 ROOT = Path(__file__).resolve().parent.parent / "catkincross"
 # Each package may import those before it.
 ORDER = (
+    "foundation",
+    "protocol",
+    "placement",
+    "settings",
+    "resources",
+    "policies",
+    "agent_core",
+    "entry_core",
+    "transport",
+    "observability",
+    "http_api",
+    "programs",
+    "command_line",
     "jobs",
     "operations",
     "peers",
@@ -38,6 +51,14 @@
     assert wrong == []
 
 
+def test_no_private_module_lies_outside_the_packages() -> None:
+    """A flat folder of 140 modules hid where a decision is made."""
+    flat = {path.name for path in ROOT.glob("_*.py")} - {"__init__.py"}
+    assert flat == set()
+    packages = {path.parent.name for path in ROOT.glob("*/__init__.py")}
+    assert packages - {"wire_pb"} == set(ORDER)
+
+
 def test_the_owner_and_the_worker_do_not_know_each_other() -> None:
     """Both sides of the protocol between entry and agent meet in messages only."""
     for package, other in (("owner", "workers"), ("workers", "owner")):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,11 +8,11 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from catkincross._fit import TaskNeed
-from catkincross._placement import PLACEMENT_POLICIES
-from catkincross._service_slots import ServiceSlots
-from catkincross._slot_forecast import SlotForecast
-from catkincross._upstream import Upstream
+from catkincross.placement._fit import TaskNeed
+from catkincross.placement._placement import PLACEMENT_POLICIES
+from catkincross.placement._slot_forecast import SlotForecast
+from catkincross.placement._upstream import Upstream
+from catkincross.policies._service_slots import ServiceSlots
 
 CHANGES = st.lists(
     st.tuples(
--- a/tests/test_platform_daemons.py
+++ b/tests/test_platform_daemons.py
@@ -13,7 +13,6 @@
 import orjson
 import pytest
 
-from catkincross._http_server import HttpServer
 from catkincross.clock import SystemClock
 from catkincross.daemons._agent import AgentDaemon
 from catkincross.daemons._entry import EntryDaemon
@@ -27,6 +26,7 @@
     read_heartbeat,
     read_job,
 )
+from catkincross.transport._http_server import HttpServer
 from standins.platform_http import StoreHttp, WorkerHttp
 from standins.platform_worker import PlatformWorker
 
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -4,10 +4,14 @@
 
 import random
 
-from catkincross._fit import TaskNeed
-from catkincross._reserve import INTERACTIVE_MEMORY_MS, Reserve, choose_unreserved
-from catkincross._service_slots import ServiceSlots
-from catkincross._upstream import Upstream
+from catkincross.placement._fit import TaskNeed
+from catkincross.placement._upstream import Upstream
+from catkincross.policies._reserve import (
+    INTERACTIVE_MEMORY_MS,
+    Reserve,
+    choose_unreserved,
+)
+from catkincross.policies._service_slots import ServiceSlots
 from catkincross.settings import QueueSettings
 
 NEED = TaskNeed(100, 0, 0)
--- a/tests/test_resource_api.py
+++ b/tests/test_resource_api.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from catkincross._fold import fold_record
-from catkincross._http_app import build_app
-from catkincross._resource_watch import ResourceFeed
 from catkincross.effects import ChangeProposed, ChangeReply
+from catkincross.http_api._http_app import build_app
+from catkincross.http_api._resource_watch import ResourceFeed
 from catkincross.ids import Incarnation
 from catkincross.records import Record, ResourceDeleted, ResourcePut
+from catkincross.resources._fold import fold_record
 from catkincross.settings import HttpSettings
 from scenarios.asgi import Answer, FakeGateway, call
 
@@ -240,7 +240,7 @@
 def test_a_feed_does_not_resume_past_deletions_that_it_forgot(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("catkincross._resource_watch.KEPT_DELETIONS", 1)
+    monkeypatch.setattr("catkincross.http_api._resource_watch.KEPT_DELETIONS", 1)
     gateway = LogGateway()
     feed = ResourceFeed(gateway, "datacentres")
     for name in ("a", "b"):
@@ -274,7 +274,7 @@
         status = {"drained": drained[0]}
         return [{"metadata": metadata, "spec": {}, "status": status}]
 
-    monkeypatch.setattr("catkincross._resource_watch.list_documents", listed)
+    monkeypatch.setattr("catkincross.http_api._resource_watch.list_documents", listed)
 
     def drain_ends() -> None:
         drained[0] = True
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -5,7 +5,8 @@
 import json
 from xml.etree import ElementTree
 
-from catkincross._timeline import (
+from catkincross.ids import hash_key
+from catkincross.observability._timeline import (
     TimelineEvent,
     TimelineFilter,
     merge,
@@ -13,8 +14,7 @@
     parse_time,
     text_lines,
 )
-from catkincross._timeline_svg import bars, svg_picture
-from catkincross.ids import hash_key
+from catkincross.observability._timeline_svg import bars, svg_picture
 
 JOB = hash_key("t/k1").hex()[:12]
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from catkincross._transport import Transport
 from catkincross.effects import Connected, Disconnected, Received
 from catkincross.ids import Incarnation
 from catkincross.messages import (
@@ -20,6 +19,7 @@
     PeerHeartbeat,
 )
 from catkincross.settings import TlsSettings
+from catkincross.transport._transport import Transport
 
 LIMIT_S = 20.0
 
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -6,13 +6,13 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-from catkincross._http_server import HttpServer
-from catkincross._upstream_client import UpstreamClient
 from catkincross.clock import SystemClock
 from catkincross.effects import UpstreamAnswered
 from catkincross.ids import Incarnation, TaskId
 from catkincross.messages import Reason, TaskSpec, TaskStart, TaskStatus
 from catkincross.settings import UpstreamSettings
+from catkincross.transport._http_server import HttpServer
+from catkincross.transport._upstream_client import UpstreamClient
 from standins.upstream import Behaviour, Upstream
 
 LIMIT_S = 20.0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,9 +7,9 @@
 import attrs
 import pytest
 
-from catkincross import _messages
 from catkincross.ids import Incarnation, TaskId
 from catkincross.messages import TaskResult, TaskResults, TaskStatus
+from catkincross.protocol import _messages
 from catkincross.wire import decode_frame, encode_frame
 from catkincross.wire_pb import catkincross_pb2
 
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -7,10 +7,10 @@
 
 import aiohttp
 
-from catkincross._http_server import HttpServer
-from catkincross._worker_client import WorkerClient
 from catkincross.effects import WorkerUsage
 from catkincross.settings import WorkerSettings
+from catkincross.transport._http_server import HttpServer
+from catkincross.transport._worker_client import WorkerClient
 from standins.worker import Worker
 
 LIMIT_S = 20.0
