Judge the backlog by the agents that are about to be ready

Ruled out: a backlog in fact: half a second later all workers were idle or ready.

The capacity now counts connected agents whose worker has not registered yet like the known ones, and nothing is judged in the first 800 ms. Work that waits is also counted by service, so that one service's backlog rejects no job of another.

Shown first: test_jobs_are_not_rejected_by_the_capacity_of_the_first_agent had 9 of 16 jobs rejected without the change, 0 with it.

--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ._admission import Rejected, admit
+from ._admission import Rejected, admit, expected_wait_ms
+from ._capacity import expected_capacity
 from ._elsewhere import AtEntry, AtLostEntry, Here, JobsElsewhere
 from ._estimates import Estimates
 from ._health import AgentHealth
@@ -29,6 +30,8 @@
     "admit",
     "chain_ms",
     "choose_agent",
+    "expected_capacity",
+    "expected_wait_ms",
     "hopeless",
     "latest_start_ms",
     "objective_ms",
--- a/catkincross/dispatch/_offering.py
+++ b/catkincross/dispatch/_offering.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Mapping
 
-from .._rendezvous import rank
+from ..foundation._rendezvous import rank
 
 
 def offered_entries(
--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -75,14 +75,19 @@
 
 @attrs.define
 class WaitingQueue:
-    """Tasks that wait, in the order in which they are to start."""
+    """Tasks that wait, in the order in which they are to start.
+
+    Attributes:
+        cpu_ms: Work that waits, by service, in thousandths of a core times
+            milliseconds.
+    """
 
     _rows: SortedKeyList = attrs.field(
         factory=lambda: SortedKeyList(key=lambda row: row[:2])
     )
     _keys: dict[Task, tuple[float, int, Task]] = attrs.field(factory=dict)
     _added: int = 0
-    cpu_ms: float = 0.0
+    cpu_ms: dict[str, float] = attrs.field(factory=dict)
     _work: dict[Task, float] = attrs.field(factory=dict)
 
     def add(self, task: Task, estimates: Estimates, now_ms: int) -> None:
@@ -99,7 +104,8 @@
             task.job.spec.policy.queue, needs.estimate_ms
         )
         self._work[task] = work
-        self.cpu_ms += work
+        service = task.job.spec.policy.service
+        self.cpu_ms[service] = self.cpu_ms.get(service, 0.0) + work
 
     def put_late_behind(self, now_ms: int) -> None:
         """Let jobs of which nothing has started give way once they must be late."""
@@ -122,7 +128,7 @@
         row = self._keys.pop(task, None)
         if row is not None:
             self._rows.remove(row)
-            self.cpu_ms -= self._work.pop(task)
+            self.cpu_ms[task.job.spec.policy.service] -= self._work.pop(task)
 
     def __len__(self) -> int:
         """Return the number of tasks that wait."""
--- a/catkincross/owner/_fleet.py
+++ b/catkincross/owner/_fleet.py
@@ -85,6 +85,11 @@
             return 0.0
         return self.profile.cpu / max(self.profile.offered_to, 1)
 
+    @property
+    def expects_worker(self) -> bool:
+        """Whether the agent is connected and its worker has not registered yet."""
+        return self.connected and (self.profile is None or not self.profile.worker)
+
     def serves(self, service: str) -> bool:
         """Whether its worker is one of a service."""
         return self.profile is not None and self.profile.service == service
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -122,16 +122,14 @@
     if shard.stuck_since_ms is not None:
         return Rejected("store_unreachable", STORE_RETRY_MS)
     service = job.spec.policy.service
-    capacity = 0.0
     usable = seen = False
     for row in state.agents.values():
-        if row.profile is None or not row.serves(service):
+        if not row.serves(service):
             continue
         seen = True
         room = row.room(state.estimates)
-        if room is None or row.profile.data_centre in state.declared.evacuated:
+        if room is None or not state.reaches(row, service):
             continue
-        capacity += row.cpu_share
         usable = usable or all(room.could_fit(step) for step in job.spec.steps)
     if not usable:
         if not seen and state.now_ms - (state.started_ms or 0) < WARM_UP_MS:
@@ -140,8 +138,8 @@
     return admit(
         job,
         state.estimates,
-        waiting_cpu_ms=state.waiting.cpu_ms,
-        cpu_capacity=capacity,
+        waiting_cpu_ms=state.waiting.cpu_ms.get(service, 0.0),
+        cpu_capacity=state.capacity(service),
     )
 
 
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -7,13 +7,26 @@
 
 import attrs
 
-from ..dispatch import AgentHealth, Estimates, WaitingQueue
+from ..dispatch import (
+    AgentHealth,
+    Estimates,
+    WaitingQueue,
+    expected_capacity,
+    expected_wait_ms,
+)
 from ..jobs import Job, JobState, Task, TaskState, shard_of
 from ..operations import Declared
 from ._effects import Effect, Note, Tell
 from ._fleet import AgentRow
 from ._shard import Shard, ShardPhase, VolatileShard
 
+# After the start of an entry most agents connect within this time, in milliseconds:
+# they look for entries every 200 ms, and a process needs up to 530 ms to start.
+CONNECT_MS = 800
+# A worker registers at an agent that has just started within this time, in
+# milliseconds: its heartbeats are 1,500 ms apart.
+REGISTER_MS = 1_600
+
 
 @attrs.frozen
 class OwnerLimits:
@@ -168,10 +181,33 @@
         if shard is not None:
             self.enqueue(shard, task.job)
 
-    def retry_after_ms(self) -> int:
+    def capacity(self, service: str) -> float:
+        """Return this entry's part of a service's capacity, in thousandths of a core.
+
+        It is 0 while it is not known: just after the start, and without workers.
+        """
+        if self.now_ms - (self.started_ms or 0) < CONNECT_MS:
+            return 0.0
+        known = 0.0
+        ready = coming = 0
+        for row in self.agents.values():
+            if row.state is not None and row.state.ready:
+                ready += 1
+                known += row.cpu_share if self.reaches(row, service) else 0.0
+            elif row.expects_worker and self.now_ms - row.connected_ms < REGISTER_MS:
+                coming += 1
+        return expected_capacity(known, ready, coming)
+
+    def reaches(self, row: AgentRow, service: str) -> bool:
+        """Whether an agent's worker is of a service and not evacuated."""
+        if row.profile is None or not row.serves(service):
+            return False
+        return row.profile.data_centre not in self.declared.evacuated
+
+    def wait_ms(self, service: str) -> int:
         """Return when the work that waits now is expected to have been started."""
-        share = sum(row.cpu_share for row in self.agents.values())
-        return int(self.waiting.cpu_ms / share) + 1 if share else 0
+        waiting = self.waiting.cpu_ms.get(service, 0.0)
+        return int(expected_wait_ms(waiting, self.capacity(service)))
 
     def left_worker(self, job: Job) -> None:
         """Forget a volatile job that was given up, once no worker has a run of it."""
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -102,7 +102,8 @@
     """Whether a job that must be late waits behind more work than its time allows."""
     if job.started or state.now_ms <= latest_start_ms(job, state.estimates):
         return False
-    wait_ms = state.retry_after_ms() + chain_ms(job, state.estimates)
+    service = job.spec.policy.service
+    wait_ms = state.wait_ms(service) + chain_ms(job, state.estimates)
     return state.now_ms + wait_ms > job.deadline_ms
 
 
@@ -115,7 +116,8 @@
     requests = state.volatile.requests.pop(job.spec.id, [])
     for request in requests:
         if not job.started:
-            reply(state, request, "rejected", "backlog", state.retry_after_ms())
+            wait_ms = state.wait_ms(job.spec.policy.service)
+            reply(state, request, "rejected", "backlog", wait_ms + 1)
         else:
             # Some tasks ran, so "not run" would be false; none has failed often
             # enough, so neither has the job.
--- /dev/null
+++ b/tests/test_platform_restart.py
@@ -0,0 +1,57 @@
+"""Tests of what client accounts see after all processes have started anew."""
+
+from __future__ import annotations
+
+from catkincross.dispatch import expected_capacity
+from scenarios.platform_model import Model, job, ready_model
+
+AGENTS = 10
+JOBS = 16
+LIMIT_MS = 2_500
+
+
+def restarted_model() -> Model:
+    """Return a model just after a restart of all processes; one worker is known."""
+    model = ready_model(entries=1, agents=AGENTS)
+    for name in [*model.owners, *model.workers]:
+        model.kill(name)
+    for machine in model.machines.values():
+        machine.crash(model.now_ms)
+    model.start_entry("e0")
+    model.assign()
+    for number in range(AGENTS):
+        model.start_agent(f"u{number}", registers=number == 0)
+    return model
+
+
+def test_jobs_are_not_rejected_by_the_capacity_of_the_first_agent() -> None:
+    """29 of 44 jobs got 429 once the first of eleven workers had registered."""
+    model = restarted_model()
+    for number in range(JOBS):
+        spec = job(f"{number:016x}", volatile=True, estimate_ms=400)
+        model.submit(f"{number}", spec, "e0", limit_ms=LIMIT_MS)
+    model.run(1_100)
+    for number in range(1, AGENTS):
+        model.register(f"u{number}")
+    model.run(3_000)
+    outcomes = [model.answers[f"{number}"].outcome for number in range(JOBS)]
+    assert outcomes.count("rejected") == 0
+    assert model.overlapping() == []
+
+
+def test_a_backlog_is_rejected_once_all_agents_are_known() -> None:
+    """The wait for agents must not keep work that cannot be served."""
+    model = ready_model(entries=1, agents=1)
+    for number in range(JOBS * 2):
+        spec = job(f"{number:016x}", volatile=True, estimate_ms=2_000)
+        model.submit(f"{number}", spec, "e0", limit_ms=LIMIT_MS)
+    model.run(1_000)
+    outcomes = [answer.outcome for answer in model.answers.values()]
+    assert outcomes.count("rejected") >= JOBS
+
+
+def test_agents_without_a_worker_count_as_much_as_the_known_ones() -> None:
+    """The estimate must grow with the agents that are about to be ready."""
+    assert expected_capacity(8_000, ready=1, coming=9) == 80_000
+    assert expected_capacity(8_000, ready=1, coming=0) == 8_000
+    assert expected_capacity(0, ready=0, coming=5) == 0
