Read own settings of both daemons from an INI file, and derive lease times

Cause: times of the platform's daemons were constants in the code, and three of them were right only for the bounds of the two deployments in hand: the wait for a lost agent (1,450 ms) assumed leases of 1,000 ms, the silence of volatile jobs (800 ms) assumed that client accounts come back after 1,300 ms, and the long read of declarations assumed 2,000 ms for a configuration. On a deployment with longer leases a task could have run twice.

Ruled out: a change on the deployments in hand; all derived times are the former ones there (tests/test_platform_settings.py).

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -26,11 +26,11 @@
     StartOutcome,
     ToEntry,
     WorkerCore,
-    WorkerLimits,
 )
 from ._core_loop import CoreLoop
 from ._log import DecisionLog
 from ._members import Owners
+from ._own_settings import OwnSettings
 
 CONNECT_LIMIT_S = 0.5
 # Interval of the search for entries, in seconds.
@@ -57,16 +57,23 @@
         settings: What the platform tells the process.
         clock: Clock of the process.
         log: Log of the process.
+        own: The product's own settings.
     """
 
-    def __init__(self, settings: NodeSettings, clock: Clock, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        log: DecisionLog,
+        own: OwnSettings | None = None,
+    ) -> None:
+        own = own or OwnSettings()
         self.settings = settings
         self.clock = clock
         self.log = log
         self.incarnation = time.time_ns() // 1_000_000
-        limits = WorkerLimits(shards=settings.shards, lease_ms=settings.lease_ms)
         self.core = WorkerCore(
-            limits,
+            own.worker_limits(settings),
             self.incarnation,
             host=settings.name,
             data_centre=settings.data_centre,
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -12,7 +12,7 @@
 from ..dispatch import AtEntry, Here, JobsElsewhere
 from ..foundation._background import spawn
 from ..jobs import JobSpec
-from ..owner import Append, Claim, Note, OwnerCore, OwnerLimits, Reply, Tell
+from ..owner import Append, Claim, Note, OwnerCore, Reply, Tell
 from ..peers import (
     Answer,
     Ask,
@@ -35,6 +35,7 @@
 from ._core_loop import CoreLoop
 from ._log import DecisionLog
 from ._members import Owners, keep_joined, member_name
+from ._own_settings import OwnSettings
 from ._store_work import append, claim
 
 # After SIGTERM the entry goes on serving for this long, in seconds: the balancer
@@ -66,25 +67,27 @@
         settings: What the platform tells the process.
         clock: Clock of the process.
         log: Log of the process.
+        own: The product's own settings.
     """
 
-    def __init__(self, settings: NodeSettings, clock: Clock, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        log: DecisionLog,
+        own: OwnSettings | None = None,
+    ) -> None:
+        own = own or OwnSettings()
         self.settings = settings
         self.clock = clock
         self.log = log
         self.incarnation = time.time_ns() // 1_000_000
         self.address = f"{settings.ip}:{settings.first_port}"
         self.member = member_name(settings.name, self.address, self.incarnation)
-        limits = OwnerLimits(
-            shards=settings.shards,
-            member_ttl_ms=settings.member_ttl_ms,
-            status_ms=settings.status_ms,
-            keep_ms=settings.keep_ms,
-            remote_factor=settings.remote_factor,
-        )
+        limits = own.owner_limits(settings)
         self.core = OwnerCore(settings.name, limits, self.incarnation)
         self.store = StoreClient(settings.store)
-        self.feed = DeclaredFeed(self.store)
+        self.feed = DeclaredFeed(self.store, settings.config_ms)
         self.owners = Owners(self.store)
         self.owners.on_change = self._owners_changed
         self.greeting = Greeting(
@@ -105,7 +108,7 @@
         self.requests.on_connected = lambda link: link.send(
             VolatileJobs(self.core.volatile_jobs(), [])
         )
-        self.elsewhere = JobsElsewhere()
+        self.elsewhere = JobsElsewhere(limits.volatile_silence_ms + limits.lapse_ms)
         self.agents: dict[str, Link] = {}
         self.leaving = False
         self.store_answers = True
--- a/catkincross/daemons/_log.py
+++ b/catkincross/daemons/_log.py
@@ -12,8 +12,8 @@
 
 from ..clock import Clock
 
-# Lines a second beyond which lines are dropped and counted; a host at the standard
-# load writes about 150.
+# Lines a second beyond which lines are dropped and counted unless the settings say
+# otherwise; a host at the standard load writes about 150.
 MAX_LINES_PER_S = 800
 MS_PER_S = 1_000
 
@@ -28,6 +28,7 @@
         process: Name of the process.
         clock: Clock of the process.
         output: File descriptor of the lines.
+        lines_per_s: Lines a second beyond which lines are dropped.
 
     Attributes:
         dropped: Lines dropped since the last one that was written.
@@ -36,7 +37,15 @@
         on_note: Is called with each event and its fields.
     """
 
-    def __init__(self, process: str, clock: Clock, output: int | None = None) -> None:
+    def __init__(
+        self,
+        process: str,
+        clock: Clock,
+        output: int | None = None,
+        *,
+        lines_per_s: int = MAX_LINES_PER_S,
+    ) -> None:
+        self.lines_per_s = lines_per_s
         self.process = process
         self.clock = clock
         self.output = sys.stdout.fileno() if output is None else output
@@ -64,7 +73,7 @@
         if second != self._second:
             self._second, self._lines = second, 0
         self._lines += 1
-        if self._lines > MAX_LINES_PER_S:
+        if self._lines > self.lines_per_s:
             self._drop()
             return
         if self.dropped:
--- a/catkincross/daemons/_metrics.py
+++ b/catkincross/daemons/_metrics.py
@@ -11,8 +11,7 @@
 
 from ._log import DecisionLog
 
-# Port and path that `deploy/system.toml` names as the metrics address.
-METRICS_PORT = 9464
+# Path that `deploy/system.toml` names in the metrics address.
 METRICS_PATH = "/metrics"
 # Bounds of the buckets in milliseconds: from a start on an idle worker (5 ms) to the
 # longest wait of a client account (10 s).
--- /dev/null
+++ b/catkincross/daemons/_own_settings.py
@@ -0,0 +1,176 @@
+"""The product's own settings of the platform's daemons, an INI file."""
+
+from __future__ import annotations
+
+import configparser
+import os
+from pathlib import Path
+
+import attrs
+
+from ..foundation._setting import setting
+from ..owner import OwnerLimits
+from ..platform import NodeSettings
+from ..workers import WorkerLimits
+
+OWN_SETTINGS_VARIABLE = "CATKINCROSS_SETTINGS"
+SECTION = "platform"
+
+
+@attrs.frozen
+class OwnSettings:
+    """Section `[platform]` of the settings file of both daemons."""
+
+    authority_ms: int = setting(
+        3_000,
+        unit="ms",
+        low=1_000,
+        high=30_000,
+        about="How long an owner may start stored tasks after its last contact with "
+        "the store.",
+    )
+    silence_ms: int = setting(
+        2_000,
+        unit="ms",
+        low=1_500,
+        high=30_000,
+        about="How long an agent keeps stored tasks of an owner that is silent; above "
+        "the time of a takeover, about 1,400 ms.",
+    )
+    volatile_silence_ms: int = setting(
+        800,
+        unit="ms",
+        low=400,
+        high=10_000,
+        about="The same for volatile jobs; the time after which client accounts send "
+        "them again limits it further.",
+    )
+    offered_entries: int = setting(
+        5,
+        low=1,
+        high=1_000,
+        about="Number of entries that may send tasks to an agent.",
+    )
+    state_interval_ms: int = setting(
+        200,
+        unit="ms",
+        low=50,
+        high=500,
+        about="Longest time between two states of an agent to such an entry.",
+    )
+    far_interval_ms: int = setting(
+        700,
+        unit="ms",
+        low=100,
+        high=800,
+        about="Time between two states to the other entries; links are closed after "
+        "1,600 ms of silence.",
+    )
+    log_lines_per_s: int = setting(
+        800,
+        unit="lines/s",
+        low=10,
+        high=100_000,
+        about="Log lines beyond which lines are dropped and counted.",
+    )
+    metrics_port: int = setting(
+        9_464,
+        low=1,
+        high=65_535,
+        about="Port of the metrics, as deploy/system.toml names it.",
+    )
+
+    def owner_limits(self, node: NodeSettings) -> OwnerLimits:
+        """Return the times of an owner."""
+        return OwnerLimits(
+            shards=node.shards,
+            authority_ms=self.authority_ms,
+            silence_ms=self.silence_ms,
+            volatile_silence_ms=volatile_silence_ms(self, node),
+            member_ttl_ms=node.member_ttl_ms,
+            lapse_ms=lapse_ms(node),
+            status_ms=node.status_ms,
+            keep_ms=node.keep_ms,
+            remote_factor=node.remote_factor,
+        )
+
+    def worker_limits(self, node: NodeSettings) -> WorkerLimits:
+        """Return the times of an agent."""
+        return WorkerLimits(
+            shards=node.shards,
+            lease_ms=node.lease_ms,
+            state_interval_ms=self.state_interval_ms,
+            far_interval_ms=self.far_interval_ms,
+            offered_entries=self.offered_entries,
+        )
+
+
+# A worker's clock may be this much slower than others, by the platform's pages.
+CLOCK_ERROR = 0.02
+# The agent waits this long for stops to be carried out before it ends the lease, in
+# milliseconds, as `WorkerLimits.stop_grace_ms` says.
+STOP_GRACE_MS = 300
+# Delay of messages and timers within one data centre and between two, in milliseconds.
+MESSAGE_RESERVE_MS = 80
+# Runs of a lost entry have to be gone this long before its jobs come again, in
+# milliseconds: a state of 200 ms, a stop of 50 ms, and delays.
+RESEND_RESERVE_MS = 500
+# Two states of an agent, in milliseconds: a shorter silence would end sound leases.
+SHORTEST_SILENCE_MS = 400
+
+
+def lapse_ms(node: NodeSettings) -> int:
+    """Return the longest time from the end of a lease to the end of its tasks."""
+    worker_ms = node.lease_ms * (1 + CLOCK_ERROR) + node.stop_ms
+    return round(worker_ms) + STOP_GRACE_MS + MESSAGE_RESERVE_MS
+
+
+def volatile_silence_ms(own: OwnSettings, node: NodeSettings) -> int:
+    """Return how long volatile tasks of a silent entry are kept."""
+    resent_ms = node.resend_ms - RESEND_RESERVE_MS
+    return max(min(own.volatile_silence_ms, resent_ms), SHORTEST_SILENCE_MS)
+
+
+def load_own_settings(path: str | None = None) -> OwnSettings:
+    """Read the settings file.
+
+    The package `returns` is not used here: its import would add a fifth to the time
+    in which a daemon starts.
+
+    Args:
+        path: The file; by default the one that the environment names. Without either
+            all settings have their defaults.
+
+    Raises:
+        ValueError: If the file cannot be read or a value is not allowed; the text
+            names file, key and what is allowed.
+    """
+    source = path or os.environ.get(OWN_SETTINGS_VARIABLE, "")
+    if not source:
+        return OwnSettings()
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(source).read_text(encoding="utf-8"), source)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        text = " ".join(str(error).split())
+        raise ValueError(f"{source}: cannot be read: {text}") from error
+    for name in parser.sections():
+        if name != SECTION:
+            raise ValueError(f"{source}: [{name}]: is unknown; allowed is [{SECTION}]")
+    texts = dict(parser.items(SECTION)) if parser.has_section(SECTION) else {}
+    return OwnSettings(**_numbers(source, texts))
+
+
+def _numbers(source: str, texts: dict[str, str]) -> dict[str, int]:
+    fields = attrs.fields_dict(OwnSettings)
+    numbers = {}
+    for key, text in texts.items():
+        place = f"{source}: [{SECTION}] {key}"
+        if key not in fields:
+            raise ValueError(f"{place}: is unknown; allowed are {', '.join(fields)}")
+        low, high = (fields[key].metadata[name] for name in ("low", "high"))
+        if not text.isdecimal() or not low <= int(text) <= high:
+            allowed = f"a whole number from {low} to {high}"
+            raise ValueError(f"{place}: {text!r} is not allowed; allowed is {allowed}")
+        numbers[key] = int(text)
+    return numbers
--- a/catkincross/daemons/_run.py
+++ b/catkincross/daemons/_run.py
@@ -11,7 +11,8 @@
 from ..platform import load_node_settings
 from ..transport._http_server import HttpServer
 from ._log import DecisionLog
-from ._metrics import METRICS_PORT, Metrics
+from ._metrics import Metrics
+from ._own_settings import load_own_settings
 
 EXIT_BAD_SETTINGS = 2
 
@@ -20,16 +21,17 @@
     """Run a daemon of a role until it is stopped."""
     try:
         settings = load_node_settings()
+        own = load_own_settings()
     except (OSError, ValueError, KeyError) as error:
         print(f"settings: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     clock = SystemClock()
-    log = DecisionLog(f"{role}/{settings.name}", clock)
+    log = DecisionLog(f"{role}/{settings.name}", clock, lines_per_s=own.log_lines_per_s)
 
     async def serve() -> None:
-        daemon = daemon_class(settings, clock, log)
+        daemon = daemon_class(settings, clock, log, own)
         await daemon.start()
-        HttpServer(Metrics(log), f"{settings.ip}:{METRICS_PORT}").start()
+        HttpServer(Metrics(log), f"{settings.ip}:{own.metrics_port}").start()
         await run_daemon(daemon)
 
     asyncio.run(serve())
--- a/catkincross/dispatch/_elsewhere.py
+++ b/catkincross/dispatch/_elsewhere.py
@@ -11,9 +11,6 @@
 
 from ..peers import Greeting, VolatileJobs
 
-# Time after the loss of an entry in which agents may still have runs of its volatile
-# jobs, in milliseconds: its silence (800), stops (300), and the worker's lease (1,050).
-LET_GO_MS = 2_200
 # A lost entry's jobs are remembered for this long, in milliseconds.
 REMEMBERED_MS = 10_000
 
@@ -56,8 +53,14 @@
 
 @attrs.define(eq=False)
 class JobsElsewhere:
-    """Volatile jobs of other entries, by the entry's name and incarnation."""
+    """Volatile jobs of other entries, by the entry's name and incarnation.
 
+    Attributes:
+        let_go_ms: Time after the loss of an entry in which agents may still have runs
+            of its volatile jobs.
+    """
+
+    let_go_ms: int
     entries: dict[tuple[str, int], _Entry] = attrs.field(factory=dict)
 
     def connected(self, greeting: Greeting) -> None:
@@ -88,7 +91,7 @@
             elif job_id in entry.jobs:
                 if lost_ms is None:
                     return AtEntry(entry.address)
-                left_ms = lost_ms + LET_GO_MS - now_ms
+                left_ms = lost_ms + self.let_go_ms - now_ms
                 if left_ms > 0:
                     return AtLostEntry(left_ms)
         return Here()
--- a/catkincross/platform/_declared.py
+++ b/catkincross/platform/_declared.py
@@ -10,10 +10,10 @@
 from ..operations import Declared, Queue, Service
 from ._store import Gap, StoreClient, Topic
 
-# How long the store may hold a read until something changes, in milliseconds. An open
-# connection may go silent for good, which only the time limit of the read shows: this
-# and the limit of 800 ms stay below the 2,000 ms in which a change is to be in force.
-FOLLOW_WAIT_MS = 700
+# Part of the time in which a change is to be in force that the store may hold a read.
+# An open connection may go silent for good, which only the time limit of the read
+# shows: this and the limit of 800 ms stay below the 2,000 ms of the platform's pages.
+FOLLOW_SHARE = 0.35
 EVACUATE = "evacuate/"
 
 
@@ -22,13 +22,15 @@
 
     Args:
         store: The store.
+        config_ms: Time in which a change is to be in force.
 
     Attributes:
         declared: What is in force, as far as it was read.
     """
 
-    def __init__(self, store: StoreClient) -> None:
+    def __init__(self, store: StoreClient, config_ms: int) -> None:
         self.store = store
+        self.wait_ms = int(config_ms * FOLLOW_SHARE)
         self.declared = Declared()
         self._offset: int | None = None
 
@@ -40,8 +42,9 @@
         """
         if self._offset is None:
             return await self._read_all()
-        wait_ms = FOLLOW_WAIT_MS
-        found = await self.store.read(Topic.OPERATOR, 0, self._offset, wait_ms=wait_ms)
+        found = await self.store.read(
+            Topic.OPERATOR, 0, self._offset, wait_ms=self.wait_ms
+        )
         if found is None:
             return None
         if isinstance(found, Gap):
--- a/catkincross/platform/_settings.py
+++ b/catkincross/platform/_settings.py
@@ -9,6 +9,10 @@
 
 import attrs
 
+# Bounds of platforms whose settings do not name them, in milliseconds; the same as on
+# the platform's pages.
+DEFAULT_RESEND_MS = 1_300
+DEFAULT_CONFIG_MS = 2_000
 SETTINGS_VARIABLE = "CATKINCROSS_NODE_FILE"
 
 
@@ -30,6 +34,9 @@
         keep_ms: How long the store keeps a record.
         member_ttl_ms: Shortest time after which a silent group member is dropped.
         lease_ms: Longest lease of a worker.
+        stop_ms: Longest time of a stop on a worker.
+        resend_ms: Shortest time after which client accounts send a volatile job again.
+        config_ms: Time in which a configuration has to be in force.
         status_ms: How long an ended job may be asked for.
         grace_ms: Time from SIGTERM to SIGKILL.
         remote_factor: Longer run time away from the rack of a task's data.
@@ -48,6 +55,9 @@
     keep_ms: int
     member_ttl_ms: int
     lease_ms: int
+    stop_ms: int
+    resend_ms: int
+    config_ms: int
     status_ms: int
     grace_ms: int
     remote_factor: float
@@ -92,6 +102,10 @@
         keep_ms=int(store["keep_s"] * 1_000),
         member_ttl_ms=int(store["ttl_min_ms"]),
         lease_ms=int(bounds["hold_max_ms"]),
+        stop_ms=int(bounds.get("stop_ms", 0)),
+        # The platform's name is that of the repeat by the client account, not of ours.
+        resend_ms=int(bounds.get("retransmit_ms", DEFAULT_RESEND_MS)),
+        config_ms=int(bounds.get("config_apply_ms", DEFAULT_CONFIG_MS)),
         status_ms=int(bounds["status_s"] * 1_000),
         grace_ms=int(bounds["grace_s"] * 1_000),
         remote_factor=float(bounds.get("remote_factor", 1.0)),
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,72 @@
+"""Tests of the own settings of the platform's daemons."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import attrs
+import pytest
+
+from catkincross.daemons._own_settings import (
+    OwnSettings,
+    lapse_ms,
+    load_own_settings,
+    volatile_silence_ms,
+)
+from catkincross.owner import OwnerLimits
+from catkincross.platform import NodeSettings
+from catkincross.workers import WorkerLimits
+
+DEPLOYED = Path(__file__).resolve().parent.parent / "deploy" / "catkincross.ini"
+
+
+def node(**fields: int) -> NodeSettings:
+    """Return the platform's settings of a host."""
+    values = {field.name: 1 for field in attrs.fields(NodeSettings)}
+    values |= {"lease_ms": 1_000, "stop_ms": 50, "resend_ms": 1_300}
+    return NodeSettings(**(values | fields))
+
+
+def test_the_deployed_file_holds_the_defaults() -> None:
+    """A key that the daemons do not know would keep them from starting."""
+    assert load_own_settings(str(DEPLOYED)) == OwnSettings()
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("[platform]\nsilence_ms = soon\n", "silence_ms: 'soon' is not allowed"),
+        ("[platform]\nsilence_ms = 3\n", "from 1500 to 30000"),
+        ("[platform]\nsilense_ms = 2000\n", "silense_ms: is unknown"),
+        ("[plattform]\n", "[plattform]: is unknown"),
+        ("silence_ms = 2000\n", "cannot be read"),
+    ],
+)
+def test_a_wrong_file_names_the_key_and_what_is_allowed(
+    tmp_path: Path, text: str, named: str
+) -> None:
+    """An operator must see what to mend from the one line that is printed."""
+    path = tmp_path / "own.ini"
+    path.write_text(text, encoding="utf-8")
+    with pytest.raises(ValueError, match="own.ini") as raised:
+        load_own_settings(str(path))
+    assert named in str(raised.value)
+
+
+def test_the_wait_for_a_lost_agent_covers_the_platforms_longest_lease() -> None:
+    """With leases of 4 s a fixed wait of 1,450 ms would let a task run twice."""
+    assert lapse_ms(node()) == OwnerLimits().lapse_ms
+    longest = node(lease_ms=4_000)
+    own = OwnSettings()
+    covered = own.owner_limits(longest).lapse_ms
+    assert covered >= 4_000 * 1.02 + 50 + own.worker_limits(longest).stop_grace_ms
+
+
+def test_runs_of_a_lost_entry_are_gone_before_its_jobs_come_again() -> None:
+    """Client accounts that come back sooner must not meet runs of the old entry."""
+    own = OwnSettings()
+    assert volatile_silence_ms(own, node()) == 800
+    assert volatile_silence_ms(own, node(resend_ms=1_000)) == 500
+    assert volatile_silence_ms(own, node(resend_ms=100)) >= (
+        2 * WorkerLimits().state_interval_ms
+    )
