Reload settings at SIGHUP and when a settings file changes

A file that changed without a signal was never read again.

Both daemons now read the files again at SIGHUP and once a second if they have changed, log which fields differ, and keep the settings in force if a file cannot be read. The line 'job given up' names its inputs: age, time left, work that waits and the capacity it was judged by.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -7,6 +7,8 @@
 import time
 from typing import Any
 
+import attrs
+
 from ..clock import Clock
 from ..foundation._background import spawn
 from ..peers import Greeting, Link, Members, connect
@@ -118,6 +120,15 @@
         self.log.note("stopped", runs=len(self.core.state.runs))
         self.stopped.set()
 
+    def reload(self, settings: NodeSettings, own: OwnSettings) -> None:
+        """Take new settings; addresses and shards of this process stay."""
+        limits = own.worker_limits(settings)
+        shards = self.core.state.limits.shards
+        self.settings = settings
+        self.core.use_limits(attrs.evolve(limits, shards=shards))
+        self.store.use_address(settings.store)
+        self.worker.use_address(settings.worker)
+
     # The worker.
 
     def _heartbeat(self, content: Registration) -> None:
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+import attrs
 import cattrs
 
 from ..clock import Clock
@@ -184,6 +185,15 @@
         self.log.note("stopped")
         self.stopped.set()
 
+    def reload(self, settings: NodeSettings, own: OwnSettings) -> None:
+        """Take new settings; addresses and shards of this process stay."""
+        limits = own.owner_limits(settings)
+        self.settings = settings
+        self.core.use_limits(attrs.evolve(limits, shards=self.requests.shards))
+        self.elsewhere.let_go_ms = limits.volatile_silence_ms + limits.lapse_ms
+        self.store.use_address(settings.store)
+        self.feed.use_limit(settings.config_ms)
+
     # Requests of client accounts.
 
     async def submit(self, spec: JobSpec, limit_ms: int) -> Answer:
--- a/catkincross/daemons/_run.py
+++ b/catkincross/daemons/_run.py
@@ -7,12 +7,14 @@
 from typing import Any
 
 from ..clock import SystemClock
+from ..foundation._background import spawn
 from ..foundation._main import run_daemon
 from ..platform import load_node_settings
 from ..transport._http_server import HttpServer
 from ._log import DecisionLog
 from ._metrics import Metrics
 from ._own_settings import load_own_settings
+from ._reload import keep_reloaded
 
 EXIT_BAD_SETTINGS = 2
 
@@ -31,6 +33,7 @@
     async def serve() -> None:
         daemon = daemon_class(settings, clock, log, own)
         await daemon.start()
+        spawn(keep_reloaded(daemon, own, log))
         HttpServer(Metrics(log), f"{settings.ip}:{own.metrics_port}").start()
         await run_daemon(daemon)
 
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -41,6 +41,10 @@
         volatile = VolatileShard.of_process(incarnation)
         self.state = OwnerState(name, limits, volatile)
 
+    def use_limits(self, limits: OwnerLimits) -> None:
+        """Take other times; the number of shards stays."""
+        self.state.limits = limits
+
     def step(self, now_ms: int) -> list[Effect]:
         """Run the systems; return what is to be done."""
         self.state.now_ms = now_ms
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -67,7 +67,18 @@
 def give_up(state: OwnerState, job: Job, reason: str) -> None:
     """Stop a job that nobody waits for, or that cannot end in time."""
     job.finish(JobState.CANCELLED, state.now_ms)
-    state.note("job given up", job=job.spec.id, reason=reason, started=job.started)
+    service = job.spec.policy.service
+    state.note(
+        "job given up",
+        job=job.spec.id,
+        reason=reason,
+        started=job.started,
+        age_ms=state.now_ms - job.arrived_ms,
+        left_ms=job.deadline_ms - state.now_ms,
+        waiting_tasks=len(state.waiting),
+        wait_ms=state.wait_ms(service),
+        capacity_cpu=round(state.capacity(service)),
+    )
     job_ended(state, state.volatile, job)
     state.left_worker(job)
 
--- a/catkincross/platform/__init__.py
+++ b/catkincross/platform/__init__.py
@@ -6,7 +6,7 @@
 from ._declared import DeclaredFeed
 from ._front import Dispatcher, FrontApp
 from ._jobs import BadJob, read_job, read_route
-from ._settings import NodeSettings, load_node_settings
+from ._settings import SETTINGS_VARIABLE, NodeSettings, load_node_settings
 from ._store import Gap, Membership, StoreClient, Topic
 from ._worker import HoldRefused, WorkerClient, read_heartbeat
 
@@ -19,6 +19,7 @@
     "Gap",
     "Membership",
     "NodeSettings",
+    "SETTINGS_VARIABLE",
     "StoreClient",
     "Topic",
     "HoldRefused",
--- a/catkincross/platform/_declared.py
+++ b/catkincross/platform/_declared.py
@@ -30,10 +30,14 @@
 
     def __init__(self, store: StoreClient, config_ms: int) -> None:
         self.store = store
-        self.wait_ms = int(config_ms * FOLLOW_SHARE)
+        self.use_limit(config_ms)
         self.declared = Declared()
         self._offset: int | None = None
 
+    def use_limit(self, config_ms: int) -> None:
+        """Take the time in which a change is to be in force."""
+        self.wait_ms = int(config_ms * FOLLOW_SHARE)
+
     async def follow(self) -> bool | None:
         """Read what has changed, waiting for it if nothing has.
 
--- a/catkincross/platform/_worker.py
+++ b/catkincross/platform/_worker.py
@@ -83,6 +83,10 @@
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60)
         )
 
+    def use_address(self, address: str) -> None:
+        """Send further calls to another address."""
+        self.url = f"http://{address}"
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -58,6 +58,11 @@
     ) -> None:
         self.state = WorkerState(limits, fence, host, data_centre)
 
+    def use_limits(self, limits: WorkerLimits) -> None:
+        """Take other times; the number of shards stays."""
+        self.state.limits = limits
+        self._offer()
+
     def step(self, now_ms: int) -> list[Effect]:
         """Run what is due; return what is to be done."""
         state = self.state
