Move requests for volatile jobs out of the entry daemon

Handing in volatile jobs and telling other entries of them is one concern, with its own counters; nothing is decided differently.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -10,7 +10,7 @@
 import cattrs
 
 from ..clock import Clock
-from ..dispatch import AtEntry, Here, JobsElsewhere
+from ..dispatch import JobsElsewhere
 from ..foundation._background import spawn
 from ..jobs import JobSpec
 from ..owner import Append, Claim, Note, OwnerCore, Reply, Tell
@@ -38,6 +38,7 @@
 from ._members import Owners, keep_joined, member_name
 from ._own_settings import OwnSettings
 from ._store_work import append, claim
+from ._volatile_requests import VolatileRequests
 
 # After SIGTERM the entry goes on serving for this long, in seconds: the balancer
 # takes a host out after two probes, one second apart.
@@ -51,12 +52,6 @@
 # Links of agents on which nothing came for this long are closed, in milliseconds.
 SILENT_AGENT_MS = 1_600
 MS_PER_S = 1_000
-# Interval of telling other entries of volatile jobs, in seconds. A request comes again
-# 1.3 s after a broken answer at the soonest, and agents end the runs of a lost entry
-# after 0.85 s, so a job that was not told of has no run left by then.
-NEWS_INTERVAL_S = 0.1
-# Pause before an entry that has a job is asked again, in milliseconds.
-ELSEWHERE_WAIT_MS = 50
 
 _converter = cattrs.Converter(omit_if_default=True)
 
@@ -109,13 +104,17 @@
         self.requests.on_connected = lambda link: link.send(
             VolatileJobs(self.core.volatile_jobs(), [])
         )
-        self.elsewhere = JobsElsewhere(limits.volatile_silence_ms + limits.lapse_ms)
+        let_go_ms = limits.volatile_silence_ms + limits.lapse_ms
+        self.elsewhere = JobsElsewhere(let_go_ms)
         self.agents: dict[str, Link] = {}
         self.leaving = False
         self.store_answers = True
         self.open_requests = 0
         self.stopped = asyncio.Event()
         self.loop = CoreLoop(self.core, clock, self._carry_out)
+        self.volatile = VolatileRequests(
+            self.core, self.loop, self.elsewhere, self.requests, clock, log
+        )
         self._joining: asyncio.Task[None] | None = None
 
     @property
@@ -154,7 +153,7 @@
         spawn(self._follow_declared())
         spawn(self.requests.keep_links(self.core.pending_counts))
         spawn(self._close_silent())
-        spawn(self._tell_news())
+        spawn(self.volatile.keep_told())
         self.loop.wake()
 
     async def run(self) -> None:
@@ -165,7 +164,9 @@
         """Hand the shards over, finish open requests, and end."""
         if self.leaving:
             return
-        self.log.note("stop", open_requests=self.open_requests)
+        self.log.note(
+            "stop", open_requests=self.open_requests + self.volatile.open_requests
+        )
         self.leaving = True
         began_ms = self.clock.now_ms()
         if self._joining is not None:
@@ -199,45 +200,10 @@
     async def submit(self, spec: JobSpec, limit_ms: int) -> Answer:
         """Hand in a job."""
         if spec.volatile:
-            return await self._submit_volatile(spec, limit_ms)
+            return await self.volatile.submit(spec, limit_ms)
         body = _converter.unstructure(spec)
         return await self._request("submit", spec.id, body, limit_ms)
 
-    async def _submit_volatile(self, spec: JobSpec, limit_ms: int) -> Answer:
-        """Hand in a job that this entry keeps, unless another entry has it."""
-        end_ms = self.clock.now_ms() + limit_ms
-        while True:
-            now_ms = self.clock.now_ms()
-            place = self.elsewhere.place(spec.id, now_ms)
-            left_ms = end_ms - now_ms
-            if isinstance(place, Here):
-                return await self._run_here(spec, left_ms)
-            if isinstance(place, AtEntry):
-                body = _converter.unstructure(spec)
-                ask = Ask(0, "submit", spec.id, body, left_ms)
-                answer = await self.requests.ask_entry(place.address, ask)
-                if answer is not None and answer.outcome != "unknown":
-                    return answer
-            wait_ms = max(place.wait_ms, ELSEWHERE_WAIT_MS)
-            if left_ms <= wait_ms:
-                return Answer(0, "unknown", "job was at a lost entry")
-            self.log.note("job waits", job=spec.id, place=repr(place))
-            await asyncio.sleep(wait_ms / MS_PER_S)
-
-    async def _run_here(self, spec: JobSpec, limit_ms: int) -> Answer:
-        future = asyncio.get_running_loop().create_future()
-        now_ms = self.clock.now_ms()
-        self.core.submit(now_ms, future, spec, limit_ms=limit_ms)
-        self.loop.wake()
-        self.open_requests += 1
-        try:
-            return await future
-        finally:
-            self.open_requests -= 1
-            if not future.done() or future.cancelled():
-                self.core.abandon(self.clock.now_ms(), future, spec.id)
-                self.loop.wake()
-
     async def job_state(self, job_id: str, limit_ms: int) -> Answer:
         """Ask for a job's state."""
         return await self._request("state", job_id, None, limit_ms)
@@ -356,14 +322,6 @@
                     self.log.note("agent silent", agent=name, age_ms=now_ms - heard_ms)
                     link.close()
 
-    async def _tell_news(self) -> None:
-        """Tell other entries which volatile jobs are here."""
-        while True:
-            await asyncio.sleep(NEWS_INTERVAL_S)
-            begun, ended = self.core.take_news()
-            if begun or ended:
-                self.requests.tell_all(VolatileJobs(begun, ended))
-
     def _owners_changed(self) -> None:
         self.log.note("owners", owners=sorted(set(self.owners.by_shard.values())))
         members = Members(self.owners.addresses())
--- /dev/null
+++ b/catkincross/daemons/_volatile_requests.py
@@ -0,0 +1,107 @@
+"""Requests for volatile jobs, which the entry keeps that receives them first."""
+
+from __future__ import annotations
+
+import asyncio
+
+import cattrs
+
+from ..clock import Clock
+from ..dispatch import AtEntry, Here, JobsElsewhere
+from ..jobs import JobSpec
+from ..owner import OwnerCore
+from ..peers import Answer, Ask, VolatileJobs
+from ._asking import OwnerRequests
+from ._core_loop import CoreLoop
+from ._log import DecisionLog
+
+# Interval of telling other entries of volatile jobs, in seconds. A request comes again
+# 1.3 s after a broken answer at the soonest, and agents end the runs of a lost entry
+# after 0.85 s, so a job that was not told of has no run left by then.
+NEWS_INTERVAL_S = 0.1
+# Pause before an entry that has a job is asked again, in milliseconds.
+ELSEWHERE_WAIT_MS = 50
+MS_PER_S = 1_000
+
+_converter = cattrs.Converter(omit_if_default=True)
+
+
+class VolatileRequests:
+    """Hands volatile jobs to the core, and tells the other entries of them.
+
+    Args:
+        core: The owner's core.
+        loop: Runs the core's steps.
+        elsewhere: Jobs of other entries.
+        requests: Links to the other entries.
+        clock: Clock of the process.
+        log: Log of the process.
+
+    Attributes:
+        open_requests: Requests that wait for the end of a job.
+    """
+
+    def __init__(
+        self,
+        core: OwnerCore,
+        loop: CoreLoop,
+        elsewhere: JobsElsewhere,
+        requests: OwnerRequests,
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        self.core = core
+        self.loop = loop
+        self.elsewhere = elsewhere
+        self.requests = requests
+        self.clock = clock
+        self.log = log
+        self.open_requests = 0
+
+    async def submit(self, spec: JobSpec, limit_ms: int) -> Answer:
+        """Hand in a job that this entry keeps, unless another entry has it.
+
+        Args:
+            spec: The job.
+            limit_ms: How long the client account waits, in milliseconds.
+        """
+        end_ms = self.clock.now_ms() + limit_ms
+        while True:
+            now_ms = self.clock.now_ms()
+            place = self.elsewhere.place(spec.id, now_ms)
+            left_ms = end_ms - now_ms
+            if isinstance(place, Here):
+                return await self._run_here(spec, left_ms)
+            if isinstance(place, AtEntry):
+                body = _converter.unstructure(spec)
+                ask = Ask(0, "submit", spec.id, body, left_ms)
+                answer = await self.requests.ask_entry(place.address, ask)
+                if answer is not None and answer.outcome != "unknown":
+                    return answer
+            wait_ms = max(place.wait_ms, ELSEWHERE_WAIT_MS)
+            if left_ms <= wait_ms:
+                return Answer(0, "unknown", "job was at a lost entry")
+            self.log.note("job waits", job=spec.id, place=repr(place))
+            await asyncio.sleep(wait_ms / MS_PER_S)
+
+    async def _run_here(self, spec: JobSpec, limit_ms: int) -> Answer:
+        future = asyncio.get_running_loop().create_future()
+        now_ms = self.clock.now_ms()
+        self.core.submit(now_ms, future, spec, limit_ms=limit_ms)
+        self.loop.wake()
+        self.open_requests += 1
+        try:
+            return await future
+        finally:
+            self.open_requests -= 1
+            if not future.done() or future.cancelled():
+                self.core.abandon(self.clock.now_ms(), future, spec.id)
+                self.loop.wake()
+
+    async def keep_told(self) -> None:
+        """Tell other entries which volatile jobs are here."""
+        while True:
+            await asyncio.sleep(NEWS_INTERVAL_S)
+            begun, ended = self.core.take_news()
+            if begun or ended:
+                self.requests.tell_all(VolatileJobs(begun, ended))
