Run tasks that last until their job is cancelled

A run of such a task that ends, however it does, is not logged: the task starts again at once, on another worker after a failure, ahead of younger work, and without a limit of attempts. No standstill is looked for, and no backlog rejects the job. may_miss and target_ms need no more while the system ends no sound run and starts no task that fills; tasks that fill are still rejected.

--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -54,8 +54,14 @@
 
 
 def waiting_key(task: Task, estimates: Estimates, now_ms: int) -> float:
-    """Return the key by which a task waits."""
+    """Return the key by which a task waits.
+
+    A task that lasts has no objective: it starts in the order of arrival, so that a
+    restart does not wait behind younger jobs.
+    """
     job = task.job
+    if task.needs.long_running:
+        return job.arrived_ms
     latest = latest_start_ms(job, estimates)
     late_ms = LATE_LIMIT * objective_ms(job, estimates) - chain_ms(job, estimates)
     if now_ms > job.arrived_ms + late_ms:
@@ -113,7 +119,7 @@
             late = [row for row in self._rows[:LATE_BATCH] if row[0] < now_ms]
             moved = False
             for key, added, task in late:
-                if task.job.started or key < 0:
+                if task.job.started or task.needs.long_running or key < 0:
                     continue
                 row = (key + LATE_MS, added, task)
                 self._rows.remove(self._keys[task])
--- a/catkincross/jobs/_spec.py
+++ b/catkincross/jobs/_spec.py
@@ -26,6 +26,8 @@
         anti_affinity: Most tasks of the step on one worker; 0 for no limit.
         allow_duplicates: Whether copies of a task may run at the same time; the first
             that ends counts.
+        long_running: Whether a task runs until its job is cancelled, and is started
+            again however a run of it ends.
     """
 
     count: int
@@ -39,6 +41,7 @@
     data_rack: str = ""
     anti_affinity: int = 0
     allow_duplicates: bool = False
+    long_running: bool = False
 
 
 @attrs.frozen
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -49,7 +49,7 @@
         )
         return True
     task.run = ended.run
-    if ended.how not in ("done", "failed"):
+    if ended.how not in ("done", "failed") or task.needs.long_running:
         task.checkpoint = ended.checkpoint or task.checkpoint
         state.note(
             "run ended early",
@@ -58,6 +58,8 @@
             agent=row.name,
             how=ended.how,
         )
+        if ended.how == "failed":
+            task.avoid = (row.name,)
         state.release(task)
         return True
     _log_end(state, shard, row, task, ended, born)
@@ -184,7 +186,7 @@
         if running.percent > task.percent:
             task.percent = running.percent
             task.progress_ms = state.now_ms
-        elif running.percent < 100:
+        elif running.percent < 100 and not task.needs.long_running:
             _check_standstill(state, shard, row, task)
 
 
--- a/catkincross/platform/_jobs.py
+++ b/catkincross/platform/_jobs.py
@@ -11,9 +11,11 @@
 
 ID_DIGITS = 16
 MAX_PAYLOAD_BYTES = 4_000
-# Fields of a step that ask for what the product cannot do yet.
-UNSUPPORTED_STEP = ("gang", "fills", "may_miss", "target_ms")
-UNSUPPORTED_JOB = ("repeat_count", "long_running")
+# Fields of a step that ask for what the product cannot do yet. The number of tasks of
+# a step that may be away, and the response time of a task that serves, need no more
+# while the system itself ends no sound run and starts no task that fills.
+UNSUPPORTED_STEP = ("gang", "fills")
+UNSUPPORTED_JOB = ("repeat_count",)
 
 
 @attrs.frozen
@@ -53,14 +55,18 @@
     for name in UNSUPPORTED_JOB:
         if fields.get(name):
             return BadJob(f"{name}: not supported", unsupported=True)
+    # The flag stands at the job, and holds for all of its steps.
+    lasting = bool(fields.get("long_running", False))
     read: list[Step] = []
     for number, step in enumerate(steps):
         found = _read_step(number, step)
         if isinstance(found, BadJob):
             return found
-        read.append(found)
+        read.append(attrs.evolve(found, long_running=True) if lasting else found)
     # The platform calls a job that need not be stored best effort.
     volatile = bool(fields.get("best_effort", False))
+    if volatile and any(step.long_running for step in read):
+        return BadJob("long_running: not with best_effort, which has no end to answer")
     return JobSpec(job_id, payload, tuple(read), policy, volatile)
 
 
@@ -103,4 +109,5 @@
         fields.get("data_rack", ""),
         numbers["anti_affinity"],
         bool(fields.get("allow_duplicates", False)),
+        bool(fields.get("long_running", False)),
     )
