Share the workers' capacity by the work that waits at each entry

It counted a third of the workers as its own, as if the two other entries had as much to do. Ruled out: agents that are not known yet; all had connected by then.

Entries already tell each other twice a second how many jobs have not started; they tell the work that waits too, and an entry counts the part of a worker that its work has in the work of all entries that share it.

Shown first: in test_jobs_at_one_entry_are_not_rejected_while_the_others_are_idle jobs are rejected as long as nothing is known of the other entries, and none once it is.

--- a/catkincross/daemons/_asking.py
+++ b/catkincross/daemons/_asking.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..jobs import shard_of
-from ..peers import Answer, Ask, Greeting, Link, PendingCounts, connect
+from ..peers import Answer, Ask, Backlog, Greeting, Link, connect
 from ._members import Owners, member_address
 
 CONNECT_LIMIT_S = 0.5
@@ -35,7 +35,7 @@
     heard_ms: int
     number: int = 0
     waiting: dict[int, asyncio.Future[Answer]] = attrs.field(factory=dict)
-    counts: dict[str, int] = attrs.field(factory=dict)
+    backlog: Backlog | None = None
 
 
 class OwnerRequests:
@@ -67,6 +67,7 @@
         self.ask_here = ask_here
         self.links: dict[str, PeerLink] = {}
         self.on_connected: Callable[[Link], None] | None = None
+        self.on_backlogs: Callable[[list[Backlog]], None] | None = None
         self.connecting: dict[str, asyncio.Task[PeerLink | None]] = {}
 
     async def ask(
@@ -173,8 +174,10 @@
             future = peer.waiting.pop(content.number, None)
             if future is not None and not future.done():
                 future.set_result(content)
-        elif isinstance(content, PendingCounts):
-            peer.counts = content.counts
+        elif isinstance(content, Backlog):
+            peer.backlog = content
+            if self.on_backlogs is not None:
+                self.on_backlogs(self._backlogs())
 
     def _on_close(self, link: Link) -> None:
         peer: PeerLink | None = link.peer
@@ -185,7 +188,12 @@
                 future.set_result(Answer(0, "unknown", "link to the owner closed"))
         peer.waiting.clear()
 
-    async def keep_links(self, counts: Callable[[], dict[str, int]]) -> None:
+    def _backlogs(self) -> list[Backlog]:
+        """Return what the entries said last to which a link is open."""
+        open_links = (peer for peer in self.links.values() if not peer.link.closed)
+        return [peer.backlog for peer in open_links if peer.backlog is not None]
+
+    async def keep_links(self, backlog: Callable[[], Backlog]) -> None:
         """Keep links to all owners, and close silent ones."""
         while True:
             now_ms = self.clock.now_ms()
@@ -201,9 +209,9 @@
                 if address not in self.links:
                     asyncio.create_task(self._peer(address))
             for peer in self.links.values():
-                peer.link.send(PendingCounts(counts()))
+                peer.link.send(backlog())
             await asyncio.sleep(COUNTS_INTERVAL_S)
 
     def pending(self, queue: str) -> int:
         """Return the count of other entries for a queue."""
-        return sum(peer.counts.get(queue, 0) for peer in self.links.values())
+        return sum(found.counts.get(queue, 0) for found in self._backlogs())
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -17,10 +17,10 @@
 from ..peers import (
     Answer,
     Ask,
+    Backlog,
     Greeting,
     Link,
     Members,
-    PendingCounts,
     VolatileJobs,
     serve_links,
 )
@@ -101,6 +101,7 @@
             settings.shards,
             self._ask_here,
         )
+        self.requests.on_backlogs = self.core.peers_have
         self.requests.on_connected = lambda link: link.send(
             VolatileJobs(self.core.volatile_jobs(), [])
         )
@@ -151,7 +152,7 @@
         self.probes.start()
         spawn(self.owners.follow())
         spawn(self._follow_declared())
-        spawn(self.requests.keep_links(self.core.pending_counts))
+        spawn(self.requests.keep_links(self.core.backlog))
         spawn(self._close_silent())
         spawn(self.volatile.keep_told())
         self.loop.wake()
@@ -223,7 +224,7 @@
 
     def pending(self, queue: str) -> int:
         """Return the accepted jobs of a queue of which no task has started."""
-        own = self.core.pending_counts().get(queue, 0)
+        own = self.core.backlog().counts.get(queue, 0)
         return own + self.requests.pending(queue)
 
     def answered(
@@ -275,8 +276,8 @@
             self._greeted(link, content)
         elif isinstance(content, Ask):
             self._ask((link, content.number), content)
-        elif isinstance(content, PendingCounts):
-            link.send(PendingCounts(self.core.pending_counts()))
+        elif isinstance(content, Backlog):
+            link.send(self.core.backlog())
         elif isinstance(content, VolatileJobs):
             self.elsewhere.take(link.peer, content)
         elif link.peer is not None and self.agents.get(link.peer.name) is link:
--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ._admission import Rejected, admit, expected_wait_ms
-from ._capacity import expected_capacity
+from ._capacity import capacity_share, expected_capacity
 from ._elsewhere import AtEntry, AtLostEntry, Here, JobsElsewhere
 from ._estimates import Estimates
 from ._gangs import choose_gang, gang_could_fit
@@ -29,6 +29,7 @@
     "Rejected",
     "WaitingQueue",
     "admit",
+    "capacity_share",
     "chain_ms",
     "choose_agent",
     "choose_gang",
--- a/catkincross/dispatch/_capacity.py
+++ b/catkincross/dispatch/_capacity.py
@@ -2,7 +2,9 @@
 
 Load pattern: after a restart of all hosts the requests of client accounts come at once,
 while agents connect one by one and workers register up to 1.5 s later. Judged by the
-first agent alone, the backlog would look ten times as long as it is.
+first agent alone, the backlog would look ten times as long as it is. Client accounts
+come to one entry first, while the others have little to do; the workers then serve
+that entry alone.
 """
 
 from __future__ import annotations
@@ -22,3 +24,21 @@
         rejection.
     """
     return known * (ready + coming) / ready if ready else 0.0
+
+
+def capacity_share(own_work: float, peer_work: list[float], entries: int) -> float:
+    """Return which part of a worker serves this entry while work waits.
+
+    Workers serve whoever has work, so the part is that of this entry's work in the
+    work of all entries that share the worker.
+
+    Args:
+        own_work: Work that waits here.
+        peer_work: Work that waits at each other entry that has told so.
+        entries: Number of entries that share the worker.
+    """
+    others = max(entries - 1, 0)
+    if not peer_work or own_work <= 0:
+        return 1 / (others + 1)
+    mean = sum(peer_work) / len(peer_work)
+    return own_work / (own_work + others * mean)
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -7,6 +7,7 @@
 
 from ..jobs import JobRecord, JobSpec, JobState
 from ..operations import Declared
+from ..peers import Backlog
 from . import _placing as _placing, _upkeep as _upkeep
 from ._effects import AppendOutcome, Effect
 from ._fleet import AgentRow
@@ -194,11 +195,16 @@
         row = self.state.agents[name]
         AGENT_HANDLERS[type(content)](self.state, row, content)
 
-    def pending_counts(self) -> dict[str, int]:
-        """Return the accepted jobs of which no task has started, by queue."""
+    def peers_have(self, backlogs: list[Backlog]) -> None:
+        """Take what waits at the other entries."""
+        self.state.peer_backlogs = backlogs
+
+    def backlog(self) -> Backlog:
+        """Return what waits at this entry."""
         counts: Counter[str] = Counter()
         for shard in (*self.state.shards.values(), self.state.volatile):
             for job in shard.open_jobs.values():
                 if job.state is JobState.QUEUED:
                     counts[job.spec.policy.queue] += 1
-        return dict(counts)
+        work = {name: work for name, work in self.state.waiting.cpu_ms.items() if work}
+        return Backlog(dict(counts), work)
--- a/catkincross/owner/_fleet.py
+++ b/catkincross/owner/_fleet.py
@@ -78,13 +78,6 @@
         """Kind of the worker: its first label."""
         return self.profile.labels[0] if self.profile and self.profile.labels else ""
 
-    @property
-    def cpu_share(self) -> float:
-        """This entry's part of the capacity, in thousandths of a core."""
-        if self.profile is None or self.state is None or not self.state.ready:
-            return 0.0
-        return self.profile.cpu / max(self.profile.offered_to, 1)
-
     @property
     def expects_worker(self) -> bool:
         """Whether the agent is connected and its worker has not registered yet."""
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -11,11 +11,13 @@
     AgentHealth,
     Estimates,
     WaitingQueue,
+    capacity_share,
     expected_capacity,
     expected_wait_ms,
 )
 from ..jobs import Job, JobState, Task, TaskState, shard_of
 from ..operations import Declared
+from ..peers import Backlog
 from ._effects import Effect, Note, Tell
 from ._fleet import AgentRow
 from ._shard import Shard, ShardPhase, VolatileShard
@@ -84,6 +86,7 @@
         room_grew: Whether a waiting task may fit that did not fit before.
         begun: Volatile jobs begun since other entries were told.
         ended: Volatile jobs ended since other entries were told.
+        peer_backlogs: What waits at each other entry, up to half a second old.
     """
 
     name: str
@@ -108,6 +111,7 @@
     room_grew: bool = False
     begun: list[str] = attrs.field(factory=list)
     ended: list[str] = attrs.field(factory=list)
+    peer_backlogs: list[Backlog] = attrs.field(factory=list)
 
     @property
     def has_authority(self) -> bool:
@@ -190,14 +194,24 @@
             return 0.0
         known = 0.0
         ready = coming = 0
+        own_work = self.waiting.cpu_ms.get(service, 0.0)
+        peer_work = [other.work.get(service, 0.0) for other in self.peer_backlogs]
         for row in self.agents.values():
             if row.state is not None and row.state.ready:
                 ready += 1
-                known += row.cpu_share if self.reaches(row, service) else 0.0
+                known += self._share_of(row, service, own_work, peer_work)
             elif row.expects_worker and self.now_ms - row.connected_ms < REGISTER_MS:
                 coming += 1
         return expected_capacity(known, ready, coming)
 
+    def _share_of(
+        self, row: AgentRow, service: str, own_work: float, peer_work: list[float]
+    ) -> float:
+        if row.profile is None or not self.reaches(row, service):
+            return 0.0
+        entries = row.profile.offered_to
+        return row.profile.cpu * capacity_share(own_work, peer_work, entries)
+
     def reaches(self, row: AgentRow, service: str) -> bool:
         """Whether an agent's worker is of a service and not evacuated."""
         if row.profile is None or not row.serves(service):
--- a/catkincross/peers/_messages.py
+++ b/catkincross/peers/_messages.py
@@ -332,10 +332,17 @@
 
 @message
 @attrs.frozen
-class PendingCounts:
-    """Accepted jobs of an entry of which no task has started, by queue."""
+class Backlog:
+    """What waits at an entry.
+
+    Attributes:
+        counts: Accepted jobs of which no task has started, by queue.
+        work: Work of tasks that wait, by service, in thousandths of a core times
+            milliseconds.
+    """
 
     counts: dict[str, int]
+    work: dict[str, float]
 
 
 def _make_converter() -> cattrs.Converter:
--- a/tests/test_platform_restart.py
+++ b/tests/test_platform_restart.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from catkincross.dispatch import expected_capacity
+from catkincross.dispatch import capacity_share, expected_capacity
+from catkincross.peers import Backlog
 from scenarios.platform_model import Model, job, ready_model
 
 AGENTS = 10
@@ -55,3 +56,29 @@
     assert expected_capacity(8_000, ready=1, coming=9) == 80_000
     assert expected_capacity(8_000, ready=1, coming=0) == 8_000
     assert expected_capacity(0, ready=0, coming=5) == 0
+
+
+def test_a_worker_serves_the_entries_in_proportion_to_their_work() -> None:
+    """85 jobs of one entry got 429 as if two idle entries had as much to do."""
+    assert capacity_share(100.0, [0.0, 0.0], 3) == 1.0
+    assert capacity_share(100.0, [100.0, 100.0], 3) == 1 / 3
+    assert capacity_share(300.0, [100.0, 0.0], 3) == 0.75
+    assert capacity_share(100.0, [], 4) == 0.25
+    assert capacity_share(0.0, [500.0], 2) == 0.5
+
+
+def test_jobs_at_one_entry_are_not_rejected_while_the_others_are_idle() -> None:
+    """Client accounts reach the entry that is ready first, and the workers are free."""
+    rejected = {}
+    for told in (False, True):
+        model = ready_model(entries=3, agents=6)
+        core = model.owners["e0"].core
+        core.peers_have([Backlog({}, {})] * 2 if told else [])
+        for number in range(20):
+            spec = job(f"{number:016x}", volatile=True, estimate_ms=100)
+            model.submit(f"{number}", spec, "e0", limit_ms=700)
+        model.run(3_000)
+        outcomes = [answer.outcome for answer in model.answers.values()]
+        rejected[told] = outcomes.count("rejected")
+    assert rejected[False] > rejected[True]
+    assert rejected[True] == 0
