Tell entries of changed room at the pace of their need

Most messages were states: each start and each end brought one to each of five entries within 50 ms.

A start needs none to its own entry, which counts its orders itself. The other entries hear of changes within 30 ms while tasks of theirs wait for room, as their lease says, and within 150 ms otherwise. News of volatile jobs go out every 200 ms.

--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -18,7 +18,7 @@
 # Interval of telling other entries of volatile jobs, in seconds. A request comes again
 # 1.3 s after a broken answer at the soonest, and agents end the runs of a lost entry
 # after 0.85 s, so a job that was not told of has no run left by then.
-NEWS_INTERVAL_S = 0.1
+NEWS_INTERVAL_S = 0.2
 # Pause before an entry that has a job is asked again, in milliseconds.
 ELSEWHERE_WAIT_MS = 50
 MS_PER_S = 1_000
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -142,6 +142,7 @@
         epochs,
         volatile.epoch,
         limits.volatile_silence_ms,
+        len(state.waiting) > 0,
     )
     state.tell(row.name, content)
 
--- a/catkincross/peers/_messages.py
+++ b/catkincross/peers/_messages.py
@@ -137,6 +137,8 @@
         epochs: Pairs of shard and epoch.
         incarnation: Number of the entry's process, the epoch of its volatile jobs.
         volatile_ms: How long after `echo_ms` the right to its volatile jobs lasts.
+        wants_room: Whether tasks of the entry wait for room, so that it is told of
+            changes sooner.
     """
 
     echo_ms: int
@@ -144,6 +146,7 @@
     epochs: list[list[int]]
     incarnation: int
     volatile_ms: int
+    wants_room: bool = False
 
 
 @message
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -252,9 +252,9 @@
         limits = self.state.limits
         if row.runs_changed:
             return limits.change_interval_ms
-        if row.name in self.state.offered:
-            return limits.others_interval_ms
-        return limits.far_interval_ms
+        if row.name not in self.state.offered:
+            return limits.far_interval_ms
+        return limits.room_interval_ms if row.wants_room else limits.others_interval_ms
 
     def _send_state(self, row: EntryRow) -> None:
         state = self.state
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -38,6 +38,7 @@
 def lease(state: WorkerState, row: EntryRow, content: Lease) -> None:
     """Take an entry's lease on its shards."""
     row.lease_ms = state.now_ms
+    row.wants_room = content.wants_room
     volatile_lease(state, row, content)
     valid_until_ms = content.echo_ms + content.valid_ms
     for shard, epoch in content.epochs:
@@ -105,7 +106,8 @@
 def start(state: WorkerState, row: EntryRow, content: Start) -> None:
     """Start a run, or say at once that it is not started."""
     row.done_order = max(row.done_order, content.order)
-    row.changed = row.runs_changed = True
+    # The entry counts its orders itself until a state names them.
+    row.changed = True
     reason = _refusal(state, row, content)
     if reason:
         state.note("start refused", task=content.task, run=content.run, reason=reason)
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -25,9 +25,10 @@
             of the agent, until an owner is heard.
         state_interval_ms: Longest time between two states sent to an entry.
         progress_interval_ms: Time between two reports of progress to an entry.
-        change_interval_ms: Shortest time between two states sent to an entry whose
-            runs have changed.
-        others_interval_ms: The same for the other entries that may send tasks.
+        change_interval_ms: Shortest time between two states sent to an entry of which
+            a run has ended.
+        room_interval_ms: The same for the other entries whose tasks wait for room.
+        others_interval_ms: The same for the entries whose tasks do not.
         far_interval_ms: Time between two states sent to an entry that may not.
         offered_entries: Number of entries that may send tasks.
         hold_wait_ms: How long the worker may wait for an end before it answers a hold.
@@ -45,8 +46,11 @@
     progress_interval_ms: int = 300
     # Joins changes that come together; well below the shortest tasks of 50 ms.
     change_interval_ms: int = 10
-    # States to other entries after each start and end are most of the messages.
-    others_interval_ms: int = 30
+    # A task that waits should not wait much longer than the shortest tasks of 50 ms.
+    room_interval_ms: int = 30
+    # States to other entries after each start and end are most of the messages; one
+    # without waiting tasks needs them only to choose among free workers.
+    others_interval_ms: int = 150
     # Links are closed as silent after 1,600 ms, so one state may be lost.
     far_interval_ms: int = 700
     # A data centre has up to three entries, and two of others take over its bursts.
@@ -206,7 +210,8 @@
         done_order: Number of the last order that is counted.
         state_sent_ms: When the newest state was sent.
         changed: Whether the worker's room has changed since.
-        runs_changed: Whether it has by a run of this entry.
+        runs_changed: Whether it has by the end of a run of this entry.
+        wants_room: Whether tasks of the entry wait for room.
         lease_ms: When the newest lease arrived.
         incarnation: Number of the entry's process; 0 before its first lease.
         volatile_until_ms: End of its right to its volatile jobs.
@@ -221,6 +226,7 @@
     progress_sent_ms: int = -1_000_000
     changed: bool = True
     runs_changed: bool = True
+    wants_room: bool = False
     lease_ms: int = 0
     incarnation: int = 0
     volatile_until_ms: int = 0
