Let jobs give way before the order of due times makes all late

More work waited than could start in time, and in the order of the latest start each job starts at that time and is late by the error of its estimate. Ruled out: the rejections themselves; the jobs that were rejected before were late now.

Every 50 ms the rule of Moore and Hodgson is applied to the jobs that wait, on the entry's part of the capacity and of the free room. The job that has used up most of its allowance gives way, not the largest, so that no kind of request always loses; a quarter of the allowance is kept for errors of estimates.

--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -17,6 +17,7 @@
 
 from ..jobs import Job, Task
 from ._estimates import Estimates
+from ._overload import WaitingJob
 
 # A job that ends later than this many times its objective is worth nothing to its
 # caller, by the service level of the platform.
@@ -129,6 +130,37 @@
             if not moved:
                 return
 
+    def in_time(self, service: str, estimates: Estimates) -> list[WaitingJob]:
+        """Return the jobs of a service that may still be in time, in their order."""
+        found: dict[Job, list[float]] = {}
+        for key, _, task in self._rows:
+            if key >= LATE_MS:
+                break
+            if task.job.spec.policy.service == service:
+                sums = found.setdefault(task.job, [0.0, 0.0])
+                sums[0] += task.needs.cpu
+                sums[1] += self._work[task]
+        return [
+            WaitingJob(
+                job,
+                latest_start_ms(job, estimates),
+                job.arrived_ms,
+                cpu,
+                work,
+                not job.started and not any(s.long_running for s in job.spec.steps),
+            )
+            for job, (cpu, work) in found.items()
+        ]
+
+    def put_behind(self, job: Job) -> None:
+        """Let the waiting tasks of a job give way to all that can be in time."""
+        for task in job.all_tasks():
+            row = self._keys.get(task)
+            if row is not None and row[0] < LATE_MS:
+                self._rows.remove(row)
+                self._keys[task] = (row[0] + LATE_MS, row[1], task)
+                self._rows.add(self._keys[task])
+
     def remove(self, task: Task) -> None:
         """Take a task out if it waits."""
         row = self._keys.pop(task, None)
--- a/catkincross/owner/_placing.py
+++ b/catkincross/owner/_placing.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from ..dispatch import AgentRoom, choose_agent, choose_gang
+from ..dispatch import AgentRoom, choose_agent, choose_gang, jobs_to_put_behind
 from ..jobs import Step, Task, TaskState
 from ..peers import Start
 from ._fleet import AgentRow
@@ -35,8 +35,11 @@
     state.room_grew = False
     state.next_place_ms = state.now_ms + PLACE_INTERVAL_MS
     rooms = Rooms(state)
-    misses = 0
     state.waiting.put_late_behind(state.now_ms)
+    if state.now_ms >= state.next_shed_ms:
+        state.next_shed_ms = state.now_ms + PLACE_INTERVAL_MS
+        put_overload_behind(state, rooms)
+    misses = 0
     for task in state.waiting.in_order():
         if misses >= MAX_MISSES or not rooms.any:
             return
@@ -46,25 +49,58 @@
         if shard is not state.volatile and not state.has_authority:
             continue
         if task.needs.gang:
-            if not place_gang(state, shard, task, rooms):
-                misses += 1
+            placed = place_gang(state, shard, task, rooms)
+        elif rooms.known_full(task):
             continue
-        if rooms.known_full(task):
+        else:
+            placed = _place_task(state, shard, task, rooms)
+        misses += not placed
+
+
+def _place_task(state: OwnerState, shard: Shard, task: Task, rooms: Rooms) -> bool:
+    """Send a task to the best worker with room; return whether there is one."""
+    room = choose_agent(
+        task.needs,
+        rooms.allowed(shard, task),
+        avoid=task.avoid,
+        remote_factor=state.limits.remote_factor,
+    )
+    if room is None:
+        rooms.missed(task)
+        return False
+    room.take(task.needs)
+    send(state, shard, task, room, task.job.next_run(task, shard.epoch))
+    if not state.health.usable(room.name, state.now_ms):
+        rooms.drop(room)
+    return True
+
+
+def put_overload_behind(state: OwnerState, rooms: Rooms) -> None:
+    """Let jobs give way that would make themselves and others late."""
+    for service, waiting in state.waiting.cpu_ms.items():
+        capacity = state.capacity(service)
+        if waiting <= 0 or capacity <= 0:
             continue
-        room = choose_agent(
-            task.needs,
-            rooms.allowed(shard, task),
-            avoid=task.avoid,
-            remote_factor=state.limits.remote_factor,
+        found = [r for r in rooms.all if state.agents[r.name].serves(service)]
+        total = sum(room.cpu_total for room in found) or 1
+        # Of the room that is free now this entry gets the same part as of all.
+        free_cpu = sum(room.cpu for room in found) * min(capacity / total, 1.0)
+        rows = state.waiting.in_time(service, state.estimates)
+        behind = jobs_to_put_behind(
+            rows, now_ms=state.now_ms, capacity=capacity, free_cpu=free_cpu
         )
-        if room is None:
-            misses += 1
-            rooms.missed(task)
-            continue
-        room.take(task.needs)
-        send(state, shard, task, room, task.job.next_run(task, shard.epoch))
-        if not state.health.usable(room.name, state.now_ms):
-            rooms.drop(room)
+        for row in behind:
+            state.waiting.put_behind(row.job)
+        if behind:
+            state.note(
+                "jobs give way",
+                service=service,
+                jobs=[row.job.spec.id for row in behind],
+                of=len(rows),
+                waiting_cpu_ms=round(waiting),
+                capacity_cpu=round(capacity),
+                free_cpu=round(free_cpu),
+            )
 
 
 class Rooms:
