--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test unit matrix guards scenarios format lint proto clean
+.PHONY: demo test unit matrix guards soak scenarios format lint proto clean
 .PHONY: capacity bench-hanbit bench-strathbeag idle-cost starts
 
 $(STAMP): requirements.lock pyproject.toml
@@ -29,6 +29,9 @@
 guards: $(STAMP)
 	$(PYTHON) -m scenarios.guard_runs
 
+soak: $(STAMP)
+	$(PYTHON) -m scenarios.platform_soak
+
 scenarios: $(STAMP)
 	$(PYTHON) -m behave --format plain --no-capture features
 
--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -117,6 +117,8 @@
         while self.core.busy and self.clock.now_ms() < end_ms:
             await asyncio.sleep(LEAVE_CHECK_S)
         await self.control.stop(LEAVE_CHECK_S)
+        await self.store.close()
+        await self.worker.close()
         self.log.note("stopped", runs=len(self.core.state.runs))
         self.stopped.set()
 
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -184,6 +184,7 @@
         await asyncio.sleep(max(0.0, LEAVE_S - served_s))
         grace_s = self.settings.grace_ms / MS_PER_S - LEAVE_S - EXIT_RESERVE_S
         await self.front.stop(max(grace_s, 0.5))
+        await self.store.close()
         self.log.note("stopped")
         self.stopped.set()
 
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import time
 from typing import Any
@@ -23,6 +24,8 @@
 from .platform_worker import PlatformWorker
 
 PARTS = 16
+# Pause of a read that may wait, in seconds; callers poll at this pace.
+SHORT_WAIT_S = 0.05
 APPEND_ANSWERS = {
     AppendOutcome.DONE: (200, {}),
     AppendOutcome.BUSY: (503, {}),
@@ -52,13 +55,14 @@
     Attributes:
         store: Partitions of the topic of jobs.
         declared: Records of the operators: keys and values, oldest first.
-        members: Members of the group of owners, in the order of joining.
+        members: Members of the group of owners, in the order of joining, with the
+            time until which each stays without another join.
     """
 
     def __init__(self) -> None:
         self.store = PlatformStore()
         self.declared: list[tuple[str, bytes]] = []
-        self.members: list[str] = []
+        self.members: dict[str, int] = {}
         self.generation = 0
 
     def app(self) -> Starlette:
@@ -88,7 +92,7 @@
         return answer(fields, status)
 
     async def read(self, request: Request) -> Response:
-        """Return records from an offset; waits are cut to nothing."""
+        """Return records from an offset; waits are cut to a short one."""
         query = request.query_params
         if query["topic"] == "keyed.op":
             records = [
@@ -98,6 +102,8 @@
             records = self.store.read(int(query["part"]))
         head = len(records).to_bytes(8, "big") + (0).to_bytes(8, "big")
         found = records[int(query["from"]) :]
+        if not found and "wait_ms" in query:
+            await asyncio.sleep(SHORT_WAIT_S)
         body = b"".join(len(r).to_bytes(4, "big") + r for r in found)
         return Response(head + body, media_type="application/octet-stream")
 
@@ -112,23 +118,25 @@
 
     async def join(self, request: Request) -> Response:
         """Join the group, or stay in it."""
-        member = (await request.json())["member"]
+        body = await request.json()
+        member = body["member"]
+        self._drop_silent()
         if member not in self.members:
-            self.members.append(member)
             self.generation += 1
+        self.members[member] = now_ms() + body["ttl_ms"]
         parts = [["jobs", part, 0] for part in self._parts(member)]
         return answer({"generation": self.generation, "ttl_ms": 1_000, "parts": parts})
 
     async def leave(self, request: Request) -> Response:
         """Leave the group."""
         member = (await request.json())["member"]
-        if member in self.members:
-            self.members.remove(member)
+        if self.members.pop(member, None) is not None:
             self.generation += 1
         return answer({})
 
     async def owners(self, request: Request) -> Response:
         """Return the member that has each partition."""
+        self._drop_silent()
         rows = [
             ["jobs", part, member, 0]
             for member in self.members
@@ -137,7 +145,13 @@
         return answer({"owners": rows})
 
     def _parts(self, member: str) -> range:
-        return range(self.members.index(member), PARTS, len(self.members))
+        return range(list(self.members).index(member), PARTS, len(self.members))
+
+    def _drop_silent(self) -> None:
+        for member, until_ms in list(self.members.items()):
+            if until_ms < now_ms():
+                del self.members[member]
+                self.generation += 1
 
 
 class WorkerHttp:
