Count waiting work in whole numbers

The sum of waiting work did not return to zero, and a rest of 1e-11 here met one of -1e-11 elsewhere. Ruled out: rejections and the new order of waiting; all other requests were in time.

Work is rounded to whole thousandths of a core times milliseconds, and a share is never taken of a negative sum.

--- a/catkincross/dispatch/_capacity.py
+++ b/catkincross/dispatch/_capacity.py
@@ -40,5 +40,5 @@
     others = max(entries - 1, 0)
     if not peer_work or own_work <= 0:
         return 1 / (others + 1)
-    mean = sum(peer_work) / len(peer_work)
+    mean = max(sum(peer_work), 0.0) / len(peer_work)
     return own_work / (own_work + others * mean)
--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -94,8 +94,8 @@
     )
     _keys: dict[Task, tuple[float, int, Task]] = attrs.field(factory=dict)
     _added: int = 0
-    cpu_ms: dict[str, float] = attrs.field(factory=dict)
-    _work: dict[Task, float] = attrs.field(factory=dict)
+    cpu_ms: dict[str, int] = attrs.field(factory=dict)
+    _work: dict[Task, int] = attrs.field(factory=dict)
 
     def add(self, task: Task, estimates: Estimates, now_ms: int) -> None:
         """Let a task wait; one that waits already keeps its place."""
@@ -107,12 +107,12 @@
         self._keys[task] = row
         self._rows.add(row)
         needs = task.needs
-        work = needs.cpu * estimates.run_ms(
-            task.job.spec.policy.queue, needs.estimate_ms
-        )
+        run_ms = estimates.run_ms(task.job.spec.policy.queue, needs.estimate_ms)
+        # Whole numbers, so that the sum returns to zero.
+        work = round(needs.cpu * run_ms)
         self._work[task] = work
         service = task.job.spec.policy.service
-        self.cpu_ms[service] = self.cpu_ms.get(service, 0.0) + work
+        self.cpu_ms[service] = self.cpu_ms.get(service, 0) + work
 
     def put_late_behind(self, now_ms: int) -> None:
         """Let jobs of which nothing has started give way once they must be late."""
--- a/tests/test_platform_restart.py
+++ b/tests/test_platform_restart.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from catkincross.dispatch import capacity_share, expected_capacity
+from catkincross.dispatch import (
+    Estimates,
+    WaitingQueue,
+    capacity_share,
+    expected_capacity,
+)
+from catkincross.jobs import Job, JobAccepted
 from catkincross.peers import Backlog
 from scenarios.platform_model import Model, job, ready_model
 
@@ -82,3 +88,23 @@
         rejected[told] = outcomes.count("rejected")
     assert rejected[False] > rejected[True]
     assert rejected[True] == 0
+
+
+def test_errors_of_rounding_do_not_make_a_share() -> None:
+    """Work of 1e-11 here and -1e-11 elsewhere divided by zero: 49 requests got 500."""
+    assert capacity_share(1e-11, [-1e-11], 2) == 1.0
+    assert capacity_share(-1e-11, [0.0, 0.0], 3) == 1 / 3
+
+
+def test_work_that_has_left_the_queue_leaves_nothing_behind() -> None:
+    """Sums of fractions never return to zero, and a rest looks like a backlog."""
+    queue, estimates = WaitingQueue(), Estimates(queues={"q": 1.1 / 3})
+    tasks = []
+    for number in range(50):
+        spec = job(f"{number:016x}", count=3, estimate_ms=100 + number)
+        tasks += Job.from_record(JobAccepted(spec, 0, 1), 0).tasks[0]
+    for task in tasks:
+        queue.add(task, estimates, 0)
+    for task in reversed(tasks):
+        queue.remove(task)
+    assert queue.cpu_ms == {"checks": 0}
