--- a/catkincross/owner/_placing.py
+++ b/catkincross/owner/_placing.py
@@ -21,7 +21,7 @@
 # all of its members fit, in milliseconds; tasks last up to some seconds.
 GANG_RESERVE_MS = 500
 # An agent that has said nothing for this long gets no task, in milliseconds; it
-# speaks every 400 ms.
+# speaks every 200 ms, so that several states may be lost.
 STALE_STATE_MS = 1_300
 
 
@@ -115,6 +115,7 @@
         self.all = _rooms(state)
         self._by_place: dict[tuple[str, int], list[AgentRoom]] = {}
         self._full: dict[str, list[Step]] = {}
+        self.gangs_without_room: set[tuple[str, int]] = set()
 
     @property
     def any(self) -> bool:
@@ -201,10 +202,13 @@
 
 
 def place_gang(state: OwnerState, shard: Shard, task: Task, rooms: Rooms) -> bool:
-    """Send all members of a gang, or none; return whether nothing is missing.
+    """Send all members of a gang, or none; return False if it found no room.
 
     Members of a run that has lost one are stopped first: they could only wait for it.
     """
+    gang = task.job.spec.id, task.step
+    if gang in rooms.gangs_without_room:
+        return True
     members = task.job.tasks[task.step]
     left = [member for member in members if member.state is TaskState.ASSIGNED]
     for member in left:
@@ -219,6 +223,7 @@
         remote_factor=state.limits.remote_factor,
     )
     if chosen is None:
+        rooms.gangs_without_room.add(gang)
         waited_ms = state.now_ms - task.job.arrived_ms
         if waited_ms > GANG_RESERVE_MS:
             rooms.reserve(task.job.spec.policy.service)
