Keep the configuration in force when a record cannot be read

Cause: a record of the operators that is no configuration raised an error in the task that follows them; the process ended, and its restart read the same record again.

The error is logged as 'declaration not read'.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -352,6 +352,9 @@
     async def _follow_declared(self) -> None:
         while True:
             changed = await self.feed.follow()
+            for error in self.feed.unread:
+                self.log.note("declaration not read", error=error)
+            self.feed.unread.clear()
             if changed is None:
                 await asyncio.sleep(FOLLOW_RETRY_S)
                 continue
--- a/catkincross/platform/_declared.py
+++ b/catkincross/platform/_declared.py
@@ -26,12 +26,14 @@
 
     Attributes:
         declared: What is in force, as far as it was read.
+        unread: Errors of records that could not be read, since they were last taken.
     """
 
     def __init__(self, store: StoreClient, config_ms: int) -> None:
         self.store = store
         self.use_limit(config_ms)
         self.declared = Declared()
+        self.unread: list[str] = []
         self._offset: int | None = None
 
     def use_limit(self, config_ms: int) -> None:
@@ -78,13 +80,22 @@
             new = old | {data_centre} if value else old - {data_centre}
             self.declared.evacuated = new
             return new != old
-        if key == "config" and value:
+        if key != "config" or not value:
+            return False
+        try:
             return self.declared.take(read_config(value))
-        return False
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            # The configuration in force stays; the caller logs what was wrong.
+            self.unread.append(f"{key}: {error!r}")
+            return False
 
 
 def read_config(value: bytes) -> Declared:
-    """Return the configuration in a record of the operators."""
+    """Return the configuration in a record of the operators.
+
+    Raises:
+        ValueError, KeyError, TypeError, AttributeError: If it is no configuration.
+    """
     fields = orjson.loads(value)
     queues = [_queue(route) for route in fields["routes"]]
     services = [
