Log when the worker is lost and back, and bear answers of it that cannot be read

Cause: an answer to a hold without its lists ended the agent with an error. A lost or regained worker was seen in no line of the log, unlike the store.

Shown by test_a_hold_that_cannot_be_read_is_as_no_answer.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -86,6 +86,7 @@
         self.links: dict[str, Link] = {}
         self.connecting: set[str] = set()
         self.leaving = False
+        self.worker_answers = True
         self.stopped = asyncio.Event()
         self.loop = CoreLoop(self.core, clock, self._carry_out)
 
@@ -153,6 +154,7 @@
             except HoldRefused:
                 self.core.hold_fenced(self.clock.now_ms(), call)
                 continue
+            self._worker_answers(view is not None)
             if view is None:
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
@@ -161,6 +163,14 @@
             # Ends that are not logged yet are listed again at once.
             await asyncio.sleep(HOLD_PAUSE_S)
 
+    def _worker_answers(self, answers: bool) -> None:
+        """Log when the worker is lost, and when it is back."""
+        if answers == self.worker_answers:
+            return
+        self.worker_answers = answers
+        event = "worker answers again" if answers else "worker gives no answer"
+        self.log.note(event, worker=self.core.state.worker)
+
     async def _start_run(self, order: CallStart) -> None:
         worker = self.core.state.worker
         outcome = StartOutcome.REFUSED
--- a/catkincross/platform/_worker.py
+++ b/catkincross/platform/_worker.py
@@ -129,7 +129,7 @@
         return status == 200
 
     async def hold(self, call: HoldCall) -> HoldView | None:
-        """Renew the lease and look at the lists; None without an answer.
+        """Renew the lease and look at the lists; None without a readable answer.
 
         Raises:
             HoldRefused: If the fencing token was too low.
@@ -149,7 +149,13 @@
             return None
         if status == 409:
             raise HoldRefused(fields_of(answer).get("reason", ""))
-        return _hold_view(fields_of(answer)) if status == 200 else None
+        if status != 200:
+            return None
+        try:
+            return _hold_view(fields_of(answer))
+        except (IndexError, KeyError, TypeError):
+            # Such an answer is as none; the agent logs that it has none.
+            return None
 
     async def _call(
         self,
--- a/tests/test_platform_daemons.py
+++ b/tests/test_platform_daemons.py
@@ -22,11 +22,13 @@
 from catkincross.platform import (
     BadJob,
     NodeSettings,
+    WorkerClient,
     load_node_settings,
     read_heartbeat,
     read_job,
 )
 from catkincross.transport._http_server import HttpServer
+from catkincross.workers import HoldCall
 from standins.platform_http import StoreHttp, WorkerHttp
 from standins.platform_worker import PlatformWorker
 
@@ -330,3 +332,25 @@
         if name in path.read_text(encoding="utf-8")
     ]
     assert found == []
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"clock_ms": 1}', b'{"running": [1]}'])
+def test_a_hold_that_cannot_be_read_is_as_no_answer(body: bytes) -> None:
+    """The agent ended with an error, and its restart met the same answer."""
+
+    async def run() -> Any:
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            start = {"type": "http.response.start", "status": 200, "headers": []}
+            await send(start)
+            await send({"type": "http.response.body", "body": body})
+
+        server = HttpServer(app, "127.0.0.1:0")
+        server.start()
+        client = WorkerClient(server.address)
+        try:
+            return await client.hold(HoldCall("w-1", 1, 0, None, 0))
+        finally:
+            await client.close()
+            await server.stop(0.1)
+
+    assert asyncio.run(run()) is None
