--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -86,6 +86,7 @@
         self.feed = DeclaredFeed(self.store, settings.config_ms)
         self.owners = Owners(self.store)
         self.owners.on_change = self._owners_changed
+        self._take_time_of_day()
         self.greeting = Greeting(
             "entry",
             settings.name,
@@ -316,6 +317,7 @@
     async def _close_silent(self) -> None:
         while True:
             await asyncio.sleep(SILENT_AGENT_MS / 4 / MS_PER_S)
+            self._take_time_of_day()
             now_ms = self.clock.now_ms()
             for name, link in list(self.agents.items()):
                 row = self.core.state.agents[name]
@@ -332,6 +334,10 @@
 
     # The store.
 
+    def _take_time_of_day(self) -> None:
+        wall_ms = time.time_ns() // 1_000_000
+        self.core.time_of_day(self.clock.now_ms(), wall_ms)
+
     def _joined(self, sent_ms: int, found: Membership) -> None:
         if not self.store_answers:
             self.store_answers = True
--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -58,11 +58,14 @@
     """Return the key by which a task waits.
 
     A task that lasts has no objective: it starts in the order of arrival, so that a
-    restart does not wait behind younger jobs.
+    restart does not wait behind younger jobs. The allowance of an occurrence begins
+    when its tasks may start.
     """
     job = task.job
     if task.needs.long_running:
         return job.arrived_ms
+    if job.spec.schedule is not None:
+        return now_ms + latest_start_ms(job, estimates) - job.arrived_ms
     latest = latest_start_ms(job, estimates)
     late_ms = LATE_LIMIT * objective_ms(job, estimates) - chain_ms(job, estimates)
     if now_ms > job.arrived_ms + late_ms:
@@ -120,7 +123,7 @@
             late = [row for row in self._rows[:LATE_BATCH] if row[0] < now_ms]
             moved = False
             for key, added, task in late:
-                if task.job.started or task.needs.long_running or key < 0:
+                if task.job.started or task.job.timeless or key < 0:
                     continue
                 row = (key + LATE_MS, added, task)
                 self._rows.remove(self._keys[task])
@@ -147,7 +150,7 @@
                 job.arrived_ms,
                 cpu,
                 work,
-                not job.started and not any(s.long_running for s in job.spec.steps),
+                not job.started and not job.timeless,
             )
             for job, (cpu, work) in found.items()
         ]
--- a/catkincross/jobs/__init__.py
+++ b/catkincross/jobs/__init__.py
@@ -13,7 +13,7 @@
     decode_record,
     encode_record,
 )
-from ._spec import VOLATILE_SHARD, JobSpec, QueuePolicy, Step, shard_of
+from ._spec import VOLATILE_SHARD, JobSpec, QueuePolicy, Schedule, Step, shard_of
 
 __all__ = [
     "VOLATILE_SHARD",
@@ -25,6 +25,7 @@
     "JobSpec",
     "JobState",
     "QueuePolicy",
+    "Schedule",
     "Step",
     "Task",
     "TaskEnd",
--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -39,7 +39,7 @@
 
     Attributes:
         job: The job.
-        step: Number of the step.
+        step: Number of the step, counted through all occurrences.
         index: Number within the step.
         state: What is known of it.
         run: Number of the newest run that was sent; 0 for none.
@@ -73,12 +73,13 @@
     @property
     def name(self) -> str:
         """Name of the task, unique in the deployment."""
-        return f"{self.job.spec.id}.0.{self.step}.{self.index}"
+        occurrence, step = divmod(self.step, len(self.job.spec.steps))
+        return f"{self.job.spec.id}.{occurrence}.{step}.{self.index}"
 
     @property
     def needs(self) -> Step:
         """What the task needs."""
-        return self.job.spec.steps[self.step]
+        return self.job.steps[self.step]
 
     def release(self) -> None:
         """Let the task wait again."""
@@ -93,6 +94,7 @@
 
     Attributes:
         spec: The job as submitted.
+        steps: Steps of all occurrences.
         accepted_ms: Time of day of the acceptance.
         epoch: Epoch of the shard at the acceptance.
         tasks: Tasks by step.
@@ -108,6 +110,7 @@
     spec: JobSpec
     accepted_ms: int
     epoch: int
+    steps: tuple[Step, ...] = ()
     tasks: list[list[Task]] = attrs.field(factory=list)
     sent_runs: int = 0
     state_end: JobState | None = None
@@ -119,8 +122,10 @@
     @classmethod
     def from_record(cls, content: JobAccepted, now_ms: int) -> Job:
         """Return the job of a record."""
-        job = cls(content.spec, content.accepted_ms, content.epoch, arrived_ms=now_ms)
-        for number, step in enumerate(content.spec.steps):
+        steps = content.spec.all_steps()
+        job = cls(content.spec, content.accepted_ms, content.epoch, steps)
+        job.arrived_ms = now_ms
+        for number, step in enumerate(steps):
             job.tasks.append([Task(job, number, i) for i in range(step.count)])
             job.left.append(step.count)
         for end in content.ends:
@@ -134,6 +139,12 @@
         """Whether a run of any task has started, or may have."""
         return self.sent_runs > 0
 
+    @property
+    def timeless(self) -> bool:
+        """Whether the time since its arrival says nothing of its urgency."""
+        lasting = any(step.long_running for step in self.spec.steps)
+        return lasting or self.spec.schedule is not None
+
     @property
     def state(self) -> JobState:
         """State as the client account sees it."""
@@ -152,9 +163,30 @@
             return self.tasks[step][index]
         return None
 
-    def step_ready(self, step: int) -> bool:
-        """Whether all tasks of the steps before a step are done."""
-        return all(self.left[number] == 0 for number in self.spec.steps[step].after)
+    def step_ready(self, step: int, wall_ms: int) -> bool:
+        """Whether a step's time has come and all tasks before it are done.
+
+        Args:
+            step: Number of the step.
+            wall_ms: Time of day in milliseconds since 1970.
+        """
+        if wall_ms < self.due_ms(step):
+            return False
+        return all(self.left[number] == 0 for number in self.steps[step].after)
+
+    def due_ms(self, step: int) -> int:
+        """Return the time of day from which a step may run; 0 for at once."""
+        schedule = self.spec.schedule
+        if schedule is None:
+            return 0
+        return schedule.due_ms(step // len(self.spec.steps))
+
+    def next_due_ms(self, wall_ms: int) -> int | None:
+        """Return the next time of day at which a step becomes due, or None."""
+        if self.spec.schedule is None:
+            return None
+        times = (self.due_ms(step) for step in range(len(self.steps)))
+        return min((due for due in times if due > wall_ms), default=None)
 
     def finish(self, state: JobState, now_ms: int) -> None:
         """Set the final state."""
--- a/catkincross/jobs/_spec.py
+++ b/catkincross/jobs/_spec.py
@@ -70,6 +70,25 @@
     slo_ms: int = 0
 
 
+@attrs.frozen
+class Schedule:
+    """Times at which the steps of a job run; occurrences may overlap.
+
+    Attributes:
+        count: Number of occurrences.
+        first_ms: Time of the first, in milliseconds since 1970.
+        interval_ms: Time between two.
+    """
+
+    count: int
+    first_ms: int
+    interval_ms: int
+
+    def due_ms(self, occurrence: int) -> int:
+        """Return the time of an occurrence, in milliseconds since 1970."""
+        return self.first_ms + occurrence * self.interval_ms
+
+
 @attrs.frozen
 class JobSpec:
     """A job as it was submitted.
@@ -80,6 +99,7 @@
         steps: Steps in order.
         policy: Policy of the queue at acceptance.
         volatile: Whether the job is kept by the entry alone; its answer is its end.
+        schedule: Times at which the steps run; None to run them once, at once.
     """
 
     id: str
@@ -87,6 +107,19 @@
     steps: tuple[Step, ...]
     policy: QueuePolicy
     volatile: bool = False
+    schedule: Schedule | None = None
+
+    def all_steps(self) -> tuple[Step, ...]:
+        """Return the steps of all occurrences, one occurrence after the other."""
+        if self.schedule is None:
+            return self.steps
+        return tuple(
+            attrs.evolve(step, after=tuple(first + number for number in step.after))
+            for first in range(
+                0, self.schedule.count * len(self.steps), len(self.steps)
+            )
+            for step in self.steps
+        )
 
 
 def shard_of(job_id: str, shards: int) -> int:
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -8,7 +8,7 @@
 from ..jobs import JobRecord, JobSpec, JobState
 from ..operations import Declared
 from ..peers import Backlog
-from . import _placing as _placing, _upkeep as _upkeep
+from . import _due as _due, _placing as _placing, _upkeep as _upkeep
 from ._effects import AppendOutcome, Effect
 from ._fleet import AgentRow
 from ._recovery import (
@@ -21,9 +21,12 @@
 from ._shard import ShardPhase, VolatileShard
 from ._state import AGENT_HANDLERS, OWNER_SYSTEMS, OwnerLimits, OwnerState
 from ._volatile import abandon, submit_volatile
+from ._wall_clock import WallClock
 
 # How often the systems run if no event comes, in milliseconds.
 IDLE_STEP_MS = 100
+# A smaller change of the time of day against the clock is not logged, in milliseconds.
+LOGGED_STEP_MS = 50
 
 
 class OwnerCore:
@@ -41,6 +44,7 @@
     def __init__(self, name: str, limits: OwnerLimits, incarnation: int) -> None:
         volatile = VolatileShard.of_process(incarnation)
         self.state = OwnerState(name, limits, volatile)
+        self.wall_clock = WallClock()
 
     def use_limits(self, limits: OwnerLimits) -> None:
         """Take other times; the number of shards stays."""
@@ -62,6 +66,9 @@
         for shard in self.state.shards.values():
             if shard.flush_at_ms is not None:
                 due = min(due, shard.flush_at_ms)
+        if self.state.due_jobs:
+            left_ms = self.state.due_jobs[0][0] - self.state.wall_ms
+            due = min(due, self.state.now_ms + max(left_ms, 0))
         return due
 
     def submit(
@@ -131,6 +138,13 @@
         check_membership(self.state, sent_ms, generation)
         assign_shards(self.state, shards, generation)
 
+    def time_of_day(self, now_ms: int, wall_ms: int) -> None:
+        """Take the time of day, in milliseconds since 1970."""
+        offset_ms = self.wall_clock.offset_ms(now_ms, wall_ms)
+        if abs(offset_ms - self.state.wall_offset_ms) > LOGGED_STEP_MS:
+            self.state.note("time of day", offset_ms=offset_ms, wall_ms=wall_ms)
+        self.state.wall_offset_ms = offset_ms
+
     def contact(self, sent_ms: int) -> None:
         """Note a successful call to the store."""
         self.state.store_contact_ms = max(self.state.store_contact_ms, sent_ms)
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -144,7 +144,7 @@
         if not seen and state.now_ms - (state.started_ms or 0) < WARM_UP_MS:
             return None
         return Rejected("no_worker", NO_WORKER_RETRY_MS)
-    if any(step.long_running for step in job.spec.steps):
+    if job.timeless:
         return None
     return admit(
         job,
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable
 from typing import Any
 
@@ -88,6 +89,8 @@
         begun: Volatile jobs begun since other entries were told.
         ended: Volatile jobs ended since other entries were told.
         peer_backlogs: What waits at each other entry, up to half a second old.
+        wall_offset_ms: Time of day minus the owner's clock.
+        due_jobs: Heap of times of day at which a step of a job becomes due.
     """
 
     name: str
@@ -114,6 +117,13 @@
     begun: list[str] = attrs.field(factory=list)
     ended: list[str] = attrs.field(factory=list)
     peer_backlogs: list[Backlog] = attrs.field(factory=list)
+    wall_offset_ms: int = 0
+    due_jobs: list[tuple[int, str]] = attrs.field(factory=list)
+
+    @property
+    def wall_ms(self) -> int:
+        """Time of day in milliseconds since 1970."""
+        return self.now_ms + self.wall_offset_ms
 
     @property
     def has_authority(self) -> bool:
@@ -142,15 +152,17 @@
     def find_task(self, name: str) -> tuple[Shard, Task] | None:
         """Return the shard and the task of a task's name, if both are here."""
         try:
-            job_id, _, step, index = name.split(".")
-            place = int(step), int(index)
+            job_id, occurrence, step, index = name.split(".")
+            number, place = int(occurrence), (int(step), int(index))
         except ValueError:
             return None
         shard = self.shard_for(job_id)
         if shard is None or shard.phase is not ShardPhase.OPEN:
             return None
         job = shard.jobs.get(job_id)
-        task = job.task(*place) if job is not None else None
+        if job is None:
+            return None
+        task = job.task(number * len(job.spec.steps) + place[0], place[1])
         return (shard, task) if task is not None else None
 
     def owns(self, task_name: str) -> bool:
@@ -165,12 +177,15 @@
         if shard.unresolved and job.epoch < shard.epoch:
             return
         for number, tasks in enumerate(job.tasks):
-            if job.left[number] == 0 or not job.step_ready(number):
+            if job.left[number] == 0 or not job.step_ready(number, self.wall_ms):
                 continue
             for task in tasks:
                 if task.state is TaskState.WAITING:
                     self.room_grew = True
                     self.waiting.add(task, self.estimates, self.now_ms)
+        due_ms = job.next_due_ms(self.wall_ms)
+        if due_ms is not None:
+            heapq.heappush(self.due_jobs, (due_ms, job.spec.id))
 
     def release(self, task: Task) -> None:
         """Let a task wait again whose run is known to have ended."""
--- a/catkincross/platform/_jobs.py
+++ b/catkincross/platform/_jobs.py
@@ -7,7 +7,7 @@
 import attrs
 import orjson
 
-from ..jobs import JobSpec, QueuePolicy, Step
+from ..jobs import JobSpec, QueuePolicy, Schedule, Step
 
 ID_DIGITS = 16
 MAX_PAYLOAD_BYTES = 4_000
@@ -15,7 +15,8 @@
 # a step that may be away, and the response time of a task that serves, need no more
 # while the system itself ends no sound run and starts no task that fills.
 UNSUPPORTED_STEP = ("fills",)
-UNSUPPORTED_JOB = ("repeat_count",)
+# Most tasks of all occurrences of a job; an owner keeps each in memory.
+MAX_TASKS = 100_000
 
 
 @attrs.frozen
@@ -52,9 +53,6 @@
     steps = fields.get("steps")
     if not isinstance(steps, list) or not steps:
         return BadJob("steps: not a list with an entry")
-    for name in UNSUPPORTED_JOB:
-        if fields.get(name):
-            return BadJob(f"{name}: not supported", unsupported=True)
     # The flag stands at the job, and holds for all of its steps.
     lasting = bool(fields.get("long_running", False))
     read: list[Step] = []
@@ -67,7 +65,29 @@
     volatile = bool(fields.get("best_effort", False))
     if volatile and any(step.long_running for step in read):
         return BadJob("long_running: not with best_effort, which has no end to answer")
-    return JobSpec(job_id, payload, tuple(read), policy, volatile)
+    schedule = _read_schedule(fields, read)
+    if isinstance(schedule, BadJob):
+        return schedule
+    if volatile and schedule is not None:
+        return BadJob("repeat_count: not with best_effort, which has no end to answer")
+    return JobSpec(job_id, payload, tuple(read), policy, volatile, schedule)
+
+
+def _read_schedule(
+    fields: dict[str, Any], steps: list[Step]
+) -> Schedule | BadJob | None:
+    numbers = {}
+    for name in ("repeat_count", "first_run_ms", "interval_ms"):
+        value = fields.get(name, 0)
+        if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+            return BadJob(f"{name}: not a whole number")
+        numbers[name] = value
+    count = numbers["repeat_count"]
+    if not count:
+        return None
+    if count * sum(step.count for step in steps) > MAX_TASKS:
+        return BadJob(f"repeat_count: more than {MAX_TASKS:,} tasks in all")
+    return Schedule(count, numbers["first_run_ms"], numbers["interval_ms"])
 
 
 def _is_hex(text: str) -> bool:
@@ -78,7 +98,7 @@
     place = f"steps.{number}"
     if not isinstance(fields, dict):
         return BadJob(f"{place}: not an object")
-    for name in UNSUPPORTED_STEP + UNSUPPORTED_JOB:
+    for name in UNSUPPORTED_STEP:
         if fields.get(name):
             return BadJob(f"{place}.{name}: not supported", unsupported=True)
     numbers = {}
