Reject jobs on queues with an adviser at once

Cause: workers refuse starts on such a queue without the adviser's ticket, which the product does not ask for yet; a job was accepted and its starts refused for ever.

The answer is 503 'unsupported: advice', and the job has not run.

--- a/catkincross/platform/_front.py
+++ b/catkincross/platform/_front.py
@@ -106,6 +106,9 @@
                 answer = await self.dispatcher.job_state(job_id, limit_ms)
             case "DELETE":
                 answer = await self.dispatcher.cancel(job_id, limit_ms)
+            case "POST" if queue.advised:
+                # Workers refuse starts without the adviser's ticket, so none would run.
+                return _rejection("unsupported: advice", 0)
             case "POST":
                 return await self._submit(request, queue, job_id, limit_ms)
             case _:
--- a/tests/test_platform_daemons.py
+++ b/tests/test_platform_daemons.py
@@ -240,6 +240,25 @@
     asyncio.run(play(work))
 
 
+def test_a_queue_with_an_adviser_rejects_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its starts are refused without a ticket, so its jobs would wait for ever."""
+    advice = {"decide_ms": 40, "each_ms": 1, "valid_ms": 5_000}
+    advised = CONFIG["routes"][0] | {"path_prefix": "/advised/", "advice": advice}
+    routes = [*CONFIG["routes"], advised]
+    monkeypatch.setitem(CONFIG, "routes", routes)
+
+    async def work(one: Client, two: Client, worker: PlatformWorker) -> None:
+        body = {"spec": "x", "steps": STEPS}
+        status, answer = await one.ask("POST", f"/advised/{JOB}", body)
+        assert status == 503
+        assert answer == {"error": "unsupported: advice", "not_run": True}
+        assert (await one.ask("POST", f"/lohu930/{JOB}", body))[0] == 200
+
+    asyncio.run(play(work))
+
+
 def test_bad_requests_get_a_clear_answer() -> None:
     """Bad input must be named, and must not harm what others hand in."""
 
