--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -9,7 +9,7 @@
 from ._gangs import choose_gang, gang_could_fit
 from ._health import AgentHealth
 from ._offering import offered_entries
-from ._overload import WaitingJob, jobs_to_put_behind
+from ._overload import WaitingJob, jobs_to_defer
 from ._placement import AgentRoom, choose_agent
 from ._waiting import (
     WaitingQueue,
@@ -39,7 +39,7 @@
     "expected_wait_ms",
     "gang_could_fit",
     "hopeless",
-    "jobs_to_put_behind",
+    "jobs_to_defer",
     "latest_start_ms",
     "objective_ms",
     "offered_entries",
--- a/catkincross/dispatch/_overload.py
+++ b/catkincross/dispatch/_overload.py
@@ -1,10 +1,10 @@
-"""Choice of the jobs that give way when not all can be in time.
+"""Choice of the jobs to defer when not all can be in time.
 
 Load pattern: after an outage or in a burst more work waits than the workers can start
 in time. Started in the order of their latest start, all jobs then start at that time,
 and each is late by the error of its estimate. The jobs that have used up most of their
-allowance of waiting give way, until the others can start in time; fresh jobs are
-served as if there were no backlog.
+allowance of waiting are deferred until the others can start in time, so that fresh jobs
+are served as if there were no backlog.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
         arrived_ms: When it arrived.
         cpu: Thousandths of a core that its waiting tasks need.
         work: Work of these tasks, in thousandths of a core times milliseconds.
-        gives_way: Whether it may be put behind the others.
+        deferrable: Whether it may be put behind the others.
     """
 
     job: Any
@@ -37,7 +37,7 @@
     arrived_ms: float
     cpu: float
     work: float
-    gives_way: bool = True
+    deferrable: bool = True
 
     @property
     def start_by_ms(self) -> float:
@@ -51,14 +51,14 @@
         return (now_ms - self.arrived_ms) / allowance_ms
 
 
-def jobs_to_put_behind(
+def jobs_to_defer(
     waiting: Iterable[WaitingJob], *, now_ms: float, capacity: float, free_cpu: float
 ) -> list[WaitingJob]:
-    """Return the jobs that give way, so that all others can start in time.
+    """Return the jobs to defer, so that all others can start in time.
 
     It follows the rule of Moore and Hodgson for the fewest late jobs, with the used
     share of the allowance in place of the length: by length, the largest jobs would
-    always give way.
+    always be deferred.
 
     Args:
         waiting: Jobs in the order of their latest start.
@@ -70,7 +70,7 @@
     kept: list[tuple[float, int, WaitingJob]] = []
     cpu = work = 0.0
     for number, row in enumerate(waiting):
-        if row.gives_way:
+        if row.deferrable:
             heapq.heappush(kept, (-row.used_share(now_ms), number, row))
         cpu += row.cpu
         work += row.work
--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -117,13 +117,13 @@
         service = task.job.spec.policy.service
         self.cpu_ms[service] = self.cpu_ms.get(service, 0) + work
 
-    def put_late_behind(self, now_ms: int) -> None:
-        """Let jobs of which nothing has started give way once they must be late."""
+    def defer_late(self, now_ms: int) -> None:
+        """Put jobs that have not started behind others once they must be late."""
         while self._rows and self._rows[0][0] < now_ms:
             late = [row for row in self._rows[:LATE_BATCH] if row[0] < now_ms]
             moved = False
             for key, added, task in late:
-                if task.job.started or task.job.timeless or key < 0:
+                if task.job.started or task.job.exempt_from_aging or key < 0:
                     continue
                 row = (key + LATE_MS, added, task)
                 self._rows.remove(self._keys[task])
@@ -150,13 +150,13 @@
                 job.arrived_ms,
                 cpu,
                 work,
-                not job.started and not job.timeless,
+                not job.started and not job.exempt_from_aging,
             )
             for job, (cpu, work) in found.items()
         ]
 
-    def put_behind(self, job: Job) -> None:
-        """Let the waiting tasks of a job give way to all that can be in time."""
+    def defer(self, job: Job) -> None:
+        """Put the waiting tasks of a job behind all that can be in time."""
         for task in job.all_tasks():
             row = self._keys.get(task)
             if row is not None and row[0] < LATE_MS:
--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -140,7 +140,7 @@
         return self.sent_runs > 0
 
     @property
-    def timeless(self) -> bool:
+    def exempt_from_aging(self) -> bool:
         """Whether the time since its arrival says nothing of its urgency."""
         lasting = any(step.long_running for step in self.spec.steps)
         return lasting or self.spec.schedule is not None
--- a/catkincross/owner/_placing.py
+++ b/catkincross/owner/_placing.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from ..dispatch import AgentRoom, choose_agent, choose_gang, jobs_to_put_behind
+from ..dispatch import AgentRoom, choose_agent, choose_gang, jobs_to_defer
 from ..jobs import Step, Task, TaskState
 from ..peers import Start
 from ._fleet import AgentRow
@@ -35,10 +35,10 @@
     state.room_grew = False
     state.next_place_ms = state.now_ms + PLACE_INTERVAL_MS
     rooms = Rooms(state)
-    state.waiting.put_late_behind(state.now_ms)
-    if state.now_ms >= state.next_shed_ms:
-        state.next_shed_ms = state.now_ms + PLACE_INTERVAL_MS
-        put_overload_behind(state, rooms)
+    state.waiting.defer_late(state.now_ms)
+    if state.now_ms >= state.next_defer_ms:
+        state.next_defer_ms = state.now_ms + PLACE_INTERVAL_MS
+        defer_overload(state, rooms)
     misses = 0
     for task in state.waiting.in_order():
         if misses >= MAX_MISSES or not rooms.any:
@@ -75,8 +75,8 @@
     return True
 
 
-def put_overload_behind(state: OwnerState, rooms: Rooms) -> None:
-    """Let jobs give way that would make themselves and others late."""
+def defer_overload(state: OwnerState, rooms: Rooms) -> None:
+    """Defer jobs that would make themselves and others late."""
     for service, waiting in state.waiting.cpu_ms.items():
         capacity = state.capacity(service)
         if waiting <= 0 or capacity <= 0:
@@ -86,16 +86,16 @@
         # Of the room that is free now this entry gets the same part as of all.
         free_cpu = sum(room.cpu for room in found) * min(capacity / total, 1.0)
         rows = state.waiting.in_time(service, state.estimates)
-        behind = jobs_to_put_behind(
+        deferred = jobs_to_defer(
             rows, now_ms=state.now_ms, capacity=capacity, free_cpu=free_cpu
         )
-        for row in behind:
-            state.waiting.put_behind(row.job)
-        if behind:
+        for row in deferred:
+            state.waiting.defer(row.job)
+        if deferred:
             state.note(
-                "jobs give way",
+                "jobs deferred",
                 service=service,
-                jobs=[row.job.spec.id for row in behind],
+                jobs=[row.job.spec.id for row in deferred],
                 of=len(rows),
                 waiting_cpu_ms=round(waiting),
                 capacity_cpu=round(capacity),
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -144,7 +144,7 @@
         if not seen and state.now_ms - (state.started_ms or 0) < WARM_UP_MS:
             return None
         return Rejected("no_worker", NO_WORKER_RETRY_MS)
-    if job.timeless:
+    if job.exempt_from_aging:
         return None
     return admit(
         job,
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -84,7 +84,7 @@
         generation: Generation of the group at that join.
         started_ms: When the first event came.
         next_place_ms: When waiting tasks are tried again if no room grows.
-        next_shed_ms: When it is looked again which jobs give way.
+        next_defer_ms: When the jobs to defer are chosen again.
         room_grew: Whether a waiting task may fit that did not fit before.
         begun: Volatile jobs begun since other entries were told.
         ended: Volatile jobs ended since other entries were told.
@@ -112,7 +112,7 @@
     next_check_ms: int = 0
     started_ms: int | None = None
     next_place_ms: int = 0
-    next_shed_ms: int = 0
+    next_defer_ms: int = 0
     room_grew: bool = False
     begun: list[str] = attrs.field(factory=list)
     ended: list[str] = attrs.field(factory=list)
--- a/tests/test_platform_dispatch.py
+++ b/tests/test_platform_dispatch.py
@@ -25,7 +25,7 @@
     return Job.from_record(JobAccepted(spec, 0, 1), arrived_ms)
 
 
-def serve_burst(*, put_late_behind: bool) -> int:
+def serve_burst(*, defer_late: bool) -> int:
     """Return how many jobs of a burst end in time on four workers."""
     estimates = Estimates()
     queue = WaitingQueue()
@@ -37,8 +37,8 @@
         while arrivals and arrivals[0] <= now_ms:
             job = make_job(len(arrivals), arrivals.pop(0))
             queue.add(next(job.all_tasks()), estimates, now_ms)
-        if put_late_behind:
-            queue.put_late_behind(now_ms)
+        if defer_late:
+            queue.defer_late(now_ms)
         for worker, free in enumerate(free_ms):
             waiting = queue.first(1)
             if free > now_ms or not waiting:
@@ -52,8 +52,8 @@
 
 def test_a_burst_does_not_make_all_later_jobs_late() -> None:
     """In the order of due times alone, all jobs of an overload end late."""
-    due_order = serve_burst(put_late_behind=False)
-    late_behind = serve_burst(put_late_behind=True)
+    due_order = serve_burst(defer_late=False)
+    late_behind = serve_burst(defer_late=True)
     # 160 of the 240 jobs fit into the four seconds; late ones give way to these.
     assert late_behind >= 140
     assert due_order < 60
@@ -67,7 +67,7 @@
     begun.sent_runs = 1
     queue.add(begun.tasks[0][1], estimates, 0)
     queue.add(next(make_job(2, 900).all_tasks()), estimates, 900)
-    queue.put_late_behind(1_000)
+    queue.defer_late(1_000)
     assert queue.first(1)[0].job is begun
 
 
--- a/tests/test_platform_overload.py
+++ b/tests/test_platform_overload.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from catkincross.dispatch import WaitingJob, jobs_to_put_behind
+from catkincross.dispatch import WaitingJob, jobs_to_defer
 from catkincross.owner import _placing
 from scenarios.platform_model import job, ready_model
 
@@ -23,18 +23,18 @@
 
 
 def names(rows: list[WaitingJob], free_cpu: float = 0.0) -> list[str]:
-    """Return the names of the jobs that give way."""
-    found = jobs_to_put_behind(rows, now_ms=0, capacity=CAPACITY, free_cpu=free_cpu)
+    """Return the names of the jobs that are deferred."""
+    found = jobs_to_defer(rows, now_ms=0, capacity=CAPACITY, free_cpu=free_cpu)
     return [row.job for row in found]
 
 
-def test_nobody_gives_way_while_all_can_be_in_time() -> None:
+def test_nothing_is_deferred_while_all_can_be_in_time() -> None:
     """Work must keep its order in normal load."""
     rows = [waiting(f"j{n}", 100 * (n + 1), -10, 90) for n in range(5)]
     assert names(rows) == []
 
 
-def test_the_job_that_has_waited_longest_for_its_allowance_gives_way() -> None:
+def test_the_job_that_has_waited_longest_for_its_allowance_is_deferred() -> None:
     """In the order of due times all would be late by a little."""
     rows = [
         waiting("old", 20, -180, 60),
@@ -44,7 +44,7 @@
     assert names(rows) == ["old"]
 
 
-def test_a_large_job_does_not_give_way_for_its_size() -> None:
+def test_a_large_job_is_not_deferred_for_its_size() -> None:
     """Kinds of request with large jobs must not be the ones that always lose."""
     rows = [waiting("small", 50, -150, 60), waiting("large", 100, -10, 300)]
     rows.append(waiting("next", 450, 0, 10))
@@ -81,5 +81,5 @@
 ) -> None:
     """After a restart 13 of 151 requests of two seconds were in time."""
     with_rule = in_time_in_a_burst()
-    monkeypatch.setattr(_placing, "put_overload_behind", lambda state, rooms: None)
+    monkeypatch.setattr(_placing, "defer_overload", lambda state, rooms: None)
     assert with_rule > in_time_in_a_burst() * 1.2
