Compute the capacity once in a millisecond

A job with times is also queued once for each of its due times instead of once for each end of a run.

--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -105,6 +105,8 @@
         arrived_ms: Time on the owner's clock at which it was accepted or read.
         deadline_ms: Time on the owner's clock until which its client account waits
             for the end; 0 if nobody waits.
+        queued_due_ms: Time of day of the next occurrence that its owner watches; 0 for
+            none.
     """
 
     spec: JobSpec
@@ -118,6 +120,7 @@
     left: list[int] = attrs.field(factory=list)
     arrived_ms: int = 0
     deadline_ms: int = 0
+    queued_due_ms: int = 0
 
     @classmethod
     def from_record(cls, content: JobAccepted, now_ms: int) -> Job:
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -89,6 +89,7 @@
         begun: Volatile jobs begun since other entries were told.
         ended: Volatile jobs ended since other entries were told.
         peer_backlogs: What waits at each other entry, up to half a second old.
+        capacities: Time and capacity last computed, by service.
         wall_offset_ms: Time of day minus the owner's clock.
         due_jobs: Heap of times of day at which a step of a job becomes due.
     """
@@ -117,6 +118,7 @@
     begun: list[str] = attrs.field(factory=list)
     ended: list[str] = attrs.field(factory=list)
     peer_backlogs: list[Backlog] = attrs.field(factory=list)
+    capacities: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     wall_offset_ms: int = 0
     due_jobs: list[tuple[int, str]] = attrs.field(factory=list)
 
@@ -184,7 +186,8 @@
                     self.room_grew = True
                     self.waiting.add(task, self.estimates, self.now_ms)
         due_ms = job.next_due_ms(self.wall_ms)
-        if due_ms is not None:
+        if due_ms is not None and job.queued_due_ms != due_ms:
+            job.queued_due_ms = due_ms
             heapq.heappush(self.due_jobs, (due_ms, job.spec.id))
 
     def release(self, task: Task) -> None:
@@ -205,8 +208,16 @@
     def capacity(self, service: str) -> float:
         """Return this entry's part of a service's capacity, in thousandths of a core.
 
-        It is 0 while it is not known: just after the start, and without workers.
+        It is 0 while it is not known: just after the start, and without workers. It is
+        computed once in a millisecond, since many jobs are judged by it in one step.
         """
+        at_ms, found = self.capacities.get(service, (-1, 0.0))
+        if at_ms != self.now_ms:
+            found = self._capacity_now(service)
+            self.capacities[service] = (self.now_ms, found)
+        return found
+
+    def _capacity_now(self, service: str) -> float:
         if self.now_ms - (self.started_ms or 0) < CONNECT_MS:
             return 0.0
         known = 0.0
