--- a/catkincross/daemons/_own_settings.py
+++ b/catkincross/daemons/_own_settings.py
@@ -15,6 +15,15 @@
 
 OWN_SETTINGS_VARIABLE = "CATKINCROSS_SETTINGS"
 SECTION = "platform"
+# A worker's clock may be this much slower than others, by the platform's pages.
+CLOCK_ERROR = 0.02
+# Delay of messages and timers within one data centre and between two, in milliseconds.
+MESSAGE_RESERVE_MS = 80
+# Runs of a lost entry have to be gone this long before its jobs come again, in
+# milliseconds: a state of 200 ms, a stop of 50 ms, and delays.
+RESEND_RESERVE_MS = 500
+# Two states of an agent, in milliseconds: a shorter silence would end sound leases.
+SHORTEST_SILENCE_MS = 400
 
 
 @attrs.frozen
@@ -105,24 +114,11 @@
         )
 
 
-# A worker's clock may be this much slower than others, by the platform's pages.
-CLOCK_ERROR = 0.02
-# The agent waits this long for stops to be carried out before it ends the lease, in
-# milliseconds, as `WorkerLimits.stop_grace_ms` says.
-STOP_GRACE_MS = 300
-# Delay of messages and timers within one data centre and between two, in milliseconds.
-MESSAGE_RESERVE_MS = 80
-# Runs of a lost entry have to be gone this long before its jobs come again, in
-# milliseconds: a state of 200 ms, a stop of 50 ms, and delays.
-RESEND_RESERVE_MS = 500
-# Two states of an agent, in milliseconds: a shorter silence would end sound leases.
-SHORTEST_SILENCE_MS = 400
-
-
 def lapse_ms(node: NodeSettings) -> int:
     """Return the longest time from the end of a lease to the end of its tasks."""
     worker_ms = node.lease_ms * (1 + CLOCK_ERROR) + node.stop_ms
-    return round(worker_ms) + STOP_GRACE_MS + MESSAGE_RESERVE_MS
+    stop_grace_ms = WorkerLimits().stop_grace_ms
+    return round(worker_ms) + stop_grace_ms + MESSAGE_RESERVE_MS
 
 
 def volatile_silence_ms(own: OwnSettings, node: NodeSettings) -> int:
