--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -38,7 +38,7 @@
 from ._log import DecisionLog
 from ._members import Owners, keep_joined, member_name
 from ._own_settings import OwnSettings
-from ._store_work import append, claim
+from ._store_work import append, claim, keep_followed
 from ._volatile_requests import VolatileRequests
 
 # After SIGTERM the entry goes on serving for this long, in seconds: the balancer
@@ -48,8 +48,6 @@
 HANDOVER_S = 1.0
 # Part of the time to SIGKILL that is left when the process ends, in seconds.
 EXIT_RESERVE_S = 1.0
-# Pause after the store gave no answer to a read of the declarations, in seconds.
-FOLLOW_RETRY_S = 0.2
 # Links of agents on which nothing came for this long are closed, in milliseconds.
 SILENT_AGENT_MS = 1_600
 MS_PER_S = 1_000
@@ -156,7 +154,7 @@
         self.front.start()
         self.probes.start()
         spawn(self.owners.follow())
-        spawn(self._follow_declared())
+        spawn(keep_followed(self.feed, self.log, self._declared_changed))
         spawn(self.requests.keep_links(self.core.backlog))
         spawn(self._close_silent())
         spawn(self.volatile.keep_told())
@@ -362,25 +360,9 @@
             self.store_answers = False
             self.log.note("store gives no answer")
 
-    async def _follow_declared(self) -> None:
-        while True:
-            changed = await self.feed.follow()
-            for error in self.feed.unread:
-                self.log.note("declaration not read", error=error)
-            self.feed.unread.clear()
-            if changed is None:
-                await asyncio.sleep(FOLLOW_RETRY_S)
-                continue
-            if changed:
-                declared = self.feed.declared
-                self.log.note(
-                    "declarations",
-                    version=declared.version,
-                    queues=len(declared.queues),
-                    evacuated=sorted(declared.evacuated),
-                )
-                self.core.declare(self.clock.now_ms(), declared)
-                self.loop.wake()
+    def _declared_changed(self) -> None:
+        self.core.declare(self.clock.now_ms(), self.feed.declared)
+        self.loop.wake()
 
     # What the core asks for.
 
--- a/catkincross/daemons/_store_work.py
+++ b/catkincross/daemons/_store_work.py
@@ -1,17 +1,20 @@
-"""Claims and appends that the owner's core asks for."""
+"""What an entry does at the store: claims, appends, and following declarations."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ..clock import Clock
 from ..jobs import JobRecord, decode_record
 from ..owner import Append, AppendOutcome, Claim, OwnerCore
-from ..platform import Gap, StoreClient, Topic
+from ..platform import DeclaredFeed, Gap, StoreClient, Topic
 from ._log import DecisionLog
 
 # Pause before a claim is tried again, in seconds.
 CLAIM_RETRY_S = 0.1
+# Pause after the store gave no answer to a read of the declarations, in seconds.
+FOLLOW_RETRY_S = 0.2
 MS_PER_S = 1_000
 
 
@@ -72,3 +75,25 @@
     if outcome is AppendOutcome.DONE:
         core.contact(sent_ms)
     core.appended(clock.now_ms(), work.shard, work.epoch, work.sequence, outcome)
+
+
+async def keep_followed(
+    feed: DeclaredFeed, log: DecisionLog, on_change: Callable[[], None]
+) -> None:
+    """Follow the operators' declarations until cancelled; tell of each change."""
+    while True:
+        changed = await feed.follow()
+        for error in feed.unread:
+            log.note("declaration not read", error=error)
+        feed.unread.clear()
+        if changed is None:
+            await asyncio.sleep(FOLLOW_RETRY_S)
+        elif changed:
+            declared = feed.declared
+            log.note(
+                "declarations",
+                version=declared.version,
+                queues=len(declared.queues),
+                evacuated=sorted(declared.evacuated),
+            )
+            on_change()
