Remove a count that nothing reads, and write four repeated pieces once

The number of entries in the group was passed to the owner's core and kept there, but since capacity is shared by waiting work nothing reads it. Moving a waiting task behind the others stood twice in the queue; address, connections and closing stood in both clients of the platform; the clock error of a worker was defined twice.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -349,10 +349,8 @@
             self.log.note("store answers again")
         if self.leaving:
             return
-        owners = max(len(set(self.owners.by_shard.values())), 1)
-        self.core.assigned(
-            self.clock.now_ms(), sent_ms, found.shards, found.generation, owners
-        )
+        now_ms = self.clock.now_ms()
+        self.core.assigned(now_ms, sent_ms, found.shards, found.generation)
         self.loop.wake()
 
     def _join_missed(self) -> None:
--- a/catkincross/daemons/_own_settings.py
+++ b/catkincross/daemons/_own_settings.py
@@ -11,12 +11,10 @@
 from ..foundation._setting import setting
 from ..owner import OwnerLimits
 from ..platform import NodeSettings
-from ..workers import WorkerLimits
+from ..workers import CLOCK_ERROR, WorkerLimits
 
 OWN_SETTINGS_VARIABLE = "CATKINCROSS_SETTINGS"
 SECTION = "platform"
-# A worker's clock may be this much slower than others, by the platform's pages.
-CLOCK_ERROR = 0.02
 # Delay of messages and timers within one data centre and between two, in milliseconds.
 MESSAGE_RESERVE_MS = 80
 # Runs of a lost entry have to be gone this long before its jobs come again, in
--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -122,13 +122,10 @@
         while self._rows and self._rows[0][0] < now_ms:
             late = [row for row in self._rows[:LATE_BATCH] if row[0] < now_ms]
             moved = False
-            for key, added, task in late:
+            for key, _, task in late:
                 if task.job.started or task.job.exempt_from_aging or key < 0:
                     continue
-                row = (key + LATE_MS, added, task)
-                self._rows.remove(self._keys[task])
-                self._rows.add(row)
-                self._keys[task] = row
+                self._move_behind(task)
                 moved = True
             if not moved:
                 return
@@ -160,9 +157,13 @@
         for task in job.all_tasks():
             row = self._keys.get(task)
             if row is not None and row[0] < LATE_MS:
-                self._rows.remove(row)
-                self._keys[task] = (row[0] + LATE_MS, row[1], task)
-                self._rows.add(self._keys[task])
+                self._move_behind(task)
+
+    def _move_behind(self, task: Task) -> None:
+        key, added, _ = row = self._keys[task]
+        self._rows.remove(row)
+        self._keys[task] = (key + LATE_MS, added, task)
+        self._rows.add(self._keys[task])
 
     def remove(self, task: Task) -> None:
         """Take a task out if it waits."""
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -121,7 +121,7 @@
         cancel(self.state, request, job_id)
 
     def assigned(
-        self, now_ms: int, sent_ms: int, shards: list[int], generation: int, owners: int
+        self, now_ms: int, sent_ms: int, shards: list[int], generation: int
     ) -> None:
         """Take the group's answer.
 
@@ -130,11 +130,9 @@
             sent_ms: When the call was sent.
             shards: Shards of this entry.
             generation: Generation of the group.
-            owners: Number of entries in the group.
         """
         self.state.now_ms = now_ms
         self.contact(sent_ms)
-        self.state.owners = owners
         check_membership(self.state, sent_ms, generation)
         assign_shards(self.state, shards, generation)
 
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -79,7 +79,6 @@
         volatile: Volatile jobs of this entry.
         now_ms: Time of the step that runs.
         store_contact_ms: When the last successful call to the store was sent.
-        owners: Number of entries that own shards.
         joined_ms: When the last successful join was sent.
         generation: Generation of the group at that join.
         started_ms: When the first event came.
@@ -99,7 +98,6 @@
     volatile: VolatileShard
     now_ms: int = 0
     store_contact_ms: int = -1_000_000
-    owners: int = 1
     declared: Declared = attrs.field(factory=Declared)
     shards: dict[int, Shard] = attrs.field(factory=dict)
     agents: dict[str, AgentRow] = attrs.field(factory=dict)
--- a/catkincross/platform/_calls.py
+++ b/catkincross/platform/_calls.py
@@ -11,6 +11,29 @@
 CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
+class HttpCaller:
+    """Address and connections of a client of one of the platform's services.
+
+    Args:
+        address: `IP:port` of the service.
+        keepalive_s: How long an idle connection is kept, in seconds.
+    """
+
+    def __init__(self, address: str, *, keepalive_s: float) -> None:
+        self.use_address(address)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=keepalive_s)
+        )
+
+    def use_address(self, address: str) -> None:
+        """Send further calls to another address."""
+        self.url = f"http://{address}"
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+
 def fields_of(body: bytes) -> dict[str, Any]:
     """Return the fields of an answer; none if it is no JSON object."""
     try:
--- a/catkincross/platform/_store.py
+++ b/catkincross/platform/_store.py
@@ -11,13 +11,15 @@
 import orjson
 
 from ..owner import AppendOutcome
-from ._calls import CALL_ERRORS, fields_of
+from ._calls import CALL_ERRORS, HttpCaller, fields_of
 
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 # Answers of the store take 4 ms, and 60 times as long while it is slow.
 CALL_TIMEOUT_S = 0.8
 READ_KB = 1_024
+# Calls to the store are at most some seconds apart.
+KEEPALIVE_S = 30.0
 
 
 class Topic(enum.StrEnum):
@@ -67,7 +69,7 @@
     first: int
 
 
-class StoreClient:
+class StoreClient(HttpCaller):
     """Calls of one process to the store.
 
     Args:
@@ -78,20 +80,8 @@
     """
 
     def __init__(self, address: str) -> None:
-        self.url = f"http://{address}"
+        super().__init__(address, keepalive_s=KEEPALIVE_S)
         self.calls = 0
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
-        )
-
-    def use_address(self, address: str) -> None:
-        """Send further calls to another address."""
-        self.url = f"http://{address}"
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._session.close()
 
     async def fence(self, shard: int, epoch: int) -> AppendOutcome:
         """Let no append of a lower epoch be carried out on a shard any more."""
--- a/catkincross/platform/_worker.py
+++ b/catkincross/platform/_worker.py
@@ -16,11 +16,13 @@
     Registration,
     StartOutcome,
 )
-from ._calls import CALL_ERRORS, fields_of
+from ._calls import CALL_ERRORS, HttpCaller, fields_of
 
 # Orders are answered within a few milliseconds; one without an answer may still be
 # carried out seconds later.
 ORDER_TIMEOUT_S = 0.3
+# New connections to workers are priced, so idle ones are kept between bursts.
+KEEPALIVE_S = 60.0
 INSTANCE_HEADER = "X-Catkincross-Target-Instance"
 # Reasons with which a worker rejects an order to start.
 START_REASONS = {
@@ -70,7 +72,7 @@
     """The worker refused a hold because of its fencing token."""
 
 
-class WorkerClient:
+class WorkerClient(HttpCaller):
     """Calls to the worker on this host.
 
     Args:
@@ -78,18 +80,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self.url = f"http://{address}"
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60)
-        )
-
-    def use_address(self, address: str) -> None:
-        """Send further calls to another address."""
-        self.url = f"http://{address}"
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._session.close()
+        super().__init__(address, keepalive_s=KEEPALIVE_S)
 
     async def start(self, worker: str, order: CallStart) -> StartOutcome:
         """Order the start of a run."""
--- a/catkincross/workers/__init__.py
+++ b/catkincross/workers/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._core import WorkerCore
+from ._core import CLOCK_ERROR, WorkerCore
 from ._effects import CallStart, CallStop, Note, ToEntry
 from ._state import (
     HoldCall,
@@ -13,6 +13,7 @@
 )
 
 __all__ = [
+    "CLOCK_ERROR",
     "CallStart",
     "CallStop",
     "HoldCall",
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -234,8 +234,7 @@
             return
         shards = self.assignment.get(host.name, [])
         now_ms = self.now_ms
-        owners = max(len(self.assignment), 1)
-        host.core.assigned(now_ms, now_ms, shards, self.generation, owners)
+        host.core.assigned(now_ms, now_ms, shards, self.generation)
         self.step(host)
 
     def _join_all(self) -> None:
