Serve the platform's daemons with uvicorn

Change: HttpServer of transport serves the daemons again, with plain ASGI applications and without starlette. ErrorReportingApp logs unexpected errors of a request, read_body limits a body while it arrives. The client on httptools stays; ADR 9 has the ways that were weighed.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -12,7 +12,7 @@
 
 from ..clock import Clock
 from ..foundation._background import spawn
-from ..http11 import AsgiServer
+from ..http11 import ErrorReportingApp
 from ..peers import Greeting, Link, Members, connect
 from ..platform import (
     HeartbeatApp,
@@ -21,6 +21,7 @@
     StoreClient,
     WorkerClient,
 )
+from ..transport._http_server import HttpServer
 from ..workers import (
     Note,
     Registration,
@@ -113,13 +114,12 @@
             self._on_heartbeat, self._on_worker_left, self._on_invalid_heartbeat
         )
         address = self.settings.control
-        self.control = AsgiServer(
-            app,
+        self.control = HttpServer(
+            ErrorReportingApp(app, self.log.note_request_error),
             address,
             listening_socket=self.sockets.get(address),
-            on_error=self.log.note_request_error,
         )
-        await self.control.start()
+        self.control.start()
         spawn(self._maintain_links())
         spawn(self._poll_owners())
         spawn(self._renew_lease_repeatedly())
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -12,7 +12,7 @@
 from ..clock import Clock
 from ..dispatch import PeerVolatileJobs
 from ..foundation._background import spawn
-from ..http11 import AsgiServer
+from ..http11 import ErrorReportingApp
 from ..jobs import JobSpec, from_fields, to_fields
 from ..owner import Append, ClaimShard, Note, OwnerCore, Reply, SendToAgent
 from ..peers import (
@@ -32,6 +32,7 @@
     NodeSettings,
     StoreClient,
 )
+from ..transport._http_server import HttpServer
 from ._core_loop import CoreLoop
 from ._log import DecisionLog
 from ._membership import ShardOwners, maintain_membership, member_name
@@ -149,8 +150,8 @@
         app = JobApiApp(self)
         self.client_server = self._create_server(app, self.settings.front)
         self.probe_server = self._create_server(app, self.settings.ready)
-        await self.client_server.start()
-        await self.probe_server.start()
+        self.client_server.start()
+        self.probe_server.start()
         spawn(self.owners.poll())
         spawn(follow_declarations(self.feed, self.log, self._on_declarations_changed))
         spawn(self.owner_requests.maintain_links(self.core.backlog))
@@ -158,12 +159,11 @@
         spawn(self.volatile_requests.announce_jobs())
         self.core_loop.schedule_step()
 
-    def _create_server(self, app: JobApiApp, address: str) -> AsgiServer:
-        return AsgiServer(
-            app,
+    def _create_server(self, app: JobApiApp, address: str) -> HttpServer:
+        return HttpServer(
+            ErrorReportingApp(app, self.log.note_request_error),
             address,
             listening_socket=self.sockets.get(address),
-            on_error=self.log.note_request_error,
         )
 
     async def run(self) -> None:
--- a/catkincross/daemons/_log.py
+++ b/catkincross/daemons/_log.py
@@ -90,14 +90,9 @@
         line["message_type"] = f"{self.process}: {event}"
         self._write(line)
 
-    def note_request_error(self, method: str, target: bytes, error: Exception) -> None:
+    def note_request_error(self, method: str, path: str, error: Exception) -> None:
         """Log an unexpected error of an HTTP request; the client got status 500."""
-        self.note(
-            "request failed",
-            method=method,
-            target=target.decode("ascii", "replace"),
-            error=repr(error),
-        )
+        self.note("request failed", method=method, path=path, error=repr(error))
 
     def note_invalid_answer(self, path: str, error: str) -> None:
         """Log an answer of the store that cannot be read and counts as none."""
--- a/catkincross/daemons/_run.py
+++ b/catkincross/daemons/_run.py
@@ -10,8 +10,8 @@
 from ..clock import SystemClock
 from ..foundation._background import spawn
 from ..foundation._daemon_main import run_daemon
-from ..http11 import AsgiServer
 from ..platform import load_node_settings
+from ..transport._http_server import HttpServer
 from ._log import DecisionLog
 from ._own_settings import load_own_settings
 from ._reload import watch_settings
@@ -33,7 +33,7 @@
     # Importing this at the top would take a tenth of the startup time.
     from ._metrics import Metrics
 
-    await AsgiServer(Metrics(log), address).start()
+    HttpServer(Metrics(log), address).start()
 
 
 def run(
--- a/catkincross/http11/__init__.py
+++ b/catkincross/http11/__init__.py
@@ -1,25 +1,27 @@
-"""HTTP/1.1 server and client that are cheap to import and cheap for each request.
+"""HTTP/1.1 client and ASGI helpers that are cheap to import and cheap for each request.
 
-Both use the parser of httptools on asyncio protocols. The daemons on the platform use
-them, since their hosts have a fraction of a core and importing a full HTTP framework
-takes several seconds there.
+The daemons on the platform use them, since their hosts have a fraction of a core and
+importing a full HTTP framework takes seconds there. The client uses the parser of
+httptools; uvicorn serves the applications.
 """
 
 from __future__ import annotations
 
 from ._client import HttpClient
 from ._messages import (
+    BodyTooLarge,
     ClientDisconnected,
+    ErrorReportingApp,
     HttpResponse,
     read_body,
     read_header,
     wait_for_disconnect,
 )
-from ._server import AsgiServer
 
 __all__ = [
-    "AsgiServer",
+    "BodyTooLarge",
     "ClientDisconnected",
+    "ErrorReportingApp",
     "HttpClient",
     "HttpResponse",
     "read_body",
--- a/catkincross/http11/_messages.py
+++ b/catkincross/http11/_messages.py
@@ -2,27 +2,42 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
+# Largest body of a request that is kept in memory; a process on the platform has as
+# little as 160 MB.
+MAX_BODY_BYTES = 8_388_608
+
 
 class ClientDisconnected(Exception):
     """The client closed the connection before its request was answered."""
 
 
-async def read_body(receive: Any) -> bytes:
+class BodyTooLarge(Exception):
+    """The body of a request exceeds the limit; the rest of it is not read."""
+
+
+async def read_body(receive: Any, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return the body of a request.
 
     Raises:
+        BodyTooLarge: If the body has more than `max_bytes`.
         ClientDisconnected: If the client closed the connection.
     """
     parts = []
+    size_bytes = 0
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise ClientDisconnected
-        parts.append(message.get("body", b""))
+        part = message.get("body", b"")
+        size_bytes += len(part)
+        if size_bytes > max_bytes:
+            raise BodyTooLarge
+        parts.append(part)
         if not message.get("more_body", False):
             return b"".join(parts)
 
@@ -65,3 +80,38 @@
         start = {"type": "http.response.start", "status": self.status}
         await send(start | {"headers": headers})
         await send({"type": "http.response.body", "body": self.body})
+
+
+class ErrorReportingApp:
+    """Wraps an ASGI application and reports its unexpected errors.
+
+    Args:
+        app: The application. A request whose application fails gets status 500 from
+            the server.
+        on_error: Called with the method, the path and the exception of such a request.
+    """
+
+    def __init__(
+        self, app: Any, on_error: Callable[[str, str, Exception], None]
+    ) -> None:
+        self.app = app
+        self.on_error = on_error
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Pass on one request."""
+        started = False
+
+        async def send_and_record(message: dict[str, Any]) -> None:
+            nonlocal started
+            started = True
+            await send(message)
+
+        try:
+            await self.app(scope, receive, send_and_record)
+        except Exception as error:
+            self.on_error(scope.get("method", ""), scope.get("path", ""), error)
+            if started:
+                # The server cuts the connection, so that the part that was sent is
+                # not taken for a complete response.
+                return
+            await HttpResponse(500).send(send)
--- a/catkincross/platform/_control.py
+++ b/catkincross/platform/_control.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..http11 import ClientDisconnected, HttpResponse, read_body
+from ..http11 import BodyTooLarge, ClientDisconnected, HttpResponse, read_body
 from ..workers import Registration
 from ._worker import read_heartbeat
 
@@ -57,8 +57,9 @@
             return 200
         if method != "PUT":
             return 405
-        body = await read_body(receive)
-        if len(body) > MAX_HEARTBEAT_BYTES:
+        try:
+            body = await read_body(receive, MAX_HEARTBEAT_BYTES)
+        except BodyTooLarge:
             return 413
         registration = read_heartbeat(worker, body)
         if registration is None:
--- a/catkincross/platform/_front.py
+++ b/catkincross/platform/_front.py
@@ -10,6 +10,7 @@
 import orjson
 
 from ..http11 import (
+    BodyTooLarge,
     ClientDisconnected,
     HttpResponse,
     read_body,
@@ -128,8 +129,9 @@
     async def _submit(
         self, receive: Any, queue: Queue, job_id: str, timeout_ms: int
     ) -> HttpResponse:
-        body = await read_body(receive)
-        if len(body) > self.backend.declarations.max_body_bytes:
+        try:
+            body = await read_body(receive, self.backend.declarations.max_body_bytes)
+        except BodyTooLarge:
             return _json_response({"error": "body too large"}, 413)
         spec = read_job(job_id, body, queue.policy)
         if isinstance(spec, InvalidJob):
--- a/catkincross/transport/_http_server.py
+++ b/catkincross/transport/_http_server.py
@@ -12,6 +12,9 @@
 
 from ..foundation._listening import BACKLOG, bind_to
 
+# A connection without a request for this long is closed, in seconds.
+KEEPALIVE_S = 75
+
 if TYPE_CHECKING:
     # Some programs serve HTTP without these settings and need not load them.
     from ..settings._settings import TlsSettings
@@ -52,7 +55,10 @@
         config = uvicorn.Config(
             app,
             loop="none",
+            http="httptools",
+            ws="none",
             lifespan="off",
+            timeout_keep_alive=KEEPALIVE_S,
             log_config=None,
             access_log=False,
             ssl_certfile=tls.certificate if tls else None,
