Rank deferred tasks apart from their time

Cause: a deferred task was marked by adding 2^30 ms to its key, and keys are times on CLOCK_BOOTTIME. On a host that has been up for 12.4 days every task looked deferred, so no job was deferred under overload. The search for late jobs also ended after 64 late rows of started jobs, so late jobs behind them kept their place.

Change: the key is the rank (in time, deferred, useless), the latest start and the number of the addition. Late jobs are found by a range of the sorted rows.

--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -10,6 +10,9 @@
 
 from __future__ import annotations
 
+import enum
+import math
+import operator
 from collections.abc import Iterator
 
 import attrs
@@ -22,16 +25,23 @@
 # A job that takes longer than this many times its objective is of no use to its caller,
 # by the service level of the platform.
 MAX_OBJECTIVE_RATIO = 3.0
-# Number of rows that are examined at a time when late tasks are deferred.
-LATE_BATCH_ROWS = 64
 # Run time on the fastest workers as a share of the run time on an ordinary worker.
 FASTEST_RUN_SHARE = 0.5
-# Added to the key of a deferred task, in milliseconds: places it behind all tasks that
-# can still meet their objective.
-DEFERRED_KEY_OFFSET_MS = 1 << 30
-# Added to the key of a task whose job is too late to be of use, in milliseconds: places
-# it behind all deferred tasks.
-USELESS_KEY_OFFSET_MS = 1 << 40
+
+
+class QueueRank(enum.IntEnum):
+    """Class of a waiting task; all tasks of a lower class start first."""
+
+    # The job can still meet its objective, or has started.
+    IN_TIME = 0
+    # The job has been deferred in favour of jobs that can still be in time.
+    DEFERRED = 1
+    # The job is too late to be of use to its caller.
+    USELESS = 2
+
+
+# Rank, latest start in milliseconds, and number of the addition.
+QueueKey = tuple[QueueRank, float, int]
 
 
 def critical_path_ms(job: Job, estimates: Estimates) -> float:
@@ -58,27 +68,28 @@
     return job.arrived_ms + wait_ms
 
 
-def queue_key(task: Task, estimates: Estimates, now_ms: int) -> float:
-    """Return the key that orders a task in the queue; the lowest starts first.
+def queue_position(
+    task: Task, estimates: Estimates, now_ms: int
+) -> tuple[QueueRank, float]:
+    """Return the rank and the time that order a task in the queue.
 
-    The key is the latest start of the task's job, with three exceptions. A long-running
-    task has no objective: its key is the arrival of its job, so that after a restart it
-    does not wait behind younger jobs. The slack of an occurrence of a schedule begins
-    when its tasks may start, not with the arrival of the job. The tasks of a job that
-    is too late to be of use come after all others.
+    The time is the latest start of the task's job, with two exceptions. A long-running
+    task has no objective: it is the arrival of its job, so that after a restart it does
+    not wait behind younger jobs. The slack of an occurrence of a schedule begins when
+    its tasks may start, not with the arrival of the job.
     """
     job = task.job
     if task.step_spec.long_running:
-        return job.arrived_ms
+        return QueueRank.IN_TIME, job.arrived_ms
     if job.spec.schedule is not None:
-        return now_ms + latest_start_ms(job, estimates) - job.arrived_ms
+        slack_ms = latest_start_ms(job, estimates) - job.arrived_ms
+        return QueueRank.IN_TIME, now_ms + slack_ms
     latest_ms = latest_start_ms(job, estimates)
     max_wait_ms = MAX_OBJECTIVE_RATIO * objective_ms(job, estimates) - critical_path_ms(
         job, estimates
     )
-    if now_ms > job.arrived_ms + max_wait_ms:
-        return latest_ms + USELESS_KEY_OFFSET_MS
-    return latest_ms
+    useless = now_ms > job.arrived_ms + max_wait_ms
+    return QueueRank.USELESS if useless else QueueRank.IN_TIME, latest_ms
 
 
 def cannot_meet_deadline(job: Job, estimates: Estimates, now_ms: int) -> bool:
@@ -102,11 +113,11 @@
         work_by_service: Waiting work by service, in millicore-milliseconds.
     """
 
-    # Rows of key, number of the addition and task, ordered by the first two.
+    # Rows of key and task, ordered by the key.
     _rows: SortedKeyList = attrs.field(
-        factory=lambda: SortedKeyList(key=lambda row: row[:2])
+        factory=lambda: SortedKeyList(key=operator.itemgetter(0))
     )
-    _row_by_task: dict[Task, tuple[float, int, Task]] = attrs.field(factory=dict)
+    _row_by_task: dict[Task, tuple[QueueKey, Task]] = attrs.field(factory=dict)
     _additions: int = 0
     work_by_service: dict[str, int] = attrs.field(factory=dict)
     _work: dict[Task, int] = attrs.field(factory=dict)
@@ -116,8 +127,8 @@
         if task in self._row_by_task:
             return
         self._additions += 1
-        key = queue_key(task, estimates, now_ms)
-        row = (key, self._additions, task)
+        rank, start_by_ms = queue_position(task, estimates, now_ms)
+        row = ((rank, start_by_ms, self._additions), task)
         self._row_by_task[task] = row
         self._rows.add(row)
         step_spec = task.step_spec
@@ -133,16 +144,12 @@
 
         Long-running and scheduled jobs keep their position.
         """
-        while self._rows and self._rows[0][0] < now_ms:
-            late_rows = [row for row in self._rows[:LATE_BATCH_ROWS] if row[0] < now_ms]
-            any_deferred = False
-            for key, _, task in late_rows:
-                if task.job.started or task.job.exempt_from_aging or key < 0:
-                    continue
+        late_rows = self._rows.irange_key(
+            (QueueRank.IN_TIME, -math.inf), (QueueRank.IN_TIME, now_ms)
+        )
+        for _, task in list(late_rows):
+            if not (task.job.started or task.job.exempt_from_aging):
                 self._defer_task(task)
-                any_deferred = True
-            if not any_deferred:
-                return
 
     def jobs_in_time(self, service: str, estimates: Estimates) -> list[WaitingJob]:
         """Return the jobs of a service that may still be in time, in queue order.
@@ -150,8 +157,8 @@
         Deferred jobs are left out.
         """
         totals_by_job: dict[Job, list[float]] = {}
-        for key, _, task in self._rows:
-            if key >= DEFERRED_KEY_OFFSET_MS:
+        for (rank, _, _), task in self._rows:
+            if rank is not QueueRank.IN_TIME:
                 break
             if task.job.spec.policy.service == service:
                 totals = totals_by_job.setdefault(task.job, [0.0, 0.0])
@@ -173,14 +180,15 @@
         """Place the waiting tasks of a job behind all that can be in time."""
         for task in job.all_tasks():
             row = self._row_by_task.get(task)
-            if row is not None and row[0] < DEFERRED_KEY_OFFSET_MS:
+            if row is not None and row[0][0] is QueueRank.IN_TIME:
                 self._defer_task(task)
 
     def _defer_task(self, task: Task) -> None:
-        key, addition, _ = row = self._row_by_task[task]
+        (_, start_by_ms, addition), _ = row = self._row_by_task[task]
         self._rows.remove(row)
-        self._row_by_task[task] = (key + DEFERRED_KEY_OFFSET_MS, addition, task)
-        self._rows.add(self._row_by_task[task])
+        row = ((QueueRank.DEFERRED, start_by_ms, addition), task)
+        self._row_by_task[task] = row
+        self._rows.add(row)
 
     def remove(self, task: Task) -> None:
         """Remove a task if it waits."""
@@ -195,9 +203,9 @@
 
     def in_order(self) -> Iterator[Task]:
         """Yield the tasks in queue order; they may be removed during the iteration."""
-        for row in list(self._rows):
-            yield row[2]
+        for _, task in list(self._rows):
+            yield task
 
     def first(self, count: int) -> list[Task]:
         """Return up to `count` tasks from the head of the queue."""
-        return [row[2] for row in self._rows[:count]]
+        return [task for _, task in self._rows[:count]]
--- a/tests/test_platform_dispatch.py
+++ b/tests/test_platform_dispatch.py
@@ -73,6 +73,33 @@
     assert queue.first(1)[0].job is started
 
 
+@pytest.mark.parametrize("uptime_ms", [0, (1 << 30) + 1_000, 1 << 41])
+def test_deferral_works_on_a_host_that_is_up_for_weeks(uptime_ms: int) -> None:
+    """Guards against deferral marks that mix with the time since the host's start."""
+    queue, estimates = WaitingQueue(), Estimates()
+    jobs = [make_job(number, uptime_ms) for number in range(5)]
+    for job in jobs:
+        queue.add(next(job.all_tasks()), estimates, uptime_ms)
+    assert len(queue.jobs_in_time("s", estimates)) == 5
+    queue.defer(jobs[0])
+    assert len(queue.jobs_in_time("s", estimates)) == 4
+    assert [task.job for task in queue.in_order()] == [*jobs[1:], jobs[0]]
+
+
+def test_late_jobs_behind_many_started_tasks_are_deferred() -> None:
+    """Guards against a search for late jobs that ends at the tasks of started ones."""
+    queue, estimates = WaitingQueue(), Estimates()
+    started = make_job(1, 0, count=80)
+    started.possible_starts = 1
+    for task in started.all_tasks():
+        queue.add(task, estimates, 0)
+    late, fresh = make_job(2, 10), make_job(3, 5_000)
+    for job in (late, fresh):
+        queue.add(next(job.all_tasks()), estimates, job.arrived_ms)
+    queue.defer_late(5_000)
+    assert [task.job for task in queue.in_order()][-2:] == [fresh, late]
+
+
 def test_a_job_is_rejected_only_behind_a_backlog_that_makes_it_useless() -> None:
     """A rejection while workers are free costs more than any other answer."""
     job = make_job(1, 0)
