Contain unexpected errors of messages, steps and background loops

Cause: by design an unexpected exception in a protocol callback, a step or a background task stopped the event loop. A message that can be decoded but not handled, such as a lease whose rows have the wrong length or a class without a handler, ended an entry with all its jobs. Ruled out: decoding, which already rejects wrong types.

Change: a failed message is logged and costs its link; a failed system or effect is logged and the others run; an endless loop is started again after 100 ms; an append or start order that fails counts as one without an answer.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -11,7 +11,7 @@
 import attrs
 
 from ..clock import Clock
-from ..foundation._background import spawn
+from ..foundation._background import spawn, spawn_repeated
 from ..http11 import ErrorReportingApp
 from ..peers import Greeting, Link, Members, connect
 from ..platform import (
@@ -105,7 +105,7 @@
         self.leaving = False
         self.worker_reachable = True
         self.stopped = asyncio.Event()
-        self.core_loop = CoreLoop(self.core, clock, self._execute)
+        self.core_loop = CoreLoop(self.core, clock, self._execute, log.note_error)
 
     async def start(self) -> None:
         """Serve heartbeats and start the background tasks."""
@@ -120,9 +120,12 @@
             listening_socket=self.sockets.get(address),
         )
         self.control.start()
-        spawn(self._maintain_links())
-        spawn(self._poll_owners())
-        spawn(self._renew_lease_repeatedly())
+        for run in (
+            self._maintain_links,
+            self._poll_owners,
+            self._renew_lease_repeatedly,
+        ):
+            spawn_repeated(run, self.log.note_error)
         self.core_loop.schedule_step()
 
     async def run(self) -> None:
@@ -207,15 +210,25 @@
         worker = self.core.state.worker
         outcome = StartOutcome.REFUSED
         if worker:
-            outcome = await self.worker.start(worker, order)
+            try:
+                outcome = await self.worker.start(worker, order)
+            except Exception as error:
+                self.log.note_error("start order", error)
+                outcome = StartOutcome.UNANSWERED
         self.core.handle_start_outcome(
             self.clock.now_ms(), order.task, order.run, outcome
         )
         self.core_loop.schedule_step()
 
     async def _stop_run(self, order: StopRun) -> None:
-        if self.core.state.worker:
-            await self.worker.stop(self.core.state.worker, order)
+        worker = self.core.state.worker
+        if not worker:
+            return
+        try:
+            await self.worker.stop(worker, order)
+        except Exception as error:
+            # The core repeats the order until the run has ended.
+            self.log.note_error("stop order", error)
 
     # The entries.
 
@@ -245,7 +258,7 @@
 
     async def _connect(self, address: str) -> None:
         def make_link() -> Link:
-            return Link(self._on_message, self._on_close)
+            return Link(self._on_message, self._on_close, self.log.note_error)
 
         try:
             link = await connect(address, make_link, CONNECT_TIMEOUT_S)
--- a/catkincross/daemons/_core_loop.py
+++ b/catkincross/daemons/_core_loop.py
@@ -30,14 +30,22 @@
         core: The core to step.
         clock: Clock of the process.
         execute: Executes one effect of a step.
+        on_error: Called with what failed and the exception if a step or an effect
+            fails. The other effects are executed, since lost messages would leave
+            requests without an answer.
     """
 
     def __init__(
-        self, core: Core, clock: Clock, execute: Callable[[Any], None]
+        self,
+        core: Core,
+        clock: Clock,
+        execute: Callable[[Any], None],
+        on_error: Callable[[str, Exception], None],
     ) -> None:
         self.core = core
         self.clock = clock
         self.execute = execute
+        self.on_error = on_error
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
 
@@ -50,8 +58,16 @@
     def _step(self) -> None:
         self._scheduled = False
         now_ms = self.clock.now_ms()
-        for effect in self.core.step(now_ms):
-            self.execute(effect)
+        try:
+            effects = self.core.step(now_ms)
+        except Exception as error:
+            self.on_error("step", error)
+            effects = []
+        for effect in effects:
+            try:
+                self.execute(effect)
+            except Exception as error:
+                self.on_error(type(effect).__name__, error)
         if self._timer is not None:
             self._timer.cancel()
         delay_ms = max(self.core.next_step_ms() - now_ms, MIN_DELAY_MS)
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -11,7 +11,7 @@
 
 from ..clock import Clock
 from ..dispatch import PeerVolatileJobs
-from ..foundation._background import spawn
+from ..foundation._background import spawn, spawn_repeated
 from ..http11 import ErrorReportingApp
 from ..jobs import JobSpec, from_fields, to_fields
 from ..owner import Append, ClaimShard, Note, OwnerCore, Reply, SendToAgent
@@ -102,6 +102,7 @@
             self.member,
             settings.shards,
             self._ask_local,
+            log.note_error,
         )
         self.owner_requests.on_backlogs = self.core.update_peer_backlogs
         self.owner_requests.on_connected = lambda link: link.send(
@@ -114,7 +115,7 @@
         self.store_reachable = True
         self.open_requests = 0
         self.stopped = asyncio.Event()
-        self.core_loop = CoreLoop(self.core, clock, self._execute)
+        self.core_loop = CoreLoop(self.core, clock, self._execute, log.note_error)
         self.volatile_requests = VolatileRequests(
             self.core, self.core_loop, self.peer_jobs, self.owner_requests, clock, log
         )
@@ -136,29 +137,42 @@
         self.log.note(
             "start", member=self.member, data_centre=self.settings.data_centre
         )
-        await serve_links(self.address, lambda: Link(self._on_message, self._on_close))
-        self._join_task = spawn(
-            maintain_membership(
-                self.store,
-                self.clock,
-                self.member,
-                self.settings.member_ttl_ms,
-                self._on_joined,
-                self._on_join_failed,
-            )
-        )
+        await serve_links(self.address, self._make_link)
+        self._join_task = spawn_repeated(self._maintain_membership, self.log.note_error)
         app = JobApiApp(self)
         self.client_server = self._create_server(app, self.settings.front)
         self.probe_server = self._create_server(app, self.settings.ready)
         self.client_server.start()
         self.probe_server.start()
-        spawn(self.owners.poll())
-        spawn(follow_declarations(self.feed, self.log, self._on_declarations_changed))
-        spawn(self.owner_requests.maintain_links(self.core.backlog))
-        spawn(self._close_silent_links())
-        spawn(self.volatile_requests.announce_jobs())
+        for run in (
+            self.owners.poll,
+            self._follow_declarations,
+            self._maintain_entry_links,
+            self._close_silent_links,
+            self.volatile_requests.announce_jobs,
+        ):
+            spawn_repeated(run, self.log.note_error)
         self.core_loop.schedule_step()
 
+    def _make_link(self) -> Link:
+        return Link(self._on_message, self._on_close, self.log.note_error)
+
+    async def _maintain_membership(self) -> None:
+        await maintain_membership(
+            self.store,
+            self.clock,
+            self.member,
+            self.settings.member_ttl_ms,
+            self._on_joined,
+            self._on_join_failed,
+        )
+
+    async def _follow_declarations(self) -> None:
+        await follow_declarations(self.feed, self.log, self._on_declarations_changed)
+
+    async def _maintain_entry_links(self) -> None:
+        await self.owner_requests.maintain_links(self.core.backlog)
+
     def _create_server(self, app: JobApiApp, address: str) -> HttpServer:
         return HttpServer(
             ErrorReportingApp(app, self.log.note_request_error),
@@ -381,7 +395,9 @@
             case Append():
                 spawn(
                     self._run_then_step(
-                        append_records(self.core, self.store, self.clock, effect)
+                        append_records(
+                            self.core, self.store, self.clock, self.log, effect
+                        )
                     )
                 )
             case ClaimShard():
--- a/catkincross/daemons/_log.py
+++ b/catkincross/daemons/_log.py
@@ -20,6 +20,8 @@
 # Lines are buffered for this long, in seconds, because each write is a system call.
 # A killed process loses at most the lines of this interval.
 FLUSH_DELAY_S = 0.02
+# Number of stack frames in the line of an unexpected error.
+LOGGED_FRAMES = 4
 
 
 class DecisionLog:
@@ -94,6 +96,24 @@
         """Log an unexpected error of an HTTP request; the client got status 500."""
         self.note("request failed", method=method, path=path, error=repr(error))
 
+    def note_error(self, where: str, error: Exception) -> None:
+        """Log an unexpected error that was contained.
+
+        Args:
+            where: What failed: a step, an effect, a message or a background task.
+            error: The exception; its innermost frames are logged with it.
+        """
+        # Imported on first use, since errors are rare and the import takes time.
+        import traceback
+
+        frames = traceback.extract_tb(error.__traceback__)[-LOGGED_FRAMES:]
+        self.note(
+            "unexpected error",
+            where=where,
+            error=repr(error),
+            frames=[f"{frame.filename}:{frame.lineno}" for frame in frames],
+        )
+
     def note_invalid_answer(self, path: str, error: str) -> None:
         """Log an answer of the store that cannot be read and counts as none."""
         self.note("store answer invalid", path=path, error=error)
--- a/catkincross/daemons/_owner_requests.py
+++ b/catkincross/daemons/_owner_requests.py
@@ -58,6 +58,7 @@
         member: Member name of this entry in the group of owners.
         shards: Number of shards.
         ask_local: Passes a request to the core of this entry.
+        on_error: Called with a description and the exception of an unexpected error.
 
     Attributes:
         links: Links to other entries, by address.
@@ -75,6 +76,7 @@
         member: str,
         shards: int,
         ask_local: Callable[[Ask], asyncio.Future[Answer]],
+        on_error: Callable[[str, Exception], None],
     ) -> None:
         self.owners = owners
         self.clock = clock
@@ -82,6 +84,7 @@
         self.member = member
         self.shards = shards
         self.ask_local = ask_local
+        self.on_error = on_error
         self.links: dict[str, PeerLink] = {}
         self.on_connected: Callable[[Link], None] | None = None
         self.on_backlogs: Callable[[list[Backlog]], None] | None = None
@@ -182,7 +185,7 @@
 
     async def _connect(self, address: str) -> PeerLink | None:
         def make_link() -> Link:
-            return Link(self._on_message, self._on_close)
+            return Link(self._on_message, self._on_close, self.on_error)
 
         try:
             link = await connect(address, make_link, CONNECT_TIMEOUT_S)
--- a/catkincross/daemons/_store_effects.py
+++ b/catkincross/daemons/_store_effects.py
@@ -31,20 +31,35 @@
     has the shard in this epoch.
     """
     while _still_claimed(core, effect):
-        outcome = await store.fence(effect.shard, effect.epoch)
-        if outcome is AppendOutcome.FENCED:
-            core.handle_shard_fenced(clock.now_ms(), effect.shard, effect.epoch)
-            return
-        if outcome is AppendOutcome.APPENDED:
-            records = await read_shard(store, log, effect.shard)
-            if records is not None:
-                core.handle_shard_claimed(
-                    clock.now_ms(), effect.shard, effect.epoch, records
-                )
+        try:
+            if await _try_claim(core, store, clock, log, effect):
                 return
+        except Exception as error:
+            log.note_error("claim", error)
         await asyncio.sleep(CLAIM_RETRY_S)
 
 
+async def _try_claim(
+    core: OwnerCore,
+    store: StoreClient,
+    clock: Clock,
+    log: DecisionLog,
+    effect: ClaimShard,
+) -> bool:
+    """Claim a shard once; return whether the claim is decided."""
+    outcome = await store.fence(effect.shard, effect.epoch)
+    if outcome is AppendOutcome.FENCED:
+        core.handle_shard_fenced(clock.now_ms(), effect.shard, effect.epoch)
+        return True
+    if outcome is not AppendOutcome.APPENDED:
+        return False
+    records = await read_shard(store, log, effect.shard)
+    if records is None:
+        return False
+    core.handle_shard_claimed(clock.now_ms(), effect.shard, effect.epoch, records)
+    return True
+
+
 def _still_claimed(core: OwnerCore, effect: ClaimShard) -> bool:
     shard = core.state.shards.get(effect.shard)
     return shard is not None and shard.epoch == effect.epoch
@@ -79,15 +94,24 @@
 
 
 async def append_records(
-    core: OwnerCore, store: StoreClient, clock: Clock, effect: Append
+    core: OwnerCore,
+    store: StoreClient,
+    clock: Clock,
+    log: DecisionLog,
+    effect: Append,
 ) -> None:
     """Append records to a shard's log and report the outcome to the core."""
     if effect.delay_ms:
         await asyncio.sleep(effect.delay_ms / MS_PER_S)
     sent_ms = clock.now_ms()
-    outcome = await store.append(
-        effect.shard, effect.epoch, effect.sequence, effect.records
-    )
+    outcome = AppendOutcome.UNKNOWN
+    try:
+        outcome = await store.append(
+            effect.shard, effect.epoch, effect.sequence, effect.records
+        )
+    except Exception as error:
+        # Without an outcome, the shard would wait for this append for ever.
+        log.note_error("append", error)
     if outcome is AppendOutcome.APPENDED:
         core.record_store_contact(sent_ms)
     core.handle_append_outcome(
--- a/catkincross/foundation/_background.py
+++ b/catkincross/foundation/_background.py
@@ -1,12 +1,15 @@
-"""Background tasks whose unexpected errors are logged and end the process."""
+"""Background tasks, and what happens to their unexpected errors."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 FAILED_TASK = "background task failed"
+# Pause before a failed task is run again, in seconds. It bounds the log lines and the
+# processor time of an error that occurs at each attempt.
+RESTART_DELAY_S = 0.1
 
 
 def spawn(coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -21,6 +24,33 @@
     return task
 
 
+def spawn_repeated(
+    run: Callable[[], Coroutine[Any, Any, None]],
+    on_error: Callable[[str, Exception], None],
+) -> asyncio.Task[None]:
+    """Run an endless coroutine in the background; start it again if it fails.
+
+    Args:
+        run: Creates the coroutine.
+        on_error: Called with the name of the coroutine and its exception.
+    """
+    return spawn(_run_repeatedly(run, on_error))
+
+
+async def _run_repeatedly(
+    run: Callable[[], Coroutine[Any, Any, None]],
+    on_error: Callable[[str, Exception], None],
+) -> None:
+    while True:
+        coroutine = run()
+        try:
+            await coroutine
+            return
+        except Exception as error:
+            on_error(coroutine.__name__, error)
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
 def _report(task: asyncio.Task[None]) -> None:
     if task.cancelled() or task.exception() is None:
         return
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -64,7 +64,13 @@
         if self.state.started_ms is None:
             self.state.started_ms = now_ms
         for _, system in OWNER_SYSTEMS:
-            system(self.state)
+            try:
+                system(self.state)
+            except Exception as error:
+                # The other systems still run, so that leases and answers go out.
+                self.state.note(
+                    "system failed", name=system.__name__, error=repr(error)
+                )
         effects, self.state.effects = self.state.effects, []
         return effects
 
--- a/catkincross/peers/_link.py
+++ b/catkincross/peers/_link.py
@@ -32,6 +32,8 @@
     Args:
         on_message: Called with the link and each received message.
         on_close: Called once with the link when it has been closed by either side.
+        on_error: Called with a description and the exception if a message cannot be
+            decoded or handled. The link is closed, and the process goes on.
 
     Attributes:
         peer: Data about the other process, set by the user of the link; None at first.
@@ -43,9 +45,11 @@
         self,
         on_message: Callable[[Link, Any], None],
         on_close: Callable[[Link], None],
+        on_error: Callable[[str, Exception], None],
     ) -> None:
         self.on_message = on_message
         self.on_close = on_close
+        self.on_error = on_error
         self.peer: Any = None
         self.closed = False
         self.transport: asyncio.Transport | None = None
@@ -65,7 +69,8 @@
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes, and pass on each complete message.
 
-        The link is closed on a frame that is too long or cannot be decoded.
+        The link is closed on a frame that is too long, or on a message that cannot be
+        decoded or handled.
         """
         self._receive_buffer += data
         start = 0
@@ -74,7 +79,7 @@
                 self._receive_buffer[start : start + LENGTH_BYTES], "big"
             )
             if length > MAX_FRAME_BYTES:
-                self.close()
+                self._fail("frame", ValueError(f"frame of {length} bytes"))
                 return
             end = start + LENGTH_BYTES + length
             if len(self._receive_buffer) < end:
@@ -83,14 +88,22 @@
                 message = decode_message(
                     self._receive_buffer[start + LENGTH_BYTES : end]
                 )
-            except ValueError:
-                # The peer runs another version; both sides log the closed link.
-                self.close()
+            except ValueError as error:
+                # The peer runs another version.
+                self._fail("frame", error)
                 return
             start = end
-            self.on_message(self, message)
+            try:
+                self.on_message(self, message)
+            except Exception as error:
+                self._fail(type(message).__name__, error)
+                return
         del self._receive_buffer[:start]
 
+    def _fail(self, what: str, error: Exception) -> None:
+        self.on_error(f"link: {what}", error)
+        self.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the link as closed and report it."""
         if not self.closed:
--- /dev/null
+++ b/tests/test_platform_errors.py
@@ -0,0 +1,186 @@
+"""Guards against processes that end on one malformed message or unexpected error."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from typing import Any
+
+import pytest
+
+from catkincross.clock import SystemClock
+from catkincross.daemons._core_loop import CoreLoop
+from catkincross.daemons._entry import EntryDaemon
+from catkincross.daemons._log import DecisionLog
+from catkincross.foundation._background import spawn_repeated, stop_on_failed_task
+from catkincross.peers import (
+    AgentState,
+    Ask,
+    EndedRun,
+    Ends,
+    Greeting,
+    Lease,
+    Link,
+    Report,
+    RunningTask,
+    Sizes,
+    VolatileJobs,
+    connect,
+    serve_links,
+)
+from catkincross.transport._http_server import HttpServer
+from standins.platform_http import StoreHttp
+from tests.test_platform_daemons import free_port, settings_for
+
+# Messages that can be decoded and that the receiver does not expect.
+ODD_MESSAGES = [
+    Lease(1, 1, [[1], [1, 2, 3]], 1, 1),
+    AgentState(1),
+    Report(-7, 1, [RunningTask("no.task", 1)], [EndedRun(1, "", 1, "?")], 1, 1),
+    Ends([EndedRun(1, "a.b.c.d", 1, "done")], 1),
+    Sizes([["a"], []]),
+    VolatileJobs(["a"], ["b"]),
+    Ask(1, "submit", "a", {"id": 5}),
+    Ask(2, "unknown verb", "a"),
+]
+
+
+@pytest.mark.parametrize("role", ["agent", "entry", ""])
+def test_an_entry_survives_odd_messages(role: str) -> None:
+    """An odd message may cost the link, but not the process with all its jobs."""
+
+    async def run() -> None:
+        asyncio.get_running_loop().set_exception_handler(stop_on_failed_task)
+        store = StoreHttp()
+        store_server = HttpServer(store.app(), "127.0.0.1:0")
+        store_server.start()
+        settings = settings_for(
+            "e1",
+            store=store_server.address,
+            front=f"127.0.0.1:{free_port()}",
+            ready=f"127.0.0.1:{free_port()}",
+        )
+        clock = SystemClock()
+        log = DecisionLog("e1", clock, os.open(os.devnull, os.O_WRONLY))
+        entry = EntryDaemon(settings, clock, log)
+        await entry.start()
+        for message in ODD_MESSAGES:
+            closed = asyncio.Event()
+            link = await connect(
+                entry.address,
+                lambda closed=closed: Link(
+                    lambda *_: None, lambda _: closed.set(), lambda *_: None
+                ),
+                1.0,
+            )
+            if role:
+                link.send(Greeting(role, "u1", 1))
+            link.send(message)
+            await asyncio.sleep(0.05)
+            link.close()
+        steps = entry.core_loop.core.state.now_ms
+        await asyncio.sleep(0.3)
+        assert entry.core_loop.core.state.now_ms > steps
+        await entry.client_server.stop(0.1)
+        await store_server.stop(0.1)
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await entry.store.close()
+
+    asyncio.run(run())
+
+
+def test_a_handler_that_fails_costs_only_its_link() -> None:
+    """The other links of a process must stay open."""
+
+    async def run() -> None:
+        asyncio.get_running_loop().set_exception_handler(stop_on_failed_task)
+        address = f"127.0.0.1:{free_port()}"
+        errors: list[str] = []
+
+        def fail(_link: Link, message: Any) -> None:
+            if message.name == "bad":
+                raise RuntimeError("unexpected")
+
+        def make_server_link() -> Link:
+            return Link(fail, lambda _: None, lambda what, _: errors.append(what))
+
+        def make_link() -> Link:
+            return Link(lambda *_: None, lambda _: None, lambda *_: None)
+
+        server = await serve_links(address, make_server_link)
+        good, bad = [await connect(address, make_link, 1.0) for _ in range(2)]
+        bad.send(Greeting("agent", "bad", 1))
+        good.send(Greeting("agent", "good", 1))
+        async with asyncio.timeout(10):
+            while not bad.closed:
+                await asyncio.sleep(0.01)
+        assert errors == ["link: Greeting"]
+        assert not good.closed
+        good.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+class FailingCore:
+    """A core whose steps fail or return effects that fail."""
+
+    def __init__(self) -> None:
+        self.steps: list[Any] = [RuntimeError("step"), [RuntimeError("effect"), 1], [2]]
+
+    def step(self, now_ms: int) -> list[Any]:
+        """Return or raise what is next."""
+        item = self.steps.pop(0) if self.steps else []
+        if isinstance(item, Exception):
+            raise item
+        return item
+
+    def next_step_ms(self) -> int:
+        """Ask for the next step at once."""
+        return 0
+
+
+def test_steps_go_on_after_an_error() -> None:
+    """A lost effect or timer would leave requests without an answer for ever."""
+    executed: list[int] = []
+    errors: list[str] = []
+
+    def execute(effect: Any) -> None:
+        if isinstance(effect, Exception):
+            raise effect
+        executed.append(effect)
+
+    async def run() -> None:
+        asyncio.get_running_loop().set_exception_handler(stop_on_failed_task)
+        loop = CoreLoop(
+            FailingCore(), SystemClock(), execute, lambda what, _: errors.append(what)
+        )
+        loop.schedule_step()
+        async with asyncio.timeout(10):
+            while executed != [1, 2]:
+                await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+    assert errors == ["step", "RuntimeError"]
+
+
+def test_a_background_loop_starts_again_after_an_error() -> None:
+    """Without its membership loop an entry would lose its shards and not return."""
+    attempts: list[int] = []
+
+    async def endless_loop() -> None:
+        attempts.append(1)
+        if len(attempts) < 3:
+            raise RuntimeError("unexpected")
+
+    async def run() -> None:
+        asyncio.get_running_loop().set_exception_handler(stop_on_failed_task)
+        errors: list[str] = []
+        await spawn_repeated(endless_loop, lambda what, _: errors.append(what))
+        assert errors == ["endless_loop"] * 2
+
+    asyncio.run(run())
+    assert len(attempts) == 3
