Report a stream as open only once the server has registered it

Cause: the caller of a stream posted Connected as soon as it had read the name of the server.

Change: the server writes an empty frame after the registration, and the caller posts Connected after it. A server says by metadata that it confirms, so streams to servers of earlier versions work as before.

--- a/catkincross/transport/_stream_link.py
+++ b/catkincross/transport/_stream_link.py
@@ -13,7 +13,7 @@
 from ..protocol._wire import decode_frame, encode_frame
 from ..wire_pb import catkincross_pb2_grpc as pb_grpc
 from ._outbox import Outbox, OutboxFullError
-from ._stream_server import PROCESS_METADATA
+from ._stream_server import CONFIRMS_METADATA, PROCESS_METADATA
 
 OPEN_TIMEOUT_S = 3.0
 FIRST_BACKOFF_MS = 50
@@ -29,8 +29,11 @@
     def channel(self, address: str) -> grpc.aio.Channel:
         """Return a new channel to an address."""
 
-    def link_opened(self, link: Link, process: str) -> bool:
-        """Handle an open stream to a process; return False to reject the stream."""
+    def reserve_process(self, link: Link, process: str) -> bool:
+        """Reserve the stream to a process for a link; return False to reject it."""
+
+    def link_opened(self, link: Link) -> None:
+        """Handle a reserved stream on which messages can be exchanged."""
 
     def link_closed(self, link: Link, refused: bool) -> None:
         """Handle a stream that ended or could not be opened.
@@ -58,6 +61,7 @@
             stream was open, the name that the server gave.
         outbox: Messages to write; None while no stream is open.
         closing: Whether `close` was called.
+        announced: Whether the stream was reported as open.
     """
 
     def __init__(
@@ -69,6 +73,7 @@
         self.rng = rng
         self.outbox: Outbox | None = None
         self.closing = False
+        self.announced = False
         self.task = spawn(self._run())
 
     def __repr__(self) -> str:
@@ -103,13 +108,10 @@
         async with self.owner.channel(self.address) as channel:
             call = pb_grpc.ExchangeStub(channel).Stream()
             try:
-                server_process = await asyncio.wait_for(
-                    self._read_server_process(call), OPEN_TIMEOUT_S
-                )
-                self.outbox = Outbox()
-                self.outbox.put(self.owner.make_hello())
-                was_open = self._accept_server(server_process)
-                if was_open:
+                async with asyncio.timeout(OPEN_TIMEOUT_S):
+                    was_open = await self._open_stream(call)
+                if was_open and self.outbox is not None:
+                    self.owner.link_opened(self)
                     await self._exchange(call, self.outbox)
             except grpc.aio.AioRpcError as error:
                 return is_connection_refused(error), was_open
@@ -120,19 +122,31 @@
                 call.cancel()
         return False, was_open
 
-    async def _read_server_process(self, call: Any) -> str:
-        metadata = await call.initial_metadata()
-        server_process = dict(metadata).get(PROCESS_METADATA, b"").decode()
+    async def _open_stream(self, call: Any) -> bool:
+        """Name this process to the server, and wait until it has the stream.
+
+        Returns:
+            False if this process rejects the stream or the server ended it.
+        """
+        metadata = dict(await call.initial_metadata())
+        server_process = metadata.get(PROCESS_METADATA, b"").decode()
         if not server_process:
             # Without a connection the metadata is empty, and `read` raises the cause.
             await call.read()
-        return server_process
+        self.outbox = Outbox()
+        self.outbox.put(self.owner.make_hello())
+        if not self._accept_server(server_process):
+            return False
+        if CONFIRMS_METADATA not in metadata:
+            return True
+        await call.write(encode_frame(await self.outbox.take_frame()))
+        return await call.read() is not grpc.aio.EOF
 
     def _accept_server(self, server_process: str) -> bool:
         # Another process may have taken over the address since it was published.
         if not server_process or self.process not in ("", server_process):
             return False
-        return self.owner.link_opened(self, server_process)
+        return self.owner.reserve_process(self, server_process)
 
     async def _exchange(self, call: Any, outbox: Outbox) -> None:
         writer = asyncio.create_task(_write(call, outbox))
--- a/catkincross/transport/_stream_server.py
+++ b/catkincross/transport/_stream_server.py
@@ -15,6 +15,9 @@
 from ._outbox import Outbox, OutboxFullError
 
 PROCESS_METADATA = "catkincross-process-bin"
+# Present if the server confirms a registered stream by an empty frame. Servers of
+# earlier versions do not.
+CONFIRMS_METADATA = "catkincross-confirms-bin"
 
 
 def caller_process(first_messages: list[Message]) -> str:
@@ -53,7 +56,7 @@
         # A caller sends its first message only after it has read the name of this
         # process. A stream that it rejects therefore does not replace its open one.
         await context.send_initial_metadata(
-            ((PROCESS_METADATA, self.process.encode()),)
+            ((PROCESS_METADATA, self.process.encode()), (CONFIRMS_METADATA, b"1"))
         )
         first_frame = await context.read()
         if first_frame is grpc.aio.EOF:
@@ -120,6 +123,9 @@
 
 
 async def _write(context: Any, outbox: Outbox) -> None:
+    # Messages to the caller are dropped until its stream is registered, so the caller
+    # takes the stream as open only once it has received this empty frame.
+    await context.write(encode_frame([]))
     while True:
         try:
             messages = await outbox.take_frame()
--- a/catkincross/transport/_transport.py
+++ b/catkincross/transport/_transport.py
@@ -154,15 +154,20 @@
             return self.servicer.outboxes.get(process)
         return None
 
-    def link_opened(self, link: Link, process: str) -> bool:
-        """Post `Connected`; reject a second stream to a process, or one to itself."""
+    def reserve_process(self, link: Link, process: str) -> bool:
+        """Reject a second stream to a process, or one to this process."""
         if process in self.open_links or process == self.process:
             return False
         link.process = process
         self.open_links[process] = link
-        self.post(Connected(process))
         return True
 
+    def link_opened(self, link: Link) -> None:
+        """Post `Connected`, unless the link was released meanwhile."""
+        if self.open_links.get(link.process) is link:
+            link.announced = True
+            self.post(Connected(link.process))
+
     def link_closed(self, link: Link, refused: bool) -> None:
         """Post `Disconnected` for a stream that ended or could not be opened."""
         if self._remove_open_link(link, refused=refused):
@@ -174,8 +179,10 @@
         if self.open_links.get(link.process) is not link:
             return False
         del self.open_links[link.process]
-        self.post(Disconnected(link.process, refused))
-        return True
+        announced, link.announced = link.announced, False
+        if announced:
+            self.post(Disconnected(link.process, refused))
+        return announced
 
     def link_received(self, link: Link, messages: list[Message]) -> None:
         """Post messages of a stream that this process opened."""
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -170,3 +170,45 @@
         assert not endpoint.transport.links
 
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
+
+
+def test_a_stream_is_reported_only_once_the_server_has_it() -> None:
+    """Messages to a process that reports its stream too early would be dropped."""
+
+    async def run() -> None:
+        entry, agent = make_endpoint("entry/e1"), make_endpoint("agent/u1")
+        register = entry.transport.servicer._register_stream
+        registered = asyncio.Event()
+
+        def register_and_record(caller: str) -> Any:
+            registered.set()
+            return register(caller)
+
+        entry.transport.servicer._register_stream = register_and_record
+        serve_stream = entry.transport.servicer.Stream
+
+        async def read_first_frame_late(requests: Any, context: Any) -> None:
+            read = context.read
+
+            class LateContext:
+                def __getattr__(self, name: str) -> Any:
+                    return getattr(context, name)
+
+                async def read(self) -> Any:
+                    if not registered.is_set():
+                        await asyncio.sleep(0.2)
+                    return await read()
+
+            await serve_stream(requests, LateContext())
+
+        entry.transport.servicer.Stream = read_first_frame_late
+        address = await entry.transport.serve("127.0.0.1:0")
+        agent.transport.set_peers({"entry/e1": address})
+        await wait_until(lambda: agent.posted_of(Connected))
+        assert registered.is_set()
+        entry.transport.send("agent/u1", make_reply(1))
+        await wait_until(lambda: len(agent.messages()) == 1)
+        await agent.transport.close(1.0)
+        await entry.transport.close(1.0)
+
+    asyncio.run(run())
