Keep links of an agent only to the entries that it needs

Cause: every agent had a link to every entry and sent it a state at least every 700 ms, so links and messages of an idle fleet grew with agents x entries (5,600 links and 22,400 messages a second at 160 agents and 35 entries).

Change: an agent links to the entries that it offers capacity to, whose runs it has, or that have asked for a report (workers/_links.py). A new owner asks other entries to put it in touch with unresolved agents (SeekAgents, ReportTo). Entries announce what they know from the store or from own links, as changes (peers/_directory.py). A process that gave no lease is offered nothing until it gives one. An entry counts as lost only when its last link closes. Volatile jobs are announced within 40 ms of their begin, and one that ends and begins again stays announced as held.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 import time
 from typing import Any
@@ -13,7 +12,7 @@
 from ..clock import Clock
 from ..foundation._background import spawn, spawn_repeated
 from ..http11 import ErrorReportingApp
-from ..peers import Greeting, Link, Members, connect
+from ..peers import Greeting, Link, Members, ReportTo, connect
 from ..platform import (
     HeartbeatApp,
     NodeSettings,
@@ -37,14 +36,12 @@
 from ._own_settings import OwnSettings
 
 CONNECT_TIMEOUT_S = 0.5
-# Interval at which missing links are opened, and, while no link is open, at which the
+# Interval at which the links are checked, and, while no link is open, at which the
 # owners are read from the store, in seconds.
 DISCOVERY_INTERVAL_S = 0.2
 # Interval at which the owners are read from the store while a link is open, in seconds;
 # entries announce changes to their agents sooner.
 OWNERS_INTERVAL_S = 5.0
-# Links on which no lease was received for this long are closed, in milliseconds.
-LINK_TIMEOUT_MS = 1_600
 # Delay between the answer to a lease renewal and the next renewal, in seconds.
 RENEWAL_PAUSE_S = 0.015
 # Delay before the next lease renewal if the worker did not answer, in seconds.
@@ -235,26 +232,26 @@
     async def _poll_owners(self) -> None:
         while True:
             refreshed = await self.owners.refresh()
+            self.core.update_store_entries(self.clock.now_ms(), self.owners.entries())
+            self._update_links()
             linked = bool(self.links) and refreshed
             await asyncio.sleep(OWNERS_INTERVAL_S if linked else DISCOVERY_INTERVAL_S)
 
     async def _maintain_links(self) -> None:
         while True:
-            now_ms = self.clock.now_ms()
-            for address, link in list(self.links.items()):
-                entry_info = self.core.state.entries.get(address)
-                if (
-                    entry_info is not None
-                    and now_ms - entry_info.lease_received_ms > LINK_TIMEOUT_MS
-                ):
-                    self.log.note("entry silent", entry=address)
-                    link.close()
-            for address in self.owners.addresses():
-                if address not in self.links and address not in self.connecting:
-                    self.connecting.add(address)
-                    spawn(self._connect(address))
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.owners.changed.wait(), DISCOVERY_INTERVAL_S)
+            self._update_links()
+            await asyncio.sleep(DISCOVERY_INTERVAL_S)
+
+    def _update_links(self) -> None:
+        """Open and close links to entries as the core decides."""
+        changes = self.core.link_changes(self.clock.now_ms())
+        for address, reason in changes.to_close:
+            self.log.note("entry link closed", entry=address, reason=reason)
+            self.links[address].close()
+        for address in changes.to_open:
+            if address not in self.connecting:
+                self.connecting.add(address)
+                spawn(self._connect(address))
 
     async def _connect(self, address: str) -> None:
         def make_link() -> Link:
@@ -265,6 +262,7 @@
         except (OSError, TimeoutError) as error:
             self.log.note("entry not reached", entry=address, error=repr(error))
             self.connecting.discard(address)
+            self.core.handle_connect_failed(self.clock.now_ms(), address)
             return
         self.connecting.discard(address)
         link.peer = address
@@ -275,10 +273,9 @@
         self.core_loop.schedule_step()
 
     def _on_message(self, link: Link, message: Any) -> None:
-        if isinstance(message, Members):
-            self.owners.add_announced(message.addresses)
-            return
         self.core.handle_entry_message(self.clock.now_ms(), link.peer, message)
+        if isinstance(message, Members | ReportTo):
+            self._update_links()
         self.core_loop.schedule_step()
 
     def _on_close(self, link: Link) -> None:
@@ -286,6 +283,7 @@
             del self.links[link.peer]
             self.core.handle_entry_lost(self.clock.now_ms(), link.peer)
             self.log.note("entry lost", entry=link.peer)
+            self._update_links()
 
     # Effects of the core.
 
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -14,17 +14,16 @@
 from ..foundation._background import spawn, spawn_repeated
 from ..http11 import ErrorReportingApp
 from ..jobs import JobSpec, from_fields, to_fields
-from ..owner import Append, ClaimShard, Note, OwnerCore, Reply, SendToAgent
-from ..peers import (
-    Answer,
-    Ask,
-    Backlog,
-    Greeting,
-    Link,
-    Members,
-    VolatileJobs,
-    serve_links,
+from ..owner import (
+    Append,
+    BroadcastToEntries,
+    ClaimShard,
+    Note,
+    OwnerCore,
+    Reply,
+    SendToAgent,
 )
+from ..peers import Answer, Ask, Greeting, VolatileJobs
 from ..platform import (
     DeclarationFeed,
     GroupAssignment,
@@ -34,6 +33,7 @@
 )
 from ..transport._http_server import HttpServer
 from ._core_loop import CoreLoop
+from ._entry_links import EntryLinks
 from ._log import DecisionLog
 from ._membership import ShardOwners, maintain_membership, member_name
 from ._own_settings import OwnSettings
@@ -48,8 +48,9 @@
 HANDOVER_TIMEOUT_S = 1.0
 # Time reserved between the end of the process and SIGKILL, in seconds.
 EXIT_RESERVE_S = 1.0
-# Agent links on which nothing was received for this long are closed, in milliseconds.
-AGENT_TIMEOUT_MS = 1_600
+# Interval at which the wall clock is compared with the clock of the process, in
+# seconds.
+WALL_CLOCK_INTERVAL_S = 0.4
 MS_PER_S = 1_000
 
 
@@ -79,14 +80,16 @@
         self.log = log
         self.incarnation = time.time_ns() // 1_000_000
         self.address = f"{settings.ip}:{settings.first_port}"
-        self.member = member_name(settings.name, self.address, self.incarnation)
+        self.member = member_name(
+            settings.name, self.address, self.incarnation, settings.data_centre
+        )
         limits = own_settings.owner_limits(settings)
         self.core = OwnerCore(settings.name, limits, self.incarnation)
         self.store = StoreClient(settings.store)
         self.store.on_invalid = log.note_invalid_answer
         self.feed = DeclarationFeed(self.store, settings.config_ms)
         self.owners = ShardOwners(self.store)
-        self.owners.on_change = self._on_owners_changed
+        self.owners.on_change = self._on_entries_changed
         self._update_wall_clock()
         self.greeting = Greeting(
             "entry",
@@ -110,12 +113,21 @@
         )
         run_expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
         self.peer_jobs = PeerVolatileJobs(run_expiry_ms)
-        self.agents: dict[str, Link] = {}
         self.leaving = False
         self.store_reachable = True
         self.open_requests = 0
         self.stopped = asyncio.Event()
         self.core_loop = CoreLoop(self.core, clock, self._execute, log.note_error)
+        self.entry_links = EntryLinks(
+            self.core,
+            self.core_loop.schedule_step,
+            clock,
+            log,
+            self.greeting,
+            self.owners,
+            self.peer_jobs,
+            self._ask_core,
+        )
         self.volatile_requests = VolatileRequests(
             self.core, self.core_loop, self.peer_jobs, self.owner_requests, clock, log
         )
@@ -137,7 +149,7 @@
         self.log.note(
             "start", member=self.member, data_centre=self.settings.data_centre
         )
-        await serve_links(self.address, self._make_link)
+        await self.entry_links.serve(self.address)
         self._join_task = spawn_repeated(self._maintain_membership, self.log.note_error)
         app = JobApiApp(self)
         self.client_server = self._create_server(app, self.settings.front)
@@ -148,15 +160,13 @@
             self.owners.poll,
             self._follow_declarations,
             self._maintain_entry_links,
-            self._close_silent_links,
+            self.entry_links.close_silent_links,
+            self._follow_wall_clock,
             self.volatile_requests.announce_jobs,
         ):
             spawn_repeated(run, self.log.note_error)
         self.core_loop.schedule_step()
 
-    def _make_link(self) -> Link:
-        return Link(self._on_message, self._on_close, self.log.note_error)
-
     async def _maintain_membership(self) -> None:
         await maintain_membership(
             self.store,
@@ -293,67 +303,9 @@
                 self.core.cancel(now_ms, request, ask.job_id)
         self.core_loop.schedule_step()
 
-    # Links opened by agents and other entries.
-
-    def _on_message(self, link: Link, message: Any) -> None:
-        now_ms = self.clock.now_ms()
-        if isinstance(message, Greeting):
-            self._on_greeting(link, message)
-        elif isinstance(message, Ask):
-            self._ask_core((link, message.request_number), message)
-        elif isinstance(message, Backlog):
-            link.send(self.core.backlog())
-        elif isinstance(message, VolatileJobs):
-            self.peer_jobs.update(link.peer, message)
-        elif link.peer is not None and self.agents.get(link.peer.name) is link:
-            self.core.handle_agent_message(now_ms, link.peer.name, message)
-            self.core_loop.schedule_step()
-
-    def _on_greeting(self, link: Link, greeting: Greeting) -> None:
-        link.peer = greeting
-        if greeting.role == "entry":
-            self.peer_jobs.add_entry(greeting)
-        if greeting.role != "agent":
-            return
-        previous = self.agents.pop(greeting.name, None)
-        if previous is not None:
-            previous.close()
-            self.core.handle_agent_lost(self.clock.now_ms(), greeting.name)
-        self.agents[greeting.name] = link
-        self.core.handle_agent_connected(
-            self.clock.now_ms(), greeting.name, greeting.incarnation
-        )
-        link.send(self.greeting)
-        link.send(Members(self.owners.addresses()))
-        self.core_loop.schedule_step()
-
-    def _on_close(self, link: Link) -> None:
-        greeting = link.peer
-        if greeting is not None and greeting.role == "entry":
-            self.peer_jobs.mark_entry_lost(greeting, now_ms=self.clock.now_ms())
-        if greeting is None or self.agents.get(greeting.name) is not link:
-            return
-        del self.agents[greeting.name]
-        self.core.handle_agent_lost(self.clock.now_ms(), greeting.name)
-        self.core_loop.schedule_step()
-
-    async def _close_silent_links(self) -> None:
-        while True:
-            await asyncio.sleep(AGENT_TIMEOUT_MS / 4 / MS_PER_S)
-            self._update_wall_clock()
-            now_ms = self.clock.now_ms()
-            for name, link in list(self.agents.items()):
-                agent_info = self.core.state.agents[name]
-                heard_ms = max(agent_info.received_ms, agent_info.connected_ms)
-                if now_ms - heard_ms > AGENT_TIMEOUT_MS:
-                    self.log.note("agent silent", agent=name, age_ms=now_ms - heard_ms)
-                    link.close()
-
-    def _on_owners_changed(self) -> None:
+    def _on_entries_changed(self) -> None:
         self.log.note("owners", owners=sorted(set(self.owners.by_shard.values())))
-        members = Members(self.owners.addresses())
-        for link in self.agents.values():
-            link.send(members)
+        self.entry_links.announce_entries()
 
     # The store.
 
@@ -361,6 +313,11 @@
         wall_ms = time.time_ns() // 1_000_000
         self.core.update_wall_clock(self.clock.now_ms(), wall_ms)
 
+    async def _follow_wall_clock(self) -> None:
+        while True:
+            await asyncio.sleep(WALL_CLOCK_INTERVAL_S)
+            self._update_wall_clock()
+
     def _on_joined(self, sent_ms: int, assignment: GroupAssignment) -> None:
         if not self.store_reachable:
             self.store_reachable = True
@@ -387,9 +344,9 @@
     def _execute(self, effect: Any) -> None:
         match effect:
             case SendToAgent(agent, message):
-                link = self.agents.get(agent)
-                if link is not None:
-                    link.send(message)
+                self.entry_links.send_to_agent(agent, message)
+            case BroadcastToEntries(message):
+                self.owner_requests.broadcast(message)
             case Reply(request, answer):
                 self._reply(request, answer)
             case Append():
--- /dev/null
+++ b/catkincross/daemons/_entry_links.py
@@ -0,0 +1,202 @@
+"""Links that agents and other entries have opened to an entry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from ..clock import Clock
+from ..dispatch import PeerVolatileJobs
+from ..owner import OwnerCore
+from ..peers import (
+    STORE_SOURCE,
+    Ask,
+    Backlog,
+    Greeting,
+    Link,
+    Members,
+    ReportTo,
+    SeekAgents,
+    VolatileJobs,
+    announcement,
+    serve_links,
+)
+from ._log import DecisionLog
+from ._membership import ShardOwners
+
+# Agent links on which nothing was received for this long are closed, in milliseconds.
+AGENT_TIMEOUT_MS = 1_600
+MS_PER_S = 1_000
+# Source, in the directory, of the entries that have opened a link to this one.
+LINKS_SOURCE = "links"
+
+
+class EntryLinks:
+    """Passes messages between an owner's core, its agents and other entries.
+
+    Args:
+        core: Core of this entry.
+        schedule_step: Called after each event of the core.
+        clock: Clock of the process.
+        log: Log of the process.
+        greeting: First message on each link to an agent.
+        owners: Owners of the shards, and the known entries.
+        peer_jobs: Volatile jobs that other entries have.
+        ask_core: Passes a request of another entry to the core.
+
+    Attributes:
+        agents: Link of each connected agent, by name.
+        entries: Greeting of each other entry, by its link.
+        announced: Data centre by address of the entries last announced to the agents.
+        announced_to_entries: The same for other entries.
+    """
+
+    def __init__(
+        self,
+        core: OwnerCore,
+        schedule_step: Callable[[], None],
+        clock: Clock,
+        log: DecisionLog,
+        greeting: Greeting,
+        owners: ShardOwners,
+        peer_jobs: PeerVolatileJobs,
+        ask_core: Callable[[Any, Ask], None],
+    ) -> None:
+        self.core = core
+        self.schedule_step = schedule_step
+        self.clock = clock
+        self.log = log
+        self.greeting = greeting
+        self.owners = owners
+        self.peer_jobs = peer_jobs
+        self.ask_core = ask_core
+        self.agents: dict[str, Link] = {}
+        self.entries: dict[Link, Greeting] = {}
+        self.announced: dict[str, str] = {}
+        self.announced_to_entries: dict[str, str] = {}
+
+    async def serve(self, address: str) -> None:
+        """Accept links.
+
+        Args:
+            address: Address to listen on, `IP:port`.
+
+        Raises:
+            OSError: If the address cannot be used.
+        """
+        await serve_links(
+            address, lambda: Link(self._on_message, self._on_close, self.log.note_error)
+        )
+
+    def send_to_agent(self, agent: str, message: Any) -> None:
+        """Send a message to an agent; it is dropped if the agent is not connected."""
+        link = self.agents.get(agent)
+        if link is not None:
+            link.send(message)
+
+    def _on_message(self, link: Link, message: Any) -> None:
+        if isinstance(message, Greeting):
+            self._on_greeting(link, message)
+        elif isinstance(message, Ask):
+            self.ask_core((link, message.request_number), message)
+        elif isinstance(message, Backlog):
+            link.send(self.core.backlog())
+        elif isinstance(message, VolatileJobs):
+            self.peer_jobs.update(link.peer, message)
+        elif isinstance(message, SeekAgents):
+            for name in message.agents:
+                self.send_to_agent(name, ReportTo(link.peer.address))
+        elif link.peer is not None and self.agents.get(link.peer.name) is link:
+            self.core.handle_agent_message(self.clock.now_ms(), link.peer.name, message)
+            self.schedule_step()
+
+    def _on_greeting(self, link: Link, greeting: Greeting) -> None:
+        link.peer = greeting
+        if greeting.role == "entry":
+            self.entries[link] = greeting
+            self.peer_jobs.add_entry(greeting)
+            link.send(Members(self._unlisted_entries(), [], complete=True))
+            self._update_linked_entries()
+        elif greeting.role == "agent":
+            self._add_agent(link, greeting)
+
+    def _add_agent(self, link: Link, greeting: Greeting) -> None:
+        now_ms = self.clock.now_ms()
+        previous = self.agents.pop(greeting.name, None)
+        if previous is not None:
+            previous.close()
+            self.core.handle_agent_lost(now_ms, greeting.name)
+        self.agents[greeting.name] = link
+        self.core.handle_agent_connected(now_ms, greeting.name, greeting.incarnation)
+        link.send(self.greeting)
+        link.send(Members(self.announced, [], complete=True))
+        self.schedule_step()
+
+    def _on_close(self, link: Link) -> None:
+        greeting = self.entries.pop(link, None)
+        if greeting is not None:
+            if not self._is_linked(greeting):
+                self.peer_jobs.mark_entry_lost(greeting, now_ms=self.clock.now_ms())
+            self._update_linked_entries()
+        elif link.peer is not None and self.agents.get(link.peer.name) is link:
+            del self.agents[link.peer.name]
+            self.core.handle_agent_lost(self.clock.now_ms(), link.peer.name)
+            self.schedule_step()
+
+    def _is_linked(self, greeting: Greeting) -> bool:
+        """Whether the same process of another entry has a further link open."""
+        return any(
+            (other.name, other.incarnation) == (greeting.name, greeting.incarnation)
+            for other in self.entries.values()
+        )
+
+    def _update_linked_entries(self) -> None:
+        """Record the entries that have a link to this one as known."""
+        linked = {other.address: other.data_centre for other in self.entries.values()}
+        self.owners.replace(LINKS_SOURCE, linked)
+
+    def _unlisted_entries(self) -> dict[str, str]:
+        """Return the linked entries that own no shard, so that the store lists none."""
+        views = self.owners.directory.views
+        listed = views.get(STORE_SOURCE, {})
+        linked = views.get(LINKS_SOURCE, {})
+        return {
+            address: data_centre
+            for address, data_centre in linked.items()
+            if address not in listed
+        }
+
+    def announce_entries(self) -> None:
+        """Announce changes of the known entries to agents and to other entries.
+
+        Only what this entry knows from the store or its own links is announced. What
+        others announced is left out, since two entries could otherwise keep a third
+        one known that has left.
+        """
+        listed = self.owners.directory.views.get(STORE_SOURCE, {})
+        unlisted = self._unlisted_entries()
+        own = {self.greeting.address: self.greeting.data_centre}
+        known = listed | unlisted | own
+        if known != self.announced:
+            change = announcement(self.announced, known)
+            self.announced = known
+            for link in self.agents.values():
+                link.send(change)
+        if unlisted != self.announced_to_entries:
+            change = announcement(self.announced_to_entries, unlisted)
+            self.announced_to_entries = unlisted
+            for link in self.entries:
+                link.send(change)
+
+    async def close_silent_links(self) -> None:
+        """Close the links of silent agents, until cancelled."""
+        while True:
+            await asyncio.sleep(AGENT_TIMEOUT_MS / 4 / MS_PER_S)
+            now_ms = self.clock.now_ms()
+            for name, link in list(self.agents.items()):
+                agent_info = self.core.state.agents[name]
+                heard_ms = max(agent_info.received_ms, agent_info.connected_ms)
+                if now_ms - heard_ms > AGENT_TIMEOUT_MS:
+                    self.log.note("agent silent", agent=name, age_ms=now_ms - heard_ms)
+                    link.close()
--- a/catkincross/daemons/_membership.py
+++ b/catkincross/daemons/_membership.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..clock import Clock
+from ..peers import STORE_SOURCE, EntryDirectory, Members
 from ..platform import GroupAssignment, StoreClient
 
 # Joins per TTL: the group drops a member that does not join within the TTL.
@@ -17,40 +18,48 @@
 MS_PER_S = 1_000
 
 
-def member_name(host: str, address: str, incarnation: int) -> str:
+def member_name(host: str, address: str, incarnation: int, data_centre: str) -> str:
     """Return the member name of an entry, from which others read its address.
 
     Args:
         host: Name of the host.
         address: `IP:port` for links to the entry.
         incarnation: Number that differs between two starts of the process.
+        data_centre: Data centre of the host.
     """
-    return f"{host}|{address}|{incarnation}"
+    return f"{host}|{address}|{incarnation}|{data_centre}"
 
 
 def member_address(member: str) -> str:
     """Return the `IP:port` in a member name; empty if the name has none."""
     parts = member.split("|")
-    return parts[1] if len(parts) == 3 else ""
+    return parts[1] if len(parts) in (3, 4) else ""
+
+
+def member_data_centre(member: str) -> str:
+    """Return the data centre in a member name; empty if the name has none."""
+    parts = member.split("|")
+    return parts[3] if len(parts) == 4 else ""
 
 
 @attrs.define(eq=False)
 class ShardOwners:
-    """The owner of each shard, as last read from the store.
+    """The owner of each shard, as last read from the store, and the known entries.
 
     Attributes:
         store: Client of the store.
         by_shard: Member name of the owner, by shard.
-        changed: Event that is set at the next change of the owners or addresses, and
+        directory: Entries that this process knows of; the store names those that own a
+            shard.
+        changed: Event that is set at the next change of the owners or entries, and
             then replaced by a new one.
-        announced_addresses: Addresses that entries have announced since the last read.
         on_change: Called after each change; None for no callback.
     """
 
     store: StoreClient
     by_shard: dict[int, str] = attrs.field(factory=dict)
+    directory: EntryDirectory = attrs.field(factory=EntryDirectory)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    announced_addresses: set[str] = attrs.field(factory=set)
     on_change: Callable[[], None] | None = None
 
     async def refresh(self) -> bool:
@@ -58,17 +67,34 @@
         new_owners = await self.store.shard_owners()
         if new_owners is None:
             return False
-        self.announced_addresses.clear()
-        if new_owners != self.by_shard:
-            self.by_shard = new_owners
+        owners_changed = new_owners != self.by_shard
+        self.by_shard = new_owners
+        if self.directory.replace(STORE_SOURCE, self.entries()) or owners_changed:
             self._notify()
         return True
 
-    def add_announced(self, addresses: list[str]) -> None:
-        """Add addresses that an entry announced; they last until the next read."""
-        new = set(addresses) - set(self.addresses())
-        if new:
-            self.announced_addresses |= new
+    def entries(self) -> dict[str, str]:
+        """Return the data centre of each entry that owns a shard, by address."""
+        entries = {
+            member_address(member): member_data_centre(member)
+            for member in self.by_shard.values()
+        }
+        entries.pop("", None)
+        return entries
+
+    def replace(self, source: str, entries: dict[str, str]) -> None:
+        """Replace the entries that another source than the store names."""
+        if self.directory.replace(source, entries):
+            self._notify()
+
+    def apply(self, source: str, message: Members) -> None:
+        """Apply the announcement of another entry."""
+        if self.directory.apply(source, message):
+            self._notify()
+
+    def forget(self, source: str) -> None:
+        """Forget what an entry announced whose link has closed."""
+        if self.directory.forget(source):
             self._notify()
 
     def _notify(self) -> None:
@@ -84,16 +110,15 @@
             await asyncio.sleep(OWNERS_INTERVAL_S)
 
     async def wait_for_change(self, timeout_s: float) -> None:
-        """Wait until the owners or addresses change, at most `timeout_s` seconds."""
+        """Wait until the owners or entries change, at most `timeout_s` seconds."""
         try:
             await asyncio.wait_for(self.changed.wait(), timeout_s)
         except TimeoutError:
             return
 
     def addresses(self) -> list[str]:
-        """Return the known addresses of entries that own shards, sorted."""
-        owner_addresses = {member_address(member) for member in self.by_shard.values()}
-        return sorted((owner_addresses | self.announced_addresses) - {""})
+        """Return the addresses of all known entries, sorted."""
+        return sorted(self.directory.known())
 
 
 async def maintain_membership(
--- a/catkincross/daemons/_owner_requests.py
+++ b/catkincross/daemons/_owner_requests.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..jobs import shard_of
-from ..peers import Answer, Ask, Backlog, Greeting, Link, connect
+from ..peers import Answer, Ask, Backlog, Greeting, Link, Members, connect
 from ._membership import ShardOwners, member_address
 
 CONNECT_TIMEOUT_S = 0.5
@@ -33,6 +33,7 @@
     """A link that this entry has opened to another one.
 
     Attributes:
+        address: Address of the other entry, `IP:port`.
         link: The link.
         last_heard_ms: When the last message from the other entry arrived; before the
             first message, when the link was opened.
@@ -41,6 +42,7 @@
         backlog: Newest backlog of the other entry; None before the first.
     """
 
+    address: str
     link: Link
     last_heard_ms: int
     last_number: int = 0
@@ -191,7 +193,7 @@
             link = await connect(address, make_link, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError):
             return None
-        peer = PeerLink(link, self.clock.now_ms())
+        peer = PeerLink(address, link, self.clock.now_ms())
         link.peer = peer
         self.links[address] = peer
         link.send(self.greeting)
@@ -210,11 +212,15 @@
             peer.backlog = message
             if self.on_backlogs is not None:
                 self.on_backlogs(self._backlogs())
+        elif isinstance(message, Members):
+            self.owners.apply(peer.address, message)
 
     def _on_close(self, link: Link) -> None:
         peer: PeerLink | None = link.peer
         if peer is None:
             return
+        if self.links.get(peer.address) is peer:
+            self.owners.forget(peer.address)
         for future in peer.in_flight.values():
             if not future.done():
                 future.set_result(Answer(0, "unknown", "link to the owner closed"))
@@ -226,10 +232,10 @@
         return [peer.backlog for peer in open_links if peer.backlog is not None]
 
     async def maintain_links(self, backlog: Callable[[], Backlog]) -> None:
-        """Keep a link open to each other owner of shards, until cancelled.
+        """Keep a link open to each other known entry, until cancelled.
 
-        Links are closed if they are silent, or if the other entry owns no shard and no
-        request is in flight.
+        Links are closed if they are silent, or if the other entry is not known any more
+        and no request is in flight.
 
         Args:
             backlog: Returns this entry's backlog, which is sent at each interval.
@@ -237,18 +243,18 @@
         while True:
             now_ms = self.clock.now_ms()
             own_address = member_address(self.member)
-            owner_addresses = set(self.owners.addresses()) - {own_address}
+            known_addresses = set(self.owners.addresses()) - {own_address}
             for address, peer in list(self.links.items()):
                 if now_ms - peer.last_heard_ms > LINK_TIMEOUT_MS:
                     peer.link.close()
                 if (
                     peer.link.closed
-                    or address not in owner_addresses
+                    or address not in known_addresses
                     and not peer.in_flight
                 ):
                     peer.link.close()
                     self.links.pop(address, None)
-            for address in owner_addresses:
+            for address in known_addresses:
                 if address not in self.links:
                     asyncio.create_task(self._connected_peer(address))
             for peer in self.links.values():
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -13,10 +13,13 @@
 from ._log import DecisionLog
 from ._owner_requests import OwnerRequests
 
-# Interval at which volatile jobs are announced to other entries, in seconds. A client
-# account resends a request 1.3 s after a broken answer at the earliest, and agents end
-# the runs of a lost entry after 0.85 s, so an unannounced job has no run left by then.
-ANNOUNCE_INTERVAL_S = 0.2
+# Interval at which volatile jobs that have begun are announced to other entries, in
+# seconds. If a worker carries out stops late, runs of a lost entry go on for up to
+# 2.25 s, and client accounts resend their jobs after 1.3 s. Only the jobs that began
+# in the last interval before the loss are then not known to be held.
+ANNOUNCE_INTERVAL_S = 0.04
+# The same for jobs that have ended; until then a repeated request takes one more hop.
+ANNOUNCE_ENDED_INTERVAL_S = 0.4
 # Shortest delay before the entry that has a job is asked again, in milliseconds.
 REMOTE_RETRY_MS = 50
 MS_PER_S = 1_000
@@ -102,8 +105,14 @@
 
     async def announce_jobs(self) -> None:
         """Announce the volatile jobs that begin and end here, until cancelled."""
+        waited_s = 0.0
         while True:
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+            waited_s += ANNOUNCE_INTERVAL_S
+            ended_due = waited_s >= ANNOUNCE_ENDED_INTERVAL_S
+            if not (ended_due or self.core.has_begun_volatile_jobs):
+                continue
+            waited_s = 0.0
             begun, ended = self.core.take_volatile_changes()
             if begun or ended:
                 self.owner_requests.broadcast(VolatileJobs(begun, ended))
--- a/catkincross/owner/__init__.py
+++ b/catkincross/owner/__init__.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 from ._core import OwnerCore, OwnerLimits
-from ._effects import Append, AppendOutcome, ClaimShard, Note, Reply, SendToAgent
+from ._effects import (
+    Append,
+    AppendOutcome,
+    BroadcastToEntries,
+    ClaimShard,
+    Note,
+    Reply,
+    SendToAgent,
+)
 from ._shard import Shard, ShardPhase
 
 __all__ = [
     "Append",
     "AppendOutcome",
+    "BroadcastToEntries",
     "ClaimShard",
     "Note",
     "OwnerCore",
--- a/catkincross/owner/_agents.py
+++ b/catkincross/owner/_agents.py
@@ -25,6 +25,7 @@
             None before the first one on the link.
         received_ms: Time at which `state` was received.
         connected_ms: Time at which the link was opened.
+        lost_ms: Time at which the link was closed, while it is not open.
         lease_sent_ms: Time at which the newest lease was sent; the time until the runs
             of a lost agent must have been stopped counts from it.
         last_order: Number of the last start order on the link.
@@ -41,6 +42,7 @@
     state: AgentState | None = None
     received_ms: int = 0
     connected_ms: int = 0
+    lost_ms: int = 0
     lease_sent_ms: int = 0
     last_order: int = 0
     unacknowledged_orders: dict[int, Step] = attrs.field(factory=dict)
@@ -62,9 +64,10 @@
         for task in self.assigned_tasks:
             task.order_number = 0
 
-    def link_closed(self) -> None:
+    def link_closed(self, now_ms: int) -> None:
         """Record that the link has closed, and forget what was reported on it."""
         self.connected = False
+        self.lost_ms = now_ms
         self.profile = self.state = None
         self.reported_shards.clear()
 
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -119,10 +119,19 @@
         abandon(self.state, request, job_id)
 
     def take_volatile_changes(self) -> tuple[list[str], list[str]]:
-        """Return the IDs of volatile jobs begun and ended since the last call."""
-        changes = self.state.volatile_begun, self.state.volatile_ended
-        self.state.volatile_begun, self.state.volatile_ended = [], []
-        return changes
+        """Return the IDs of volatile jobs begun and ended since the last call.
+
+        A job that ended and was begun again counts as begun.
+        """
+        changes, self.state.volatile_changes = self.state.volatile_changes, {}
+        begun = [job_id for job_id, goes_on in changes.items() if goes_on]
+        ended = [job_id for job_id, goes_on in changes.items() if not goes_on]
+        return begun, ended
+
+    @property
+    def has_begun_volatile_jobs(self) -> bool:
+        """Whether a volatile job has begun of which other entries do not know yet."""
+        return any(self.state.volatile_changes.values())
 
     def volatile_job_ids(self) -> list[str]:
         """Return the IDs of all known volatile jobs; workers may have runs of them."""
@@ -229,7 +238,7 @@
         self.state.now_ms = now_ms
         agent_info = self.state.agents.get(name)
         if agent_info is not None:
-            agent_info.link_closed()
+            agent_info.link_closed(now_ms)
             self.state.health.record_no_start(name)
             self.state.note(
                 "agent lost", agent=name, tasks=len(agent_info.assigned_tasks)
--- a/catkincross/owner/_effects.py
+++ b/catkincross/owner/_effects.py
@@ -56,6 +56,13 @@
     delay_ms: int = 0
 
 
+@attrs.frozen
+class BroadcastToEntries:
+    """Send a message to all other connected entries."""
+
+    message: Any
+
+
 @attrs.frozen
 class Reply:
     """Answer a request.
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -9,12 +9,13 @@
     Lease,
     Report,
     RunningTask,
+    SeekAgents,
     Sizes,
     Stop,
     WorkerProfile,
 )
 from ._agents import AgentInfo
-from ._effects import ClaimShard
+from ._effects import BroadcastToEntries, ClaimShard
 from ._runs import handle_ends
 from ._shard import Shard, ShardPhase
 from ._state import OwnerState, agent_handler, owner_system
@@ -22,6 +23,11 @@
 # Shortest time between two leases to an agent. It is below the interval at which an
 # idle agent sends its state, so that each of these states is answered by a lease.
 LEASE_INTERVAL_MS = 180
+# Interval at which agents are sought that may have runs of an earlier owner.
+SEEK_INTERVAL_MS = 300
+# Agents without a link or tasks are forgotten after this time. Their leases have ended
+# long before.
+FORGET_AGENT_MS = 30_000
 
 
 def assign_shards(state: OwnerState, numbers: list[int], generation: int) -> None:
@@ -323,6 +329,29 @@
     ]
 
 
+@owner_system(order=90)
+def seek_unresolved_agents(state: OwnerState) -> None:
+    """Ask the other entries to put this one in touch with unresolved agents.
+
+    Agents have links only to the entries that they offer capacity to, and a new owner
+    may be none of these.
+    """
+    if state.now_ms < state.next_seek_ms:
+        return
+    state.next_seek_ms = state.now_ms + SEEK_INTERVAL_MS
+    names: set[str] = set()
+    for shard in state.shards.values():
+        names |= shard.unresolved
+    names = {name for name in names if not _is_connected(state, name)}
+    if names:
+        state.effects.append(BroadcastToEntries(SeekAgents(sorted(names))))
+
+
+def _is_connected(state: OwnerState, name: str) -> bool:
+    agent_info = state.agents.get(name)
+    return agent_info is not None and agent_info.connected
+
+
 @owner_system(order=100)
 def expire_lost_agents(state: OwnerState) -> None:
     """Queue tasks of lost agents again once their runs must have been stopped.
@@ -330,8 +359,12 @@
     Also stop waiting for agents of earlier owners whose leases must have ended.
     """
     limits = state.limits
-    for agent_info in state.agents.values():
-        if agent_info.connected or not agent_info.assigned_tasks:
+    for agent_info in list(state.agents.values()):
+        if agent_info.connected:
+            continue
+        if not agent_info.assigned_tasks:
+            if state.now_ms - agent_info.lost_ms > FORGET_AGENT_MS:
+                del state.agents[agent_info.name]
             continue
         silent_ms = state.now_ms - agent_info.lease_sent_ms - limits.lapse_ms
         for task in list(agent_info.assigned_tasks):
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -97,14 +97,15 @@
         generation: Generation of the group at that join.
         next_retention_check_ms: Time of the next search for jobs to forget and records
             to write again.
+        next_seek_ms: Time at which unresolved agents are next sought.
         next_deadline_check_ms: Time of the next check of the volatile jobs' deadlines.
         started_ms: Time of the first step; None before it.
         next_placement_ms: Time of the next placement pass if no event asks for one.
         next_deferral_ms: Earliest time at which jobs are deferred again.
         retry_placement: Whether resources or tasks were added since the last placement
             pass, so that a task may fit now.
-        volatile_begun: IDs of volatile jobs begun since other entries were notified.
-        volatile_ended: IDs of volatile jobs ended since other entries were notified.
+        volatile_changes: Whether a volatile job goes on, by ID, for those that began or
+            ended since other entries were notified.
         peer_backlogs: Backlog of each other entry, up to half a second old.
         capacity_cache: Time of the computation, and capacity in millicores, by service.
         wall_offset_ms: Time of day, in milliseconds since 1970, minus the monotonic
@@ -128,13 +129,13 @@
     joined_ms: int = -1_000_000
     generation: int = 0
     next_retention_check_ms: int = 0
+    next_seek_ms: int = 0
     next_deadline_check_ms: int = 0
     started_ms: int | None = None
     next_placement_ms: int = 0
     next_deferral_ms: int = 0
     retry_placement: bool = False
-    volatile_begun: list[str] = attrs.field(factory=list)
-    volatile_ended: list[str] = attrs.field(factory=list)
+    volatile_changes: dict[str, bool] = attrs.field(factory=dict)
     peer_backlogs: list[Backlog] = attrs.field(factory=list)
     capacity_cache: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     wall_offset_ms: int = 0
@@ -308,7 +309,7 @@
             return
         if any(task.state is TaskState.ASSIGNED for task in job.all_tasks()):
             return
-        self.volatile_ended.append(job.spec.id)
+        self.volatile_changes[job.spec.id] = False
         if job.final_state is not JobState.CANCELLED:
             return
         self.volatile.forget(job.spec.id)
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -52,7 +52,7 @@
     shard.jobs[spec.id] = job
     shard.update_open_jobs(job)
     shard.requests[spec.id] = [request]
-    state.volatile_begun.append(spec.id)
+    state.volatile_changes[spec.id] = True
     state.enqueue_ready_tasks(shard, job)
     state.note("job begun", job=spec.id, queue=spec.policy.queue, limit_ms=timeout_ms)
 
--- a/catkincross/peers/__init__.py
+++ b/catkincross/peers/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._directory import STORE_SOURCE, EntryDirectory, announcement
 from ._link import Link, connect, serve_links
 from ._messages import (
     AgentState,
@@ -17,7 +18,9 @@
     NotStarted,
     Progress,
     Report,
+    ReportTo,
     RunningTask,
+    SeekAgents,
     Sizes,
     Start,
     Stop,
@@ -33,6 +36,7 @@
     "Ask",
     "EndedRun",
     "Ends",
+    "EntryDirectory",
     "Greeting",
     "Lease",
     "Link",
@@ -42,12 +46,16 @@
     "Backlog",
     "Progress",
     "Report",
+    "ReportTo",
+    "STORE_SOURCE",
+    "SeekAgents",
     "RunningTask",
     "Sizes",
     "Start",
     "Stop",
     "VolatileJobs",
     "WorkerProfile",
+    "announcement",
     "connect",
     "decode_message",
     "encode_message",
--- a/catkincross/peers/_messages.py
+++ b/catkincross/peers/_messages.py
@@ -290,9 +290,37 @@
 @register_message
 @attrs.frozen
 class Members:
-    """Addresses (`IP:port`) of the entries that own shards, sent to agents."""
+    """Entries that the sender knows of from the store or by their own links.
 
-    addresses: list[str]
+    Attributes:
+        added: Data centre of each new entry, by address (`IP:port`).
+        removed: Addresses of entries that the sender no longer knows.
+        complete: Whether `added` holds all entries, not only the new ones.
+    """
+
+    added: dict[str, str]
+    removed: list[str]
+    complete: bool
+
+
+@register_message
+@attrs.frozen
+class SeekAgents:
+    """Request of a shard's new owner to be put in touch with agents.
+
+    Attributes:
+        agents: Names of the agents that may have runs of the shard.
+    """
+
+    agents: list[str]
+
+
+@register_message
+@attrs.frozen
+class ReportTo:
+    """Request to an agent to open a link to the entry at an address (`IP:port`)."""
+
+    address: str
 
 
 @register_message
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -4,17 +4,17 @@
 
 from typing import Any
 
-from ..dispatch import offered_entries
 from ..peers import (
+    STORE_SOURCE,
     AgentState,
     EndedRun,
     Ends,
-    Greeting,
     Progress,
     RunningTask,
     WorkerProfile,
 )
 from ._effects import Effect
+from ._links import LinkChanges, link_changes, suspect_entry, update_offered
 from ._observing import (
     apply_renewal_reply,
     apply_start_outcome,
@@ -70,7 +70,7 @@
     def update_limits(self, limits: WorkerLimits) -> None:
         """Replace the limits after a reload; the caller keeps the number of shards."""
         self.state.limits = limits
-        self._update_offered()
+        update_offered(self.state)
 
     def step(self, now_ms: int) -> list[Effect]:
         """Run what is due and return the effects to carry out."""
@@ -110,24 +110,45 @@
         """Add an entry whose link was opened."""
         self.state.now_ms = now_ms
         self.state.entries[name] = EntryInfo(name, lease_received_ms=now_ms)
-        self._update_offered()
 
     def handle_entry_lost(self, now_ms: int, name: str) -> None:
-        """Remove an entry whose link has closed."""
+        """Remove an entry whose link has closed, and what it announced."""
         self.state.now_ms = now_ms
-        if self.state.entries.pop(name, None) is not None:
-            self._update_offered()
+        entry_info = self.state.entries.pop(name, None)
+        if entry_info is None:
+            return
+        self.state.directory.forget(name)
+        if entry_info.unwanted_since_ms is None:
+            suspect_entry(self.state, name)
+        else:
+            update_offered(self.state)
+
+    def handle_connect_failed(self, now_ms: int, name: str) -> None:
+        """Record that no link to an entry could be opened."""
+        self.state.now_ms = now_ms
+        suspect_entry(self.state, name)
+
+    def update_store_entries(self, now_ms: int, entries: dict[str, str]) -> None:
+        """Replace the entries that the store names.
+
+        Args:
+            now_ms: Current time on the agent's clock, in milliseconds.
+            entries: Data centre by address.
+        """
+        self.state.now_ms = now_ms
+        if self.state.directory.replace(STORE_SOURCE, entries):
+            update_offered(self.state)
+
+    def link_changes(self, now_ms: int) -> LinkChanges:
+        """Return which links to entries to open and to close now."""
+        self.state.now_ms = now_ms
+        return link_changes(self.state)
 
     def handle_entry_message(self, now_ms: int, name: str, message: Any) -> None:
         """Handle a message from an entry; ignore it if no link to the entry is open."""
         self.state.now_ms = now_ms
         entry_info = self.state.entries.get(name)
-        if entry_info is None:
-            return
-        if isinstance(message, Greeting):
-            entry_info.data_centre = message.data_centre
-            self._update_offered()
-        else:
+        if entry_info is not None:
             ENTRY_HANDLERS[type(message)](self.state, entry_info, message)
 
     def leave(self, now_ms: int) -> None:
@@ -270,21 +291,6 @@
         for owner, ended_runs in by_owner.items():
             state.send(owner, Ends(ended_runs, state.worker_incarnation))
 
-    def _update_offered(self) -> None:
-        """Recompute which entries may send tasks."""
-        state = self.state
-        data_centres = {
-            entry_info.name: entry_info.data_centre
-            for entry_info in state.entries.values()
-        }
-        offered = offered_entries(
-            state.host, state.data_centre, data_centres, state.limits.offered_entries
-        )
-        if offered != state.offered:
-            state.offered = offered
-            state.mark_states_outdated()
-            state.note("offered to entries", entries=sorted(offered))
-
     def _min_state_interval_ms(self, entry_info: EntryInfo) -> int:
         limits = self.state.limits
         if entry_info.run_ended:
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -9,16 +9,20 @@
 from ..peers import (
     EndedRun,
     Ends,
+    Greeting,
     Lease,
     Logged,
+    Members,
     NotStarted,
     Report,
+    ReportTo,
     RunningTask,
     Sizes,
     Start,
     Stop,
 )
 from ._effects import StartRun, StopRun
+from ._links import REPORT_LINK_MS, clear_suspicion, update_offered
 from ._state import EntryInfo, Run, ShardLease, WorkerState
 
 ENTRY_HANDLERS: dict[type[Any], Callable[[WorkerState, EntryInfo, Any], None]] = {}
@@ -34,6 +38,32 @@
     return register
 
 
+@entry_handler(Greeting)
+def handle_greeting(
+    state: WorkerState, entry_info: EntryInfo, message: Greeting
+) -> None:
+    """Record the data centre of an entry, which is known while its link is open."""
+    data_centre = message.data_centre
+    if state.directory.add(entry_info.name, entry_info.name, data_centre):
+        update_offered(state)
+
+
+@entry_handler(Members)
+def handle_members(state: WorkerState, entry_info: EntryInfo, message: Members) -> None:
+    """Apply an entry's announcement of the entries that it knows."""
+    if state.directory.apply(entry_info.name, message):
+        update_offered(state)
+
+
+@entry_handler(ReportTo)
+def handle_report_to(
+    state: WorkerState, entry_info: EntryInfo, message: ReportTo
+) -> None:
+    """Want a link to a shard's new owner, which asks for the runs of the shard."""
+    state.sought_until_ms[message.address] = state.now_ms + REPORT_LINK_MS
+    state.note("report requested", entry=message.address, by=entry_info.name)
+
+
 @entry_handler(Lease)
 def handle_lease(state: WorkerState, entry_info: EntryInfo, message: Lease) -> None:
     """Apply an entry's lease on its shards and its volatile jobs.
@@ -42,6 +72,7 @@
     epoch is ignored.
     """
     entry_info.lease_received_ms = state.now_ms
+    clear_suspicion(state, entry_info.name)
     entry_info.has_waiting_tasks = message.has_waiting_tasks
     renew_volatile_lease(state, entry_info, message)
     valid_until_ms = message.echo_ms + message.valid_ms
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ..jobs import VOLATILE_SHARD, shard_of
-from ..peers import EndedRun, RunningTask, WorkerProfile
+from ..peers import EndedRun, EntryDirectory, RunningTask, WorkerProfile
 from ._effects import Effect, Note, SendToEntry
 
 
@@ -231,7 +231,7 @@
             the link was opened.
         incarnation: Incarnation of the entry's process; 0 before its first lease.
         volatile_until_ms: End of the entry's lease on its volatile jobs.
-        data_centre: Data centre of the entry; empty until its greeting arrives.
+        unwanted_since_ms: Since when the link is not wanted; None while it is.
         profile: Worker profile last sent to the entry; None if none was sent.
     """
 
@@ -246,7 +246,7 @@
     lease_received_ms: int = 0
     incarnation: int = 0
     volatile_until_ms: int = 0
-    data_centre: str = ""
+    unwanted_since_ms: int | None = None
     profile: WorkerProfile | None = None
 
 
@@ -272,6 +272,11 @@
         ack: Sequence number up to which the worker may forget ends.
         shard_leases: Leases of owners, by shard.
         entries: Entries with an open link, by the address of the link.
+        directory: Entries that this agent knows of.
+        suspects: Entries that gave no lease on the newest link or attempt, by address,
+            with the time before which no further link is opened.
+        sought_until_ms: Entries that have asked for a report, by address, with the
+            time until which a link to them is wanted.
         renewal_blocked_until_ms: Time before which the worker's lease must not be
             renewed.
         resend_ends_ms: When unacknowledged ends are next sent again.
@@ -294,6 +299,9 @@
     ack: int = 0
     shard_leases: dict[int, ShardLease] = attrs.field(factory=dict)
     entries: dict[str, EntryInfo] = attrs.field(factory=dict)
+    directory: EntryDirectory = attrs.field(factory=EntryDirectory)
+    suspects: dict[str, int] = attrs.field(factory=dict)
+    sought_until_ms: dict[str, int] = attrs.field(factory=dict)
     renewal_blocked_until_ms: int = 0
     resend_ends_ms: int = 0
     leaving: bool = False
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -19,6 +19,7 @@
 from catkincross.owner import (
     Append,
     AppendOutcome,
+    BroadcastToEntries,
     ClaimShard,
     Note,
     OwnerCore,
@@ -26,7 +27,7 @@
     Reply,
     SendToAgent,
 )
-from catkincross.peers import Answer
+from catkincross.peers import Answer, ReportTo
 from catkincross.workers import (
     Registration,
     SendToEntry,
@@ -46,6 +47,10 @@
 STEP_MS = 5
 JOIN_MS = 250
 ORDER_TIMEOUT_MS = 300
+# Time after which the store no longer names an entry that was killed.
+MEMBER_TTL_MS = 1_000
+# Time without a message after which an entry closes the link of an agent.
+AGENT_TIMEOUT_MS = 1_600
 SHARDS = 4
 # Time in which all processes of the model come to know each other.
 SETTLE_MS = 600
@@ -135,7 +140,13 @@
         self.now_ms = end_ms
 
     def _tick(self) -> None:
-        for host in (*self.owners.values(), *self.workers.values()):
+        for host in list(self.workers.values()):
+            if self.awake(host):
+                self._update_links(host)
+            self.step(host)
+        for host in list(self.owners.values()):
+            if self.awake(host):
+                self._close_silent_links(host)
             self.step(host)
         for machine in self.machines.values():
             machine.advance(self.now_ms)
@@ -153,18 +164,17 @@
         host = Host(name, OwnerCore(name, limits, self.now_ms))
         host.core.update_declarations(self.now_ms, Declarations(version=1))
         self.owners[name] = host
-        for agent in self.workers:
-            self.connect(name, agent)
+        self.announce_entries()
 
     def start_agent(self, name: str, *, registers: bool = True) -> None:
         """Start an agent, and let its worker register at once or not."""
         limits = WorkerLimits(shards=SHARDS)
-        host = Host(name, WorkerCore(limits, 1_000 + self.now_ms))
+        core = WorkerCore(limits, 1_000 + self.now_ms, host=name, data_centre="perth")
+        host = Host(name, core)
         self.workers[name] = host
         if registers:
             self.register(name)
-        for entry in self.owners:
-            self.connect(entry, name)
+        self.announce_entries()
         self.at(1, lambda: self._renew_lease(host))
 
     def register(self, name: str, *, draining: bool = False) -> None:
@@ -186,6 +196,8 @@
 
     def kill(self, name: str) -> None:
         """Kill a process; its links end."""
+        if name in self.owners:
+            self.at(MEMBER_TTL_MS, self.announce_entries)
         table = self.owners if name in self.owners else self.workers
         host = table.pop(name)
         host.up = False
@@ -195,6 +207,33 @@
             if name.startswith("u") and isinstance(other.core, OwnerCore):
                 other.core.handle_agent_lost(self.now_ms, name)
 
+    def announce_entries(self) -> None:
+        """Let all agents know the entries that run."""
+        entries = dict.fromkeys(self.owners, "perth")
+        for host in self.workers.values():
+            host.core.update_store_entries(self.now_ms, entries)
+
+    def _update_links(self, host: Host) -> None:
+        changes = host.core.link_changes(self.now_ms)
+        for entry, _ in changes.to_close:
+            host.core.handle_entry_lost(self.now_ms, entry)
+            if entry in self.owners and (entry, host.name) not in self.cut:
+                self.owners[entry].core.handle_agent_lost(self.now_ms, host.name)
+        for entry in changes.to_open:
+            if entry in self.owners and (entry, host.name) not in self.cut:
+                self.connect(entry, host.name)
+            else:
+                host.core.handle_connect_failed(self.now_ms, entry)
+
+    def _close_silent_links(self, host: Host) -> None:
+        for agent_info in list(host.core.state.agents.values()):
+            heard_ms = max(agent_info.received_ms, agent_info.connected_ms)
+            if agent_info.connected and self.now_ms - heard_ms > AGENT_TIMEOUT_MS:
+                host.core.handle_agent_lost(self.now_ms, agent_info.name)
+                worker = self.workers.get(agent_info.name)
+                if worker is not None and (host.name, worker.name) not in self.cut:
+                    worker.core.handle_entry_lost(self.now_ms, host.name)
+
     def connect(self, entry: str, agent: str) -> None:
         """Open a link."""
         if entry in self.owners and agent in self.workers:
@@ -274,6 +313,9 @@
                 self._pass(host.name, agent, content, to_agent=True)
             case SendToEntry(entry, content):
                 self._pass(entry, host.name, content, to_agent=False)
+            case BroadcastToEntries(message):
+                for name in message.agents:
+                    self.at(2 * LINK_MS, lambda name=name: self._relay(host, name))
             case Reply(request, answer):
                 self.answers[request] = answer
             case Append():
@@ -291,6 +333,18 @@
                 row = (self.now_ms, host.name, effect.event, effect.fields)
                 self.notes.append(row)
 
+    def _relay(self, seeker: Host, agent: str) -> None:
+        """Let an entry that an agent has a link to pass on a request for a report."""
+        worker = self.workers.get(agent)
+        if worker is None or not self.awake(worker):
+            return
+        for entry in worker.core.state.entries:
+            owner = self.owners.get(entry)
+            if owner and self.awake(owner) and (entry, agent) not in self.cut:
+                message = ReportTo(seeker.name)
+                worker.core.handle_entry_message(self.now_ms, entry, message)
+                return
+
     def _pass(self, entry: str, agent: str, content: Any, *, to_agent: bool) -> None:
         owner, worker = self.owners.get(entry), self.workers.get(agent)
         self.sent[agent, type(content).__name__] += 1
