Let requests wait for the declarations after a start

Cause: after a loss of all power an entry answers 503 no_configuration from its first turn on, some 100 ms before it has read the declarations.

Change: a request waits up to 500 ms for the first declarations, unless the store gives no answer, in which case it is rejected at once as before.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from typing import Any
@@ -117,6 +118,8 @@
         self.store_reachable = True
         self.open_requests = 0
         self.stopped = asyncio.Event()
+        # Set at the first declarations, and when the store gives no answer.
+        self._first_declarations = asyncio.Event()
         self.core_loop = CoreLoop(self.core, clock, self._execute, log.note_error)
         self.entry_links = EntryLinks(
             self.core,
@@ -138,6 +141,18 @@
         """The operators' declarations in force."""
         return self.feed.declarations
 
+    async def wait_for_declarations(self, timeout_ms: int) -> None:
+        """Wait until declarations were read, unless the store gives no answer.
+
+        Args:
+            timeout_ms: Longest wait, in milliseconds.
+        """
+        if not self.store_reachable:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self._first_declarations.wait()
+
     @property
     def ready(self) -> bool:
         """Whether the entry wants new connections, as the readiness probe reports."""
@@ -321,6 +336,8 @@
     def _on_joined(self, sent_ms: int, assignment: GroupAssignment) -> None:
         if not self.store_reachable:
             self.store_reachable = True
+            if self.declarations.version < 0:
+                self._first_declarations.clear()
             self.log.note("store answers again")
         if self.leaving:
             return
@@ -333,10 +350,12 @@
     def _on_join_failed(self) -> None:
         if self.store_reachable:
             self.store_reachable = False
+            self._first_declarations.set()
             self.log.note("store gives no answer")
 
     def _on_declarations_changed(self) -> None:
         self.core.update_declarations(self.clock.now_ms(), self.feed.declarations)
+        self._first_declarations.set()
         self.core_loop.schedule_step()
 
     # Effects of the core.
--- a/catkincross/platform/_front.py
+++ b/catkincross/platform/_front.py
@@ -28,6 +28,9 @@
 # Path on which the platform's load balancer probes whether a host accepts new
 # connections.
 READY_PATH = "/readiness"
+# Longest time for which a request waits for the declarations after a start. After a
+# loss of all power, requests arrive some 100 ms before the declarations have been read.
+MAX_DECLARATIONS_WAIT_MS = 500
 REJECTION_STATUS = {"backlog": 429}
 MS_PER_S = 1_000
 
@@ -38,6 +41,9 @@
     declarations: Declarations
     ready: bool
 
+    async def wait_for_declarations(self, timeout_ms: int) -> None:
+        """Wait until declarations were read, unless the store gives no answer."""
+
     async def submit(self, spec: JobSpec, timeout_ms: int) -> Answer:
         """Submit a job and wait for the answer for at most `timeout_ms`."""
 
@@ -85,6 +91,9 @@
         path = scope["path"]
         if path == READY_PATH:
             return HttpResponse(200 if self.backend.ready else 503)
+        if self.backend.declarations.version < 0:
+            limit_ms = min(_read_timeout_ms(scope), MAX_DECLARATIONS_WAIT_MS)
+            await self.backend.wait_for_declarations(limit_ms)
         declarations = self.backend.declarations
         if declarations.version < 0:
             return _rejection("no_configuration", MS_PER_S)
--- a/tests/test_platform_restart.py
+++ b/tests/test_platform_restart.py
@@ -2,15 +2,30 @@
 
 from __future__ import annotations
 
+import asyncio
+import os
+from collections.abc import Callable
+
+import orjson
+import pytest
+
+from catkincross.clock import SystemClock
+from catkincross.daemons._entry import EntryDaemon
+from catkincross.daemons._log import DecisionLog
 from catkincross.dispatch import (
     Estimates,
     WaitingQueue,
     capacity_share,
     expected_capacity,
 )
+from catkincross.http11 import HttpClient
 from catkincross.jobs import Job, JobAccepted
 from catkincross.peers import Backlog
+from catkincross.platform import _front
+from catkincross.transport._http_server import HttpServer
 from scenarios.platform_model import Model, job, ready_model
+from standins.platform_http import StoreHttp
+from tests.test_platform_daemons import CONFIG, free_port, settings_for
 
 AGENTS = 10
 JOBS = 16
@@ -124,3 +139,62 @@
     for task in reversed(tasks):
         queue.remove(task)
     assert queue.work_by_service == {"checks": 0}
+
+
+async def ask_at_start(store_address: str, declare: Callable[[], None]) -> int:
+    """Return the status of a request to an unknown queue, sent right after a start.
+
+    Args:
+        store_address: Address of the store.
+        declare: Called 100 ms after the request was sent.
+    """
+    front = f"127.0.0.1:{free_port()}"
+    ready = f"127.0.0.1:{free_port()}"
+    settings = settings_for("e1", store=store_address, front=front, ready=ready)
+    clock = SystemClock()
+    log = DecisionLog("e1", clock, os.open(os.devnull, os.O_WRONLY))
+    entry = EntryDaemon(settings, clock, log)
+    await entry.start()
+    client = HttpClient(front, keepalive_s=1.0)
+    request = asyncio.create_task(client.request("GET", "/unknown/1", silence_s=5.0))
+    await asyncio.sleep(0.1)
+    declare()
+    status, _ = await request
+    await client.close()
+    await entry.client_server.stop(0.1)
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await entry.store.close()
+    return status
+
+
+def test_requests_wait_for_the_declarations_after_a_start() -> None:
+    """After a loss of all power, requests arrive before the declarations are read."""
+
+    async def run() -> int:
+        store = StoreHttp()
+        server = HttpServer(store.app(), "127.0.0.1:0")
+        server.start()
+        config = ("config", orjson.dumps(CONFIG))
+        status = await ask_at_start(
+            server.address, lambda: store.declared.append(config)
+        )
+        await server.stop(0.1)
+        return status
+
+    assert asyncio.run(run()) == 404
+
+
+def test_requests_are_rejected_at_once_if_the_store_is_away_at_a_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request that cannot be served must not be held to its deadline."""
+    monkeypatch.setattr(_front, "MAX_DECLARATIONS_WAIT_MS", 600_000)
+    monkeypatch.setattr(_front, "DEFAULT_DEADLINE_MS", 600_000)
+
+    async def run() -> int:
+        return await ask_at_start(f"127.0.0.1:{free_port()}", lambda: None)
+
+    assert asyncio.run(run()) == 503
