Send fewer messages between idle processes

Cause: an idle agent sent five entries a state every 200 ms although none had a run there. Each backlog from another entry had all open jobs counted and all backlogs passed on again. Announcements of volatile jobs go to every other entry.

Change: a state every 400 ms to entries without a run there; a backlog is counted at most every 100 ms and arriving ones take effect together; the interval of announcements grows with the number of entries.

--- a/catkincross/daemons/_owner_requests.py
+++ b/catkincross/daemons/_owner_requests.py
@@ -25,6 +25,8 @@
 LINK_TIMEOUT_MS = 1_600
 # Interval at which this entry sends its backlog and checks its links, in seconds.
 BACKLOG_INTERVAL_S = 0.5
+# Delay after which backlogs that have arrived take effect, in seconds.
+BACKLOG_UPDATE_DELAY_S = 0.02
 MS_PER_S = 1_000
 
 
@@ -90,6 +92,7 @@
         self.links: dict[str, PeerLink] = {}
         self.on_connected: Callable[[Link], None] | None = None
         self.on_backlogs: Callable[[list[Backlog]], None] | None = None
+        self._update_scheduled = False
         self.connecting: dict[str, asyncio.Task[PeerLink | None]] = {}
 
     async def ask(
@@ -210,11 +213,26 @@
                 future.set_result(message)
         elif isinstance(message, Backlog):
             peer.backlog = message
-            if self.on_backlogs is not None:
-                self.on_backlogs(self._backlogs())
+            self._backlogs_changed()
         elif isinstance(message, Members):
             self.owners.apply(peer.address, message)
 
+    def _backlogs_changed(self) -> None:
+        """Pass on the backlogs once for all that arrive within a short time.
+
+        All entries answer at about the same time, and each update takes time in
+        proportion to their number.
+        """
+        if not self._update_scheduled:
+            self._update_scheduled = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(BACKLOG_UPDATE_DELAY_S, self._update_backlogs)
+
+    def _update_backlogs(self) -> None:
+        self._update_scheduled = False
+        if self.on_backlogs is not None:
+            self.on_backlogs(self._backlogs())
+
     def _on_close(self, link: Link) -> None:
         peer: PeerLink | None = link.peer
         if peer is None:
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -13,11 +13,14 @@
 from ._log import DecisionLog
 from ._owner_requests import OwnerRequests
 
-# Interval at which volatile jobs that have begun are announced to other entries, in
-# seconds. If a worker carries out stops late, runs of a lost entry go on for up to
-# 2.25 s, and client accounts resend their jobs after 1.3 s. Only the jobs that began
-# in the last interval before the loss are then not known to be held.
+# Shortest interval at which volatile jobs that have begun are announced to other
+# entries, in seconds. If a worker carries out stops late, runs of a lost entry go on
+# for up to 2.25 s, and client accounts resend their jobs after 1.3 s. Only the jobs
+# that began in the last interval before the loss are then not known to be held.
 ANNOUNCE_INTERVAL_S = 0.04
+# Largest number of announcements that an entry sends a second. With tens of entries the
+# interval grows with their number, since each announcement goes to all of them.
+MAX_ANNOUNCEMENTS_PER_S = 200
 # The same for jobs that have ended; until then a repeated request takes one more hop.
 ANNOUNCE_ENDED_INTERVAL_S = 0.4
 # Shortest delay before the entry that has a job is asked again, in milliseconds.
@@ -107,8 +110,12 @@
         """Announce the volatile jobs that begin and end here, until cancelled."""
         waited_s = 0.0
         while True:
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
-            waited_s += ANNOUNCE_INTERVAL_S
+            interval_s = max(
+                ANNOUNCE_INTERVAL_S,
+                len(self.owner_requests.links) / MAX_ANNOUNCEMENTS_PER_S,
+            )
+            await asyncio.sleep(interval_s)
+            waited_s += interval_s
             ended_due = waited_s >= ANNOUNCE_ENDED_INTERVAL_S
             if not (ended_due or self.core.has_begun_volatile_jobs):
                 continue
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -29,6 +29,8 @@
 
 # Longest time between two steps if no event comes.
 MAX_STEP_INTERVAL_MS = 100
+# Age up to which a backlog is used again instead of counting all open jobs.
+BACKLOG_AGE_MS = 100
 # Changes of the wall-clock offset up to this are not logged.
 CLOCK_STEP_LOG_MS = 50
 
@@ -53,6 +55,7 @@
         volatile = VolatileShard.for_process(incarnation)
         self.state = OwnerState(name, limits, volatile)
         self.wall_clock = WallClock()
+        self._backlog = (-BACKLOG_AGE_MS, Backlog({}, {}))
 
     def update_limits(self, limits: OwnerLimits) -> None:
         """Replace the settings; the number of shards must stay the same."""
@@ -255,7 +258,17 @@
         self.state.peer_backlogs = backlogs
 
     def backlog(self) -> Backlog:
-        """Return the backlog: queued jobs by queue, and waiting work by service."""
+        """Return the backlog: queued jobs by queue, and waiting work by service.
+
+        It may be up to 100 ms old, since every other entry asks for it twice a second.
+        """
+        counted_ms, backlog = self._backlog
+        if self.state.now_ms - counted_ms >= BACKLOG_AGE_MS:
+            backlog = self._count_backlog()
+            self._backlog = self.state.now_ms, backlog
+        return backlog
+
+    def _count_backlog(self) -> Backlog:
         jobs_by_queue: Counter[str] = Counter()
         for shard in (*self.state.shards.values(), self.state.volatile):
             for job in shard.open_jobs.values():
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -308,12 +308,11 @@
         age_ms = state.now_ms - entry_info.state_sent_ms
         limits = state.limits
         offered = entry_info.name in state.offered
-        frequent = offered or any(
-            run.entry == entry_info.name for run in state.runs.values()
-        )
-        max_interval_ms = (
-            limits.state_interval_ms if frequent else limits.far_interval_ms
-        )
+        max_interval_ms = limits.far_interval_ms
+        if any(run.entry == entry_info.name for run in state.runs.values()):
+            max_interval_ms = limits.state_interval_ms
+        elif offered:
+            max_interval_ms = limits.idle_state_interval_ms
         change_due = (
             entry_info.state_outdated
             and age_ms >= self._min_state_interval_ms(entry_info)
@@ -333,7 +332,7 @@
         )
         state.send(entry_info.name, message)
         if (
-            frequent
+            max_interval_ms < limits.far_interval_ms
             and state.now_ms - entry_info.progress_sent_ms
             >= limits.progress_interval_ms
         ):
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -24,8 +24,9 @@
             lease expires too, which ends all its runs.
         orphan_run_ms: How long an orphaned run is kept, that is, a run found on the
             worker that no entry has claimed yet.
-        state_interval_ms: Longest time between two states sent to an offered entry, or
-            to one that has a run here.
+        state_interval_ms: Longest time between two states sent to an entry that has a
+            run here.
+        idle_state_interval_ms: The same for an offered entry that has none.
         progress_interval_ms: Shortest time between two progress messages to an entry.
         min_interval_run_ended_ms: Shortest time between two states sent to an entry
             after one of its runs has ended.
@@ -50,6 +51,9 @@
     # A quarter of the silence of an entry after which its volatile jobs' runs are
     # stopped.
     state_interval_ms: int = 200
+    # Half of that silence, so that a lost packet leaves the lease valid for the next
+    # start order.
+    idle_state_interval_ms: int = 400
     # The worker's lists are read at most 250 ms apart.
     progress_interval_ms: int = 300
     # Batches changes that occur together; well below the shortest tasks of 50 ms.
