Close several links of an agent in one update

Cause: the end of a link began another update of the links within the update that closed it.

Change: the end of a link asks the event loop for the next update.

Measured: test_an_agent_closes_several_silent_links_at_once fails with KeyError before and passes; 33 tests of daemons and errors pass.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -283,7 +283,8 @@
             del self.links[link.peer]
             self.core.handle_entry_lost(self.clock.now_ms(), link.peer)
             self.log.note("entry lost", entry=link.peer)
-            self._update_links()
+            # Several links may be closed in one update, which must not begin another.
+            asyncio.get_running_loop().call_soon(self._update_links)
 
     # Effects of the core.
 
--- a/tests/test_platform_errors.py
+++ b/tests/test_platform_errors.py
@@ -9,6 +9,7 @@
 import pytest
 
 from catkincross.clock import SystemClock
+from catkincross.daemons._agent import AgentDaemon
 from catkincross.daemons._core_loop import CoreLoop
 from catkincross.daemons._entry import EntryDaemon
 from catkincross.daemons._log import DecisionLog
@@ -184,3 +185,28 @@
 
     asyncio.run(run())
     assert len(attempts) == 3
+
+
+def test_an_agent_closes_several_silent_links_at_once() -> None:
+    """The end of one link must not fail the closing of the others.
+
+    The links were updated again within the closing of each, and 129 updates of a day
+    ended with a KeyError.
+    """
+
+    async def run() -> list[str]:
+        clock = SystemClock()
+        log = DecisionLog("u1", clock, os.open(os.devnull, os.O_WRONLY))
+        agent = AgentDaemon(settings_for("u1"), clock, log)
+        for name in ("e1", "e2", "e3"):
+            link = Link(lambda *_: None, agent._on_close, log.note_error)
+            link.peer = name
+            agent.links[name] = link
+            agent.core.handle_entry_connected(0, name)
+        agent._update_links()
+        await asyncio.sleep(0)
+        await agent.store.close()
+        await agent.worker.close()
+        return [*agent.links, *agent.core.state.entries]
+
+    assert asyncio.run(run()) == []
