Forward new jobs to entries with a much shorter queue

Cause: the balancer assigns client accounts to the entries of a data centre by a hash, and an entry uses only the workers that offer it capacity.

Change: entries report the expected wait of each service with their backlog. The holder is recorded before the job is sent, an answer of the holder is final, and a client account that leaves is reported to the holder.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import time
+from functools import partial
 from typing import Any
 
 import attrs
@@ -174,7 +175,7 @@
         for run in (
             self.owners.poll,
             self._follow_declarations,
-            self._maintain_entry_links,
+            partial(self.owner_requests.maintain_links, self.core.backlog),
             self.entry_links.close_silent_links,
             self._follow_wall_clock,
             self.volatile_requests.announce_jobs,
@@ -195,9 +196,6 @@
     async def _follow_declarations(self) -> None:
         await follow_declarations(self.feed, self.log, self._on_declarations_changed)
 
-    async def _maintain_entry_links(self) -> None:
-        await self.owner_requests.maintain_links(self.core.backlog)
-
     def _create_server(self, app: JobApiApp, address: str) -> HttpServer:
         return HttpServer(
             ErrorReportingApp(app, self.log.note_request_error),
@@ -217,7 +215,7 @@
             "stop",
             open_requests=self.open_requests + self.volatile_requests.open_requests,
         )
-        self.leaving = True
+        self.leaving = self.core.leaving = True
         start_ms = self.clock.now_ms()
         if self._join_task is not None:
             self._join_task.cancel()
@@ -320,6 +318,8 @@
                 self.core.job_state(now_ms, request, ask.job_id)
             case "cancel":
                 self.core.cancel(now_ms, request, ask.job_id)
+            case "abandon":
+                self.core.abandon(now_ms, request, ask.job_id)
         self.core_loop.schedule_step()
 
     def _on_entries_changed(self) -> None:
--- a/catkincross/daemons/_owner_requests.py
+++ b/catkincross/daemons/_owner_requests.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ..clock import Clock
+from ..dispatch import PeerLoad
 from ..jobs import shard_of
 from ..peers import Answer, Ask, Backlog, Greeting, Link, Members, connect
 from ._membership import ShardOwners, member_address
@@ -28,6 +29,8 @@
 # Delay after which backlogs that have arrived take effect, in seconds.
 BACKLOG_UPDATE_DELAY_S = 0.02
 MS_PER_S = 1_000
+# Answer to the requests in flight on a link that closes.
+LINK_CLOSED = Answer(0, "unknown", "link to the owner closed")
 
 
 @attrs.define(eq=False)
@@ -42,6 +45,7 @@
         last_number: Number of the last request sent on the link.
         in_flight: Futures of requests without an answer, by number.
         backlog: Newest backlog of the other entry; None before the first.
+        forwarded: Number of jobs forwarded to it since that backlog.
     """
 
     address: str
@@ -50,6 +54,7 @@
     last_number: int = 0
     in_flight: dict[int, asyncio.Future[Answer]] = attrs.field(factory=dict)
     backlog: Backlog | None = None
+    forwarded: int = 0
 
 
 class OwnerRequests:
@@ -136,15 +141,45 @@
         return Answer(0, "unknown", detail)
 
     async def ask_entry(self, address: str, ask: Ask) -> Answer | None:
-        """Send a request to an entry; None without a link or an answer in time."""
+        """Send a request to an entry; None without a link or an answer in time.
+
+        The entry is told if the task that waits for the answer is cancelled.
+        """
         peer = await self._connected_peer(address)
         if peer is None:
             return None
         future = self._send(peer, ask)
+        number = peer.last_number
         timeout_s = ask.timeout_ms / MS_PER_S
-        done, _ = await asyncio.wait({future}, timeout=timeout_s)
+        try:
+            done, _ = await asyncio.wait({future}, timeout=timeout_s)
+        except asyncio.CancelledError:
+            peer.link.send(Ask(number, "abandon", ask.job_id))
+            raise
         return future.result() if done else None
 
+    def record_forwarding(self, address: str) -> None:
+        """Count a job that is forwarded to an entry."""
+        peer = self.links.get(address)
+        if peer is not None:
+            peer.forwarded += 1
+
+    def peer_loads(self, service: str) -> list[PeerLoad]:
+        """Return the load of the connected entries that take jobs of a service."""
+        data_centres = self.owners.directory.known()
+        return [
+            PeerLoad(
+                peer.address,
+                data_centres.get(peer.address, ""),
+                peer.backlog.wait_ms[service],
+                peer.forwarded,
+            )
+            for peer in self.links.values()
+            if not peer.link.closed
+            and peer.backlog is not None
+            and service in peer.backlog.wait_ms
+        ]
+
     def _send(self, peer: PeerLink, ask: Ask) -> asyncio.Future[Answer]:
         peer.last_number += 1
         future = asyncio.get_running_loop().create_future()
@@ -213,6 +248,7 @@
                 future.set_result(message)
         elif isinstance(message, Backlog):
             peer.backlog = message
+            peer.forwarded = 0
             self._backlogs_changed()
         elif isinstance(message, Members):
             self.owners.apply(peer.address, message)
@@ -241,7 +277,7 @@
             self.owners.forget(peer.address)
         for future in peer.in_flight.values():
             if not future.done():
-                future.set_result(Answer(0, "unknown", "link to the owner closed"))
+                future.set_result(LINK_CLOSED)
         peer.in_flight.clear()
 
     def _backlogs(self) -> list[Backlog]:
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -11,7 +11,7 @@
 from ..peers import Answer, Ask, VolatileJobs
 from ._core_loop import CoreLoop
 from ._log import DecisionLog
-from ._owner_requests import OwnerRequests
+from ._owner_requests import LINK_CLOSED, OwnerRequests
 
 # Shortest interval at which volatile jobs that have begun are announced to other
 # entries, in seconds. If a worker carries out stops late, runs of a lost entry go on
@@ -25,6 +25,9 @@
 ANNOUNCE_ENDED_INTERVAL_S = 0.4
 # Shortest delay before the entry that has a job is asked again, in milliseconds.
 REMOTE_RETRY_MS = 50
+# A request that has waited here for longer is not forwarded: the other entry would
+# count it as new, and it would displace others that can be in time.
+MAX_FORWARDING_AGE_MS = 100
 MS_PER_S = 1_000
 
 
@@ -83,12 +86,13 @@
             holder = self.peer_jobs.find_holder(spec.id, now_ms)
             remaining_ms = deadline_ms - now_ms
             if isinstance(holder, NoHolder):
-                return await self._run_locally(spec, arrived_ms, timeout_ms)
+                may_forward = now_ms - arrived_ms <= MAX_FORWARDING_AGE_MS
+                if not (may_forward and self._forward(spec)):
+                    return await self._run_locally(spec, arrived_ms, timeout_ms)
+                continue
             if isinstance(holder, LiveHolder):
-                body = to_fields(spec)
-                ask = Ask(0, "submit", spec.id, body, remaining_ms)
-                answer = await self.owner_requests.ask_entry(holder.address, ask)
-                if answer is not None and answer.outcome != "unknown":
+                answer = await self._ask_holder(holder.address, spec, remaining_ms)
+                if answer is not None and answer is not LINK_CLOSED:
                     return answer
             wait_ms = max(holder.wait_ms, REMOTE_RETRY_MS)
             if remaining_ms <= wait_ms:
@@ -96,6 +100,28 @@
             self.log.note("job waits", job=spec.id, place=repr(holder))
             await asyncio.sleep(wait_ms / MS_PER_S)
 
+    def _forward(self, spec: JobSpec) -> bool:
+        """Record another entry as the holder of a new job, if it should run there."""
+        peers = self.owner_requests.peer_loads(spec.policy.service)
+        address = self.core.choose_forwarding(
+            self.clock.now_ms(), spec, self.owner_requests.greeting.data_centre, peers
+        )
+        if address is None or not self.peer_jobs.record_forwarding(address, spec.id):
+            return False
+        self.owner_requests.record_forwarding(address)
+        self.log.note("job forwarded", job=spec.id, entry=address)
+        return True
+
+    async def _ask_holder(
+        self, address: str, spec: JobSpec, timeout_ms: int
+    ) -> Answer | None:
+        """Submit a job to the entry that holds it; return None without an answer."""
+        ask = Ask(0, "submit", spec.id, to_fields(spec), timeout_ms)
+        answer = await self.owner_requests.ask_entry(address, ask)
+        if answer is not None and answer.outcome == "rejected":
+            self.peer_jobs.record_rejection(address, spec.id)
+        return answer
+
     async def _run_locally(
         self, spec: JobSpec, arrived_ms: int, timeout_ms: int
     ) -> Answer:
--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from ._admission import Rejection, admit, expected_wait_ms
 from ._capacity import capacity_share, expected_capacity
 from ._estimates import Estimates
+from ._forwarding import PeerLoad, choose_forwarding
 from ._gangs import choose_gang, gang_fits_when_idle
 from ._health import AgentHealth
 from ._offering import offered_entries
@@ -26,6 +27,7 @@
     "LiveHolder",
     "LostHolder",
     "NoHolder",
+    "PeerLoad",
     "PeerVolatileJobs",
     "Rejection",
     "WaitingJob",
@@ -34,6 +36,7 @@
     "cannot_meet_deadline",
     "capacity_share",
     "choose_agent",
+    "choose_forwarding",
     "choose_gang",
     "critical_path_ms",
     "expected_capacity",
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -87,6 +87,26 @@
             peer.jobs.update(changes.begun)
             peer.jobs.difference_update(changes.ended)
 
+    def record_forwarding(self, address: str, job_id: str) -> bool:
+        """Record that a connected entry is about to get a job from this one.
+
+        The entry announces the job itself only later, and may be lost before that.
+
+        Returns:
+            False if no entry with this address is connected.
+        """
+        for peer in self.entries.values():
+            if peer.address == address and peer.lost_ms is None:
+                peer.jobs.add(job_id)
+                return True
+        return False
+
+    def record_rejection(self, address: str, job_id: str) -> None:
+        """Record that an entry has rejected a job that was forwarded to it."""
+        for peer in self.entries.values():
+            if peer.address == address:
+                peer.jobs.discard(job_id)
+
     def mark_entry_lost(self, greeting: Greeting, *, now_ms: int) -> None:
         """Record that the link of an entry has closed."""
         peer = self.entries.get((greeting.name, greeting.incarnation))
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -5,7 +5,8 @@
 from collections import Counter
 from typing import Any
 
-from ..jobs import JobRecord, JobSpec, JobState
+from ..dispatch import PeerLoad, choose_forwarding, latest_start_ms
+from ..jobs import Job, JobAccepted, JobRecord, JobSpec, JobState
 from ..operations import Declarations
 from ..peers import Backlog
 from . import (
@@ -49,12 +50,14 @@
     Attributes:
         state: State of the owner.
         wall_clock: Time of day of the host without its short-lived steps.
+        leaving: Whether the entry shuts down, and takes no jobs from other entries.
     """
 
     def __init__(self, name: str, limits: OwnerLimits, incarnation: int) -> None:
         volatile = VolatileShard.for_process(incarnation)
         self.state = OwnerState(name, limits, volatile)
         self.wall_clock = WallClock()
+        self.leaving = False
         self._backlog = (-BACKLOG_AGE_MS, Backlog({}, {}))
 
     def update_limits(self, limits: OwnerLimits) -> None:
@@ -283,4 +286,40 @@
             for service, work in self.state.waiting.work_by_service.items()
             if work
         }
-        return Backlog(dict(jobs_by_queue), work_by_service)
+        return Backlog(dict(jobs_by_queue), work_by_service, self._expected_waits())
+
+    def _expected_waits(self) -> dict[str, int]:
+        """Return the expected wait by service, in milliseconds, where it is known."""
+        if self.leaving:
+            return {}
+        return {
+            service: self.state.backlog_wait_ms(service)
+            for service in self.state.declarations.services
+            if self.state.capacity(service) > 0
+        }
+
+    def choose_forwarding(
+        self, now_ms: int, spec: JobSpec, data_centre: str, peers: list[PeerLoad]
+    ) -> str | None:
+        """Return the address of the entry that should run a new volatile job.
+
+        Args:
+            now_ms: Current time on the process's clock, in milliseconds.
+            spec: The job.
+            data_centre: Data centre of this entry.
+            peers: Load of the other entries that accept jobs of the service.
+
+        Returns:
+            None if the job should run here.
+        """
+        self.state.now_ms = now_ms
+        job = Job.from_record(JobAccepted(spec, 0, 0), now_ms)
+        if job.exempt_from_aging:
+            return None
+        return choose_forwarding(
+            spec.id,
+            wait_ms=self.state.backlog_wait_ms(spec.policy.service),
+            slack_ms=latest_start_ms(job, self.state.estimates) - now_ms,
+            data_centre=data_centre,
+            peers=peers,
+        )
--- a/catkincross/peers/_messages.py
+++ b/catkincross/peers/_messages.py
@@ -333,7 +333,8 @@
 
     Attributes:
         request_number: Number of the request on the link.
-        verb: `submit`, `state` or `cancel`.
+        verb: `submit`, `state`, `cancel`, or `abandon` if the client account has left
+            that waited for the answer to the request with this number.
         job_id: ID of the job.
         body: The encoded job for `submit`; None for the other verbs.
         timeout_ms: How long the client account waits for the answer; 0 if not known.
@@ -381,10 +382,13 @@
     Attributes:
         waiting_jobs: Number of accepted jobs without a started task, by queue.
         waiting_work: Work of waiting tasks by service, in millicore-milliseconds.
+        wait_ms: Expected wait of a new job in milliseconds, by service; services are
+            left out for which the entry takes no jobs from other entries.
     """
 
     waiting_jobs: dict[str, int]
     waiting_work: dict[str, float]
+    wait_ms: dict[str, int] = attrs.field(factory=dict)
 
 
 class MessageCodec:
