Answer requests that are open at the end of a process with 504

Cause: requests whose time was over when an entry shut down were cancelled, and the server answered 500. Their tasks may have run, and client accounts send a job again only after no answer, 502 or 504.

Change: a cancelled request without an answer gets 504.

Measured: the new test gets 500 before and 504 after.

--- a/catkincross/http11/_messages.py
+++ b/catkincross/http11/_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +11,7 @@
 # Largest body of a request that is kept in memory; a process on the platform has as
 # little as 160 MB.
 MAX_BODY_BYTES = 8_388_608
+STOPPING_BODY = b'{"error":"not known in time","detail":"stopping"}'
 
 
 class ClientDisconnected(Exception):
@@ -86,8 +88,8 @@
     """Wraps an ASGI application and reports its unexpected errors.
 
     Args:
-        app: The application. A request whose application fails gets status 500 from
-            the server.
+        app: The application. A request whose application fails gets status 500, and
+            one that is cancelled since the server stops gets 504.
         on_error: Called with the method, the path and the exception of such a request.
     """
 
@@ -108,6 +110,12 @@
 
         try:
             await self.app(scope, receive, send_and_record)
+        except asyncio.CancelledError:
+            # The server stops and the time for open requests is over. What was asked
+            # for may be done, so the status must not tell that it has failed.
+            if not started:
+                headers = {"content-type": "application/json"}
+                await HttpResponse(504, STOPPING_BODY, headers).send(send)
         except Exception as error:
             self.on_error(scope.get("method", ""), scope.get("path", ""), error)
             if started:
--- a/tests/test_http11.py
+++ b/tests/test_http11.py
@@ -118,6 +118,28 @@
     assert {error[1] for error in errors} == {"/fail", "/fail-late"}
 
 
+def test_a_request_that_is_open_at_the_end_of_the_process_gets_504() -> None:
+    """Its work may have run, and client accounts do not send it again after a 500."""
+
+    async def wait(scope: Any, receive: Any, send: Any) -> None:
+        await asyncio.sleep(60)
+
+    async def run() -> int:
+        server = serve_app(ErrorReportingApp(wait, lambda *_: None))
+        client = HttpClient(server.address, keepalive_s=5.0)
+        request = asyncio.ensure_future(client.request("POST", "/", silence_s=10.0))
+        await asyncio.sleep(0.2)
+        await server.stop(0.2)
+        # `asyncio.run` does the same once the process has nothing left to do.
+        for task in asyncio.all_tasks() - {asyncio.current_task(), request}:
+            task.cancel()
+        status, _ = await request
+        await client.close()
+        return status
+
+    assert asyncio.run(run()) == 504
+
+
 def test_a_slow_transfer_that_makes_progress_is_not_ended() -> None:
     """Declarations of 240 KB over 2 Mbit/s never arrived within a limit on the call."""
 
