Ignore delayed heartbeats of a worker that has left

Cause: an agent forgot a worker that announced its departure, so a heartbeat of it that had been delayed registered it again.

Change: the agent remembers the identity and incarnation of the last worker that left. What passes between agent and worker moves to its own module.

Measured: the new test has the worker registered again before, and not after.

--- a/catkincross/workers/__init__.py
+++ b/catkincross/workers/__init__.py
@@ -4,12 +4,12 @@
 
 from ._core import MAX_CLOCK_DRIFT, WorkerCore
 from ._effects import Note, SendToEntry, StartRun, StopRun
-from ._state import (
+from ._state import WorkerLimits
+from ._worker_messages import (
     LeaseRenewal,
     LeaseRenewalReply,
     Registration,
     StartOutcome,
-    WorkerLimits,
 )
 
 __all__ = [
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -28,14 +28,12 @@
     record_heartbeat,
 )
 from ._orders import ENTRY_HANDLERS, order_stop
-from ._state import (
-    EntryInfo,
+from ._state import EntryInfo, WorkerLimits, WorkerState
+from ._worker_messages import (
     LeaseRenewal,
     LeaseRenewalReply,
     Registration,
     StartOutcome,
-    WorkerLimits,
-    WorkerState,
 )
 
 # Interval at which a stop is sent again while the run is in progress; a stop takes at
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -5,23 +5,21 @@
 from ..jobs import VOLATILE_SHARD
 from ..peers import EndedRun, Ends, NotStarted
 from ._orders import acknowledge_end, report_shard
-from ._state import (
-    LeaseRenewalReply,
-    Registration,
-    Run,
-    StartOutcome,
-    WorkerState,
-)
+from ._state import Run, WorkerState
+from ._worker_messages import LeaseRenewalReply, Registration, StartOutcome
 
 
 def record_heartbeat(state: WorkerState, new: Registration) -> bool:
     """Record a heartbeat of the worker.
 
     Returns:
-        False for a heartbeat that is ignored, since it is of an earlier worker process
-        or arrived after a later heartbeat.
+        False for a heartbeat that is ignored, since it is of an earlier worker process,
+        arrived after a later heartbeat, or after the worker announced its departure.
     """
     old = state.registration
+    if state.departed == (new.worker, new.worker_incarnation):
+        state.note("heartbeat of a worker that left", worker=new.worker)
+        return False
     if (
         old is not None
         and old.worker == new.worker
@@ -54,6 +52,7 @@
     """Remove a worker that announced its departure, and all its runs."""
     if state.registration is not None and state.registration.worker == worker:
         state.note("worker left", worker=worker)
+        state.departed = worker, state.registration.worker_incarnation
         state.registration = None
         discard_worker_state(state, 0)
 
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import enum
 from typing import Any
 
 import attrs
 
 from ..jobs import VOLATILE_SHARD, shard_of
-from ..peers import EndedRun, EntryDirectory, RunningTask, WorkerProfile
+from ..peers import EndedRun, EntryDirectory, WorkerProfile
 from ._effects import Effect, Note, SendToEntry
+from ._worker_messages import Registration
 
 # A worker counts as shared with an entry for this long after an order from it, in
 # milliseconds. Under load an entry sends several orders a second to each worker.
@@ -77,89 +77,6 @@
     renewal_wait_ms: int = 250
 
 
-@attrs.frozen
-class Registration:
-    """Identity, capacity and state of a worker, from its heartbeat.
-
-    Attributes:
-        worker: Identity of the worker.
-        service: Service that the worker serves.
-        data_centre: Data centre of the worker.
-        labels: Labels of the worker: its kind, its rack and others.
-        cpu: Processor capacity in millicores.
-        memory_mb: Memory in MB.
-        gpu: Number of accelerators.
-        draining: Whether the worker is about to leave.
-        worker_incarnation: Start of the worker process, in milliseconds since 1970,
-            which identifies its incarnation; 0 if the heartbeat does not state it.
-        sequence: Number of the heartbeat within the incarnation.
-    """
-
-    worker: str
-    service: str
-    data_centre: str
-    labels: tuple[str, ...]
-    cpu: int
-    memory_mb: int
-    gpu: int
-    draining: bool
-    worker_incarnation: int
-    sequence: int
-
-
-@attrs.frozen
-class LeaseRenewal:
-    """Call that renews the worker's lease and reads its running and finished runs.
-
-    Attributes:
-        worker: Identity of the worker; empty until it has registered.
-        fence: Fencing token.
-        ack: Highest sequence number of the ends that the worker may forget.
-        until_ms: End of the lease on the worker's clock; None to leave it unchanged.
-        wait_ms: How long the worker may wait for a run to end before it answers.
-    """
-
-    worker: str
-    fence: int
-    ack: int
-    until_ms: int | None
-    wait_ms: int
-
-
-@attrs.frozen
-class LeaseRenewalReply:
-    """A worker's answer to a lease renewal.
-
-    Attributes:
-        worker_incarnation: Start of the worker process, in milliseconds since 1970.
-        clock_ms: The worker's clock when it answered.
-        running: Runs in progress.
-        finished: Ended runs that the worker has not been told to forget.
-    """
-
-    worker_incarnation: int
-    clock_ms: int
-    running: tuple[RunningTask, ...]
-    finished: tuple[EndedRun, ...]
-
-
-class StartOutcome(enum.Enum):
-    """Outcome of an order to start a run."""
-
-    STARTED = "started"
-    # The run's number is not above that of a run of the task that ended there.
-    OLD = "old"
-    # The lease in the order had ended when the order arrived.
-    LATE = "late"
-    NO_ROOM = "no room"
-    # The worker has seen a higher fencing token.
-    FENCED = "fenced"
-    # The worker was unhealthy, or refused for another stated reason; nothing started.
-    REFUSED = "refused"
-    # No answer: the order may have been carried out, or may still be.
-    UNANSWERED = "unanswered"
-
-
 @attrs.define(eq=False)
 class Run:
     """A run that is in progress on the worker or has been ordered there.
@@ -272,6 +189,8 @@
         offered: Entries that may send tasks.
         now_ms: Time of the event or step in progress, on this agent's clock.
         registration: Newest heartbeat of the worker; None if no worker is registered.
+        departed: Identity and incarnation of the worker that last announced its
+            departure; None before the first.
         worker_incarnation: Start of the worker process, in milliseconds since 1970; 0
             until its lists of runs have been read.
         clock_offset_ms: The worker's clock minus the agent's clock.
@@ -301,6 +220,7 @@
     offered: frozenset[str] = frozenset()
     now_ms: int = 0
     registration: Registration | None = None
+    departed: tuple[str, int] | None = None
     worker_incarnation: int = 0
     clock_offset_ms: int = 0
     runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
--- a/tests/test_platform_volatile.py
+++ b/tests/test_platform_volatile.py
@@ -253,3 +253,17 @@
         assert answer.outcome == "rejected"
         assert answer.retry_after_ms > 0
         assert model.count("start", f"{int(number):016x}") == 0
+
+
+def test_a_delayed_heartbeat_of_a_worker_that_left_registers_nothing() -> None:
+    """A worker that has left must not be used again after a late heartbeat of it."""
+    model = ready_model(entries=1, agents=1)
+    agent = model.workers["u0"].core
+    model.register("u0", draining=True)
+    agent.handle_worker_left(model.now_ms, model.machines["u0"].instance)
+    model.register("u0")
+    model.run(500)
+    assert agent.state.registration is None
+    model.submit("r", job("a" * 16, volatile=True), "e0", timeout_ms=1_000)
+    model.run(2_000)
+    assert model.count("start") == 0
