Do not hold back the rest of a started job

Deferred jobs whose first tasks had started had to leave freed capacity to others for their remaining tasks, so their runs were wasted.

Change: only deferred jobs that have not started are held back.

--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -70,7 +70,8 @@
         candidates.eligible(shard, task),
         avoided_agents=task.avoided_agents,
         remote_factor=state.limits.remote_factor,
-        deferred=state.waiting.is_deferred(task),
+        # The rest of a started job is not held back, since its runs would be wasted.
+        deferred=state.waiting.is_deferred(task) and not task.job.started,
     )
     if candidate is None:
         candidates.record_unplaced(task)
