Settle start orders without an answer at once

Cause: an agent waited 300 ms for the answer to a start order, and then for the renewal in progress, which may take 250 ms, before it could tell that the run cannot start any more.

Renewals may overlap now, so an answer that was overtaken by a later one is ignored.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from typing import Any
@@ -178,22 +179,33 @@
 
     async def _renew_lease_repeatedly(self) -> None:
         while True:
-            renewal = self.core.next_renewal(self.clock.now_ms())
-            sent_ms = self.clock.now_ms()
             try:
-                reply = await self.worker.renew_lease(renewal)
+                answered = await self._renew_lease()
             except RenewalFenced:
-                self.core.handle_renewal_fenced(self.clock.now_ms(), renewal)
                 continue
-            self._set_worker_reachable(reply is not None)
-            if reply is None:
-                await asyncio.sleep(RENEWAL_RETRY_S)
-                continue
-            self.core.handle_renewal_reply(self.clock.now_ms(), sent_ms, renewal, reply)
-            self.core_loop.schedule_step()
             # With unacknowledged ends, the worker answers the next renewal without
             # waiting, so the pause limits the rate.
-            await asyncio.sleep(RENEWAL_PAUSE_S)
+            await asyncio.sleep(RENEWAL_PAUSE_S if answered else RENEWAL_RETRY_S)
+
+    async def _renew_lease(self) -> bool:
+        """Renew the worker's lease once; return whether the worker answered.
+
+        Raises:
+            RenewalFenced: If the fencing token was too low; it has been raised.
+        """
+        sent_ms = self.clock.now_ms()
+        renewal = self.core.next_renewal(sent_ms)
+        try:
+            reply = await self.worker.renew_lease(renewal)
+        except RenewalFenced:
+            self.core.handle_renewal_fenced(self.clock.now_ms(), renewal)
+            raise
+        self._set_worker_reachable(reply is not None)
+        if reply is None:
+            return False
+        self.core.handle_renewal_reply(self.clock.now_ms(), sent_ms, renewal, reply)
+        self.core_loop.schedule_step()
+        return True
 
     def _set_worker_reachable(self, reachable: bool) -> None:
         """Record whether the worker answers, and log each change."""
@@ -216,6 +228,11 @@
             self.clock.now_ms(), order.task, order.run, outcome
         )
         self.core_loop.schedule_step()
+        if outcome is StartOutcome.UNANSWERED:
+            # The renewal in progress may wait for an end for 250 ms. This one is
+            # answered at once, and decides whether the run can still start.
+            with contextlib.suppress(RenewalFenced):
+                await self._renew_lease()
 
     async def _stop_run(self, order: StopRun) -> None:
         worker = self.core.state.worker
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -188,7 +188,10 @@
     def handle_renewal_reply(
         self, now_ms: int, sent_ms: int, renewal: LeaseRenewal, reply: LeaseRenewalReply
     ) -> None:
-        """Apply the answer to a lease renewal; ignore it if the worker has changed.
+        """Apply the answer to a lease renewal.
+
+        It is ignored if the worker has changed, or if a later answer was applied while
+        this one was under way: its lists are out of date.
 
         Args:
             now_ms: When the answer arrived.
@@ -198,7 +201,14 @@
         """
         state = self.state
         state.now_ms = now_ms
-        if renewal.worker in ("", state.worker):
+        applied = state.worker_incarnation, state.reply_clock_ms
+        outdated = (
+            sent_ms < state.reply_received_ms
+            and (reply.worker_incarnation, reply.clock_ms) <= applied
+        )
+        if renewal.worker in ("", state.worker) and not outdated:
+            state.reply_received_ms = now_ms
+            state.reply_clock_ms = reply.clock_ms
             apply_renewal_reply(state, sent_ms, renewal.fence, reply)
 
     def handle_renewal_fenced(self, now_ms: int, renewal: LeaseRenewal) -> None:
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -193,6 +193,8 @@
             departure; None before the first.
         worker_incarnation: Start of the worker process, in milliseconds since 1970; 0
             until its lists of runs have been read.
+        reply_received_ms: When the newest answer to a lease renewal arrived.
+        reply_clock_ms: The worker's clock in that answer.
         clock_offset_ms: The worker's clock minus the agent's clock.
         runs: Runs by task name and run number.
         ends: Unacknowledged ends, that is, ends that no owner has reported as logged,
@@ -222,6 +224,8 @@
     registration: Registration | None = None
     departed: tuple[str, int] | None = None
     worker_incarnation: int = 0
+    reply_received_ms: int = -1_000_000
+    reply_clock_ms: int = 0
     clock_offset_ms: int = 0
     runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
     ends: dict[int, EndedRun] = attrs.field(factory=dict)
