Retry a submission at the next owner when its shard moves

Cause: a submission whose record was queued when the entry lost the shard was rejected as "store_unreachable", although the next owner could accept it. On a busy machine test_steps_run_in_order and test_a_cancel_stops_a_job waited for such a job until their time was up (log of a run beside 8 busy processes: "job not accepted", 50 ms after the second entry had joined).

Change: the answer is "moved" if the shard was dropped and the record cannot be in the log, so the request goes on to the next owner. While appends fail it is rejected as before.

Measured: the new test gets "rejected" before and "moved" after.

--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -140,16 +140,21 @@
 ) -> None:
     """Answer the requests of a job whose acceptance was given up.
 
+    If the shard was dropped, they are carried out by its next owner.
+
     Args:
         state: State of the owner.
         shard: Shard of the job.
         job_id: The job.
         may_exist: Whether the acceptance may be in the log nevertheless.
     """
-    outcome = ("unknown", "append") if may_exist else ("rejected", "store_unreachable")
-    retry_ms = 0 if may_exist else STORE_RETRY_MS
     for request in shard.pending_accepts.pop(job_id, []):
-        reply(state, request, *outcome, retry_ms)
+        if may_exist:
+            reply(state, request, "unknown", "append")
+        elif state.shards.get(shard.number) is shard:
+            reply(state, request, "rejected", "store_unreachable", STORE_RETRY_MS)
+        else:
+            reply(state, request, "moved", "shard")
     state.note("job not accepted", job=job_id, may_exist=may_exist)
 
 
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -273,3 +273,19 @@
     model.assign()
     model.run(600)
     assert ask_state(model, spec, isolated) == "completed"
+
+
+def test_a_job_is_not_rejected_because_its_shard_moves() -> None:
+    """A submission that meets a hand-over must be carried out by the next owner.
+
+    It was rejected as if the store were away, and a test on a busy machine waited for
+    its job in vain.
+    """
+    model = ready_model(entries=2, agents=1)
+    spec = job("a" * 16)
+    owner = model.owner_of(spec)
+    core = model.owners[owner].core
+    core.submit(model.now_ms, "r", spec)
+    core.update_shard_assignment(model.now_ms, model.now_ms, [], 99)
+    model.step(model.owners[owner])
+    assert model.answers["r"].outcome == "moved"
