Move the reports of an agent to its entries into a module

A heartbeat without a start time of the worker could have been taken for one of a worker that left.

Change: workers/_reporting.py has the states, profiles and progress that an agent sends. A worker is recognised as one that left only by the start of its process.

--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -4,15 +4,7 @@
 
 from typing import Any
 
-from ..peers import (
-    STORE_SOURCE,
-    AgentState,
-    EndedRun,
-    Ends,
-    Progress,
-    RunningTask,
-    WorkerProfile,
-)
+from ..peers import STORE_SOURCE, EndedRun, Ends
 from ._effects import Effect
 from ._links import (
     LinkChanges,
@@ -28,6 +20,7 @@
     record_heartbeat,
 )
 from ._orders import ENTRY_HANDLERS, order_stop
+from ._reporting import next_state_ms, send_states
 from ._state import EntryInfo, WorkerLimits, WorkerState
 from ._worker_messages import (
     LeaseRenewal,
@@ -83,27 +76,15 @@
         self._expire_shard_leases()
         self._resend_stops()
         self._resend_ends()
-        # The entry that has waited longest for a state comes first.
-        for entry_info in sorted(
-            state.entries.values(), key=lambda entry_info: entry_info.state_sent_ms
-        ):
-            self._send_state(entry_info)
+        send_states(state)
         effects, state.effects = state.effects, []
         return effects
 
     def next_step_ms(self) -> int:
         """Return the time at which the next step is due if no event comes."""
-        state = self.state
-        due = state.now_ms + IDLE_STEP_MS
-        for entry_info in state.entries.values():
-            if entry_info.state_outdated:
-                entry_due_ms = entry_info.state_sent_ms + self._min_state_interval_ms(
-                    entry_info
-                )
-                if entry_info.has_waiting_tasks:
-                    entry_due_ms = max(entry_due_ms, state.next_turn_ms)
-                due = min(due, entry_due_ms)
-        return due
+        idle_ms = self.state.now_ms + IDLE_STEP_MS
+        state_ms = next_state_ms(self.state)
+        return idle_ms if state_ms is None else min(idle_ms, state_ms)
 
     def handle_heartbeat(self, now_ms: int, new_registration: Registration) -> bool:
         """Record a heartbeat of the worker; return False if it was ignored."""
@@ -310,91 +291,3 @@
             by_owner.setdefault(owner, []).append(ended)
         for owner, ended_runs in by_owner.items():
             state.send(owner, Ends(ended_runs, state.worker_incarnation))
-
-    def _min_state_interval_ms(self, entry_info: EntryInfo) -> int:
-        limits = self.state.limits
-        if entry_info.run_ended:
-            return limits.min_interval_run_ended_ms
-        if entry_info.name not in self.state.offered:
-            return limits.far_interval_ms
-        return (
-            limits.min_interval_waiting_ms
-            if entry_info.has_waiting_tasks
-            else limits.min_interval_idle_ms
-        )
-
-    def _send_state(self, entry_info: EntryInfo) -> None:
-        state = self.state
-        age_ms = state.now_ms - entry_info.state_sent_ms
-        limits = state.limits
-        offered = entry_info.name in state.offered
-        max_interval_ms = limits.far_interval_ms
-        if any(run.entry == entry_info.name for run in state.runs.values()):
-            max_interval_ms = limits.state_interval_ms
-        elif offered:
-            max_interval_ms = limits.idle_state_interval_ms
-        change_due = (
-            entry_info.state_outdated
-            and age_ms >= self._min_state_interval_ms(entry_info)
-        )
-        if entry_info.has_waiting_tasks and state.now_ms < state.next_turn_ms:
-            change_due = False
-        if not change_due and age_ms < max_interval_ms:
-            return
-        if entry_info.has_waiting_tasks:
-            state.next_turn_ms = state.now_ms + limits.turn_ms
-        entry_info.state_outdated = entry_info.run_ended = False
-        entry_info.state_sent_ms = state.now_ms
-        profile = self._profile()
-        if profile != entry_info.profile:
-            entry_info.profile = profile
-            state.send(entry_info.name, profile)
-        cpu, memory_mb, gpu = state.free_capacity()
-        message = AgentState(
-            state.now_ms,
-            cpu,
-            memory_mb,
-            gpu,
-            state.ready and offered,
-            entry_info.acked_order,
-            state.shared_with_others(entry_info.name),
-        )
-        state.send(entry_info.name, message)
-        if (
-            max_interval_ms < limits.far_interval_ms
-            and state.now_ms - entry_info.progress_sent_ms
-            >= limits.progress_interval_ms
-        ):
-            entry_info.progress_sent_ms = state.now_ms
-            self._send_progress(entry_info)
-
-    def _profile(self) -> WorkerProfile:
-        state = self.state
-        heartbeat = state.registration
-        offered_to = max(len(state.offered), 1)
-        if heartbeat is None:
-            return WorkerProfile(
-                "", state.worker_incarnation, "", "", [], 0, 0, 0, offered_to
-            )
-        return WorkerProfile(
-            heartbeat.worker,
-            state.worker_incarnation,
-            heartbeat.service,
-            heartbeat.data_centre,
-            list(heartbeat.labels),
-            heartbeat.cpu,
-            heartbeat.memory_mb,
-            heartbeat.gpu,
-            offered_to,
-        )
-
-    def _send_progress(self, entry_info: EntryInfo) -> None:
-        state = self.state
-        running = [
-            RunningTask(run.task, run.number, run.checkpoint, run.percent)
-            for run in state.runs.values()
-            if run.confirmed_ms is not None
-            and state.owner_of_run(run) == entry_info.name
-        ]
-        if running:
-            state.send(entry_info.name, Progress(running))
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -17,7 +17,10 @@
         arrived after a later heartbeat, or after the worker announced its departure.
     """
     old = state.registration
-    if state.departed == (new.worker, new.worker_incarnation):
+    if new.worker_incarnation and state.departed == (
+        new.worker,
+        new.worker_incarnation,
+    ):
         state.note("heartbeat of a worker that left", worker=new.worker)
         return False
     if (
