Let an entry that leaves finish the jobs of other entries

Cause: an entry ended once the requests of its own clients were answered. A job that another entry had forwarded to it was cut off; that entry waited 2.25 s for its runs to end and began it anew.

Change: the entry waits for these jobs too, until 1 s before SIGKILL.

Measured: the new test fails before (the entry is gone after 2.4 s) and passes.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -48,8 +48,8 @@
 DRAIN_S = 2.4
 # Time limit for the handover of the shards at shutdown, in seconds.
 HANDOVER_TIMEOUT_S = 1.0
-# Time reserved between the end of the process and SIGKILL, in seconds.
-EXIT_RESERVE_S = 1.0
+# Time reserved between the end of the process and SIGKILL, in milliseconds.
+EXIT_RESERVE_MS = 1_000
 # Interval at which the wall clock is compared with the clock of the process, in
 # seconds.
 WALL_CLOCK_INTERVAL_S = 0.4
@@ -229,8 +229,9 @@
         await self.owners.refresh()
         elapsed_s = (self.clock.now_ms() - start_ms) / MS_PER_S
         await asyncio.sleep(max(0.0, DRAIN_S - elapsed_s))
-        grace_s = self.settings.grace_ms / MS_PER_S - DRAIN_S - EXIT_RESERVE_S
-        await self.client_server.stop(max(grace_s, 0.5))
+        serving_ms = self.settings.grace_ms - EXIT_RESERVE_MS
+        await self.client_server.stop(max(serving_ms / MS_PER_S - DRAIN_S, 0.5))
+        await self.volatile_requests.finish_forwarded(start_ms + serving_ms)
         await self.store.close()
         self.log.note("stopped")
         self.stopped.set()
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -28,6 +28,8 @@
 # A request that has waited here for longer is not forwarded: the other entry would
 # count it as new, and it would displace others that can be in time.
 MAX_FORWARDING_AGE_MS = 100
+# Interval at which a process that ends looks for open jobs, in seconds.
+FINISH_POLL_S = 0.05
 MS_PER_S = 1_000
 
 
@@ -140,6 +142,16 @@
                 self.core.abandon(self.clock.now_ms(), future, spec.id)
                 self.core_loop.schedule_step()
 
+    async def finish_forwarded(self, end_ms: int) -> None:
+        """Wait for the end of the jobs that other entries have forwarded to this one.
+
+        Args:
+            end_ms: When to stop waiting, on the process's clock in milliseconds.
+        """
+        requests = self.core.state.volatile.requests
+        while requests and self.clock.now_ms() < end_ms:
+            await asyncio.sleep(FINISH_POLL_S)
+
     async def announce_jobs(self) -> None:
         """Announce the volatile jobs that begin and end here, until cancelled."""
         waited_s = 0.0
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from catkincross.clock import ManualClock
+from catkincross.clock import ManualClock, SystemClock
+from catkincross.daemons._entry import DRAIN_S, EntryDaemon
 from catkincross.daemons._log import DecisionLog
 from catkincross.daemons._owner_requests import LINK_CLOSED
 from catkincross.daemons._volatile_requests import VolatileRequests
@@ -16,6 +17,7 @@
 from catkincross.operations import Declarations, Service
 from catkincross.peers import Answer, Ask, Greeting
 from scenarios.platform_model import SERVICE, Model, job, ready_model
+from tests.test_platform_daemons import free_port, settings_for
 
 IDLE = PeerLoad("e1", "perth", 0)
 OTHER_IDLE = PeerLoad("e2", "fife", 0)
@@ -199,3 +201,31 @@
 
     assert asyncio.run(run()).outcome == "state"
     assert core.run_here == ["a" * 16]
+
+
+class StoppedServer:
+    """Server of client accounts that has no open requests."""
+
+    async def stop(self, _: float) -> None:
+        """Return at once."""
+
+
+def test_an_entry_that_leaves_finishes_the_jobs_of_other_entries() -> None:
+    """The other entry would wait for the runs to end, and begin the job anew."""
+
+    async def run() -> None:
+        clock = SystemClock()
+        log = DecisionLog("e1", clock, os.open(os.devnull, os.O_WRONLY))
+        settings = settings_for("e1", store=f"127.0.0.1:{free_port()}")
+        entry = EntryDaemon(settings, clock, log)
+        entry.client_server = StoppedServer()
+        requests = entry.core.state.volatile.requests
+        requests["a" * 16] = [("link", 1)]
+        leaving = asyncio.create_task(entry.leave())
+        await asyncio.sleep(DRAIN_S + 0.5)
+        assert not leaving.done()
+        requests.clear()
+        await leaving
+        assert entry.stopped.is_set()
+
+    asyncio.run(run())
