Split the messages between processes by their receivers

Names, fields and their order are unchanged.

Measured: the tests of errors, links, offers, forwarding and daemons pass.

--- a/catkincross/peers/__init__.py
+++ b/catkincross/peers/__init__.py
@@ -2,33 +2,34 @@
 
 from __future__ import annotations
 
-from ._directory import STORE_SOURCE, EntryDirectory, announcement
-from ._link import Link, connect, serve_links
-from ._messages import (
+from ._agent_messages import (
     AgentState,
-    Answer,
-    Ask,
-    Backlog,
     EndedRun,
     Ends,
     Greeting,
     Lease,
     Logged,
-    Members,
     NotStarted,
     Progress,
     Report,
-    ReportTo,
     RunningTask,
-    SeekAgents,
     Sizes,
     Start,
     Stop,
-    VolatileJobs,
     WorkerProfile,
-    decode_message,
-    encode_message,
 )
+from ._codec import decode_message, encode_message
+from ._directory import STORE_SOURCE, EntryDirectory, announcement
+from ._entry_messages import (
+    Answer,
+    Ask,
+    Backlog,
+    Members,
+    ReportTo,
+    SeekAgents,
+    VolatileJobs,
+)
+from ._link import Link, connect, serve_links
 
 __all__ = [
     "AgentState",
--- a/catkincross/peers/_directory.py
+++ b/catkincross/peers/_directory.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ._messages import Members
+from ._entry_messages import Members
 
 # Source of the entries that are read from the store.
 STORE_SOURCE = "store"
--- /dev/null
+++ b/catkincross/peers/_entry_messages.py
@@ -0,0 +1,113 @@
+"""Messages between entries, and those that agents pass on for them.
+
+Fields are encoded by position, so their order is part of the wire format.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from ._message_registry import register_message
+
+
+@register_message
+@attrs.frozen
+class Members:
+    """Entries that the sender knows of from the store or by their own links.
+
+    Attributes:
+        added: Data centre of each new entry, by address (`IP:port`).
+        removed: Addresses of entries that the sender no longer knows.
+        complete: Whether `added` holds all entries, not only the new ones.
+    """
+
+    added: dict[str, str]
+    removed: list[str]
+    complete: bool
+
+
+@register_message
+@attrs.frozen
+class SeekAgents:
+    """Request of a shard's new owner to be put in touch with agents.
+
+    Attributes:
+        agents: Names of the agents that may have runs of the shard.
+    """
+
+    agents: list[str]
+
+
+@register_message
+@attrs.frozen
+class ReportTo:
+    """Request to an agent to open a link to the entry at an address (`IP:port`)."""
+
+    address: str
+
+
+@register_message
+@attrs.frozen
+class Ask:
+    """A request that an entry forwards to the owner of the job.
+
+    Attributes:
+        request_number: Number of the request on the link.
+        verb: `submit`, `state`, `cancel`, or `abandon` if the client account has left
+            that waited for the answer to the request with this number.
+        job_id: ID of the job.
+        body: The encoded job for `submit`; None for the other verbs.
+        timeout_ms: How long the client account waits for the answer; 0 if not known.
+    """
+
+    request_number: int
+    verb: str
+    job_id: str
+    body: dict[str, Any] | None = None
+    timeout_ms: int = 0
+
+
+@register_message
+@attrs.frozen
+class Answer:
+    """The owner's answer to a forwarded request.
+
+    Attributes:
+        request_number: Number of the request.
+        outcome: Result of the request, such as `accepted`, `rejected` or `unknown`.
+        detail: State of the job, or the reason for another outcome.
+        retry_after_ms: Time until a rejected request may be accepted; 0 if not known.
+    """
+
+    request_number: int
+    outcome: str
+    detail: str = ""
+    retry_after_ms: int = 0
+
+
+@register_message
+@attrs.frozen
+class VolatileJobs:
+    """IDs of volatile jobs that an entry has begun, and of those that ended there."""
+
+    begun: list[str]
+    ended: list[str]
+
+
+@register_message
+@attrs.frozen
+class Backlog:
+    """Jobs and work that wait at an entry.
+
+    Attributes:
+        waiting_jobs: Number of accepted jobs without a started task, by queue.
+        waiting_work: Work of waiting tasks by service, in millicore-milliseconds.
+        wait_ms: Expected wait of a new job in milliseconds, by service; services are
+            left out for which the entry takes no jobs from other entries.
+    """
+
+    waiting_jobs: dict[str, int]
+    waiting_work: dict[str, float]
+    wait_ms: dict[str, int] = attrs.field(factory=dict)
--- a/catkincross/peers/_link.py
+++ b/catkincross/peers/_link.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ._messages import decode_message, encode_message
+from ._codec import decode_message, encode_message
 
 LENGTH_BYTES = 4
 # Largest accepted message; the largest one that occurs is the report of a shard.
