Keep the platform's daemons running after unexpected errors

Cause: the loop's exception handler stopped the process on any error of a callback or background task. A malformed address in a message of an entry failed the task that opens the link and so ended the agent with all its runs; a metrics port in use ended a daemon 2 s after its start.

Change: the platform's daemons log such errors and go on; the product's own daemons still stop. A malformed address is a failed connection. The metrics are left out if their port cannot be used, and the settings are watched again after an error.

--- a/catkincross/daemons/_run.py
+++ b/catkincross/daemons/_run.py
@@ -5,10 +5,11 @@
 import asyncio
 import socket
 import sys
+from functools import partial
 from typing import Any
 
 from ..clock import SystemClock
-from ..foundation._background import spawn
+from ..foundation._background import spawn, spawn_repeated
 from ..foundation._daemon_main import run_daemon
 from ..platform import load_node_settings
 from ..transport._http_server import HttpServer
@@ -22,18 +23,26 @@
 METRICS_START_DELAY_S = 2.0
 
 
-async def serve_metrics(log: DecisionLog, address: str) -> None:
+async def serve_metrics(
+    log: DecisionLog, address: str, *, delay_s: float = METRICS_START_DELAY_S
+) -> None:
     """Serve the metrics after a delay that leaves the startup to urgent work.
 
+    If the address cannot be used, this is logged, and the process goes on without.
+
     Args:
         log: Log of the process, the source of the metrics.
         address: `IP:port` to listen on.
+        delay_s: The delay, in seconds.
     """
-    await asyncio.sleep(METRICS_START_DELAY_S)
+    await asyncio.sleep(delay_s)
     # Importing this at the top would take a tenth of the startup time.
     from ._metrics import Metrics
 
-    HttpServer(Metrics(log), address).start()
+    try:
+        HttpServer(Metrics(log), address).start()
+    except OSError as error:
+        log.note("metrics not served", address=address, error=repr(error))
 
 
 def run(
@@ -63,9 +72,11 @@
     async def serve() -> None:
         daemon = daemon_class(settings, clock, log, own_settings, sockets)
         await daemon.start()
-        spawn(watch_settings(daemon, own_settings, log))
+        spawn_repeated(
+            partial(watch_settings, daemon, own_settings, log), log.note_error
+        )
         spawn(serve_metrics(log, f"{settings.ip}:{own_settings.metrics_port}"))
-        await run_daemon(daemon)
+        await run_daemon(daemon, log.note_error)
 
     try:
         asyncio.run(serve())
--- a/catkincross/foundation/_background.py
+++ b/catkincross/foundation/_background.py
@@ -51,6 +51,28 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
+def report_errors(
+    on_error: Callable[[str, Exception], None],
+) -> Callable[[asyncio.AbstractEventLoop, dict[str, Any]], None]:
+    """Return a loop's exception handler that reports errors and lets the loop go on.
+
+    For processes whose state is consistent after any single callback: an unexpected
+    error then costs one message or request, and not all that the process holds.
+
+    Args:
+        on_error: Called with what failed and the exception.
+    """
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if isinstance(error, Exception):
+            on_error(context["message"], error)
+        else:
+            loop.default_exception_handler(context)
+
+    return handle
+
+
 def _report(task: asyncio.Task[None]) -> None:
     if task.cancelled() or task.exception() is None:
         return
--- a/catkincross/peers/_link.py
+++ b/catkincross/peers/_link.py
@@ -148,13 +148,18 @@
         timeout_s: Time limit in seconds.
 
     Raises:
-        OSError: If the connection fails.
+        OSError: If the connection fails, or the address is malformed.
         TimeoutError: If the connection is not open within the time limit.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    connecting = loop.create_connection(make_link, host, int(port))
-    _, link = await asyncio.wait_for(connecting, timeout_s)
+    try:
+        connecting = loop.create_connection(make_link, host, int(port))
+        _, link = await asyncio.wait_for(connecting, timeout_s)
+    except (ValueError, OverflowError) as error:
+        # Addresses come from other processes; a malformed one must cost the attempt
+        # only.
+        raise OSError(f"invalid address: {address!r}") from error
     return link
 
 
--- a/tests/test_platform_errors.py
+++ b/tests/test_platform_errors.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import socket
 from typing import Any
 
 import pytest
@@ -13,7 +14,13 @@
 from catkincross.daemons._core_loop import CoreLoop
 from catkincross.daemons._entry import EntryDaemon
 from catkincross.daemons._log import DecisionLog
-from catkincross.foundation._background import spawn_repeated, stop_on_failed_task
+from catkincross.daemons._run import serve_metrics
+from catkincross.foundation._background import (
+    spawn,
+    spawn_repeated,
+    stop_on_failed_task,
+)
+from catkincross.foundation._daemon_main import run_daemon
 from catkincross.peers import (
     AgentState,
     Ask,
@@ -23,6 +30,7 @@
     Lease,
     Link,
     Report,
+    ReportTo,
     RunningTask,
     Sizes,
     VolatileJobs,
@@ -210,3 +218,90 @@
         return [*agent.links, *agent.core.state.entries]
 
     assert asyncio.run(run()) == []
+
+
+@pytest.mark.parametrize(
+    "address", ["nowhere", "127.0.0.1:70000", "127.0.0.1:-1", "\0:80", "a" * 70 + ":80"]
+)
+def test_an_agent_survives_a_malformed_address_of_an_entry(address: str) -> None:
+    """The task that opens the link failed, which ended the process and its runs."""
+
+    async def run() -> tuple[dict[str, int], set[str], int]:
+        clock = SystemClock()
+        log = DecisionLog("u1", clock, os.open(os.devnull, os.O_WRONLY))
+        agent = AgentDaemon(settings_for("u1"), clock, log)
+        failed: list[Any] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: failed.append(context)
+        )
+        link = Link(lambda *_: None, agent._on_close, log.note_error)
+        link.peer = "e1"
+        agent.core.handle_entry_connected(clock.now_ms(), "e1")
+        agent._on_message(link, ReportTo(address))
+        async with asyncio.timeout(10):
+            while agent.connecting and not failed:
+                await asyncio.sleep(0.01)
+        await agent.store.close()
+        await agent.worker.close()
+        return log.event_counts, agent.connecting, len(failed)
+
+    events, connecting, failed = asyncio.run(run())
+    assert (failed, connecting) == (0, set())
+    assert events["entry not reached"] == 1
+
+
+class FailingDaemon:
+    """A daemon of which a callback and a background task fail."""
+
+    def __init__(self) -> None:
+        self.stopped = asyncio.Event()
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def run(self) -> None:
+        """Go on after both errors until the daemon is told to leave."""
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.fail)
+        spawn(self.fail_later())
+        await asyncio.sleep(0.05)
+        await self.leave()
+        await self.stopped.wait()
+
+    async def leave(self) -> None:
+        """End."""
+        self.stopped.set()
+
+    def fail(self) -> None:
+        """Fail as a callback."""
+        raise RuntimeError("callback")
+
+    async def fail_later(self) -> None:
+        """Fail as a background task."""
+        raise RuntimeError("task")
+
+
+def test_an_unexpected_error_does_not_end_a_daemon() -> None:
+    """One failed callback or task ended the process with all jobs that it held."""
+    errors: list[str] = []
+
+    async def run() -> None:
+        await run_daemon(
+            FailingDaemon(), on_error=lambda _, error: errors.append(str(error))
+        )
+
+    asyncio.run(run())
+    assert sorted(errors) == ["callback", "task"]
+
+
+def test_a_port_in_use_does_not_end_a_daemon() -> None:
+    """A metrics port that another process used ended the daemon 2 s after its start."""
+
+    async def run() -> dict[str, int]:
+        log = DecisionLog("e", SystemClock(), os.open(os.devnull, os.O_WRONLY))
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            await serve_metrics(log, address, delay_s=0)
+        return log.event_counts
+
+    assert asyncio.run(run()) == {"metrics not served": 1}
