Do not report jobs as not run that may have run, or run them again after a lost answer

Cause: a rejection says that no task of the job has run. It was also given for a job that this entry had begun and given up, and for one that another entry had begun before it was lost or left its answer open. A job that had ended at another entry ran again if only its answer was lost, since that entry was asked for open jobs only. A repeated submission that waited for the end of earlier runs started although its client account had left.

Entries remember for 3.5 s where a job has ended, and ask there first. A postponed submission is dropped with its request.

--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -103,7 +103,7 @@
         elif isinstance(message, Backlog):
             link.send(self.core.backlog())
         elif isinstance(message, VolatileJobs):
-            self.peer_jobs.update(link.peer, message)
+            self.peer_jobs.update(link.peer, message, self.clock.now_ms())
         elif isinstance(message, SeekAgents):
             for name in message.agents:
                 self.send_to_agent(name, ReportTo(link.peer.address))
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -79,10 +79,22 @@
             waited_ms: The part of that time in which the request has waited here.
 
         Returns:
-            The end of the job, a rejection, or `unknown` when the time is too short.
+            The end of the job, a rejection, or `unknown` when the time is too short. A
+            rejection says that no task of the job has run, so it is answered as
+            `unknown` if another entry may have begun the job.
         """
+        answer = await self._run_or_ask(spec, timeout_ms, waited_ms)
+        if answer.outcome == "rejected" and self.peer_jobs.may_have_run(spec.id):
+            return Answer(0, "unknown", answer.detail)
+        return answer
+
+    async def _run_or_ask(
+        self, spec: JobSpec, timeout_ms: int, waited_ms: int
+    ) -> Answer:
         arrived_ms = self.clock.now_ms() - waited_ms
         deadline_ms = arrived_ms + timeout_ms
+        # Whether an entry may have begun the job without an answer.
+        unanswered = False
         while True:
             now_ms = self.clock.now_ms()
             holder = self.peer_jobs.find_holder(spec.id, now_ms)
@@ -95,7 +107,11 @@
             if isinstance(holder, LiveHolder):
                 answer = await self._ask_holder(holder.address, spec, remaining_ms)
                 if answer is not None and answer is not LINK_CLOSED:
+                    rejected = answer.outcome == "rejected"
+                    if rejected and unanswered:
+                        return Answer(0, "unknown", answer.detail)
                     return answer
+                unanswered = True
             wait_ms = max(holder.wait_ms, REMOTE_RETRY_MS)
             if remaining_ms <= wait_ms:
                 return Answer(0, "unknown", "job was at a lost entry")
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -4,6 +4,9 @@
 to other entries while workers still run the tasks of the lost entry. A job must not
 run twice at the same time, so an entry does not start it until the agents have ended
 the runs of the lost entry.
+
+If only an answer is lost, the client account may send a job again that has ended. The
+entry that ran it still has the answer, so it is asked before the job runs once more.
 """
 
 from __future__ import annotations
@@ -14,6 +17,9 @@
 
 # How long the jobs of a lost entry are remembered, in milliseconds.
 LOST_ENTRY_RETENTION_MS = 10_000
+# How long the entry of an ended job is asked for its answer, in milliseconds. It keeps
+# the answer for 4,000 ms, and announces the end up to 400 ms later.
+ENDED_JOB_MEMORY_MS = 3_500
 
 
 @attrs.frozen
@@ -52,12 +58,15 @@
     Attributes:
         address: Address of the entry, `IP:port`.
         jobs: IDs of the jobs that the entry holds.
+        ended_ms: When the entry announced the end of a job, by job ID, on the process's
+            clock in milliseconds; the oldest come first.
         lost_ms: When the entry's link closed, on the process's clock in milliseconds;
             None while the link is open.
     """
 
     address: str
     jobs: set[str] = attrs.field(factory=set)
+    ended_ms: dict[str, int] = attrs.field(factory=dict)
     lost_ms: int | None = None
 
 
@@ -80,12 +89,22 @@
         peer = self.entries.setdefault(key, _PeerEntry(greeting.address))
         peer.lost_ms = None
 
-    def update(self, greeting: Greeting, changes: VolatileJobs) -> None:
+    def update(self, greeting: Greeting, changes: VolatileJobs, now_ms: int) -> None:
         """Record which jobs an entry has begun and which have ended there."""
         peer = self.entries.get((greeting.name, greeting.incarnation))
-        if peer is not None:
-            peer.jobs.update(changes.begun)
-            peer.jobs.difference_update(changes.ended)
+        if peer is None:
+            return
+        peer.jobs.update(changes.begun)
+        peer.jobs.difference_update(changes.ended)
+        for job_id in changes.begun:
+            peer.ended_ms.pop(job_id, None)
+        for job_id in changes.ended:
+            peer.ended_ms.pop(job_id, None)
+            peer.ended_ms[job_id] = now_ms
+        for job_id, ended_ms in list(peer.ended_ms.items()):
+            if now_ms - ended_ms <= ENDED_JOB_MEMORY_MS:
+                break
+            del peer.ended_ms[job_id]
 
     def record_forwarding(self, address: str, job_id: str) -> bool:
         """Record that a connected entry is about to get a job from this one.
@@ -104,7 +123,7 @@
     def record_rejection(self, address: str, job_id: str) -> None:
         """Record that an entry has rejected a job that was forwarded to it."""
         for peer in self.entries.values():
-            if peer.address == address:
+            if peer.address == address and peer.lost_ms is None:
                 peer.jobs.discard(job_id)
 
     def mark_entry_lost(self, greeting: Greeting, *, now_ms: int) -> None:
@@ -116,7 +135,10 @@
     def find_holder(
         self, job_id: str, now_ms: int
     ) -> NoHolder | LiveHolder | LostHolder:
-        """Return who holds a job, and remove lost entries past their retention."""
+        """Return who holds a job, and remove lost entries past their retention.
+
+        A connected entry also holds the answer of a job that has ended there lately.
+        """
         for key, entry in list(self.entries.items()):
             lost_ms = entry.lost_ms
             if lost_ms is not None and now_ms - lost_ms > LOST_ENTRY_RETENTION_MS:
@@ -127,4 +149,18 @@
                 remaining_ms = lost_ms + self.run_expiry_ms - now_ms
                 if remaining_ms > 0:
                     return LostHolder(remaining_ms)
+            elif lost_ms is None and _ended_lately(entry, job_id, now_ms):
+                return LiveHolder(entry.address)
         return NoHolder()
+
+    def may_have_run(self, job_id: str) -> bool:
+        """Whether another entry is known to have begun a job."""
+        return any(
+            job_id in entry.jobs or job_id in entry.ended_ms
+            for entry in self.entries.values()
+        )
+
+
+def _ended_lately(entry: _PeerEntry, job_id: str, now_ms: int) -> bool:
+    ended_ms = entry.ended_ms.get(job_id)
+    return ended_ms is not None and now_ms - ended_ms <= ENDED_JOB_MEMORY_MS
--- a/catkincross/owner/_shard.py
+++ b/catkincross/owner/_shard.py
@@ -250,6 +250,19 @@
         return not self._queue and not self._in_flight
 
 
+@attrs.frozen(eq=False)
+class Resubmission:
+    """A repeated submission of a job whose runs have to end first.
+
+    Attributes:
+        request: The request to answer.
+        submit: Carries out the submission.
+    """
+
+    request: Any
+    submit: Callable[[], None]
+
+
 @attrs.define(eq=False)
 class VolatileShard(Shard):
     """The volatile jobs of one entry, which are not stored.
@@ -260,10 +273,12 @@
         requests: Requests that wait for the end of a job, by job ID.
         resubmissions: Repeated submissions of a job that was given up, by job ID; each
             is carried out once no worker has a run of the job.
+        given_up_ms: Time at which each job was given up that may have run, by job ID.
     """
 
     requests: dict[str, list[Any]] = attrs.field(factory=dict)
-    resubmissions: dict[str, list[Callable[[], None]]] = attrs.field(factory=dict)
+    resubmissions: dict[str, list[Resubmission]] = attrs.field(factory=dict)
+    given_up_ms: dict[str, int] = attrs.field(factory=dict)
 
     @classmethod
     def for_process(cls, incarnation: int) -> VolatileShard:
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -313,8 +313,8 @@
         if job.final_state is not JobState.CANCELLED:
             return
         self.volatile.forget(job.spec.id)
-        for resubmit in self.volatile.resubmissions.pop(job.spec.id, []):
-            resubmit()
+        for resubmission in self.volatile.resubmissions.pop(job.spec.id, []):
+            resubmission.submit()
 
     def assign(self, task: Task, agent_info: AgentInfo, run: int) -> None:
         """Assign a task to an agent that has the run, or may have it.
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -7,11 +7,15 @@
 from ..dispatch import cannot_meet_deadline, critical_path_ms, latest_start_ms
 from ..jobs import Job, JobAccepted, JobSpec, JobState, TaskState
 from ._requests import check_admission, job_ended, reply
+from ._shard import Resubmission
 from ._state import OwnerState, owner_system
 
 # An ended job is retained for this long, so that a request that is repeated 1,300 ms
 # after its connection broke gets the same answer.
 ENDED_JOB_RETENTION_MS = 4_000
+# A job that may have run is remembered for this long after it was given up. Client
+# accounts send a request again 1,300 ms after an answer that leaves its end open.
+GIVEN_UP_MEMORY_MS = 10_000
 # Interval between checks for jobs that cannot end in time.
 DEADLINE_CHECK_INTERVAL_MS = 50
 
@@ -38,7 +42,10 @@
     if existing is not None and existing.final_state is JobState.CANCELLED:
         postponed = shard.resubmissions.setdefault(spec.id, [])
         postponed.append(
-            lambda: submit_volatile(state, request, spec, arrived_ms, timeout_ms)
+            Resubmission(
+                request,
+                lambda: submit_volatile(state, request, spec, arrived_ms, timeout_ms),
+            )
         )
         return
     if existing is not None and existing.final_state is not None:
@@ -51,7 +58,7 @@
     job.deadline_ms = arrived_ms + timeout_ms
     rejection = check_admission(state, shard, job)
     if rejection is not None:
-        reply(state, request, "rejected", rejection.reason, rejection.retry_after_ms)
+        _reject(state, request, spec.id, rejection.reason, rejection.retry_after_ms)
         return
     shard.jobs[spec.id] = job
     shard.update_open_jobs(job)
@@ -61,11 +68,28 @@
     state.note("job begun", job=spec.id, queue=spec.policy.queue, limit_ms=timeout_ms)
 
 
+def _reject(
+    state: OwnerState, request: Any, job_id: str, reason: str, retry_after_ms: int
+) -> None:
+    """Reject a job of which no task was sent, which says that it has not run.
+
+    The outcome of a job that an earlier request began is `unknown` instead: its tasks
+    may have run before it was given up.
+    """
+    if job_id in state.volatile.given_up_ms:
+        reply(state, request, "unknown", reason)
+    else:
+        reply(state, request, "rejected", reason, retry_after_ms)
+
+
 def abandon(state: OwnerState, request: Any, job_id: str) -> None:
     """Remove the request of a client account that has left.
 
-    The job is given up if no other request waits for it.
+    The job is given up if no other request waits for it. A submission that waits for
+    the end of earlier runs is not carried out.
     """
+    postponed = state.volatile.resubmissions.get(job_id, [])
+    postponed[:] = [other for other in postponed if other.request != request]
     requests = state.volatile.requests.get(job_id, [])
     if request not in requests:
         return
@@ -77,6 +101,8 @@
 
 def give_up(state: OwnerState, job: Job, reason: str) -> None:
     """Cancel a job that nobody waits for, or that cannot end in time."""
+    if job.started:
+        state.volatile.given_up_ms[job.spec.id] = state.now_ms
     job.finish(JobState.CANCELLED, state.now_ms)
     service = job.spec.policy.service
     state.note(
@@ -114,6 +140,9 @@
     state.next_deadline_check_ms = state.now_ms + DEADLINE_CHECK_INTERVAL_MS
     for job in list(shard.open_jobs.values()):
         _check_deadline(state, job)
+    for job_id, given_up_ms in list(shard.given_up_ms.items()):
+        if state.now_ms - given_up_ms > GIVEN_UP_MEMORY_MS:
+            del shard.given_up_ms[job_id]
     for job_id, job in list(shard.jobs.items()):
         if (
             job.final_state is not None
@@ -149,7 +178,7 @@
     for request in requests:
         if not job.started:
             wait_ms = state.backlog_wait_ms(job.spec.policy.service)
-            reply(state, request, "rejected", "backlog", wait_ms + 1)
+            _reject(state, request, job.spec.id, "backlog", wait_ms + 1)
         else:
             # A task may have run, so the job cannot be rejected as not run. It has not
             # failed either: no task has used up its attempts.
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -13,9 +13,9 @@
 from catkincross.daemons._log import DecisionLog
 from catkincross.daemons._owner_requests import LINK_CLOSED
 from catkincross.daemons._volatile_requests import VolatileRequests
-from catkincross.dispatch import PeerLoad, PeerVolatileJobs, choose_forwarding
+from catkincross.dispatch import NoHolder, PeerLoad, PeerVolatileJobs, choose_forwarding
 from catkincross.operations import Declarations, Service
-from catkincross.peers import Answer, Ask, Greeting
+from catkincross.peers import Answer, Ask, Greeting, VolatileJobs
 from scenarios.platform_model import SERVICE, Model, job, ready_model
 from tests.test_platform_daemons import free_port, settings_for
 
@@ -117,15 +117,16 @@
 
     def __init__(self) -> None:
         self.run_here: list[str] = []
+        self.outcome = "state"
 
     def choose_forwarding(self, *_: Any) -> str:
         """Choose e2."""
         return "e2:1"
 
     def submit(self, _: int, request: Any, spec: Any, **_more: Any) -> None:
-        """Complete a job at once."""
+        """Answer a job at once."""
         self.run_here.append(spec.id)
-        request.set_result(Answer(0, "state", "completed"))
+        request.set_result(Answer(0, self.outcome, "completed"))
 
     def abandon(self, *_: Any) -> None:
         """Ignore that a client account has left."""
@@ -203,6 +204,66 @@
     assert core.run_here == ["a" * 16]
 
 
+def submit_with(
+    peer_jobs: PeerVolatileJobs, core: Core, answers: list[Answer | None]
+) -> Answer:
+    """Submit a job to an entry that knows of the jobs of others; return the answer."""
+
+    async def run() -> Answer:
+        clock = ManualClock()
+        log = DecisionLog("e1", clock, os.open(os.devnull, os.O_WRONLY))
+        volatile = VolatileRequests(
+            core, CoreLoop(), peer_jobs, Requests(answers), clock, log
+        )
+        return await volatile.submit(job("a" * 16, volatile=True), 2_000)
+
+    return asyncio.run(run())
+
+
+def test_a_job_whose_answer_was_lost_is_not_run_again() -> None:
+    """The client account sends a job again if its connection broke before the answer.
+
+    The entry that ran it still has the answer, but the job was begun at another one.
+    """
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16], []), 0)
+    peer_jobs.update(greeting, VolatileJobs([], ["a" * 16]), 0)
+    core = Core()
+    answer = submit_with(peer_jobs, core, [Answer(1, "state", "completed")])
+    assert (answer.detail, core.run_here) == ("completed", [])
+    assert peer_jobs.find_holder("a" * 16, 3_600) == NoHolder()
+    peer_jobs.update(greeting, VolatileJobs(["b" * 16], []), 3_600)
+    assert not peer_jobs.may_have_run("a" * 16)
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_a_job_of_a_lost_entry_is_not_rejected_as_not_run(ended: bool) -> None:
+    """A rejection says that no task has run, and the lost entry may have begun it."""
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=0)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16], []), 0)
+    if ended:
+        peer_jobs.update(greeting, VolatileJobs([], ["a" * 16]), 0)
+    peer_jobs.mark_entry_lost(greeting, now_ms=0)
+    core = Core()
+    core.outcome = "rejected"
+    assert submit_with(peer_jobs, core, []).outcome == "unknown"
+    assert core.run_here == ["a" * 16]
+
+
+def test_a_rejection_after_a_lost_answer_is_not_passed_on() -> None:
+    """A new process of the entry rejects a job that the earlier one may have begun."""
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16], []), 0)
+    answers = [LINK_CLOSED, Answer(1, "rejected", "backlog", 900)]
+    assert submit_with(peer_jobs, Core(), answers).outcome == "unknown"
+
+
 class StoppedServer:
     """Server of client accounts that has no open requests."""
 
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -181,6 +181,6 @@
     peers = PeerVolatileJobs(2_250)
     greeting = Greeting("entry", "e0", 1, "1.1.1.1:1")
     peers.add_entry(greeting)
-    peers.update(greeting, VolatileJobs(begun, ended))
+    peers.update(greeting, VolatileJobs(begun, ended), model.now_ms)
     assert peers.find_holder(spec.id, model.now_ms) == LiveHolder("1.1.1.1:1")
     assert peers.find_holder("d" * 16, model.now_ms) == NoHolder()
--- a/tests/test_platform_volatile.py
+++ b/tests/test_platform_volatile.py
@@ -267,3 +267,39 @@
     model.submit("r", job("a" * 16, volatile=True), "e0", timeout_ms=1_000)
     model.run(2_000)
     assert model.count("start") == 0
+
+
+def test_a_postponed_submission_is_dropped_when_its_client_account_leaves() -> None:
+    """Workers would run a job that nobody waits for any more."""
+    model = ready_model()
+    for machine in model.machines.values():
+        machine.run_ms = 5_000
+    model.submit("post", job(JOB, volatile=True), "e1", timeout_ms=9_000)
+    model.run(200)
+    core = model.owners["e1"].core
+    core.abandon(model.now_ms, "post", JOB)
+    model.submit("again", job(JOB, volatile=True), "e1", timeout_ms=9_000)
+    core.abandon(model.now_ms, "again", JOB)
+    model.run(6_000)
+    assert model.count("start") == 4
+    assert JOB not in core.state.volatile.jobs
+
+
+def test_a_job_that_was_given_up_after_its_start_is_not_rejected_as_not_run() -> None:
+    """A rejection tells the client account that no task has run, which must be true."""
+    model = ready_model()
+    for machine in model.machines.values():
+        machine.run_ms = 5_000
+    model.submit("post", job(JOB, volatile=True), "e1", timeout_ms=400)
+    model.run(2_000)
+    assert model.answers["post"].outcome == "unknown"
+    core = model.owners["e1"].core
+    # Any reason for a rejection will do.
+    core.state.volatile.append_failing_since_ms = model.now_ms
+    model.submit("again", job(JOB, volatile=True), "e1", timeout_ms=400)
+    model.submit("other", job("b" * 16, volatile=True), "e1", timeout_ms=400)
+    model.run(100)
+    assert model.answers["again"].outcome == "unknown"
+    assert model.answers["other"].outcome == "rejected"
+    model.run(11_000)
+    assert core.state.volatile.given_up_ms == {}
