Decode only the newest of several configurations in one read

Cause: a read returns all versions since the last one. Each was decoded, though only the newest comes into force; with 1,186 queues each takes 7 ms of a core.

Change: records are applied from the newest on, and older values of a key are skipped unless the newer ones are invalid.

--- a/catkincross/platform/_declared.py
+++ b/catkincross/platform/_declared.py
@@ -60,12 +60,20 @@
         if isinstance(result, RecordsExpired):
             self._offset = None
             return await self._read_latest()
+        self._offset += len(result.records)
         changed = False
-        for record in result.records:
-            self._offset += 1
+        decoded_keys: set[str] = set()
+        # From the newest record on: an older value of a key is not decoded, since it
+        # would only delay the newest one. Values that are not valid count for nothing.
+        for record in reversed(result.records):
             length = record[0] if record else 0
             key = record[1 : 1 + length].decode("utf-8", "replace")
+            if key in decoded_keys:
+                continue
+            errors = len(self.decode_errors)
             changed = self._apply(key, record[1 + length :]) or changed
+            if len(self.decode_errors) == errors:
+                decoded_keys.add(key)
         return changed
 
     async def _read_latest(self) -> bool | None:
--- a/tests/test_platform_declared.py
+++ b/tests/test_platform_declared.py
@@ -10,7 +10,8 @@
 
 from catkincross.jobs import QueuePolicy
 from catkincross.operations import Declarations, Queue
-from catkincross.platform import DeclarationFeed
+from catkincross.platform import DeclarationFeed, _declared
+from catkincross.platform._declared import read_config
 from catkincross.platform._store import ReadResult
 
 VALID_CONFIG = {
@@ -61,6 +62,32 @@
     assert len(feed.decode_errors) == 1
 
 
+def test_superseded_configurations_are_not_decoded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Decoding 1,200 queues for each version delays requests and the newest version.
+
+    Several versions arrive in one read after a quick succession of changes, or after a
+    time in which the store gave no answer.
+    """
+    versions: list[int] = []
+
+    def read_and_record(value: bytes) -> Declarations:
+        declarations = read_config(value)
+        versions.append(declarations.version)
+        return declarations
+
+    monkeypatch.setattr(_declared, "read_config", read_and_record)
+    records = [
+        ("config", orjson.dumps(VALID_CONFIG | {"version": version}))
+        for version in range(3, 9)
+    ]
+    feed = feed_after_reading([*records, ("config", b"invalid")])
+    assert feed.declarations.version == 8
+    assert versions == [8]
+    assert len(feed.decode_errors) == 1
+
+
 def test_records_with_unknown_keys_are_ignored() -> None:
     """Operators may declare keys that the dispatcher does not know; others apply."""
     records = [("wave/1", b"{}"), ("evacuate/perth", b"{}")]
