Answer the newest state of an agent after a pause of the entry

Cause: an entry that was paused for 600 to 800 ms reads several queued states of each agent at once. It answered the oldest one, and the next one only 180 ms later on its own clock. So the agents' leases ended up to 200 ms after the entry was back, and runs that it had just started again were stopped once more.

Change: the interval between leases counts on the agent's clock, between the states that they answer. A lease ends as before, a fixed time after the state.

--- a/catkincross/owner/_agents.py
+++ b/catkincross/owner/_agents.py
@@ -35,6 +35,7 @@
         lost_ms: Time at which the link was closed, while it is not open.
         lease_sent_ms: Time at which the newest lease was sent; the time until the runs
             of a lost agent must have been stopped counts from it.
+        lease_echo_ms: Reading of the agent's clock to which the newest lease answers.
         last_order: Number of the last start order on the link.
         unacknowledged_orders: Steps of the start orders that `state` does not account
             for yet, by order number.
@@ -52,6 +53,7 @@
     connected_ms: int = 0
     lost_ms: int = 0
     lease_sent_ms: int = 0
+    lease_echo_ms: int = 0
     last_order: int = 0
     unacknowledged_orders: dict[int, Step] = attrs.field(factory=dict)
     reported_shards: set[int] = attrs.field(factory=set)
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -20,8 +20,10 @@
 from ._shard import Shard, ShardPhase
 from ._state import OwnerState, agent_handler, owner_system
 
-# Shortest time between two leases to an agent. It is below the interval at which an
-# idle agent sends its state, so that each of these states is answered by a lease.
+# Shortest time between the states of an agent that two leases answer. It is below the
+# interval at which an idle agent sends its state, so that each of these states is
+# answered by a lease. It counts on the agent's clock: an entry that was paused reads
+# several states at once, and a lease that answers the oldest one has nearly ended.
 LEASE_INTERVAL_MS = 180
 # Interval at which agents are sought that may have runs of an earlier owner.
 SEEK_INTERVAL_MS = 300
@@ -165,6 +167,7 @@
         if shard.phase is ShardPhase.OPEN
     ]
     agent_info.lease_sent_ms = state.now_ms
+    agent_info.lease_echo_ms = agent_info.state.clock_ms
     lease = Lease(
         agent_info.state.clock_ms,
         valid_ms,
@@ -213,7 +216,7 @@
         for shard in state.shards.values():
             if shard.phase is ShardPhase.OPEN:
                 record_agents(state, shard)
-    if is_first or state.now_ms - agent_info.lease_sent_ms >= LEASE_INTERVAL_MS:
+    if is_first or message.clock_ms - agent_info.lease_echo_ms >= LEASE_INTERVAL_MS:
         send_lease(state, agent_info)
 
 
