Keep the runs of an agent that was paused for a moment

Cause: an agent that was paused for 500 to 900 ms took its own pause for the silence of the entry and stopped its runs before it could get a new lease; they ran again elsewhere.

Change: after a gap of 250 ms between two steps, expired runs are kept for 100 ms, in which the agent sends its state and gets a lease if the entry is there. The worker's lease is not renewed while a run is expired, so the run ends no later than if the pause had lasted.

--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -43,6 +43,13 @@
 FENCING_TOKEN_STEP = 60_000
 # Longest time between two steps while no event arrives.
 IDLE_STEP_MS = 100
+# A longer time between two steps means that the process or its host was paused.
+MAX_STEP_GAP_MS = 250
+# After a pause, runs whose time has expired are kept for this long: the agent sends its
+# state at once, and an entry that is there answers within a few milliseconds. The
+# worker's lease is not renewed for such a run, so it ends no later than it would have
+# if the pause had lasted.
+RESUME_GRACE_MS = 100
 
 
 class WorkerCore:
@@ -73,6 +80,10 @@
         """Run what is due and return the effects to carry out."""
         state = self.state
         state.now_ms = now_ms
+        if state.stepped_ms is not None and now_ms - state.stepped_ms > MAX_STEP_GAP_MS:
+            state.resumed_ms = now_ms
+            state.note("resumed", paused_ms=now_ms - state.stepped_ms)
+        state.stepped_ms = now_ms
         self._expire_shard_leases()
         self._resend_stops()
         self._resend_ends()
@@ -217,9 +228,11 @@
             return False
         if state.now_ms < state.renewal_blocked_until_ms:
             return False
-        deadlines = (run.stop_deadline_ms for run in state.runs.values())
         return not any(
-            deadline is not None and state.now_ms >= deadline for deadline in deadlines
+            state.now_ms >= run.stop_deadline_ms
+            if run.stop_deadline_ms is not None
+            else run.expires_ms and state.now_ms >= run.expires_ms
+            for run in state.runs.values()
         )
 
     def _expire_shard_leases(self) -> None:
@@ -261,9 +274,12 @@
     def _stop_expired_runs(self) -> None:
         """Stop runs of volatile jobs and orphaned runs whose time has expired.
 
-        A volatile job's run expires if its entry is silent or has restarted.
+        A volatile job's run expires if its entry is silent or has restarted. After a
+        pause of this process the silence may have been its own.
         """
         state = self.state
+        if state.now_ms < state.resumed_ms + RESUME_GRACE_MS:
+            return
         for run in list(state.runs.values()):
             if not run.expires_ms or run.stop_deadline_ms is not None:
                 continue
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -193,6 +193,8 @@
         data_centre: Data centre of the agent's host.
         offered: Entries that may send tasks.
         now_ms: Time of the event or step in progress, on this agent's clock.
+        stepped_ms: Time of the newest step; None before the first.
+        resumed_ms: When the process went on after its last pause.
         registration: Newest heartbeat of the worker; None if no worker is registered.
         departed: Identity and incarnation of the worker that last announced its
             departure; None before the first.
@@ -227,6 +229,8 @@
     data_centre: str = ""
     offered: frozenset[str] = frozenset()
     now_ms: int = 0
+    stepped_ms: int | None = None
+    resumed_ms: int = -1_000_000
     registration: Registration | None = None
     departed: tuple[str, int] | None = None
     worker_incarnation: int = 0
