Ignore heartbeats that cannot be of the registered worker

Cause: a heartbeat without the start of its worker, as another writer may send it, replaced a registered worker, and all runs of that worker counted as lost and ran again. A text as labels was read as a list of letters, and truth values and negative numbers as capacities.

Change: a heartbeat without an incarnation counts as earlier than one with it. Labels have to be a list, and numbers whole and not negative.

--- a/catkincross/platform/_worker.py
+++ b/catkincross/platform/_worker.py
@@ -48,11 +48,16 @@
             capacity["mem_mb"],
             capacity.get("gpu", 0),
         ]
-        texts = [fields["service"], fields["zone"], *fields.get("labels", [])]
+        labels = fields.get("labels", [])
+        texts = [fields["service"], fields["zone"], *labels]
         state = fields["state"]
     except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError):
         return None
-    if not all(isinstance(number, int) for number in numbers):
+    if not isinstance(labels, list):
+        return None
+    if not all(isinstance(n, int) and not isinstance(n, bool) for n in numbers):
+        return None
+    if min(numbers) < 0:
         return None
     if not all(isinstance(text, str) for text in texts) or state not in WORKER_STATES:
         return None
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -30,11 +30,8 @@
     ):
         if new.sequence < old.sequence:
             return False
-    elif (
-        old is not None
-        and new.worker_incarnation
-        and new.worker_incarnation < old.worker_incarnation
-    ):
+    elif old is not None and new.worker_incarnation < old.worker_incarnation:
+        # A heartbeat without an incarnation comes here too: it may be of any process.
         state.note("heartbeat of an earlier worker", worker=new.worker)
         return False
     if old is None or (old.worker, old.worker_incarnation) != (
--- a/tests/test_platform_errors.py
+++ b/tests/test_platform_errors.py
@@ -7,6 +7,7 @@
 import socket
 from typing import Any
 
+import orjson
 import pytest
 
 from catkincross.clock import SystemClock
@@ -37,9 +38,11 @@
     connect,
     serve_links,
 )
+from catkincross.platform import read_heartbeat
 from catkincross.transport._http_server import HttpServer
+from catkincross.workers import WorkerCore, WorkerLimits
 from standins.platform_http import StoreHttp
-from tests.test_platform_daemons import free_port, settings_for
+from tests.test_platform_daemons import HEARTBEAT, free_port, settings_for
 
 # Messages that can be decoded and that the receiver does not expect.
 ODD_MESSAGES = [
@@ -305,3 +308,33 @@
         return log.event_counts
 
     assert asyncio.run(run()) == {"metrics not served": 1}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"labels": "a"},
+        {"seq": True},
+        {"born": "1"},
+        {"capacity": {"cpu": -1, "mem_mb": 1}},
+        {"state": "leaving"},
+    ],
+)
+def test_a_malformed_heartbeat_names_no_worker(change: dict[str, Any]) -> None:
+    """It may come from another writer, and the agent would size its worker by it."""
+    assert read_heartbeat("w", orjson.dumps(HEARTBEAT)) is not None
+    assert read_heartbeat("w", orjson.dumps(HEARTBEAT | change)) is None
+
+
+@pytest.mark.parametrize("worker", ["other", "w"])
+def test_a_heartbeat_without_an_incarnation_does_not_replace_a_worker(
+    worker: str,
+) -> None:
+    """It may be one of another writer; the runs of the worker counted as lost."""
+    core = WorkerCore(WorkerLimits(), 1)
+    body = orjson.dumps(HEARTBEAT | {"born": 5})
+    assert core.handle_heartbeat(0, read_heartbeat("w", body))
+    fields = {name: value for name, value in HEARTBEAT.items() if name != "born"}
+    body = orjson.dumps(fields | {"seq": 99})
+    assert not core.handle_heartbeat(1, read_heartbeat(worker, body))
+    assert core.state.worker == "w"
