Tell other entries whether a job that was given up may have run

Cause: entries announced jobs that were given up like those that have an answer. Since entries ask for the answer of ended jobs, a repeated request went to the entry that had given the job up for its long queue, and a rejection elsewhere became 504 although no task had been sent.

Change: the announcement tells ended jobs, jobs given up after tasks were sent, and jobs given up before that. Only for the first the entry is asked, and only the third count as not run.

--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -182,6 +182,6 @@
             if not (ended_due or self.core.has_begun_volatile_jobs):
                 continue
             waited_s = 0.0
-            begun, ended = self.core.take_volatile_changes()
-            if begun or ended:
-                self.owner_requests.broadcast(VolatileJobs(begun, ended))
+            changes = self.core.take_volatile_changes()
+            if changes != VolatileJobs([], []):
+                self.owner_requests.broadcast(changes)
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -20,6 +20,9 @@
 # How long the entry of an ended job is asked for its answer, in milliseconds. It keeps
 # the answer for 4,000 ms, and announces the end up to 400 ms later.
 ENDED_JOB_MEMORY_MS = 3_500
+# How long it is remembered that a job may have run at an entry that gave it up, in
+# milliseconds.
+GIVEN_UP_MEMORY_MS = 10_000
 
 
 @attrs.frozen
@@ -60,6 +63,7 @@
         jobs: IDs of the jobs that the entry holds.
         ended_ms: When the entry announced the end of a job, by job ID, on the process's
             clock in milliseconds; the oldest come first.
+        given_up_ms: The same for jobs that were given up and may have run.
         lost_ms: When the entry's link closed, on the process's clock in milliseconds;
             None while the link is open.
     """
@@ -67,6 +71,7 @@
     address: str
     jobs: set[str] = attrs.field(factory=set)
     ended_ms: dict[str, int] = attrs.field(factory=dict)
+    given_up_ms: dict[str, int] = attrs.field(factory=dict)
     lost_ms: int | None = None
 
 
@@ -95,16 +100,12 @@
         if peer is None:
             return
         peer.jobs.update(changes.begun)
-        peer.jobs.difference_update(changes.ended)
+        for ended in (changes.ended, changes.given_up, changes.dropped):
+            peer.jobs.difference_update(ended)
         for job_id in changes.begun:
             peer.ended_ms.pop(job_id, None)
-        for job_id in changes.ended:
-            peer.ended_ms.pop(job_id, None)
-            peer.ended_ms[job_id] = now_ms
-        for job_id, ended_ms in list(peer.ended_ms.items()):
-            if now_ms - ended_ms <= ENDED_JOB_MEMORY_MS:
-                break
-            del peer.ended_ms[job_id]
+        _remember(peer.ended_ms, changes.ended, now_ms, ENDED_JOB_MEMORY_MS)
+        _remember(peer.given_up_ms, changes.given_up, now_ms, GIVEN_UP_MEMORY_MS)
 
     def record_forwarding(self, address: str, job_id: str) -> bool:
         """Record that a connected entry is about to get a job from this one.
@@ -156,11 +157,26 @@
     def may_have_run(self, job_id: str) -> bool:
         """Whether another entry is known to have begun a job."""
         return any(
-            job_id in entry.jobs or job_id in entry.ended_ms
+            job_id in entry.jobs
+            or job_id in entry.ended_ms
+            or job_id in entry.given_up_ms
             for entry in self.entries.values()
         )
 
 
+def _remember(
+    times_ms: dict[str, int], job_ids: list[str], now_ms: int, limit_ms: int
+) -> None:
+    """Add jobs to those that ended lately, and drop those past the limit."""
+    for job_id in job_ids:
+        times_ms.pop(job_id, None)
+        times_ms[job_id] = now_ms
+    for job_id, ended_ms in list(times_ms.items()):
+        if now_ms - ended_ms <= limit_ms:
+            return
+        del times_ms[job_id]
+
+
 def _ended_lately(entry: _PeerEntry, job_id: str, now_ms: int) -> bool:
     ended_ms = entry.ended_ms.get(job_id)
     return ended_ms is not None and now_ms - ended_ms <= ENDED_JOB_MEMORY_MS
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -8,7 +8,7 @@
 from ..dispatch import PeerLoad, choose_forwarding, latest_start_ms
 from ..jobs import AppendOutcome, Job, JobAccepted, JobRecord, JobSpec, JobState
 from ..operations import Declarations
-from ..peers import Backlog
+from ..peers import Backlog, VolatileJobs
 from . import (
     _due_steps as _due_steps,
     _placement as _placement,
@@ -23,7 +23,7 @@
     open_shard,
 )
 from ._requests import cancel, job_state, submit
-from ._shard import ShardPhase, VolatileShard
+from ._shard import ShardPhase, VolatileChange, VolatileShard
 from ._state import AGENT_HANDLERS, OWNER_SYSTEMS, OwnerLimits, OwnerState
 from ._volatile import abandon, submit_volatile
 from ._wall_clock import WallClock
@@ -128,20 +128,21 @@
         self.state.now_ms = now_ms
         abandon(self.state, request, job_id)
 
-    def take_volatile_changes(self) -> tuple[list[str], list[str]]:
-        """Return the IDs of volatile jobs begun and ended since the last call.
+    def take_volatile_changes(self) -> VolatileJobs:
+        """Return the volatile jobs that have begun or ended since the last call.
 
         A job that ended and was begun again counts as begun.
         """
         changes, self.state.volatile_changes = self.state.volatile_changes, {}
-        begun = [job_id for job_id, goes_on in changes.items() if goes_on]
-        ended = [job_id for job_id, goes_on in changes.items() if not goes_on]
-        return begun, ended
+        jobs = VolatileJobs([], [])
+        for job_id, change in changes.items():
+            getattr(jobs, change.value).append(job_id)
+        return jobs
 
     @property
     def has_begun_volatile_jobs(self) -> bool:
         """Whether a volatile job has begun of which other entries do not know yet."""
-        return any(self.state.volatile_changes.values())
+        return VolatileChange.BEGUN in self.state.volatile_changes.values()
 
     def volatile_job_ids(self) -> list[str]:
         """Return the IDs of all known volatile jobs; workers may have runs of them."""
--- a/catkincross/owner/_shard.py
+++ b/catkincross/owner/_shard.py
@@ -251,6 +251,15 @@
         return not self._queue and not self._in_flight
 
 
+class VolatileChange(enum.Enum):
+    """What has become of a volatile job; the values name fields of `VolatileJobs`."""
+
+    BEGUN = "begun"
+    ENDED = "ended"
+    GIVEN_UP = "given_up"
+    DROPPED = "dropped"
+
+
 @attrs.frozen(eq=False)
 class Resubmission:
     """A repeated submission of a job whose runs have to end first.
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -21,7 +21,7 @@
 from ..peers import Backlog
 from ._agents import AgentInfo
 from ._effects import Effect, Note, SendToAgent
-from ._shard import Shard, ShardPhase, VolatileShard
+from ._shard import Shard, ShardPhase, VolatileChange, VolatileShard
 
 # Most agents connect within this time after an entry's first step: they look for
 # entries every 200 ms, and a process needs up to 530 ms to start.
@@ -135,7 +135,7 @@
     next_placement_ms: int = 0
     next_deferral_ms: int = 0
     retry_placement: bool = False
-    volatile_changes: dict[str, bool] = attrs.field(factory=dict)
+    volatile_changes: dict[str, VolatileChange] = attrs.field(factory=dict)
     peer_backlogs: list[Backlog] = attrs.field(factory=list)
     capacity_cache: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     wall_offset_ms: int = 0
@@ -309,9 +309,13 @@
             return
         if any(task.state is TaskState.ASSIGNED for task in job.all_tasks()):
             return
-        self.volatile_changes[job.spec.id] = False
         if job.final_state is not JobState.CANCELLED:
+            self.volatile_changes[job.spec.id] = VolatileChange.ENDED
             return
+        may_have_run = job.spec.id in self.volatile.given_up_ms
+        self.volatile_changes[job.spec.id] = (
+            VolatileChange.GIVEN_UP if may_have_run else VolatileChange.DROPPED
+        )
         self.volatile.forget(job.spec.id)
         for resubmission in self.volatile.resubmissions.pop(job.spec.id, []):
             resubmission.submit()
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -7,7 +7,7 @@
 from ..dispatch import cannot_meet_deadline, critical_path_ms, latest_start_ms
 from ..jobs import Job, JobAccepted, JobSpec, JobState, TaskState
 from ._requests import check_admission, job_ended, reply
-from ._shard import Resubmission
+from ._shard import Resubmission, VolatileChange
 from ._state import OwnerState, owner_system
 
 # An ended job is retained for this long, so that a request that is repeated 1,300 ms
@@ -63,7 +63,7 @@
     shard.jobs[spec.id] = job
     shard.update_open_jobs(job)
     shard.requests[spec.id] = [request]
-    state.volatile_changes[spec.id] = True
+    state.volatile_changes[spec.id] = VolatileChange.BEGUN
     state.enqueue_ready_tasks(shard, job)
     state.note("job begun", job=spec.id, queue=spec.policy.queue, limit_ms=timeout_ms)
 
--- a/catkincross/peers/_entry_messages.py
+++ b/catkincross/peers/_entry_messages.py
@@ -90,10 +90,19 @@
 @register_message
 @attrs.frozen
 class VolatileJobs:
-    """IDs of volatile jobs that an entry has begun, and of those that ended there."""
+    """IDs of volatile jobs that an entry has begun, and of those that ended there.
+
+    Attributes:
+        begun: Jobs that the entry has begun.
+        ended: Jobs that are complete or failed; the entry keeps their answer for 4 s.
+        given_up: Jobs that were given up after tasks had been sent.
+        dropped: Jobs that were given up before that; they have not run.
+    """
 
     begun: list[str]
     ended: list[str]
+    given_up: list[str] = attrs.field(factory=list)
+    dropped: list[str] = attrs.field(factory=list)
 
 
 @register_message
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -238,6 +238,22 @@
     assert not peer_jobs.may_have_run("a" * 16)
 
 
+def test_a_job_that_another_entry_gave_up_is_begun_here() -> None:
+    """The other entry has no answer, and gave the job up since its queue is long.
+
+    A rejection here must not say that the job has not run if its tasks were sent there.
+    """
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16, "b" * 16], []), 0)
+    peer_jobs.update(greeting, VolatileJobs([], [], ["a" * 16], ["b" * 16]), 0)
+    assert peer_jobs.find_holder("a" * 16, 0) == NoHolder()
+    assert peer_jobs.find_holder("b" * 16, 0) == NoHolder()
+    assert peer_jobs.may_have_run("a" * 16)
+    assert not peer_jobs.may_have_run("b" * 16)
+
+
 @pytest.mark.parametrize("ended", [True, False])
 def test_a_job_of_a_lost_entry_is_not_rejected_as_not_run(ended: bool) -> None:
     """A rejection says that no task has run, and the lost entry may have begun it."""
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -11,7 +11,6 @@
     EntryDirectory,
     Greeting,
     Members,
-    VolatileJobs,
     announcement,
 )
 from scenarios.platform_model import Model, job, ready_model
@@ -177,10 +176,10 @@
     model.submit("again", spec, "e0", timeout_ms=9_000)
     model.run(500)
     assert model.count("start") == 2
-    begun, ended = core.take_volatile_changes()
+    changes = core.take_volatile_changes()
     peers = PeerVolatileJobs(2_250)
     greeting = Greeting("entry", "e0", 1, "1.1.1.1:1")
     peers.add_entry(greeting)
-    peers.update(greeting, VolatileJobs(begun, ended), model.now_ms)
+    peers.update(greeting, changes, model.now_ms)
     assert peers.find_holder(spec.id, model.now_ms) == LiveHolder("1.1.1.1:1")
     assert peers.find_holder("d" * 16, model.now_ms) == NoHolder()
--- a/tests/test_platform_volatile.py
+++ b/tests/test_platform_volatile.py
@@ -303,3 +303,19 @@
     assert model.answers["other"].outcome == "rejected"
     model.run(11_000)
     assert core.state.volatile.given_up_ms == {}
+
+
+def test_entries_learn_whether_a_job_that_was_given_up_may_have_run() -> None:
+    """Another entry may reject a job as not run only if no task of it was sent."""
+    model = ready_model()
+    for machine in model.machines.values():
+        machine.run_ms = 5_000
+    core = model.owners["e1"].core
+    core.take_volatile_changes()
+    model.submit("started", job(JOB, volatile=True), "e1", timeout_ms=400)
+    model.run(2_000)
+    core.submit(model.now_ms, "left", job("b" * 16, volatile=True), timeout_ms=400)
+    core.abandon(model.now_ms, "left", "b" * 16)
+    changes = core.take_volatile_changes()
+    assert (changes.begun, changes.ended) == ([], [])
+    assert (changes.given_up, changes.dropped) == ([JOB], ["b" * 16])
