Name the end of renewals for a run, and keep one memory of given-up jobs

Cause: a reading of the change as a newcomer: a condition of four lines had no name, and two modules held the same constant.

--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -15,7 +15,13 @@
     from ._health import AgentHealth
     from ._offering import offered_entries
     from ._overload import WaitingJob, jobs_to_defer
-    from ._peer_jobs import LiveHolder, LostHolder, NoHolder, PeerVolatileJobs
+    from ._peer_jobs import (
+        GIVEN_UP_MEMORY_MS,
+        LiveHolder,
+        LostHolder,
+        NoHolder,
+        PeerVolatileJobs,
+    )
     from ._placement import AgentResources, choose_agent
     from ._waiting import (
         WaitingQueue,
@@ -26,6 +32,7 @@
     )
 
 __all__ = [
+    "GIVEN_UP_MEMORY_MS",
     "AgentHealth",
     "AgentResources",
     "Estimates",
@@ -55,6 +62,7 @@
 
 # Module of each public name.
 MODULES = {
+    "GIVEN_UP_MEMORY_MS": "_peer_jobs",
     "AgentHealth": "_health",
     "AgentResources": "_placement",
     "Estimates": "_estimates",
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -21,7 +21,8 @@
 # the answer for 4,000 ms, and announces the end up to 400 ms later.
 ENDED_JOB_MEMORY_MS = 3_500
 # How long it is remembered that a job may have run at an entry that gave it up, in
-# milliseconds.
+# milliseconds. Client accounts send a request again 1,300 ms after an answer that
+# leaves its end open.
 GIVEN_UP_MEMORY_MS = 10_000
 
 
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -4,7 +4,12 @@
 
 from typing import Any
 
-from ..dispatch import cannot_meet_deadline, critical_path_ms, latest_start_ms
+from ..dispatch import (
+    GIVEN_UP_MEMORY_MS,
+    cannot_meet_deadline,
+    critical_path_ms,
+    latest_start_ms,
+)
 from ..jobs import Job, JobAccepted, JobSpec, JobState, TaskState
 from ._requests import check_admission, job_ended, reply
 from ._shard import Resubmission, VolatileChange
@@ -13,9 +18,6 @@
 # An ended job is retained for this long, so that a request that is repeated 1,300 ms
 # after its connection broke gets the same answer.
 ENDED_JOB_RETENTION_MS = 4_000
-# A job that may have run is remembered for this long after it was given up. Client
-# accounts send a request again 1,300 ms after an answer that leaves its end open.
-GIVEN_UP_MEMORY_MS = 10_000
 # Interval between checks for jobs that cannot end in time.
 DEADLINE_CHECK_INTERVAL_MS = 50
 
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -228,11 +228,9 @@
             return False
         if state.now_ms < state.renewal_blocked_until_ms:
             return False
+        limits_ms = (run.renewal_end_ms for run in state.runs.values())
         return not any(
-            state.now_ms >= run.stop_deadline_ms
-            if run.stop_deadline_ms is not None
-            else run.expires_ms and state.now_ms >= run.expires_ms
-            for run in state.runs.values()
+            limit_ms is not None and state.now_ms >= limit_ms for limit_ms in limits_ms
         )
 
     def _expire_shard_leases(self) -> None:
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -125,6 +125,16 @@
     checkpoint: str = ""
     percent: int = 0
 
+    @property
+    def renewal_end_ms(self) -> int | None:
+        """Time from which the worker's lease is not renewed while the run goes on.
+
+        An expired run that is not being stopped yet ends with the lease at the latest.
+        """
+        if self.stop_deadline_ms is not None:
+            return self.stop_deadline_ms
+        return self.expires_ms or None
+
 
 @attrs.define(eq=False)
 class ShardLease:
