Log who has the run whose end is reported, and who had a job that is taken over

Cause: with two runs of a task at a time the logs could not tell an end of an earlier process's run from one of the present run, nor a job that is begun for the first time from one that another entry may still have.

Change: `run ended early` and `end of a superseded run` name the holder of the newest run beside the agent that reported the end; `job taken over` names the last holder. No decision changes.

--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -95,6 +95,7 @@
         deadline_ms = arrived_ms + timeout_ms
         # Whether an entry may have begun the job without an answer.
         unanswered = False
+        previous_holder = ""
         while True:
             now_ms = self.clock.now_ms()
             holder = self.peer_jobs.find_holder(spec.id, now_ms)
@@ -102,6 +103,10 @@
             if isinstance(holder, NoHolder):
                 may_forward = now_ms - arrived_ms <= MAX_FORWARDING_AGE_MS
                 if not (may_forward and self._forward(spec)):
+                    if previous_holder:
+                        self.log.note(
+                            "job taken over", job=spec.id, previous=previous_holder
+                        )
                     return await self._run_locally(spec, arrived_ms, timeout_ms)
                 continue
             if isinstance(holder, LiveHolder):
@@ -115,7 +120,8 @@
             wait_ms = max(holder.wait_ms, REMOTE_RETRY_MS)
             if remaining_ms <= wait_ms:
                 return Answer(0, "unknown", "job was at a lost entry")
-            self.log.note("job waits", job=spec.id, place=repr(holder))
+            previous_holder = repr(holder)
+            self.log.note("job waits", job=spec.id, place=previous_holder)
             await asyncio.sleep(wait_ms / MS_PER_S)
 
     def _forward(self, spec: JobSpec) -> bool:
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -65,6 +65,8 @@
             run=ended_run.run,
             newest_run=task.run,
             how=ended_run.how,
+            agent=agent_info.name,
+            holder=task.agent,
         )
         return True
     task.run = ended_run.run
@@ -75,6 +77,7 @@
             task=ended_run.task,
             run=ended_run.run,
             agent=agent_info.name,
+            holder=task.agent,
             how=ended_run.how,
         )
         if ended_run.how == "failed":
