Show that the end of an earlier process's run starts a task twice

Cause: an entry that has restarted gets a volatile job again from its client account and runs task 1 on agent Y. Agent X, whose worker it could not reach, then reports the end of the run that the earlier process had ordered. Both runs have the number 1, so the entry takes it for the end of the run on Y and starts the task a second time.

No product code changes.

--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -88,6 +88,7 @@
     Attributes:
         answers: Answers to requests by name of the request.
         cut: Pairs of entry and agent between which nothing passes.
+        worker_cut: Agents that cannot reach their worker.
         lost_orders: Number of orders that get no answer and are carried out late.
         notes: Log lines of all cores.
         sent: Number of messages by agent and class.
@@ -102,6 +103,7 @@
     machines: dict[str, PlatformWorker] = attrs.field(factory=dict)
     answers: dict[str, Answer] = attrs.field(factory=dict)
     cut: set[tuple[str, str]] = attrs.field(factory=set)
+    worker_cut: set[str] = attrs.field(factory=set)
     store_cut: set[str] = attrs.field(factory=set)
     lost_orders: int = 0
     late_ms: int = 3_000
@@ -326,7 +328,8 @@
                 self.at(CALL_MS, lambda: self._start(host, effect))
             case StopRun():
                 machine = self.machines[host.name]
-                self.at(CALL_MS, lambda: machine.stop(self.now_ms, effect))
+                if host.name not in self.worker_cut:
+                    self.at(CALL_MS, lambda: machine.stop(self.now_ms, effect))
             case Note(event, fields):
                 self.notes.append((self.now_ms, host.name, event, fields))
             case _:
@@ -406,7 +409,9 @@
                 )
                 self.step(host)
 
-        if self.lost_orders:
+        if host.name in self.worker_cut:
+            self.at(ORDER_TIMEOUT_MS, lambda: answer(StartOutcome.UNANSWERED))
+        elif self.lost_orders:
             self.lost_orders -= 1
             self.at(self.late_ms, lambda: machine.start(self.now_ms, order))
             self.at(ORDER_TIMEOUT_MS, lambda: answer(StartOutcome.UNANSWERED))
@@ -416,7 +421,7 @@
     def _renew_lease(self, host: Host) -> None:
         if self.workers.get(host.name) is not host:
             return
-        if self.awake(host):
+        if self.awake(host) and host.name not in self.worker_cut:
             renewal = host.core.next_renewal(self.now_ms)
             machine = self.machines[host.name]
             reply = machine.renew_lease(self.now_ms, renewal)
