Tell ends of an earlier process's runs from those of the present process

Cause: users saw two runs of one task at a time. Each entry process, and each new beginning of a job, numbered the runs of a volatile job from 1, and an owner identified a run by task and number alone. After a restart the entry took an end, a refused start or a report of its earlier process's run for that of its own run on another agent, and started the task again while it ran.

Change: `Ends` and `NotStarted` carry the incarnation of the entry that ordered a run of a volatile job, and an owner ignores those of another one, with a log line. A job that is begun anew in the same process numbers its runs above those of the job that was given up. Stored jobs were not affected: their numbers contain the epoch of the shard.

--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -238,6 +238,19 @@
             return task.failures
         return sum(member.failures for member in self.tasks[task.step])
 
+    @property
+    def highest_run(self) -> int:
+        """Highest run number of all tasks; 0 if no run was sent."""
+        return max(task.run for task in self.all_tasks())
+
+    def number_runs_above(self, run: int) -> None:
+        """Number further runs above `run`, so that ends up to it count as superseded.
+
+        The job must not have a run yet.
+        """
+        for task in self.all_tasks():
+            task.run = run + 1
+
     def next_run(self, task: Task, epoch: int) -> int:
         """Return the number of a task's next run in an epoch."""
         return max(task.run, (epoch - self.epoch) * RUNS_PER_EPOCH) + 1
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -28,7 +28,18 @@
     """
     acknowledged: list[int] = []
     for ended_run in message.ended:
-        if (
+        if _is_of_other_process(state, ended_run.task, message.entry_incarnation):
+            state.note(
+                "end of another process's run",
+                task=ended_run.task,
+                run=ended_run.run,
+                how=ended_run.how,
+                agent=agent_info.name,
+                entry_incarnation=message.entry_incarnation,
+            )
+            if ended_run.sequence:
+                acknowledged.append(ended_run.sequence)
+        elif (
             _handle_end(state, agent_info, ended_run, message.worker_incarnation)
             and ended_run.sequence
         ):
@@ -39,6 +50,19 @@
         )
 
 
+def _is_of_other_process(
+    state: OwnerState, task_name: str, entry_incarnation: int
+) -> bool:
+    """Whether a run of one of the volatile jobs was ordered by another process.
+
+    That is an earlier process of this entry, or one that is not known for a run that an
+    agent has found on its worker.
+    """
+    job_id = task_name.partition(".")[0]
+    volatile = state.volatile
+    return job_id in volatile.jobs and entry_incarnation != volatile.epoch
+
+
 def _handle_end(
     state: OwnerState,
     agent_info: AgentInfo,
@@ -217,6 +241,8 @@
     found = state.find_task(message.task)
     if found is None:
         return
+    if _is_of_other_process(state, message.task, message.entry_incarnation):
+        return
     _, task = found
     if task.state is not TaskState.ASSIGNED or task.run != message.run:
         return
--- a/catkincross/owner/_shard.py
+++ b/catkincross/owner/_shard.py
@@ -284,11 +284,14 @@
         resubmissions: Repeated submissions of a job that was given up, by job ID; each
             is carried out once no worker has a run of the job.
         given_up_ms: Time at which each job was given up that may have run, by job ID.
+        highest_runs: Highest run number of each of these jobs that is forgotten, by job
+            ID. If the job begins anew, its runs are numbered above it.
     """
 
     requests: dict[str, list[Any]] = attrs.field(factory=dict)
     resubmissions: dict[str, list[Resubmission]] = attrs.field(factory=dict)
     given_up_ms: dict[str, int] = attrs.field(factory=dict)
+    highest_runs: dict[str, int] = attrs.field(factory=dict)
 
     @classmethod
     def for_process(cls, incarnation: int) -> VolatileShard:
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -58,6 +58,8 @@
         return
     job = Job.from_record(JobAccepted(spec, 0, shard.epoch), arrived_ms)
     job.deadline_ms = arrived_ms + timeout_ms
+    if spec.id in shard.highest_runs:
+        job.number_runs_above(shard.highest_runs[spec.id])
     rejection = check_admission(state, shard, job)
     if rejection is not None:
         _reject(state, request, spec.id, rejection.reason, rejection.retry_after_ms)
@@ -145,6 +147,7 @@
     for job_id, given_up_ms in list(shard.given_up_ms.items()):
         if state.now_ms - given_up_ms > GIVEN_UP_MEMORY_MS:
             del shard.given_up_ms[job_id]
+            shard.highest_runs.pop(job_id, None)
     for job_id, job in list(shard.jobs.items()):
         if (
             job.final_state is not None
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -224,11 +224,14 @@
         task: Name of the task.
         run: Number of the run.
         reason: Why it was not started.
+        entry_incarnation: Incarnation of the entry that ordered the run, for a run of a
+            volatile job; 0 for others.
     """
 
     task: str
     run: int
     reason: str
+    entry_incarnation: int = 0
 
 
 @register_message
@@ -239,10 +242,13 @@
     Attributes:
         ended: The ended runs.
         worker_incarnation: Incarnation of the worker in which the ends are numbered.
+        entry_incarnation: Incarnation of the entry that ordered the runs, for runs of
+            volatile jobs; 0 for others. Each incarnation numbers such runs from 1.
     """
 
     ended: list[EndedRun]
     worker_incarnation: int
+    entry_incarnation: int = 0
 
 
 @register_message
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -144,7 +144,8 @@
     entry_info = state.entries.get(state.owner_of_run(run))
     if entry_info is not None:
         entry_info.run_ended = True
-    state.send(state.owner_of_run(run), Ends([ended], state.worker_incarnation))
+    ends = Ends([ended], state.worker_incarnation, run.entry_incarnation)
+    state.send(state.owner_of_run(run), ends)
     state.note(
         "run ended",
         task=run.task,
@@ -200,7 +201,8 @@
     state.runs.pop((run.task, run.number), None)
     state.mark_states_outdated()
     state.note("run not started", task=run.task, run=run.number, reason=reason)
-    state.send(state.owner_of_run(run), NotStarted(run.task, run.number, reason))
+    notice = NotStarted(run.task, run.number, reason, run.entry_incarnation)
+    state.send(state.owner_of_run(run), notice)
 
 
 def apply_start_outcome(
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -166,7 +166,9 @@
     reason = _refusal_reason(state, entry_info, message)
     if reason:
         state.note("start refused", task=message.task, run=message.run, reason=reason)
-        state.send(entry_info.name, NotStarted(message.task, message.run, reason))
+        entry_incarnation = message.epoch if message.shard == VOLATILE_SHARD else 0
+        notice = NotStarted(message.task, message.run, reason, entry_incarnation)
+        state.send(entry_info.name, notice)
         return
     run = Run(
         message.task,
@@ -245,7 +247,9 @@
         )
         if not end_pending:
             ended = EndedRun(0, message.task, message.run, "absent")
-            state.send(entry_info.name, Ends([ended], state.worker_incarnation))
+            entry_incarnation = message.epoch if volatile else 0
+            ends = Ends([ended], state.worker_incarnation, entry_incarnation)
+            state.send(entry_info.name, ends)
         return
     order_stop(state, run, "ordered")
 
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -125,6 +125,11 @@
     checkpoint: str = ""
     percent: int = 0
 
+    @property
+    def entry_incarnation(self) -> int:
+        """Incarnation of the entry that has the run's volatile job; 0 for others."""
+        return self.incarnation if self.shard == VOLATILE_SHARD else 0
+
     @property
     def renewal_end_ms(self) -> int | None:
         """Time from which the worker's lease is not renewed while the run goes on.
--- a/tests/test_platform_unanswered.py
+++ b/tests/test_platform_unanswered.py
@@ -155,4 +155,4 @@
     )
     assert renewals[-1].fence > fence
     messages = [effect.message for effect in effects if isinstance(effect, SendToEntry)]
-    assert NotStarted(TASK, 1, "unanswered") in messages
+    assert NotStarted(TASK, 1, "unanswered", 9) in messages
