Show that two entries run the same forwarded job after a cut

Cause: an entry that forwarded a job takes the loss of its link for the end of the other entry, waits 2,250 ms and begins the job itself.

No product code changes.

--- /dev/null
+++ b/tests/test_platform_lost_askers.py
@@ -0,0 +1,138 @@
+"""Tests of jobs that an entry runs for another one which it loses."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from typing import Any
+
+from catkincross.clock import SystemClock
+from catkincross.daemons._entry import EntryDaemon
+from catkincross.daemons._log import DecisionLog
+from catkincross.jobs import to_fields
+from catkincross.peers import Ask, Greeting, Link, encode_message
+from scenarios.platform_model import job
+from tests.test_platform_daemons import free_port, settings_for
+
+JOB = "a" * 16
+ASKER = Greeting("entry", "e2", 7, "127.0.0.1:9")
+# Time in which an entry gives up the jobs of a lost asker, with a reserve.
+RELEASE_S = 1.0
+
+
+class EndlessTransport(asyncio.Transport):
+    """Transport of a link that is open until it is closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written: list[bytes] = []
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return the transport, which also serves as a socket without options."""
+        return self
+
+    def setsockopt(self, *_: Any) -> None:
+        """Ignore the option."""
+
+    def write(self, data: bytes) -> None:
+        """Keep what is written."""
+        self.written.append(data)
+
+    def get_write_buffer_size(self) -> int:
+        """Return that all data has been sent."""
+        return 0
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def open_link(entry: EntryDaemon) -> Link:
+    """Return a link that the asker has opened to the entry."""
+    links = entry.entry_links
+    link = Link(links._on_message, links._on_close, entry.log.note_error)
+    link.connection_made(EndlessTransport())
+    receive(link, ASKER)
+    return link
+
+
+def receive(link: Link, message: Any) -> None:
+    """Let a message arrive on a link."""
+    data = encode_message(message)
+    link.data_received(len(data).to_bytes(4, "big") + data)
+
+
+def ask(link: Link, number: int) -> None:
+    """Let the asker submit the job."""
+    spec = job(JOB, volatile=True)
+    receive(link, Ask(number, "submit", JOB, to_fields(spec), 20_000))
+
+
+def holds_job(scenario: Callable[[EntryDaemon], Any]) -> bool:
+    """Return whether an entry still has the job after a scenario."""
+
+    async def run() -> bool:
+        clock = SystemClock()
+        log = DecisionLog("e1", clock, os.open(os.devnull, os.O_WRONLY))
+        entry = EntryDaemon(
+            settings_for("e1", store=f"127.0.0.1:{free_port()}"), clock, log
+        )
+        # Jobs are accepted without a known worker just after the first step.
+        entry.core.step(clock.now_ms())
+        watch = asyncio.create_task(entry.entry_links.close_silent_links())
+        await scenario(entry)
+        watch.cancel()
+        return JOB in entry.core.state.volatile.open_jobs
+
+    return asyncio.run(run())
+
+
+def test_a_job_goes_on_while_the_link_to_its_asker_is_open() -> None:
+    """The asker sends its backlog every 500 ms."""
+
+    async def scenario(entry: EntryDaemon) -> None:
+        link = open_link(entry)
+        ask(link, 1)
+        for _ in range(5):
+            await asyncio.sleep(0.5)
+            receive(link, entry.core.backlog())
+
+    assert holds_job(scenario)
+
+
+def test_a_job_of_a_lost_asker_does_not_go_on() -> None:
+    """The asker began the job too, while this entry still ran it."""
+
+    async def scenario(entry: EntryDaemon) -> None:
+        link = open_link(entry)
+        ask(link, 1)
+        assert JOB in entry.core.state.volatile.open_jobs
+        link.connection_lost(ConnectionResetError())
+        await asyncio.sleep(RELEASE_S)
+
+    assert not holds_job(scenario)
+
+
+def test_a_job_of_a_silent_asker_does_not_go_on() -> None:
+    """A cut without a reset closes no link, and the asker may have closed its side."""
+
+    async def scenario(entry: EntryDaemon) -> None:
+        ask(open_link(entry), 1)
+        await asyncio.sleep(2.0 + RELEASE_S)
+
+    assert not holds_job(scenario)
+
+
+def test_a_job_goes_on_if_its_asker_asks_again_on_a_new_link() -> None:
+    """A connection that was reset must not cost the runs of its jobs."""
+
+    async def scenario(entry: EntryDaemon) -> None:
+        link = open_link(entry)
+        ask(link, 1)
+        link.connection_lost(ConnectionResetError())
+        await asyncio.sleep(0.1)
+        new_link = open_link(entry)
+        ask(new_link, 1)
+        await asyncio.sleep(RELEASE_S)
+
+    assert holds_job(scenario)
