Drop jobs of an entry that is lost before that entry begins them itself

Cause: users saw two runs of one task at a time (TWICE). An entry that had forwarded a job, or asked the entry that had it, took the loss of its link for the end of the other entry and began the job 2,250 ms later. The other entry was only cut off: nothing told it that its asker had left, so it went on with agents that it could reach. Class: a time limit on one side is taken for proof that the other side has stopped, without a limit there.

Change: an entry drops the requests that came on a link 400 ms after the link has closed, unless they are repeated on a new one, and closes links of entries that are silent for 1,600 ms. The entry that asked waits until that must have happened, and then for the agents as before. If a later process of the other entry has connected, the earlier one has ended and the wait is as before.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -35,7 +35,7 @@
 )
 from ..transport._http_server import HttpServer
 from ._core_loop import CoreLoop
-from ._entry_links import EntryLinks
+from ._entry_links import ASKER_RELEASE_MS, EntryLinks
 from ._log import DecisionLog
 from ._membership import ShardOwners, maintain_membership, member_name
 from ._own_settings import OwnSettings
@@ -114,7 +114,7 @@
             VolatileJobs(self.core.volatile_job_ids(), [])
         )
         run_expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
-        self.peer_jobs = PeerVolatileJobs(run_expiry_ms)
+        self.peer_jobs = PeerVolatileJobs(run_expiry_ms, ASKER_RELEASE_MS)
         self.leaving = False
         self.store_reachable = True
         self.open_requests = 0
--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -25,8 +25,17 @@
 from ._log import DecisionLog
 from ._membership import ShardOwners
 
-# Agent links on which nothing was received for this long are closed, in milliseconds.
-AGENT_TIMEOUT_MS = 1_600
+# Links of agents and entries on which nothing was received for this long are closed, in
+# milliseconds. Agents send a state every 700 ms at least, entries a backlog every 500.
+LINK_TIMEOUT_MS = 1_600
+# Interval at which links are checked for that, in milliseconds.
+LINK_CHECK_MS = 400
+# Time after the close of an entry's link for which its requests are kept, in
+# milliseconds. If only the connection was reset, the entry sends them again.
+ASKER_GRACE_MS = 400
+# Longest time after an entry has last sent something on its link until its requests for
+# volatile jobs are dropped here, in milliseconds, with a reserve for late steps.
+ASKER_RELEASE_MS = LINK_TIMEOUT_MS + LINK_CHECK_MS + ASKER_GRACE_MS + 100
 MS_PER_S = 1_000
 # Source, in the directory, of the entries that have opened a link to this one.
 LINKS_SOURCE = "links"
@@ -48,6 +57,8 @@
     Attributes:
         agents: Link of each connected agent, by name.
         entries: Greeting of each other entry, by its link.
+        heard_ms: Time of the last message on the link of each entry, on the clock of
+            the process.
         announced: Data centre by address of the entries last announced to the agents.
         announced_to_entries: The same for other entries.
     """
@@ -73,6 +84,7 @@
         self.ask_core = ask_core
         self.agents: dict[str, Link] = {}
         self.entries: dict[Link, Greeting] = {}
+        self.heard_ms: dict[Link, int] = {}
         self.announced: dict[str, str] = {}
         self.announced_to_entries: dict[str, str] = {}
 
@@ -96,6 +108,8 @@
             link.send(message)
 
     def _on_message(self, link: Link, message: Any) -> None:
+        if link in self.heard_ms:
+            self.heard_ms[link] = self.clock.now_ms()
         if isinstance(message, Greeting):
             self._on_greeting(link, message)
         elif isinstance(message, Ask):
@@ -115,6 +129,7 @@
         link.peer = greeting
         if greeting.role == "entry":
             self.entries[link] = greeting
+            self.heard_ms[link] = self.clock.now_ms()
             self.peer_jobs.add_entry(greeting)
             link.send(Members(self._unlisted_entries(), [], complete=True))
             self._update_linked_entries()
@@ -136,6 +151,10 @@
     def _on_close(self, link: Link) -> None:
         greeting = self.entries.pop(link, None)
         if greeting is not None:
+            self.heard_ms.pop(link, None)
+            asyncio.get_running_loop().call_later(
+                ASKER_GRACE_MS / MS_PER_S, self._abandon_requests, link
+            )
             if not self._is_linked(greeting):
                 self.peer_jobs.mark_entry_lost(greeting, now_ms=self.clock.now_ms())
             self._update_linked_entries()
@@ -144,6 +163,20 @@
             self.core.handle_agent_lost(self.clock.now_ms(), link.peer.name)
             self.schedule_step()
 
+    def _abandon_requests(self, link: Link) -> None:
+        """Drop the requests for volatile jobs that came on a closed link.
+
+        The entry that asked runs such a job itself once this one must have given it up.
+        """
+        requests = self.core.volatile_requests(
+            lambda request: isinstance(request, tuple) and request[0] is link
+        )
+        for request, job_id in requests:
+            self.log.note("asker lost", job=job_id, entry=link.peer.name)
+            self.core.abandon(self.clock.now_ms(), request, job_id)
+        if requests:
+            self.schedule_step()
+
     def _is_linked(self, greeting: Greeting) -> bool:
         """Whether the same process of another entry has a further link open."""
         return any(
@@ -190,13 +223,18 @@
                 link.send(change)
 
     async def close_silent_links(self) -> None:
-        """Close the links of silent agents, until cancelled."""
+        """Close the links of silent agents and entries, until cancelled."""
         while True:
-            await asyncio.sleep(AGENT_TIMEOUT_MS / 4 / MS_PER_S)
+            await asyncio.sleep(LINK_CHECK_MS / MS_PER_S)
             now_ms = self.clock.now_ms()
+            for entry_link, heard_ms in list(self.heard_ms.items()):
+                if now_ms - heard_ms > LINK_TIMEOUT_MS:
+                    name = entry_link.peer.name
+                    self.log.note("peer silent", entry=name, age_ms=now_ms - heard_ms)
+                    entry_link.close()
             for name, link in list(self.agents.items()):
                 agent_info = self.core.state.agents[name]
                 heard_ms = max(agent_info.received_ms, agent_info.connected_ms)
-                if now_ms - heard_ms > AGENT_TIMEOUT_MS:
+                if now_ms - heard_ms > LINK_TIMEOUT_MS:
                     self.log.note("agent silent", agent=name, age_ms=now_ms - heard_ms)
                     link.close()
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -117,6 +117,9 @@
                         return Answer(0, "unknown", answer.detail)
                     return answer
                 unanswered = True
+                self.peer_jobs.record_no_answer(
+                    holder.address, spec.id, self.clock.now_ms()
+                )
             wait_ms = max(holder.wait_ms, REMOTE_RETRY_MS)
             if remaining_ms <= wait_ms:
                 return Answer(0, "unknown", "job was at a lost entry")
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -5,6 +5,10 @@
 run twice at the same time, so an entry does not start it until the agents have ended
 the runs of the lost entry.
 
+An entry that cannot be reached may be cut off rather than lost, and go on with a job
+that it was asked for. It drops the request once it has missed the entry that asked, so
+that entry waits for this time too.
+
 If only an answer is lost, the client account may send a job again that has ended. The
 entry that ran it still has the answer, so it is asked before the job runs once more.
 """
@@ -65,15 +69,21 @@
         ended_ms: When the entry announced the end of a job, by job ID, on the process's
             clock in milliseconds; the oldest come first.
         given_up_ms: The same for jobs that were given up and may have run.
+        unanswered_ms: When a request from here for a job last ended without an answer,
+            by job ID, on the process's clock in milliseconds.
         lost_ms: When the entry's link closed, on the process's clock in milliseconds;
             None while the link is open.
+        replaced: Whether a later incarnation of the entry is known, so that this one
+            has ended.
     """
 
     address: str
     jobs: set[str] = attrs.field(factory=set)
     ended_ms: dict[str, int] = attrs.field(factory=dict)
     given_up_ms: dict[str, int] = attrs.field(factory=dict)
+    unanswered_ms: dict[str, int] = attrs.field(factory=dict)
     lost_ms: int | None = None
+    replaced: bool = False
 
 
 @attrs.define(eq=False)
@@ -83,10 +93,13 @@
     Attributes:
         run_expiry_ms: Time after the loss of an entry in which agents may still have
             runs of its volatile jobs, in milliseconds.
+        release_ms: Longest time for which an entry that is cut off keeps the request of
+            another one after it was last reached, in milliseconds.
         entries: Other entries by name and incarnation.
     """
 
     run_expiry_ms: int
+    release_ms: int = 0
     entries: dict[tuple[str, int], _PeerEntry] = attrs.field(factory=dict)
 
     def add_entry(self, greeting: Greeting) -> None:
@@ -94,6 +107,9 @@
         key = greeting.name, greeting.incarnation
         peer = self.entries.setdefault(key, _PeerEntry(greeting.address))
         peer.lost_ms = None
+        for (name, incarnation), other in self.entries.items():
+            if name == greeting.name and incarnation < greeting.incarnation:
+                other.replaced = True
 
     def update(self, greeting: Greeting, changes: VolatileJobs, now_ms: int) -> None:
         """Record which jobs an entry has begun and which have ended there."""
@@ -105,6 +121,8 @@
             peer.jobs.difference_update(ended)
         for job_id in changes.begun:
             peer.ended_ms.pop(job_id, None)
+        for job_id in (*changes.ended, *changes.given_up, *changes.dropped):
+            peer.unanswered_ms.pop(job_id, None)
         _remember(peer.ended_ms, changes.ended, now_ms, ENDED_JOB_MEMORY_MS)
         _remember(peer.given_up_ms, changes.given_up, now_ms, GIVEN_UP_MEMORY_MS)
 
@@ -122,6 +140,12 @@
                 return True
         return False
 
+    def record_no_answer(self, address: str, job_id: str, now_ms: int) -> None:
+        """Record that a request for a job to an entry has ended without an answer."""
+        for peer in self.entries.values():
+            if peer.address == address and job_id in peer.jobs:
+                peer.unanswered_ms[job_id] = now_ms
+
     def record_rejection(self, address: str, job_id: str) -> None:
         """Record that an entry has rejected a job that was forwarded to it."""
         for peer in self.entries.values():
@@ -148,13 +172,21 @@
             elif job_id in entry.jobs:
                 if lost_ms is None:
                     return LiveHolder(entry.address)
-                remaining_ms = lost_ms + self.run_expiry_ms - now_ms
+                remaining_ms = self._release_ms(entry, job_id, lost_ms) - now_ms
                 if remaining_ms > 0:
                     return LostHolder(remaining_ms)
             elif lost_ms is None and _ended_lately(entry, job_id, now_ms):
                 return LiveHolder(entry.address)
         return NoHolder()
 
+    def _release_ms(self, entry: _PeerEntry, job_id: str, lost_ms: int) -> int:
+        """Return when a lost entry and its agents have given up a job."""
+        end_ms = lost_ms
+        unanswered_ms = entry.unanswered_ms.get(job_id)
+        if unanswered_ms is not None and not entry.replaced:
+            end_ms = max(end_ms, unanswered_ms + self.release_ms)
+        return end_ms + self.run_expiry_ms
+
     def may_have_run(self, job_id: str) -> bool:
         """Whether another entry is known to have begun a job."""
         return any(
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from ..dispatch import PeerLoad, choose_forwarding, latest_start_ms
@@ -128,6 +129,28 @@
         self.state.now_ms = now_ms
         abandon(self.state, request, job_id)
 
+    def volatile_requests(self, is_wanted: Callable[[Any], bool]) -> list[Any]:
+        """Return the requests for volatile jobs that have a property.
+
+        Args:
+            is_wanted: Whether a request has the property.
+
+        Returns:
+            Pairs of request and job ID.
+        """
+        volatile = self.state.volatile
+        found = [
+            (request, job_id)
+            for job_id, requests in volatile.requests.items()
+            for request in requests
+        ]
+        found += [
+            (resubmission.request, job_id)
+            for job_id, resubmissions in volatile.resubmissions.items()
+            for resubmission in resubmissions
+        ]
+        return [pair for pair in found if is_wanted(pair[0])]
+
     def take_volatile_changes(self) -> VolatileJobs:
         """Return the volatile jobs that have begun or ended since the last call.
 
--- a/tests/test_platform_lost_askers.py
+++ b/tests/test_platform_lost_askers.py
@@ -9,9 +9,17 @@
 
 from catkincross.clock import SystemClock
 from catkincross.daemons._entry import EntryDaemon
+from catkincross.daemons._entry_links import (
+    ASKER_GRACE_MS,
+    ASKER_RELEASE_MS,
+    LINK_CHECK_MS,
+    LINK_TIMEOUT_MS,
+)
 from catkincross.daemons._log import DecisionLog
+from catkincross.dispatch import LostHolder, NoHolder, PeerVolatileJobs
+from catkincross.dispatch._peer_jobs import LOST_ENTRY_RETENTION_MS
 from catkincross.jobs import to_fields
-from catkincross.peers import Ask, Greeting, Link, encode_message
+from catkincross.peers import Ask, Greeting, Link, VolatileJobs, encode_message
 from scenarios.platform_model import job
 from tests.test_platform_daemons import free_port, settings_for
 
@@ -136,3 +144,40 @@
         await asyncio.sleep(RELEASE_S)
 
     assert holds_job(scenario)
+
+
+def test_a_job_asked_of_an_entry_that_is_cut_off_waits_until_it_is_given_up_there() -> (
+    None
+):
+    """It was begun 2,250 ms after the loss of the link, while the other went on."""
+    other = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250, release_ms=ASKER_RELEASE_MS)
+    peer_jobs.add_entry(other)
+    assert peer_jobs.record_forwarding("e2:1", JOB)
+    peer_jobs.mark_entry_lost(other, now_ms=1_000)
+    peer_jobs.record_no_answer("e2:1", JOB, 1_100)
+    end_ms = 1_100 + ASKER_RELEASE_MS + 2_250
+    assert peer_jobs.find_holder(JOB, 3_300) == LostHolder(end_ms - 3_300)
+    assert peer_jobs.find_holder(JOB, end_ms) == NoHolder()
+    peer_jobs.add_entry(Greeting("entry", "e2", 8, "e2:1"))
+    assert peer_jobs.find_holder(JOB, 3_300) == NoHolder()
+
+
+def test_a_job_that_is_asked_again_waits_from_the_last_request_on() -> None:
+    """The entry that is cut off keeps a job if the request arrives once more."""
+    other = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250, release_ms=ASKER_RELEASE_MS)
+    peer_jobs.add_entry(other)
+    peer_jobs.update(other, VolatileJobs([JOB], []), 0)
+    peer_jobs.record_no_answer("e2:1", JOB, 500)
+    peer_jobs.record_no_answer("e2:1", JOB, 5_000)
+    peer_jobs.mark_entry_lost(other, now_ms=5_100)
+    end_ms = 5_000 + ASKER_RELEASE_MS + 2_250
+    assert peer_jobs.find_holder(JOB, end_ms - 1) == LostHolder(1)
+    assert peer_jobs.find_holder(JOB, end_ms) == NoHolder()
+
+
+def test_no_entry_waits_less_than_another_one_keeps_its_requests() -> None:
+    """Both sides would act in the time between."""
+    assert ASKER_RELEASE_MS > LINK_TIMEOUT_MS + LINK_CHECK_MS + ASKER_GRACE_MS
+    assert LOST_ENTRY_RETENTION_MS > ASKER_RELEASE_MS + 2_250
