Do not reject a job as not run after a request without an answer

An entry asked another one for a job, lost the answer, began the job itself and gave it up before its start: it answered 429 "not run", although the other entry had sent two runs. Whether the job may have run was looked up in what is known of other entries, which an announcement or a new link may have removed by then.

Change: a request that once ended without an answer is remembered while the client account waits, and a rejection by this entry becomes `unknown` (504).

The new test failed before (rejected) and passes after.

--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -84,8 +84,8 @@
             `unknown` if another entry may have begun the job.
         """
         answer = await self._run_or_ask(spec, timeout_ms, waited_ms)
-        if answer.outcome == "rejected" and self.peer_jobs.may_have_run(spec.id):
-            return Answer(0, "unknown", answer.detail)
+        if self.peer_jobs.may_have_run(spec.id):
+            return _unknown_if_rejected(answer)
         return answer
 
     async def _run_or_ask(
@@ -107,15 +107,13 @@
                         self.log.note(
                             "job taken over", job=spec.id, previous=previous_holder
                         )
-                    return await self._run_locally(spec, arrived_ms, timeout_ms)
+                    answer = await self._run_locally(spec, arrived_ms, timeout_ms)
+                    return _unknown_if_rejected(answer) if unanswered else answer
                 continue
             if isinstance(holder, LiveHolder):
                 answer = await self._ask_holder(holder.address, spec, remaining_ms)
                 if answer is not None and answer is not LINK_CLOSED:
-                    rejected = answer.outcome == "rejected"
-                    if rejected and unanswered:
-                        return Answer(0, "unknown", answer.detail)
-                    return answer
+                    return _unknown_if_rejected(answer) if unanswered else answer
                 unanswered = True
                 self.peer_jobs.record_no_answer(
                     holder.address, spec.id, self.clock.now_ms()
@@ -194,3 +192,10 @@
             changes = self.core.take_volatile_changes()
             if changes != VolatileJobs([], []):
                 self.owner_requests.broadcast(changes)
+
+
+def _unknown_if_rejected(answer: Answer) -> Answer:
+    """Return the answer to a job that may have run; a rejection says it has not."""
+    if answer.outcome == "rejected":
+        return Answer(0, "unknown", answer.detail)
+    return answer
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -280,6 +280,36 @@
     assert submit_with(peer_jobs, Core(), answers).outcome == "unknown"
 
 
+def test_a_job_that_was_asked_of_another_entry_is_not_rejected_as_not_run() -> None:
+    """The other entry may have begun it, and may not be remembered any more."""
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16], []), 0)
+
+    class ForgettingRequests(Requests):
+        """Loses the answer of an entry, and all that is known of it."""
+
+        async def ask_entry(self, address: str, _: Ask) -> Answer | None:
+            """Return no answer."""
+            peer_jobs.entries.clear()
+            return LINK_CLOSED
+
+    core = Core()
+    core.outcome = "rejected"
+
+    async def run() -> Answer:
+        clock = ManualClock()
+        log = DecisionLog("e1", clock, os.open(os.devnull, os.O_WRONLY))
+        volatile = VolatileRequests(
+            core, CoreLoop(), peer_jobs, ForgettingRequests([]), clock, log
+        )
+        return await volatile.submit(job("a" * 16, volatile=True), 2_000)
+
+    assert asyncio.run(run()).outcome == "unknown"
+    assert core.run_here == ["a" * 16]
+
+
 class StoppedServer:
     """Server of client accounts that has no open requests."""
 
