Test workers whose capacity shrinks and grows while they run

No test changed a capacity, and the model's workers sent one heartbeat only.

Change: the stand-in of the worker has a capacity and records its changes; the model's workers send heartbeats every 1,500 ms, `register(name, cpu=...)` changes a capacity, and `silent_workers` loses heartbeats. Tests of a shrink below what runs, between decision and start, of memory and accelerators, growth, repeated and late heartbeats, a restarted agent, and a gang of which one member is refused.

--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -46,6 +46,8 @@
 RENEWAL_MS = 50
 STEP_MS = 5
 JOIN_MS = 250
+# Interval of the workers' heartbeats.
+HEARTBEAT_MS = 1_500
 ORDER_TIMEOUT_MS = 300
 # Time after which the store no longer names an entry that was killed.
 MEMBER_TTL_MS = 1_000
@@ -73,12 +75,14 @@
         core: Its core.
         up: Whether it runs.
         frozen_until_ms: Until when it stands still.
+        registered: Whether the worker of this agent process sends it heartbeats.
     """
 
     name: str
     core: Any
     up: bool = True
     frozen_until_ms: int = 0
+    registered: bool = False
 
 
 @attrs.define(eq=False)
@@ -89,6 +93,7 @@
         answers: Answers to requests by name of the request.
         cut: Pairs of entry and agent between which nothing passes.
         lost_orders: Number of orders that get no answer and are carried out late.
+        silent_workers: Agents whose worker's heartbeats are lost.
         notes: Log lines of all cores.
         sent: Number of messages by agent and class.
     """
@@ -104,6 +109,7 @@
     cut: set[tuple[str, str]] = attrs.field(factory=set)
     store_cut: set[str] = attrs.field(factory=set)
     lost_orders: int = 0
+    silent_workers: set[str] = attrs.field(factory=set)
     late_ms: int = 3_000
     notes: list[tuple[int, str, str, dict[str, Any]]] = attrs.field(factory=list)
     sent: Counter[tuple[str, str]] = attrs.field(factory=Counter)
@@ -123,6 +129,7 @@
         self.assign()
         self.at(STEP_MS, self._tick)
         self.at(JOIN_MS, self._join_all)
+        self.at(HEARTBEAT_MS, self._send_heartbeats)
 
     # Time.
 
@@ -177,22 +184,48 @@
         self.announce_entries()
         self.at(1, lambda: self._renew_lease(host))
 
-    def register(self, name: str, *, draining: bool = False) -> None:
-        """Let a worker send a heartbeat."""
+    def register(
+        self, name: str, *, draining: bool = False, cpu: int | None = None
+    ) -> None:
+        """Let a worker send a heartbeat, and go on with it every 1,500 ms.
+
+        Args:
+            name: Agent of the worker.
+            draining: Whether the worker is about to leave.
+            cpu: New processor capacity in millicores; None to keep it.
+        """
+        machine = self.machines[name]
+        machine.draining = draining
+        if cpu is not None:
+            machine.resize(self.now_ms, (cpu, *machine.capacity[1:]))
+        self.workers[name].registered = True
+        self.deliver_heartbeat(name, self.heartbeat(name))
+
+    def heartbeat(self, name: str) -> Registration:
+        """Return a heartbeat that a worker sends now."""
         machine = self.machines[name]
-        content = Registration(
+        return Registration(
             machine.instance,
             SERVICE,
             "perth",
             ("a", "r1"),
-            4_000,
-            8_192,
-            0,
-            draining,
+            *machine.capacity,
+            machine.draining,
             machine.worker_incarnation,
             self.now_ms,
         )
-        self.workers[name].core.handle_heartbeat(self.now_ms, content)
+
+    def deliver_heartbeat(self, name: str, content: Registration) -> None:
+        """Let a heartbeat arrive at an agent."""
+        if self.workers[name].core.handle_heartbeat(self.now_ms, content):
+            capacity = (content.cpu, content.memory_mb, content.gpu)
+            self.machines[name].announced.append((self.now_ms, capacity))
+
+    def _send_heartbeats(self) -> None:
+        for name, host in self.workers.items():
+            if host.registered and self.awake(host) and name not in self.silent_workers:
+                self.deliver_heartbeat(name, self.heartbeat(name))
+        self.at(HEARTBEAT_MS, self._send_heartbeats)
 
     def kill(self, name: str) -> None:
         """Kill a process; its links end."""
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -18,6 +18,10 @@
     StopRun,
 )
 
+# Millicores, MB of memory and number of accelerators.
+Capacity = tuple[int, int, int]
+DEFAULT_CAPACITY: Capacity = (4_000, 8_192, 0)
+
 
 @attrs.define
 class ActiveRun:
@@ -51,6 +55,9 @@
         instance: Identity of the worker.
         worker_incarnation: Incarnation; rises with each crash.
         lease_ms: Longest lease that the worker grants.
+        capacity: Millicores, MB of memory and number of accelerators; it only shows
+            in heartbeats, and orders beyond it are carried out.
+        draining: Whether the worker is about to leave.
         run_ms: Duration of each run.
         fail_all: Whether every run fails, 5 ms after its start.
         fence: Highest fencing token seen.
@@ -61,11 +68,15 @@
         last_end_number: Sequence number of the last end in this incarnation.
         acknowledged: Highest acknowledged sequence number of an end.
         run_events: Events as rows of time, event, task and run.
+        capacities: Times at which the capacity has changed, with the new one.
+        announced: Times at which an agent read a heartbeat, with its capacity.
     """
 
     instance: str = "w-1"
     worker_incarnation: int = 1
     lease_ms: int = 1_000
+    capacity: Capacity = DEFAULT_CAPACITY
+    draining: bool = False
     run_ms: int = 100
     fail_all: bool = False
     fence: int = 0
@@ -76,6 +87,14 @@
     last_end_number: int = 0
     acknowledged: int = 0
     run_events: list[tuple[int, str, str, int]] = attrs.field(factory=list)
+    capacities: list[tuple[int, Capacity]] = attrs.field(factory=list)
+    announced: list[tuple[int, Capacity]] = attrs.field(factory=list)
+
+    def resize(self, now_ms: int, capacity: Capacity) -> None:
+        """Change the capacity; runs go on, and the next heartbeat shows it."""
+        if capacity != self.capacity:
+            self.capacity = capacity
+            self.capacities.append((now_ms, capacity))
 
     def _end_run(self, now_ms: int, active_run: ActiveRun, how: str) -> None:
         self.last_end_number += 1
--- /dev/null
+++ b/tests/test_platform_shrinking_capacity.py
@@ -0,0 +1,184 @@
+"""Guards against starts beyond a worker's capacity when it shrinks, and what follows.
+
+The capacity of a worker may shrink below what runs there, and grow again.
+"""
+
+from __future__ import annotations
+
+from catkincross.jobs import JobSpec
+from scenarios.capacity_check import starts_over_capacity
+from scenarios.platform_model import HEARTBEAT_MS, Model, job, ready_model
+
+JOB = "5c0e7a21d94b36f8"
+OTHER = "6d1f8b32ea5c4709"
+
+
+def small_model(run_ms: int = 300, **options: int) -> Model:
+    """Return a model with one entry and, unless stated, one worker of four cores."""
+    model = ready_model(**{"entries": 1, "agents": 1, **options})
+    for machine in model.machines.values():
+        machine.run_ms = run_ms
+    return model
+
+
+def submit(model: Model, spec: JobSpec, timeout_ms: int = 0) -> None:
+    """Hand in a job at the first entry, under its ID."""
+    model.submit(spec.id, spec, "e0", timeout_ms=timeout_ms)
+
+
+def over_capacity(model: Model, *specs: JobSpec) -> list[str]:
+    """Return the starts that brought a worker over its capacity."""
+    return starts_over_capacity(model, {spec.id: spec.steps[0] for spec in specs})
+
+
+def running_count(model: Model, job_id: str = "") -> int:
+    """Return the number of runs in progress, of one job or of all."""
+    return sum(
+        job_id in task
+        for machine in model.machines.values()
+        for task in machine.running
+    )
+
+
+def test_no_start_while_a_shrunk_worker_runs_more_than_its_capacity() -> None:
+    """Runs that exceed the new capacity go on, and nothing may be added to them."""
+    model = small_model(run_ms=1_000)
+    first, second = job(JOB, count=3), job(OTHER, count=2)
+    submit(model, first)
+    model.run(100)
+    model.register("u0", cpu=2_000)
+    model.run(20)
+    submit(model, second)
+    model.run(800)
+    assert model.count("start", OTHER) == 0
+    assert model.count("stopped") == 0
+    model.run(2_500)
+    assert model.count("done") == 5
+    assert over_capacity(model, first, second) == []
+
+
+def test_an_order_sent_before_a_shrink_is_refused_after_it() -> None:
+    """An entry may decide on a state from before the shrink; the agent must refuse."""
+    model = small_model()
+    spec = job(JOB, count=4)
+    submit(model, spec)
+    # The record is durable after 4 ms, and the orders arrive 1 ms after they are sent.
+    while not any(row[2] == "run sent" for row in model.notes):
+        model.run(1)
+    model.register("u0", cpu=2_000)
+    model.run(40)
+    refused = [row for row in model.notes if row[2] == "start refused"]
+    assert {row[3]["reason"] for row in refused} == {"no room"}
+    assert running_count(model) == 2
+    model.run(2_000)
+    assert model.count("done") == 4
+    assert over_capacity(model, spec) == []
+
+
+def test_a_stored_job_that_fits_nowhere_after_a_shrink_runs_once_it_fits() -> None:
+    """An accepted job must neither be lost nor run on a worker that is too small."""
+    model = small_model()
+    spec = job(JOB, count=2)
+    submit(model, spec)
+    model.run(2)
+    model.register("u0", cpu=500)
+    model.run(6_000)
+    assert model.answers[JOB].outcome == "accepted"
+    assert running_count(model) == model.count("start") == 0
+    model.register("u0", cpu=1_000)
+    model.run(1_500)
+    assert model.count("done") == 2
+    assert over_capacity(model, spec) == []
+
+
+def test_capacity_that_grows_again_is_used_without_delay() -> None:
+    """Waiting tasks must start within the interval between two states of an agent."""
+    model = small_model(run_ms=2_000)
+    model.register("u0", cpu=1_000)
+    model.run(200)
+    submit(model, job(JOB, count=4))
+    model.run(300)
+    assert running_count(model) == 1
+    model.register("u0", cpu=4_000)
+    model.run(60)
+    assert running_count(model) == 4
+
+
+def test_a_heartbeat_from_before_a_shrink_that_arrives_late_changes_nothing() -> None:
+    """A heartbeat that is overtaken, or arrives twice, must not undo a later one."""
+    model = small_model()
+    late = model.heartbeat("u0")
+    model.run(5)
+    model.register("u0", cpu=1_000)
+    shrunk = model.heartbeat("u0")
+    for content in (late, shrunk, shrunk, late):
+        model.deliver_heartbeat("u0", content)
+    assert model.workers["u0"].core.state.free_capacity()[0] == 1_000
+    spec = job(JOB, count=4)
+    submit(model, spec)
+    model.run(300)
+    assert running_count(model) == 1
+    assert over_capacity(model, spec) == []
+
+
+def test_a_restarted_agent_starts_nothing_before_it_knows_the_capacity() -> None:
+    """A new agent process must not use the capacity that its predecessor knew."""
+    model = small_model(run_ms=2_000)
+    spec = job(JOB, count=4)
+    submit(model, spec)
+    model.run(100)
+    model.kill("u0")
+    model.machines["u0"].resize(model.now_ms, (2_000, 8_192, 0))
+    model.run(300)
+    model.start_agent("u0", registers=False)
+    other = job(OTHER, count=2)
+    submit(model, other)
+    model.run(HEARTBEAT_MS)
+    assert model.count("start", OTHER) == 0
+    model.register("u0")
+    model.run(4_000)
+    assert model.count("done") >= 6
+    assert over_capacity(model, spec, other) == []
+
+
+def test_memory_and_accelerators_of_a_shrunk_worker_are_respected() -> None:
+    """Each resource is limited by itself."""
+    model = small_model(run_ms=2_000)
+    machine = model.machines["u0"]
+    machine.resize(model.now_ms, (4_000, 128, 1))
+    model.register("u0")
+    model.run(200)
+    spec = job(JOB, count=4)
+    submit(model, spec)
+    model.run(300)
+    assert running_count(model) == 2
+    machine.resize(model.now_ms, (4_000, 64, 0))
+    model.register("u0")
+    machine.resize(model.now_ms, (4_000, 8_192, 0))
+    model.register("u0")
+    model.run(200)
+    assert running_count(model) == 4
+    assert over_capacity(model, spec) == []
+
+
+def test_a_gang_with_a_member_refused_after_a_shrink_starts_as_a_whole() -> None:
+    """Members that started must not wait for one that no longer fits."""
+    model = small_model(run_ms=500, agents=3)
+    spec = job(JOB, count=12, gang=True)
+    submit(model, spec)
+    while not any(row[2] == "run sent" for row in model.notes):
+        model.run(1)
+    model.register("u1", cpu=2_000)
+    model.run(400)
+    assert running_count(model) == 0
+    model.register("u1", cpu=4_000)
+    model.run(300)
+    assert running_count(model) == 12
+    numbers = {
+        active_run.run
+        for machine in model.machines.values()
+        for active_run in machine.running.values()
+    }
+    assert len(numbers) == 1
+    assert model.overlapping() == []
+    assert over_capacity(model, spec) == []
