Start nothing by a heartbeat that is older than 4,200 ms

Cause: the agent counted with the capacity of its worker's newest heartbeat however old it was.

Change: `WorkerState.ready` needs a heartbeat of the last 4,200 ms (`WorkerLimits.heartbeat_valid_ms`), which leaves 300 ms for the order and lets two heartbeats in a row be lost. A copy of the newest heartbeat does not count anew.

Measured: before the change three new tests failed: after a freeze, "7806: ... uses (2000, 128, 0) of (1000, 8192, 0)" and 2 more; with lost heartbeats 51 such starts from 6206 on; with a repeated heartbeat 3 from 6306 on. After it all tests of the file pass; tests/test_platform_*.py pass.

--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -84,6 +84,7 @@
             state.resumed_ms = now_ms
             state.note("resumed", paused_ms=now_ms - state.stepped_ms)
         state.stepped_ms = now_ms
+        self._note_overdue_heartbeat()
         self._expire_shard_leases()
         self._resend_stops()
         self._resend_ends()
@@ -233,6 +234,17 @@
             limit_ms is not None and state.now_ms >= limit_ms for limit_ms in limits_ms
         )
 
+    def _note_overdue_heartbeat(self) -> None:
+        """Log once that the newest heartbeat is too old to start runs by it."""
+        state = self.state
+        if state.registration is None or state.heartbeat_overdue:
+            return
+        age_ms = state.now_ms - state.heartbeat_ms
+        if age_ms >= state.limits.heartbeat_valid_ms:
+            state.heartbeat_overdue = True
+            state.note("heartbeat overdue", worker=state.worker, age_ms=age_ms)
+            state.mark_states_outdated()
+
     def _expire_shard_leases(self) -> None:
         """Stop the runs of shards whose owner's lease has expired.
 
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -43,11 +43,22 @@
             discard_worker_state(state, 0)
     if old is None or old.draining != new.draining:
         state.note("worker state", worker=new.worker, draining=new.draining)
+    if not _is_repeated(old, new):
+        state.heartbeat_ms = state.now_ms
+        state.heartbeat_overdue = False
     state.registration = new
     state.mark_states_outdated()
     return True
 
 
+def _is_repeated(old: Registration | None, new: Registration) -> bool:
+    """Whether a heartbeat is a copy of the newest one, which tells nothing new."""
+    return old is not None and (
+        (old.worker, old.worker_incarnation, old.sequence)
+        == (new.worker, new.worker_incarnation, new.sequence)
+    )
+
+
 def record_departure(state: WorkerState, worker: str) -> None:
     """Remove a worker that announced its departure, and all its runs."""
     if state.registration is not None and state.registration.worker == worker:
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -45,6 +45,8 @@
             tasks.
         renewal_wait_ms: How long the worker may wait for a run to end before it answers
             a lease renewal.
+        heartbeat_valid_ms: How long after a heartbeat runs are started by the capacity
+            that it states.
     """
 
     shards: int = 16
@@ -80,6 +82,10 @@
     offered_entries: int = 5
     # A quarter of the lease, so that three consecutive renewals may fail.
     renewal_wait_ms: int = 250
+    # A start may bring a worker over its new capacity until 4,500 ms after it shrank,
+    # which may have been just after the heartbeat. The rest is for the order. Two
+    # heartbeats in a row may be lost.
+    heartbeat_valid_ms: int = 4_200
 
 
 @attrs.define(eq=False)
@@ -206,6 +212,8 @@
         stepped_ms: Time of the newest step; None before the first.
         resumed_ms: When the process went on after its last pause.
         registration: Newest heartbeat of the worker; None if no worker is registered.
+        heartbeat_ms: When that heartbeat arrived.
+        heartbeat_overdue: Whether it has been reported as too old to start runs by.
         departed: Identity and incarnation of the worker that last announced its
             departure; None before the first.
         worker_incarnation: Start of the worker process, in milliseconds since 1970; 0
@@ -242,6 +250,8 @@
     stepped_ms: int | None = None
     resumed_ms: int = -1_000_000
     registration: Registration | None = None
+    heartbeat_ms: int = -1_000_000
+    heartbeat_overdue: bool = False
     departed: tuple[str, int] | None = None
     worker_incarnation: int = 0
     reply_received_ms: int = -1_000_000
@@ -323,11 +333,23 @@
             registration is not None
             and self.worker_incarnation != 0
             and not registration.draining
+            and self.capacity_current
             and not self.leaving
             and self.now_ms >= self.renewal_blocked_until_ms
             and all(run.cpu is not None for run in self.runs.values())
         )
 
+    @property
+    def capacity_current(self) -> bool:
+        """Whether the newest heartbeat states a capacity by which runs may be started.
+
+        The worker may have shrunk since an old heartbeat.
+        """
+        registration = self.registration
+        if registration is None:
+            return False
+        return self.now_ms - self.heartbeat_ms < self.limits.heartbeat_valid_ms
+
     def free_capacity(self) -> tuple[int, int, int]:
         """Return the free millicores, MB of memory and number of accelerators."""
         registration = self.registration
--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -182,3 +182,69 @@
     assert len(numbers) == 1
     assert model.overlapping() == []
     assert over_capacity(model, spec) == []
+
+
+def test_no_start_by_a_capacity_that_was_last_heard_before_a_freeze() -> None:
+    """A worker may have shrunk while its agent was frozen and read no heartbeat."""
+    model = small_model(run_ms=2_000)
+    model.register("u0")
+    spec = job(JOB, count=4)
+    host = model.workers["u0"]
+    host.frozen_until_ms = model.now_ms + 6_000
+    model.run(100)
+    model.machines["u0"].resize(model.now_ms, (1_000, 8_192, 0))
+    # The agent woke 200 ms ago and offers its worker again.
+    model.run(6_100)
+    model.silent_workers.add("u0")
+    submit(model, spec)
+    model.run(500)
+    model.silent_workers.clear()
+    model.run(2_000)
+    other = job(OTHER, count=2)
+    submit(model, other)
+    model.run(5_000)
+    assert model.count("done", OTHER) == 2
+    assert over_capacity(model, spec, other) == []
+
+
+def test_no_start_by_an_old_capacity_while_heartbeats_are_lost() -> None:
+    """Heartbeats may be lost or unreadable while the worker answers renewals."""
+    model = small_model(run_ms=100)
+    model.register("u0")
+    model.silent_workers.add("u0")
+    model.machines["u0"].resize(model.now_ms + 100, (1_000, 8_192, 0))
+    specs = [job(f"{number:016x}", count=4) for number in range(40)]
+    for spec in specs:
+        submit(model, spec)
+        model.run(200)
+    assert over_capacity(model, *specs) == []
+    model.silent_workers.clear()
+    model.run(30_000)
+    answers = [model.answers[spec.id].outcome for spec in specs]
+    assert model.count("done") == 4 * answers.count("accepted") >= 80
+
+
+def test_a_repeated_heartbeat_does_not_keep_an_old_capacity_in_use() -> None:
+    """A copy of an old heartbeat says nothing about the capacity of now."""
+    model = small_model(run_ms=100)
+    model.silent_workers.add("u0")
+    old = model.heartbeat("u0")
+    model.deliver_heartbeat("u0", old)
+    model.machines["u0"].resize(model.now_ms, (1_000, 8_192, 0))
+    model.run(3_000)
+    model.deliver_heartbeat("u0", old)
+    model.run(1_700)
+    spec = job(JOB, count=4)
+    submit(model, spec)
+    model.run(500)
+    assert over_capacity(model, spec) == []
+
+
+def test_a_few_lost_heartbeats_do_not_stop_the_work() -> None:
+    """A worker whose heartbeats come again within two intervals stays in use."""
+    model = small_model(run_ms=100)
+    model.silent_workers.add("u0")
+    model.run(2 * HEARTBEAT_MS)
+    submit(model, job(JOB, count=4))
+    model.run(60)
+    assert running_count(model) == 4
