Start nothing on a new life of a worker before its own heartbeat

Cause: an answer to a lease renewal can show that the worker has begun a new life before the heartbeat of that life arrives. Until then the agent counted with the capacity of the earlier life; a new life under the same identity may be smaller.

Change: `WorkerState.capacity_current` is False while the newest heartbeat is of an earlier life than the lists of runs. Heartbeats that state no `born` are not compared.

Measured: before the change the new test failed with 4 runs on the worker of one core (`assert 4 == 0`); after it the file passes, and so do tests/test_platform_*.py.

--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -343,11 +343,14 @@
     def capacity_current(self) -> bool:
         """Whether the newest heartbeat states a capacity by which runs may be started.
 
-        The worker may have shrunk since an old heartbeat.
+        The worker may have shrunk since an old heartbeat, and a new life of the worker
+        may be smaller than the one that sent the heartbeat.
         """
         registration = self.registration
         if registration is None:
             return False
+        if 0 < registration.worker_incarnation < self.worker_incarnation:
+            return False
         return self.now_ms - self.heartbeat_ms < self.limits.heartbeat_valid_ms
 
     def free_capacity(self) -> tuple[int, int, int]:
--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -248,3 +248,21 @@
     submit(model, job(JOB, count=4))
     model.run(60)
     assert running_count(model) == 4
+
+
+def test_a_restarted_worker_is_not_judged_by_the_capacity_of_its_earlier_life() -> None:
+    """A new life under the same identity may be smaller than the one before."""
+    model = small_model(run_ms=1_000)
+    machine = model.machines["u0"]
+    spec = job(JOB, count=4)
+    submit(model, spec)
+    model.run(100)
+    model.silent_workers.add("u0")
+    machine.crash(model.now_ms)
+    machine.resize(model.now_ms, (1_000, 8_192, 0))
+    model.run(700)
+    assert running_count(model) == 0
+    model.silent_workers.clear()
+    model.run(7_000)
+    assert model.count("done") == 4
+    assert over_capacity(model, spec) == []
