Reserve no workers for a gang that does not fit on them when idle

Cause: a gang that has waited 500 ms reserved all workers of its service until it fits. A gang that was accepted and no longer fits after a worker has shrunk reserved them for as long as the worker stayed small, and no other task of the service started behind it.

Change: `place_gang` reserves only if all members would fit at once on the workers that it may use if these were idle. The gang waits and starts when the worker has grown.

Measured: before the change the new test failed: 0 of 10 narrow jobs done in 1,300 ms (`assert 0 == 10`). After it 10 are done, and the gang starts once the worker has grown. tests/test_platform_gangs.py pass.

--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -4,7 +4,13 @@
 
 from collections import Counter
 
-from ..dispatch import AgentResources, choose_agent, choose_gang, jobs_to_defer
+from ..dispatch import (
+    AgentResources,
+    choose_agent,
+    choose_gang,
+    gang_fits_when_idle,
+    jobs_to_defer,
+)
 from ..jobs import Step, Task, TaskState
 from ..peers import Start
 from ._agents import AgentInfo
@@ -250,16 +256,19 @@
             stop_run(state, shard, member)
     if still_assigned:
         return True
+    workers = candidates.eligible(shard, task)
     chosen = choose_gang(
         task.step_spec,
         len(members),
-        candidates.eligible(shard, task),
+        workers,
         remote_factor=state.limits.remote_factor,
     )
     if chosen is None:
         candidates.unplaced_gangs.add(gang)
-        waited_ms = state.now_ms - task.job.arrived_ms
-        if waited_ms > GANG_RESERVE_MS:
+        # No worker is reserved for a gang that all workers together are too small for.
+        if state.now_ms - task.job.arrived_ms > GANG_RESERVE_MS and gang_fits_when_idle(
+            task.step_spec, len(members), workers
+        ):
             candidates.reserve_service(task.job.spec.policy.service)
         return False
     run = max(task.job.next_run(member, shard.epoch) for member in members)
--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -266,3 +266,26 @@
     model.run(7_000)
     assert model.count("done") == 4
     assert over_capacity(model, spec) == []
+
+
+def test_a_gang_that_no_longer_fits_does_not_starve_the_service() -> None:
+    """Workers must not be reserved for a gang that they cannot hold even if idle."""
+    model = small_model(run_ms=100, agents=3)
+    gang = job(JOB, count=12, gang=True)
+    submit(model, gang)
+    model.run(2)
+    model.register("u1", cpu=2_000)
+    model.run(1_000)
+    assert model.answers[JOB].outcome == "accepted"
+    starts = model.count("start", JOB)
+    narrow = [job(f"{number:016x}", count=1) for number in range(10)]
+    for spec in narrow:
+        submit(model, spec)
+        model.run(100)
+    model.run(300)
+    assert model.count("done") == 10
+    assert model.count("start", JOB) == starts
+    model.register("u1", cpu=4_000)
+    model.run(1_000)
+    assert model.count("start", JOB) == starts + 12
+    assert over_capacity(model, gang, *narrow) == []
