Leave the workers of a service to other tasks for half the time a gang waits

Cause: a gang that would fit on idle workers reserved its service without an end. Tasks that last do not end, so after a shrink beside them the gang never fits, and no other task behind it started.

Change: a gang that has waited 500 ms reserves its service for 10 s, leaves it for 10 s, and so on (`GANG_RESERVE_SPAN_MS`). Tasks other than those that last end within seconds, so 10 s are enough to free the workers for a gang that can fit.

Measured: before the change the new test failed with 0 of 300 narrow jobs done in 30 s (`assert 0 > 120`); after it the file and tests/test_platform_gangs.py pass.

--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -26,6 +26,9 @@
 # A gang that does not fit this long after its job arrived reserves the workers of its
 # service until all of its members fit; tasks run for up to some seconds.
 GANG_RESERVE_MS = 500
+# The workers of a service are reserved for a gang for this long, and then left to other
+# tasks for the same time: tasks that do not end may hold what the gang needs.
+GANG_RESERVE_SPAN_MS = 10_000
 # An agent whose newest state is older than this gets no task. Agents send a state every
 # 200 ms, so several of them may be lost.
 STALE_STATE_MS = 1_300
@@ -266,7 +269,7 @@
     if chosen is None:
         candidates.unplaced_gangs.add(gang)
         # No worker is reserved for a gang that all workers together are too small for.
-        if state.now_ms - task.job.arrived_ms > GANG_RESERVE_MS and gang_fits_when_idle(
+        if _reserve_now(state, task) and gang_fits_when_idle(
             task.step_spec, len(members), workers
         ):
             candidates.reserve_service(task.job.spec.policy.service)
@@ -281,6 +284,12 @@
     return True
 
 
+def _reserve_now(state: OwnerState, task: Task) -> bool:
+    """Whether a gang has waited long enough to have workers reserved at this time."""
+    reserve_ms = state.now_ms - task.job.arrived_ms - GANG_RESERVE_MS
+    return reserve_ms > 0 and reserve_ms // GANG_RESERVE_SPAN_MS % 2 == 0
+
+
 def send_start(
     state: OwnerState, shard: Shard, task: Task, candidate: AgentResources, run: int
 ) -> None:
--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -289,3 +289,24 @@
     model.run(1_000)
     assert model.count("start", JOB) == starts + 12
     assert over_capacity(model, gang, *narrow) == []
+
+
+def test_a_gang_beside_tasks_that_last_does_not_starve_the_service() -> None:
+    """Tasks that do not end may hold what the gang needs since a worker shrank."""
+    model = small_model(run_ms=600_000, agents=3)
+    submit(model, job(OTHER, count=2, long_running=True))
+    model.run(100)
+    for machine in model.machines.values():
+        machine.run_ms = 100
+    free = next(name for name, machine in model.machines.items() if not machine.running)
+    submit(model, job(JOB, count=10, gang=True))
+    model.run(2)
+    model.register(free, cpu=3_000)
+    model.run(1_000)
+    assert model.answers[JOB].outcome == "accepted"
+    starts = model.count("start", JOB)
+    for number in range(300):
+        submit(model, job(f"{number:016x}", count=1))
+        model.run(100)
+    assert model.count("done") > 120
+    assert model.count("start", JOB) == starts
