Do not let tasks that fit nowhere hold up those that fit

Cause: a placement pass ends after 24 tasks that fit on no worker. Tasks with a label or a limit of tasks a worker, gangs and tasks of falling sizes were counted one by one, and tasks that last or have started keep their place at the head of the queue. After a shrink 24 of them that fit on no worker stopped all other tasks at that entry, of any service.

Change: tasks that are too large for all candidates even if idle are not counted, and the result is kept by size for the pass. A task that was not placed also stands for larger ones with the same label, and for the other tasks of its step. A gang that is too large is not tried.

--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Any
 
 from ..dispatch import (
     AgentResources,
@@ -18,7 +19,8 @@
 from ._shard import Shard
 from ._state import OwnerState, owner_system
 
-# A placement pass ends after this many tasks that fit on no worker.
+# A placement pass ends after this many tasks that fit on no worker now. Tasks that are
+# too large for all workers are not counted, since they may wait for a long time.
 MAX_UNPLACED_TASKS = 24
 # Interval between placement passes if no event frees resources. It bounds the delay
 # after changes that come with no event, such as the end of an ejection.
@@ -63,11 +65,12 @@
             continue
         if task.step_spec.gang:
             placed = place_gang(state, shard, task, candidates)
-        elif candidates.known_not_to_fit(task):
+        elif candidates.known_not_to_fit(shard, task):
             continue
         else:
             placed = _place_task(state, shard, task, candidates)
-        unplaced_count += not placed
+        if not placed and not candidates.too_large(shard, task):
+            unplaced_count += 1
 
 
 def _place_task(
@@ -138,7 +141,9 @@
         self.state = state
         self.all = _find_candidates(state)
         self._eligible_cache: dict[tuple[str, int], list[AgentResources]] = {}
-        self._unplaced_step_specs: dict[str, list[Step]] = {}
+        self._too_large_cache: dict[tuple[Any, ...], bool] = {}
+        self._unplaced_step_specs: dict[tuple[str, str], list[Step]] = {}
+        self._unplaced_steps: set[tuple[str, int]] = set()
         self.unplaced_gangs: set[tuple[str, int]] = set()
 
     @property
@@ -149,49 +154,98 @@
     def exclude(self, candidate: AgentResources) -> None:
         """Leave a worker out for the rest of the pass."""
         self.all.remove(candidate)
-        self._eligible_cache.clear()
+        self._clear_caches()
 
     def record_unplaced(self, task: Task) -> None:
         """Record that a task fits on no worker, so that no larger one is tried.
 
-        Tasks with constraints are not recorded: a larger one without them may fit.
+        A limit on tasks of a step on one worker only says that no other task of the
+        step is to be tried: larger ones of other steps may fit.
         """
         step_spec = task.step_spec
-        if not (step_spec.requires or step_spec.anti_affinity):
-            self._unplaced_step_specs.setdefault(
-                task.job.spec.policy.service, []
-            ).append(step_spec)
+        self._unplaced_steps.add((task.job.spec.id, task.step))
+        if not step_spec.anti_affinity:
+            key = task.job.spec.policy.service, step_spec.requires
+            self._unplaced_step_specs.setdefault(key, []).append(step_spec)
 
     def reserve_service(self, service: str) -> None:
         """Reserve the workers of a service for a gang for the rest of the pass."""
         for candidate in list(self.all):
             if self.state.agents[candidate.name].serves(service):
                 self.all.remove(candidate)
+        self._clear_caches()
+
+    def _clear_caches(self) -> None:
         self._eligible_cache.clear()
+        self._too_large_cache.clear()
 
-    def known_not_to_fit(self, task: Task) -> bool:
+    def known_not_to_fit(self, shard: Shard, task: Task) -> bool:
         """Whether a task that needs the same or less was not placed in this pass."""
+        if (task.job.spec.id, task.step) in self._unplaced_steps:
+            return True
         step_spec = task.step_spec
-        return any(
-            other.cpu <= step_spec.cpu
-            and other.memory_mb <= step_spec.memory_mb
-            and other.gpu <= step_spec.gpu
-            for other in self._unplaced_step_specs.get(task.job.spec.policy.service, ())
-        )
+        service = task.job.spec.policy.service
+        for requires in {"", step_spec.requires}:
+            if any(
+                other.cpu <= step_spec.cpu
+                and other.memory_mb <= step_spec.memory_mb
+                and other.gpu <= step_spec.gpu
+                for other in self._unplaced_step_specs.get((service, requires), ())
+            ):
+                return True
+        return self._too_large_cache.get(_size_key(shard, task), False)
+
+    def too_large(self, shard: Shard, task: Task) -> bool:
+        """Whether a task, or its gang, fits on no candidate even if all were idle."""
+        key = _size_key(shard, task)
+        found = self._too_large_cache.get(key)
+        if found is None:
+            step_spec = task.step_spec
+            workers = self._eligible(shard, task)
+            found = (
+                not gang_fits_when_idle(step_spec, _member_count(task), workers)
+                if step_spec.gang
+                else not any(worker.fits_when_idle(step_spec) for worker in workers)
+            )
+            self._too_large_cache[key] = found
+        return found
 
     def eligible(self, shard: Shard, task: Task) -> list[AgentResources]:
         """Return the candidates that may run a task, whether it fits now or not."""
+        found = self._eligible(shard, task)
+        limit = task.step_spec.anti_affinity
+        if not limit:
+            return found
+        counts = Counter(t.agent for t in task.job.tasks[task.step] if t.agent)
+        return [candidate for candidate in found if counts[candidate.name] < limit]
+
+    def _eligible(self, shard: Shard, task: Task) -> list[AgentResources]:
         key = task.job.spec.policy.service, shard.number
         found = self._eligible_cache.get(key)
         if found is None:
             found = self._eligible_cache[key] = _eligible(
                 self.state, self.all, shard, task
             )
-        limit = task.step_spec.anti_affinity
-        if not limit:
-            return found
-        counts = Counter(t.agent for t in task.job.tasks[task.step] if t.agent)
-        return [candidate for candidate in found if counts[candidate.name] < limit]
+        return found
+
+
+def _size_key(shard: Shard, task: Task) -> tuple[Any, ...]:
+    """Return what decides whether a task, or its gang, fits on idle workers."""
+    step_spec = task.step_spec
+    return (
+        task.job.spec.policy.service,
+        shard.number,
+        step_spec.cpu,
+        step_spec.memory_mb,
+        step_spec.gpu,
+        step_spec.requires,
+        (_member_count(task), step_spec.anti_affinity) if step_spec.gang else (),
+    )
+
+
+def _member_count(task: Task) -> int:
+    """Return the number of tasks of a task's step."""
+    return len(task.job.tasks[task.step])
 
 
 def _find_candidates(state: OwnerState) -> list[AgentResources]:
@@ -259,19 +313,18 @@
             stop_run(state, shard, member)
     if still_assigned:
         return True
-    workers = candidates.eligible(shard, task)
+    if candidates.too_large(shard, task):
+        candidates.unplaced_gangs.add(gang)
+        return False
     chosen = choose_gang(
         task.step_spec,
         len(members),
-        workers,
+        candidates.eligible(shard, task),
         remote_factor=state.limits.remote_factor,
     )
     if chosen is None:
         candidates.unplaced_gangs.add(gang)
-        # No worker is reserved for a gang that all workers together are too small for.
-        if _reserve_now(state, task) and gang_fits_when_idle(
-            task.step_spec, len(members), workers
-        ):
+        if _reserve_now(state, task):
             candidates.reserve_service(task.job.spec.policy.service)
         return False
     run = max(task.job.next_run(member, shard.epoch) for member in members)
--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -5,6 +5,11 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import attrs
+import pytest
+
 from catkincross.jobs import JobSpec
 from scenarios.capacity_check import starts_over_capacity
 from scenarios.platform_model import HEARTBEAT_MS, Model, job, ready_model
@@ -268,6 +273,19 @@
     assert over_capacity(model, spec) == []
 
 
+def _large_job(number: int, constraint: str) -> JobSpec:
+    """Return a job of a task that lasts, and that needs a core or more."""
+    steps = {
+        "label": {"count": 1, "requires": "r1"},
+        "affinity": {"count": 1, "anti_affinity": 1},
+        "sizes": {"count": 1},
+        "gangs": {"count": 2, "gang": True},
+    }
+    spec = job(f"{number:016x}", long_running=True, **steps[constraint])
+    cpu = 1_100 - number if constraint == "sizes" else 1_000
+    return attrs.evolve(spec, steps=(attrs.evolve(spec.steps[0], cpu=cpu),))
+
+
 def test_a_gang_that_no_longer_fits_does_not_starve_the_service() -> None:
     """Workers must not be reserved for a gang that they cannot hold even if idle."""
     model = small_model(run_ms=100, agents=3)
@@ -310,3 +328,28 @@
         model.run(100)
     assert model.count("done") > 120
     assert model.count("start", JOB) == starts
+
+
+def _small_job(job_id: str, **step: Any) -> JobSpec:
+    """Return a job of two tasks that need half a core each."""
+    spec = job(job_id, count=2, **step)
+    return attrs.evolve(spec, steps=(attrs.evolve(spec.steps[0], cpu=500),))
+
+
+@pytest.mark.parametrize("constraint", ["label", "affinity", "sizes", "gangs"])
+def test_tasks_that_fit_nowhere_do_not_hold_up_those_that_fit(constraint: str) -> None:
+    """Tasks that were started once keep their place at the head of the queue."""
+    model = small_model(run_ms=100, agents=2)
+    large = [_large_job(number, constraint) for number in range(30)]
+    for spec in large:
+        submit(model, spec)
+        model.run(1)
+    for name in model.machines:
+        model.register(name, cpu=900)
+    model.run(1_000)
+    assert {model.answers[spec.id].outcome for spec in large} == {"accepted"}
+    starts = model.count("start")
+    submit(model, _small_job(OTHER, long_running=True))
+    model.run(90)
+    assert running_count(model, OTHER) == 2
+    assert model.count("start") == starts + 2
