Leave work that fits on no worker out of the backlog

Cause: admission, forwarding and the backlog that entries tell each other counted all waiting work. Accepted jobs that fit on no worker since one has shrunk were counted for as long as the worker stayed small, so jobs that fit were rejected for the backlog though nothing was in their way.

Change: the queue keeps its work by size, and `OwnerState.placeable_work` leaves out the sizes that would fit on no known worker even if idle, determined at most every 50 ms. Without a known worker all work counts, as before. `fits_idle_workers` replaces the check of the same kind in `_requests.py`.

Measured: before the change the new test failed ('rejected' == 'accepted', backlog, with 30 tasks that fit nowhere); after it the file passes, and so do the tests of gangs, dispatch, restart, overload, forwarding, volatile jobs and package imports.

--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -11,7 +11,7 @@
     from ._capacity import capacity_share, expected_capacity
     from ._estimates import Estimates
     from ._forwarding import PeerLoad, choose_forwarding
-    from ._gangs import choose_gang, gang_fits_when_idle
+    from ._gangs import choose_gang, fits_idle_workers, gang_fits_when_idle
     from ._health import AgentHealth
     from ._offering import offered_entries
     from ._overload import WaitingJob, jobs_to_defer
@@ -29,6 +29,7 @@
         critical_path_ms,
         latest_start_ms,
         objective_ms,
+        size_key,
     )
 
 __all__ = [
@@ -53,11 +54,13 @@
     "critical_path_ms",
     "expected_capacity",
     "expected_wait_ms",
+    "fits_idle_workers",
     "gang_fits_when_idle",
     "jobs_to_defer",
     "latest_start_ms",
     "objective_ms",
     "offered_entries",
+    "size_key",
 ]
 
 # Module of each public name.
@@ -83,11 +86,13 @@
     "critical_path_ms": "_waiting",
     "expected_capacity": "_capacity",
     "expected_wait_ms": "_admission",
+    "fits_idle_workers": "_gangs",
     "gang_fits_when_idle": "_gangs",
     "jobs_to_defer": "_overload",
     "latest_start_ms": "_waiting",
     "objective_ms": "_waiting",
     "offered_entries": "_offering",
+    "size_key": "_waiting",
 }
 
 __getattr__ = lazy_exports(__name__, MODULES)
--- a/catkincross/dispatch/_gangs.py
+++ b/catkincross/dispatch/_gangs.py
@@ -91,3 +91,13 @@
         for worker in workers
     ]
     return _allocate(step_spec, count, idle_workers, DEFAULT_REMOTE_FACTOR) is not None
+
+
+def fits_idle_workers(step_spec: Step, workers: Iterable[AgentResources]) -> bool:
+    """Whether a task of a step, or its whole gang, would fit if workers were idle."""
+    workers = list(workers)
+    if not any(worker.fits_when_idle(step_spec) for worker in workers):
+        return False
+    return not step_spec.gang or gang_fits_when_idle(
+        step_spec, step_spec.count, workers
+    )
--- a/catkincross/dispatch/_waiting.py
+++ b/catkincross/dispatch/_waiting.py
@@ -18,9 +18,11 @@
 import attrs
 from sortedcontainers import SortedKeyList
 
-from ..jobs import Job, Task
+from ..jobs import Job, Step, Task
 from ._estimates import Estimates
+from ._gangs import fits_idle_workers
 from ._overload import WaitingJob
+from ._placement import AgentResources
 
 # A job that takes longer than this many times its objective is of no use to its caller,
 # by the service level of the platform.
@@ -44,6 +46,22 @@
 QueueKey = tuple[QueueRank, float, int]
 
 
+# What decides whether a task, or its gang, fits on idle workers.
+SizeKey = tuple[int, int, int, str, int, int]
+
+
+def size_key(step_spec: Step) -> SizeKey:
+    """Return the resources and the label of a task, and the shape of its gang."""
+    return (
+        step_spec.cpu,
+        step_spec.memory_mb,
+        step_spec.gpu,
+        step_spec.requires,
+        step_spec.count if step_spec.gang else 0,
+        step_spec.anti_affinity if step_spec.gang else 0,
+    )
+
+
 def critical_path_ms(job: Job, estimates: Estimates) -> float:
     """Return the expected time of a job's longest chain of steps, in milliseconds."""
     end_times_ms: list[float] = []
@@ -121,6 +139,8 @@
     _additions: int = 0
     work_by_service: dict[str, int] = attrs.field(factory=dict)
     _work: dict[Task, int] = attrs.field(factory=dict)
+    # Tasks and their work by service and size, with the step of one of them.
+    _sizes: dict[str, dict[SizeKey, tuple[Step, int, int]]] = attrs.field(factory=dict)
 
     def add(self, task: Task, estimates: Estimates, now_ms: int) -> None:
         """Add a task; one that waits already keeps its position."""
@@ -138,6 +158,7 @@
         self._work[task] = work
         service = task.job.spec.policy.service
         self.work_by_service[service] = self.work_by_service.get(service, 0) + work
+        self._count_size(task, 1, work)
 
     def defer_late(self, now_ms: int) -> None:
         """Defer the jobs that have passed their latest start and have not started.
@@ -195,7 +216,34 @@
         row = self._row_by_task.pop(task, None)
         if row is not None:
             self._rows.remove(row)
-            self.work_by_service[task.job.spec.policy.service] -= self._work.pop(task)
+            work = self._work.pop(task)
+            self.work_by_service[task.job.spec.policy.service] -= work
+            self._count_size(task, -1, -work)
+
+    def _count_size(self, task: Task, tasks: int, work: int) -> None:
+        sizes = self._sizes.setdefault(task.job.spec.policy.service, {})
+        key = size_key(task.step_spec)
+        step_spec, old_tasks, old_work = sizes.get(key, (task.step_spec, 0, 0))
+        if old_tasks + tasks:
+            sizes[key] = step_spec, old_tasks + tasks, old_work + work
+        else:
+            del sizes[key]
+
+    def oversize_work(self, service: str, workers: list[AgentResources]) -> int:
+        """Return the waiting work that would fit on no worker even if idle.
+
+        Args:
+            service: Service of the tasks.
+            workers: The service's workers; without any, nothing counts as too large.
+
+        Returns:
+            Work in millicore-milliseconds.
+        """
+        return sum(
+            work
+            for step_spec, _, work in self._sizes.get(service, {}).values()
+            if workers and not fits_idle_workers(step_spec, workers)
+        )
 
     def is_deferred(self, task: Task) -> bool:
         """Whether a waiting task was deferred or is too late to be of use."""
--- a/catkincross/owner/_agents.py
+++ b/catkincross/owner/_agents.py
@@ -114,6 +114,21 @@
         """Whether its worker runs the tasks of a service."""
         return self.profile is not None and self.profile.service == service
 
+    def idle_resources(self) -> AgentResources | None:
+        """Return the resources of the worker if it were idle; None if not known."""
+        profile = self.profile
+        if profile is None or not profile.worker:
+            return None
+        totals = profile.cpu, profile.memory_mb, profile.gpu
+        return AgentResources(
+            self.name,
+            *totals,
+            tuple(profile.labels),
+            cpu_total=profile.cpu,
+            memory_total_mb=profile.memory_mb,
+            gpu_total=profile.gpu,
+        )
+
     def _drop_old_history(self, now_ms: int) -> None:
         """Drop what is not needed to know the capacity of the last `RECENT_MS`."""
         history = self.cpu_history
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -284,8 +284,8 @@
                     jobs_by_queue[job.spec.policy.queue] += 1
         work_by_service = {
             service: work
-            for service, work in self.state.waiting.work_by_service.items()
-            if work
+            for service in self.state.waiting.work_by_service
+            if (work := self.state.placeable_work(service))
         }
         return Backlog(dict(jobs_by_queue), work_by_service, self._expected_waits())
 
--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -9,8 +9,9 @@
     AgentResources,
     choose_agent,
     choose_gang,
-    gang_fits_when_idle,
+    fits_idle_workers,
     jobs_to_defer,
+    size_key,
 )
 from ..jobs import Step, Task, TaskState
 from ..peers import Start
@@ -200,13 +201,8 @@
         key = _size_key(shard, task)
         found = self._too_large_cache.get(key)
         if found is None:
-            step_spec = task.step_spec
             workers = self._eligible(shard, task)
-            found = (
-                not gang_fits_when_idle(step_spec, _member_count(task), workers)
-                if step_spec.gang
-                else not any(worker.fits_when_idle(step_spec) for worker in workers)
-            )
+            found = not fits_idle_workers(task.step_spec, workers)
             self._too_large_cache[key] = found
         return found
 
@@ -231,21 +227,7 @@
 
 def _size_key(shard: Shard, task: Task) -> tuple[Any, ...]:
     """Return what decides whether a task, or its gang, fits on idle workers."""
-    step_spec = task.step_spec
-    return (
-        task.job.spec.policy.service,
-        shard.number,
-        step_spec.cpu,
-        step_spec.memory_mb,
-        step_spec.gpu,
-        step_spec.requires,
-        (_member_count(task), step_spec.anti_affinity) if step_spec.gang else (),
-    )
-
-
-def _member_count(task: Task) -> int:
-    """Return the number of tasks of a task's step."""
-    return len(task.job.tasks[task.step])
+    return task.job.spec.policy.service, shard.number, size_key(task.step_spec)
 
 
 def _find_candidates(state: OwnerState) -> list[AgentResources]:
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -4,14 +4,13 @@
 
 from typing import Any
 
-from ..dispatch import AgentResources, Rejection, admit, gang_fits_when_idle
+from ..dispatch import AgentResources, Rejection, admit, fits_idle_workers
 from ..jobs import (
     Job,
     JobAccepted,
     JobCancelled,
     JobSpec,
     JobState,
-    Step,
     TaskState,
 )
 from ..peers import Answer, Stop
@@ -179,7 +178,7 @@
         if worker is None or not state.may_serve(agent_info, service):
             continue
         workers.append(worker)
-    if not all(_could_run(step, workers) for step in job.spec.steps):
+    if not all(fits_idle_workers(step, workers) for step in job.spec.steps):
         if not worker_known and state.now_ms - (state.started_ms or 0) < WARM_UP_MS:
             return None
         return Rejection("no_worker", NO_WORKER_RETRY_MS)
@@ -188,18 +187,11 @@
     return admit(
         job,
         state.estimates,
-        waiting_cpu_ms=state.waiting.work_by_service.get(service, 0.0),
+        waiting_cpu_ms=state.placeable_work(service),
         cpu_capacity=state.capacity(service),
     )
 
 
-def _could_run(step: Step, workers: list[AgentResources]) -> bool:
-    """Whether a task of a step, or its whole gang, would fit if workers were idle."""
-    if not any(worker.fits_when_idle(step) for worker in workers):
-        return False
-    return not step.gang or gang_fits_when_idle(step, step.count, workers)
-
-
 def job_state(state: OwnerState, request: Any, job_id: str) -> None:
     """Answer with the state of a job.
 
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -10,6 +10,7 @@
 
 from ..dispatch import (
     AgentHealth,
+    AgentResources,
     Estimates,
     WaitingQueue,
     capacity_share,
@@ -29,6 +30,8 @@
 # A worker registers at a restarted agent within this time: its heartbeats are 1,500 ms
 # apart.
 WORKER_REGISTER_MS = 1_600
+# Age up to which the waiting work that fits on no worker is used again.
+OVERSIZE_WORK_AGE_MS = 50
 
 
 @attrs.frozen
@@ -107,6 +110,8 @@
         volatile_changes: Whether a volatile job goes on, by ID, for those that began or
             ended since other entries were notified.
         peer_backlogs: Backlog of each other entry, up to half a second old.
+        oversize_work_cache: Time of the computation, and waiting work that fits on no
+            worker in millicore-milliseconds, by service.
         capacity_cache: Time of the computation, and capacity in millicores, by service.
         wall_offset_ms: Time of day, in milliseconds since 1970, minus the monotonic
             clock.
@@ -137,6 +142,7 @@
     retry_placement: bool = False
     volatile_changes: dict[str, VolatileChange] = attrs.field(factory=dict)
     peer_backlogs: list[Backlog] = attrs.field(factory=list)
+    oversize_work_cache: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     capacity_cache: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     wall_offset_ms: int = 0
     due_jobs: list[tuple[int, str]] = attrs.field(factory=list)
@@ -256,7 +262,7 @@
             return 0.0
         ready_capacity = 0.0
         ready_agents = pending_agents = 0
-        own_work = self.waiting.work_by_service.get(service, 0.0)
+        own_work = self.placeable_work(service)
         peer_work = [
             other.waiting_work.get(service, 0.0) for other in self.peer_backlogs
         ]
@@ -296,9 +302,32 @@
 
         The time is in milliseconds; 0 while the capacity is not known.
         """
-        waiting = self.waiting.work_by_service.get(service, 0.0)
+        waiting = self.placeable_work(service)
         return int(expected_wait_ms(waiting, self.capacity(service)))
 
+    def placeable_work(self, service: str) -> float:
+        """Return the waiting work of a service, in millicore-milliseconds.
+
+        Work that would not fit on any known worker even if idle is left out: nothing
+        has to wait for it. It is determined at most every `OVERSIZE_WORK_AGE_MS`.
+        """
+        work = self.waiting.work_by_service.get(service, 0)
+        computed_ms, oversize = self.oversize_work_cache.get(service, (-1_000_000, 0))
+        if work and self.now_ms - computed_ms >= OVERSIZE_WORK_AGE_MS:
+            oversize = self.waiting.oversize_work(service, self.idle_workers(service))
+            self.oversize_work_cache[service] = self.now_ms, oversize
+        return max(work - oversize, 0)
+
+    def idle_workers(self, service: str) -> list[AgentResources]:
+        """Return the known workers of a service as if idle, whether ready or not.
+
+        Workers in evacuated data centres are left out.
+        """
+        serving = (
+            info for info in self.agents.values() if self.may_serve(info, service)
+        )
+        return [worker for info in serving if (worker := info.idle_resources())]
+
     def close_volatile_job(self, job: Job) -> None:
         """Count a volatile job as ended once no worker has a run of it.
 
--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -353,3 +353,18 @@
     model.run(90)
     assert running_count(model, OTHER) == 2
     assert model.count("start") == starts + 2
+
+
+def test_work_that_fits_nowhere_does_not_count_as_backlog() -> None:
+    """Jobs that fit must not be rejected for a wait behind those that cannot start."""
+    model = small_model(run_ms=100, agents=2)
+    for number in range(30):
+        submit(model, _large_job(number, "label"))
+    model.run(2)
+    for name in model.machines:
+        model.register(name, cpu=900)
+    model.run(1_000)
+    submit(model, _small_job(OTHER))
+    model.run(300)
+    assert model.answers[OTHER].outcome == "accepted"
+    assert model.count("done", OTHER) == 2
