Answer volatile jobs that fit on no worker before their deadline

Cause: a volatile job that was begun and fits on no worker since one has shrunk was held until half of its run time before the deadline of its client account, and then rejected for the backlog.

Change: once a job that has sent no task is past its latest start, and one of its waiting tasks fits on no known worker even if idle, it is rejected with `no_worker`. A job that has started is answered as unknown once it has missed its objective and none of its tasks runs. Until then jobs wait for the worker to grow again. Jobs with times or tasks that last are left out, and nothing is given up while no worker of the service is known.

Measured: before the change two new tests failed (KeyError: no answer 1 s and 2 s after the shrink with 20 s to the deadline); after it the file passes, and so do the tests of volatile jobs, forwarding, restart and package imports.

--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -24,6 +24,7 @@
     )
     from ._placement import AgentResources, choose_agent
     from ._waiting import (
+        SizeKey,
         WaitingQueue,
         cannot_meet_deadline,
         critical_path_ms,
@@ -43,6 +44,7 @@
     "PeerLoad",
     "PeerVolatileJobs",
     "Rejection",
+    "SizeKey",
     "WaitingJob",
     "WaitingQueue",
     "admit",
@@ -75,6 +77,7 @@
     "PeerLoad": "_forwarding",
     "PeerVolatileJobs": "_peer_jobs",
     "Rejection": "_admission",
+    "SizeKey": "_waiting",
     "WaitingJob": "_overload",
     "WaitingQueue": "_waiting",
     "admit": "_admission",
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -4,14 +4,21 @@
 
 from typing import Any
 
+import attrs
+
 from ..dispatch import (
     GIVEN_UP_MEMORY_MS,
+    AgentResources,
+    SizeKey,
     cannot_meet_deadline,
     critical_path_ms,
+    fits_idle_workers,
     latest_start_ms,
+    objective_ms,
+    size_key,
 )
-from ..jobs import Job, JobAccepted, JobSpec, JobState, TaskState
-from ._requests import check_admission, job_ended, reply
+from ..jobs import Job, JobAccepted, JobSpec, JobState, Step, TaskState
+from ._requests import NO_WORKER_RETRY_MS, check_admission, job_ended, reply
 from ._shard import Resubmission, VolatileChange
 from ._state import OwnerState, owner_system
 
@@ -140,8 +147,10 @@
     if state.now_ms < state.next_deadline_check_ms:
         return
     state.next_deadline_check_ms = state.now_ms + DEADLINE_CHECK_INTERVAL_MS
+    idle_fit = IdleFit(state)
     for job in list(shard.open_jobs.values()):
-        _check_deadline(state, job)
+        if not _check_deadline(state, job):
+            _check_fit(state, job, idle_fit)
     for job_id, given_up_ms in list(shard.given_up_ms.items()):
         if state.now_ms - given_up_ms > GIVEN_UP_MEMORY_MS:
             del shard.given_up_ms[job_id]
@@ -167,15 +176,19 @@
     return state.now_ms + wait_ms > job.deadline_ms
 
 
-def _check_deadline(state: OwnerState, job: Job) -> None:
-    """Give up a job that is past its deadline, or cannot end by it, and answer it."""
+def _check_deadline(state: OwnerState, job: Job) -> bool:
+    """Give up a job that is past its deadline, or cannot end by it, and answer it.
+
+    Returns:
+        Whether the job was given up.
+    """
     has_waiting_tasks = any(task.state is TaskState.WAITING for task in job.all_tasks())
     past_deadline = state.now_ms >= job.deadline_ms
     cannot_finish = cannot_meet_deadline(
         job, state.estimates, state.now_ms
     ) or _starts_too_late(state, job)
     if not past_deadline and not (has_waiting_tasks and cannot_finish):
-        return
+        return False
     requests = state.volatile.requests.pop(job.spec.id, [])
     for request in requests:
         if not job.started:
@@ -186,3 +199,59 @@
             # failed either: no task has used up its attempts.
             reply(state, request, "unknown", "deadline" if past_deadline else "backlog")
     give_up(state, job, "cannot end in time")
+    return True
+
+
+@attrs.define
+class IdleFit:
+    """Which steps would fit on the known workers if these were idle, in one check.
+
+    Attributes:
+        state: State of the owner.
+    """
+
+    state: OwnerState
+    _workers: dict[str, list[AgentResources]] = attrs.field(factory=dict)
+    _fits: dict[tuple[str, SizeKey], bool] = attrs.field(factory=dict)
+
+    def fits(self, service: str, step_spec: Step) -> bool:
+        """Whether a step fits; also if no worker of the service is known."""
+        key = service, size_key(step_spec)
+        found = self._fits.get(key)
+        if found is None:
+            workers = self._workers.get(service)
+            if workers is None:
+                workers = self._workers[service] = self.state.idle_workers(service)
+            found = not workers or fits_idle_workers(step_spec, workers)
+            self._fits[key] = found
+        return found
+
+
+def _check_fit(state: OwnerState, job: Job, idle_fit: IdleFit) -> None:
+    """Give up and answer a late job of which a waiting task fits on no known worker.
+
+    The workers may have shrunk since the job began. Until it is late it waits for them
+    to grow again. A started job is given up once it has missed its objective and none
+    of its tasks runs.
+    """
+    if job.exempt_from_aging:
+        return
+    if not job.started:
+        late = state.now_ms > latest_start_ms(job, state.estimates)
+    else:
+        late = state.now_ms > job.arrived_ms + objective_ms(job, state.estimates)
+    if not late or any(task.state is TaskState.ASSIGNED for task in job.all_tasks()):
+        return
+    service = job.spec.policy.service
+    if all(
+        idle_fit.fits(service, task.step_spec)
+        for task in job.all_tasks()
+        if task.state is TaskState.WAITING
+    ):
+        return
+    for request in state.volatile.requests.pop(job.spec.id, []):
+        if job.started:
+            reply(state, request, "unknown", "no_worker")
+        else:
+            _reject(state, request, job.spec.id, "no_worker", NO_WORKER_RETRY_MS)
+    give_up(state, job, "fits on no worker")
--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -368,3 +368,48 @@
     model.run(300)
     assert model.answers[OTHER].outcome == "accepted"
     assert model.count("done", OTHER) == 2
+
+
+def test_a_volatile_job_that_fits_nowhere_is_answered_before_its_deadline() -> None:
+    """The client account must not wait for a job that no worker can run."""
+    model = small_model()
+    model.register("u0", cpu=4_000)
+    # The worker is full, so that the job waits when it shrinks.
+    submit(model, job(OTHER, count=4, volatile=True), timeout_ms=20_000)
+    model.run(50)
+    submit(model, job(JOB, count=2, volatile=True), timeout_ms=20_000)
+    model.register("u0", cpu=900)
+    model.run(1_000)
+    answer = model.answers[JOB]
+    assert (answer.outcome, answer.detail) == ("rejected", "no_worker")
+    assert answer.retry_after_ms > 0
+    assert model.count("start", JOB) == 0
+
+
+def test_a_started_volatile_job_that_fits_nowhere_is_answered_as_unknown() -> None:
+    """A task of it has run, so it must not be rejected as one that has not."""
+    model = small_model(run_ms=100)
+    small = job(JOB).steps[0]
+    steps = attrs.evolve(small, count=1), attrs.evolve(small, cpu=3_000, after=(0,))
+    spec = attrs.evolve(job(JOB, volatile=True), steps=steps)
+    submit(model, spec, timeout_ms=20_000)
+    model.run(50)
+    model.register("u0", cpu=2_000)
+    model.run(2_000)
+    assert model.answers[JOB].outcome == "unknown"
+    assert model.count("start", JOB) == 1
+
+
+def test_a_volatile_job_outlives_a_short_shrink() -> None:
+    """A job that can still be in time must not be given up at once."""
+    model = small_model(run_ms=100)
+    submit(model, job(OTHER, count=4, volatile=True), timeout_ms=20_000)
+    model.run(10)
+    spec = job(JOB, count=2, volatile=True, estimate_ms=1_000)
+    submit(model, spec, timeout_ms=20_000)
+    model.register("u0", cpu=900)
+    model.run(400)
+    model.register("u0", cpu=4_000)
+    model.run(500)
+    assert model.answers[JOB].detail == "completed"
+    assert model.count("start", JOB) == 2
