Log changes of a worker's capacity

Cause: after a shrink starts were refused with "no room" and tasks waited, and no line of the log said that the capacity had changed.

Change: the agent logs `worker capacity` with the old and the new capacity and what is in use, once for each change; the counter `catkincross_events_total{event="worker capacity"}` comes from the event.

Measured: the new test failed before the change (no such line) and passes after it; so do tests/test_platform_errors.py and tests/test_platform_daemons.py.

--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -192,6 +192,7 @@
         worker=message.worker,
         born=message.worker_incarnation,
         data_centre=message.data_centre,
+        capacity=[message.cpu, message.memory_mb, message.gpu],
         offered_to=message.offered_to,
     )
 
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -43,6 +43,14 @@
             discard_worker_state(state, 0)
     if old is None or old.draining != new.draining:
         state.note("worker state", worker=new.worker, draining=new.draining)
+    if old is not None and old.capacity != new.capacity:
+        state.note(
+            "worker capacity",
+            worker=new.worker,
+            old=list(old.capacity),
+            new=list(new.capacity),
+            in_use=list(state.capacity_in_use()),
+        )
     if not _is_repeated(old, new):
         state.heartbeat_ms = state.now_ms
         state.heartbeat_overdue = False
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -353,17 +353,26 @@
             return False
         return self.now_ms - self.heartbeat_ms < self.limits.heartbeat_valid_ms
 
+    def capacity_in_use(self) -> tuple[int, int, int]:
+        """Return the millicores, MB of memory and accelerators of all runs."""
+        runs = self.runs.values()
+        return (
+            sum(run.cpu or 0 for run in runs),
+            sum(run.memory_mb for run in runs),
+            sum(run.gpu for run in runs),
+        )
+
     def free_capacity(self) -> tuple[int, int, int]:
-        """Return the free millicores, MB of memory and number of accelerators."""
+        """Return the free millicores, MB of memory and number of accelerators.
+
+        They are negative while a worker that has shrunk runs more than it has now.
+        """
         registration = self.registration
         if registration is None:
             return 0, 0, 0
-        runs = self.runs.values()
-        return (
-            registration.cpu - sum(run.cpu or 0 for run in runs),
-            registration.memory_mb - sum(run.memory_mb for run in runs),
-            registration.gpu - sum(run.gpu for run in runs),
-        )
+        cpu, memory_mb, gpu = registration.capacity
+        cpu_used, memory_used_mb, gpu_used = self.capacity_in_use()
+        return cpu - cpu_used, memory_mb - memory_used_mb, gpu - gpu_used
 
     def lease_until_ms(self) -> int:
         """Return the end of a full lease from now, on the worker's clock."""
--- a/catkincross/workers/_worker_messages.py
+++ b/catkincross/workers/_worker_messages.py
@@ -38,6 +38,11 @@
     worker_incarnation: int
     sequence: int
 
+    @property
+    def capacity(self) -> tuple[int, int, int]:
+        """Millicores, MB of memory and number of accelerators."""
+        return self.cpu, self.memory_mb, self.gpu
+
 
 @attrs.frozen
 class LeaseRenewal:
--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -413,3 +413,21 @@
     model.run(500)
     assert model.answers[JOB].detail == "completed"
     assert model.count("start", JOB) == 2
+
+
+def test_a_change_of_capacity_is_logged_with_what_is_in_use() -> None:
+    """Refused starts and waiting tasks after a shrink must be explained by the log."""
+    model = small_model(run_ms=2_000)
+    submit(model, job(JOB, count=3))
+    model.run(100)
+    model.notes.clear()
+    model.register("u0", cpu=2_000)
+    model.register("u0")
+    model.register("u0", cpu=4_000)
+    model.run(20)
+    found = [row[3] for row in model.notes if row[2] == "worker capacity"]
+    old, new, in_use = [4_000, 8_192, 0], [2_000, 8_192, 0], [3_000, 192, 0]
+    assert found == [
+        {"worker": "w-u0", "old": old, "new": new, "in_use": in_use},
+        {"worker": "w-u0", "old": new, "new": old, "in_use": in_use},
+    ]
