--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -182,20 +182,26 @@
 
     def known_not_to_fit(self, shard: Shard, task: Task) -> bool:
         """Whether a task that needs the same or less was not placed in this pass."""
-        if (task.job.spec.id, task.step) in self._unplaced_steps:
-            return True
         step_spec = task.step_spec
         service = task.job.spec.policy.service
-        for requires in {"", step_spec.requires}:
-            if any(
-                other.cpu <= step_spec.cpu
-                and other.memory_mb <= step_spec.memory_mb
-                and other.gpu <= step_spec.gpu
-                for other in self._unplaced_step_specs.get((service, requires), ())
-            ):
-                return True
+        if self._smaller_not_placed(service, "", step_spec):
+            return True
+        if step_spec.requires and self._smaller_not_placed(
+            service, step_spec.requires, step_spec
+        ):
+            return True
+        if (task.job.spec.id, task.step) in self._unplaced_steps:
+            return True
         return self._too_large_cache.get(_size_key(shard, task), False)
 
+    def _smaller_not_placed(self, service: str, label: str, step_spec: Step) -> bool:
+        return any(
+            other.cpu <= step_spec.cpu
+            and other.memory_mb <= step_spec.memory_mb
+            and other.gpu <= step_spec.gpu
+            for other in self._unplaced_step_specs.get((service, label), ())
+        )
+
     def too_large(self, shard: Shard, task: Task) -> bool:
         """Whether a task, or its gang, fits on no candidate even if all were idle."""
         key = _size_key(shard, task)
