Test a shrink of memory and of accelerators each by itself

Cause: the test named both resources, but its job needed no accelerator, and it let the worker grow again before an agent could act on the shrink.

Change: one case for each resource; the worker shrinks below what runs for 300 ms, in which nothing may start, and then has room for all tasks. It replaces the earlier test and is stricter.

--- a/tests/test_platform_shrinking_capacity.py
+++ b/tests/test_platform_shrinking_capacity.py
@@ -146,21 +146,35 @@
     assert over_capacity(model, spec, other) == []
 
 
-def test_memory_and_accelerators_of_a_shrunk_worker_are_respected() -> None:
+@pytest.mark.parametrize("resource", ["memory_mb", "gpu"])
+def test_memory_and_accelerators_of_a_shrunk_worker_are_respected(
+    resource: str,
+) -> None:
     """Each resource is limited by itself."""
     model = small_model(run_ms=2_000)
     machine = model.machines["u0"]
-    machine.resize(model.now_ms, (4_000, 128, 1))
-    model.register("u0")
+
+    def resize(tasks: int) -> None:
+        # Room for this many tasks by the resource, and for four by the others.
+        capacity = {
+            "memory_mb": (4_000, 64 * tasks, 0),
+            "gpu": (4_000, 8_192, tasks),
+        }[resource]
+        machine.resize(model.now_ms, capacity)
+        model.register("u0")
+
+    resize(3)
     model.run(200)
     spec = job(JOB, count=4)
+    step = attrs.evolve(spec.steps[0], gpu=int(resource == "gpu"))
+    spec = attrs.evolve(spec, steps=(step,))
     submit(model, spec)
     model.run(300)
-    assert running_count(model) == 2
-    machine.resize(model.now_ms, (4_000, 64, 0))
-    model.register("u0")
-    machine.resize(model.now_ms, (4_000, 8_192, 0))
-    model.register("u0")
+    assert running_count(model) == 3
+    resize(1)
+    model.run(300)
+    assert running_count(model) == 3
+    resize(4)
     model.run(200)
     assert running_count(model) == 4
     assert over_capacity(model, spec) == []
