--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -3,8 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter
-
-from ..dispatch import AgentResources, choose_agent, choose_gang, jobs_to_defer
+from typing import Any
+
+from ..dispatch import (
+    AgentResources,
+    choose_agent,
+    choose_gang,
+    fits_idle_workers,
+    jobs_to_defer,
+    size_key,
+)
 from ..jobs import Step, Task, TaskState
 from ..peers import Start
 from ._agents import AgentInfo
@@ -12,7 +20,8 @@
 from ._shard import Shard
 from ._state import OwnerState, owner_system
 
-# A placement pass ends after this many tasks that fit on no worker.
+# A placement pass ends after this many tasks that fit on no worker now. Tasks that are
+# too large for all workers are not counted, since they may wait for a long time.
 MAX_UNPLACED_TASKS = 24
 # Interval between placement passes if no event frees resources. It bounds the delay
 # after changes that come with no event, such as the end of an ejection.
@@ -20,6 +29,9 @@
 # A gang that does not fit this long after its job arrived reserves the workers of its
 # service until all of its members fit; tasks run for up to some seconds.
 GANG_RESERVE_MS = 500
+# The workers of a service are reserved for a gang for this long, and then left to other
+# tasks for the same time: tasks that do not end may hold what the gang needs.
+GANG_RESERVE_SPAN_MS = 10_000
 # An agent whose newest state is older than this gets no task. Agents send a state every
 # 200 ms, so several of them may be lost.
 STALE_STATE_MS = 1_300
@@ -54,11 +66,12 @@
             continue
         if task.step_spec.gang:
             placed = place_gang(state, shard, task, candidates)
-        elif candidates.known_not_to_fit(task):
+        elif candidates.known_not_to_fit(shard, task):
             continue
         else:
             placed = _place_task(state, shard, task, candidates)
-        unplaced_count += not placed
+        if not placed and not candidates.too_large(shard, task):
+            unplaced_count += 1
 
 
 def _place_task(
@@ -129,7 +142,9 @@
         self.state = state
         self.all = _find_candidates(state)
         self._eligible_cache: dict[tuple[str, int], list[AgentResources]] = {}
-        self._unplaced_step_specs: dict[str, list[Step]] = {}
+        self._too_large_cache: dict[tuple[Any, ...], bool] = {}
+        self._unplaced_step_specs: dict[tuple[str, str], list[Step]] = {}
+        self._unplaced_steps: set[tuple[str, int]] = set()
         self.unplaced_gangs: set[tuple[str, int]] = set()
 
     @property
@@ -140,49 +155,85 @@
     def exclude(self, candidate: AgentResources) -> None:
         """Leave a worker out for the rest of the pass."""
         self.all.remove(candidate)
-        self._eligible_cache.clear()
+        self._clear_caches()
 
     def record_unplaced(self, task: Task) -> None:
         """Record that a task fits on no worker, so that no larger one is tried.
 
-        Tasks with constraints are not recorded: a larger one without them may fit.
+        A limit on tasks of a step on one worker only says that no other task of the
+        step is to be tried: larger ones of other steps may fit.
         """
         step_spec = task.step_spec
-        if not (step_spec.requires or step_spec.anti_affinity):
-            self._unplaced_step_specs.setdefault(
-                task.job.spec.policy.service, []
-            ).append(step_spec)
+        self._unplaced_steps.add((task.job.spec.id, task.step))
+        if not step_spec.anti_affinity:
+            key = task.job.spec.policy.service, step_spec.requires
+            self._unplaced_step_specs.setdefault(key, []).append(step_spec)
 
     def reserve_service(self, service: str) -> None:
         """Reserve the workers of a service for a gang for the rest of the pass."""
         for candidate in list(self.all):
             if self.state.agents[candidate.name].serves(service):
                 self.all.remove(candidate)
+        self._clear_caches()
+
+    def _clear_caches(self) -> None:
         self._eligible_cache.clear()
+        self._too_large_cache.clear()
 
-    def known_not_to_fit(self, task: Task) -> bool:
+    def known_not_to_fit(self, shard: Shard, task: Task) -> bool:
         """Whether a task that needs the same or less was not placed in this pass."""
         step_spec = task.step_spec
+        service = task.job.spec.policy.service
+        if self._smaller_not_placed(service, "", step_spec):
+            return True
+        if step_spec.requires and self._smaller_not_placed(
+            service, step_spec.requires, step_spec
+        ):
+            return True
+        if (task.job.spec.id, task.step) in self._unplaced_steps:
+            return True
+        return self._too_large_cache.get(_size_key(shard, task), False)
+
+    def _smaller_not_placed(self, service: str, label: str, step_spec: Step) -> bool:
         return any(
             other.cpu <= step_spec.cpu
             and other.memory_mb <= step_spec.memory_mb
             and other.gpu <= step_spec.gpu
-            for other in self._unplaced_step_specs.get(task.job.spec.policy.service, ())
+            for other in self._unplaced_step_specs.get((service, label), ())
         )
 
+    def too_large(self, shard: Shard, task: Task) -> bool:
+        """Whether a task, or its gang, fits on no candidate even if all were idle."""
+        key = _size_key(shard, task)
+        found = self._too_large_cache.get(key)
+        if found is None:
+            workers = self._eligible(shard, task)
+            found = not fits_idle_workers(task.step_spec, workers)
+            self._too_large_cache[key] = found
+        return found
+
     def eligible(self, shard: Shard, task: Task) -> list[AgentResources]:
         """Return the candidates that may run a task, whether it fits now or not."""
+        found = self._eligible(shard, task)
+        limit = task.step_spec.anti_affinity
+        if not limit:
+            return found
+        counts = Counter(t.agent for t in task.job.tasks[task.step] if t.agent)
+        return [candidate for candidate in found if counts[candidate.name] < limit]
+
+    def _eligible(self, shard: Shard, task: Task) -> list[AgentResources]:
         key = task.job.spec.policy.service, shard.number
         found = self._eligible_cache.get(key)
         if found is None:
             found = self._eligible_cache[key] = _eligible(
                 self.state, self.all, shard, task
             )
-        limit = task.step_spec.anti_affinity
-        if not limit:
-            return found
-        counts = Counter(t.agent for t in task.job.tasks[task.step] if t.agent)
-        return [candidate for candidate in found if counts[candidate.name] < limit]
+        return found
+
+
+def _size_key(shard: Shard, task: Task) -> tuple[Any, ...]:
+    """Return what decides whether a task, or its gang, fits on idle workers."""
+    return task.job.spec.policy.service, shard.number, size_key(task.step_spec)
 
 
 def _find_candidates(state: OwnerState) -> list[AgentResources]:
@@ -250,6 +301,9 @@
             stop_run(state, shard, member)
     if still_assigned:
         return True
+    if candidates.too_large(shard, task):
+        candidates.unplaced_gangs.add(gang)
+        return False
     chosen = choose_gang(
         task.step_spec,
         len(members),
@@ -258,8 +312,7 @@
     )
     if chosen is None:
         candidates.unplaced_gangs.add(gang)
-        waited_ms = state.now_ms - task.job.arrived_ms
-        if waited_ms > GANG_RESERVE_MS:
+        if _reserve_now(state, task):
             candidates.reserve_service(task.job.spec.policy.service)
         return False
     run = max(task.job.next_run(member, shard.epoch) for member in members)
@@ -272,6 +325,12 @@
     return True
 
 
+def _reserve_now(state: OwnerState, task: Task) -> bool:
+    """Whether a gang has waited long enough to have workers reserved at this time."""
+    reserve_ms = state.now_ms - task.job.arrived_ms - GANG_RESERVE_MS
+    return reserve_ms > 0 and reserve_ms // GANG_RESERVE_SPAN_MS % 2 == 0
+
+
 def send_start(
     state: OwnerState, shard: Shard, task: Task, candidate: AgentResources, run: int
 ) -> None:
