--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -148,8 +148,12 @@
             if self.awake(host):
                 self._close_silent_links(host)
             self.step(host)
-        for machine in self.machines.values():
+        for name, machine in self.machines.items():
             machine.advance(self.now_ms)
+            if machine.down_until_ms and not machine.is_down(self.now_ms):
+                machine.down_until_ms = 0
+                if name in self.workers:
+                    self.register(name)
         self.at(STEP_MS, self._tick)
 
     def awake(self, host: Host) -> bool:
@@ -325,8 +329,7 @@
             case StartRun():
                 self.at(CALL_MS, lambda: self._start(host, effect))
             case StopRun():
-                machine = self.machines[host.name]
-                self.at(CALL_MS, lambda: machine.stop(self.now_ms, effect))
+                self.at(CALL_MS, lambda: self._stop(host, effect))
             case Note(event, fields):
                 self.notes.append((self.now_ms, host.name, event, fields))
             case _:
@@ -406,19 +409,26 @@
                 )
                 self.step(host)
 
-        if self.lost_orders:
+        if machine.is_down(self.now_ms):
+            self.at(CALL_MS, lambda: answer(StartOutcome.UNANSWERED))
+        elif self.lost_orders:
             self.lost_orders -= 1
             self.at(self.late_ms, lambda: machine.start(self.now_ms, order))
             self.at(ORDER_TIMEOUT_MS, lambda: answer(StartOutcome.UNANSWERED))
         else:
             answer(machine.start(self.now_ms, order))
 
+    def _stop(self, host: Host, order: StopRun) -> None:
+        machine = self.machines[host.name]
+        if not machine.is_down(self.now_ms):
+            machine.stop(self.now_ms, order)
+
     def _renew_lease(self, host: Host) -> None:
         if self.workers.get(host.name) is not host:
             return
-        if self.awake(host):
+        machine = self.machines[host.name]
+        if self.awake(host) and not machine.is_down(self.now_ms):
             renewal = host.core.next_renewal(self.now_ms)
-            machine = self.machines[host.name]
             reply = machine.renew_lease(self.now_ms, renewal)
             if reply is not None:
                 host.core.handle_renewal_reply(self.now_ms, self.now_ms, renewal, reply)
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -18,6 +18,11 @@
     StopRun,
 )
 
+# Time from the start of a deadly task to the crash, and from there to the next life of
+# the worker, in milliseconds.
+DEADLY_AFTER_MS = 30
+DOWN_MS = 2_500
+
 
 @attrs.define
 class ActiveRun:
@@ -53,6 +58,8 @@
         lease_ms: Longest lease that the worker grants.
         run_ms: Duration of each run.
         fail_all: Whether every run fails, 5 ms after its start.
+        deadly: Names of tasks that crash the worker 30 ms after their start.
+        down_until_ms: When the worker is back after the crash by a deadly task.
         fence: Highest fencing token seen.
         lease_end_ms: End of the lease; runs that go on beyond it end as `lapsed`.
         running: Runs in progress by task.
@@ -68,6 +75,8 @@
     lease_ms: int = 1_000
     run_ms: int = 100
     fail_all: bool = False
+    deadly: frozenset[str] = frozenset()
+    down_until_ms: int = 0
     fence: int = 0
     lease_end_ms: int = 0
     running: dict[str, ActiveRun] = attrs.field(factory=dict)
@@ -90,6 +99,13 @@
 
     def advance(self, now_ms: int) -> None:
         """End the runs that by `now_ms` are over or have outlived the lease."""
+        if any(
+            active_run.task in self.deadly
+            and now_ms >= active_run.started_ms + DEADLY_AFTER_MS
+            for active_run in self.running.values()
+        ):
+            self._lose_everything(now_ms)
+            self.down_until_ms = now_ms + DOWN_MS
         for active_run in list(self.running.values()):
             if self.lease_end_ms <= now_ms and self.lease_end_ms < active_run.ends_ms:
                 self._end_run(self.lease_end_ms, active_run, "lapsed")
@@ -156,6 +172,13 @@
     def crash(self, now_ms: int) -> None:
         """Crash: lose all runs and state, and begin a new incarnation."""
         self.advance(now_ms)
+        self._lose_everything(now_ms)
+
+    def is_down(self, now_ms: int) -> bool:
+        """Whether the worker answers no calls, since a deadly task has crashed it."""
+        return now_ms < self.down_until_ms
+
+    def _lose_everything(self, now_ms: int) -> None:
         for active_run in self.running.values():
             self.run_events.append((now_ms, "crashed", active_run.task, active_run.run))
         self.running.clear()
