--- a/catkincross/dispatch/_health.py
+++ b/catkincross/dispatch/_health.py
@@ -102,7 +102,7 @@
             history.probe_sent = True
 
     def record_no_start(self, agent: str) -> None:
-        """Record that a task which was sent did not start, or that its agent was lost.
+        """Record that a task did not start, or that its agent or worker was lost.
 
         The next task may then be sent as a probe.
         """
--- a/catkincross/owner/_crashes.py
+++ b/catkincross/owner/_crashes.py
@@ -52,6 +52,7 @@
         open_before = job.final_state is None
         job.apply_end(task_end, now_ms)
         _note_crash(state, agent_info, task, ended_run)
+        state.health.record_no_start(agent_info.name)
         if holds_task:
             state.requeue(task)
         state.send_to_agent(
--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -68,6 +68,8 @@
             continue
         else:
             placed = _place_task(state, shard, task, candidates)
+        # Tasks with crashes leave some workers out, which may have room for others.
+        placed = placed or bool(task.crashes)
         unplaced_count += not placed
 
 
--- a/catkincross/workers/_crashes.py
+++ b/catkincross/workers/_crashes.py
@@ -15,6 +15,8 @@
 # Reports on volatile jobs are dropped after this time, in milliseconds. Their entry
 # may be gone, and client accounts wait for at most about as long.
 VOLATILE_REPORT_MS = 10_000
+# Longest time that the answer to a renewal takes beyond the wait in the call.
+ANSWER_MS = 100
 
 
 def record_crash(state: WorkerState) -> None:
@@ -48,8 +50,8 @@
         return False
     if run.confirmed_ms is not None:
         return True
-    last_alive_ms = state.lists_read_ms + state.limits.renewal_wait_ms
-    return run.ordered_ms <= last_alive_ms
+    next_answer_ms = state.lists_read_ms + state.limits.renewal_wait_ms + ANSWER_MS
+    return run.ordered_ms <= next_answer_ms
 
 
 def agent_was_paused(state: WorkerState) -> bool:
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -45,8 +45,11 @@
             discard_worker_state(state, 0)
     if old is None or old.draining != new.draining:
         state.note("worker state", worker=new.worker, draining=new.draining)
+    incarnation = new.worker_incarnation or state.worker_incarnation
     if new.draining:
-        state.draining_incarnation = new.worker_incarnation or state.worker_incarnation
+        state.draining_incarnation = incarnation
+    elif state.draining_incarnation == incarnation:
+        state.draining_incarnation = 0
     state.registration = new
     state.mark_states_outdated()
     return True
--- a/scenarios/platform_fuzz.py
+++ b/scenarios/platform_fuzz.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -36,13 +37,16 @@
 
     Args:
         seed: Seed of all draws.
+        deadly: Names of tasks that crash the workers that start them.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, deadly: frozenset[str] = frozenset()) -> None:
         self.seed = seed
         self.draw = random.Random(seed)
         self.model = Model(entries=3, agents=4)
         self.model.run(600)
+        for machine in self.model.machines.values():
+            machine.deadly = deadly
         self.jobs: dict[str, bool] = {}
         self.actions: list[str] = []
         self.choices: list[Callable[[], str]] = [
@@ -243,6 +247,7 @@
             *self._over_capacity(),
             *self._after_completion(),
             *self._not_ended(),
+            *self._failed_without_cause(),
         ]
 
     def _over_capacity(self) -> list[str]:
@@ -269,6 +274,21 @@
                 found.append(f"start after completion: {task} run {run} {agent}")
         return found
 
+    def _failed_without_cause(self) -> list[str]:
+        """Return the failed jobs of which no task met two crashes of workers.
+
+        No run ends `failed` here, so there is no other cause.
+        """
+        crashes = Counter(row[2] for row in self.model.runs() if row[1] == "crashed")
+        with_cause = {task.partition(".")[0] for task, n in crashes.items() if n > 1}
+        return [
+            f"failed without cause: {fields['job']}"
+            for _, _, event, fields in self.model.notes
+            if event == "job ended"
+            and fields["state"] == "failed"
+            and fields["job"] not in with_cause
+        ]
+
     def _not_ended(self) -> list[str]:
         model = self.model
         found = []
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -413,11 +413,15 @@
             self.at(CALL_MS, lambda: answer(StartOutcome.UNANSWERED))
         elif self.lost_orders:
             self.lost_orders -= 1
-            self.at(self.late_ms, lambda: machine.start(self.now_ms, order))
+            self.at(self.late_ms, lambda: self._start_late(machine, order))
             self.at(ORDER_TIMEOUT_MS, lambda: answer(StartOutcome.UNANSWERED))
         else:
             answer(machine.start(self.now_ms, order))
 
+    def _start_late(self, machine: PlatformWorker, order: StartRun) -> None:
+        if not machine.is_down(self.now_ms):
+            machine.start(self.now_ms, order)
+
     def _stop(self, host: Host, order: StopRun) -> None:
         machine = self.machines[host.name]
         if not machine.is_down(self.now_ms):
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -4,7 +4,17 @@
 
 import pytest
 
-from catkincross.jobs import JobSpec
+from catkincross.jobs import (
+    Job,
+    JobAccepted,
+    JobSpec,
+    JobState,
+    TaskEnd,
+    decode_record,
+    encode_record,
+)
+from catkincross.peers import EndedRun, Ends
+from scenarios.platform_fuzz import Fuzz
 from scenarios.platform_model import Model, job, ready_model
 
 JOB = "5c0e7a21d94b36f8"
@@ -246,3 +256,90 @@
     model.run(THREE_CRASHES_MS)
     assert final_state(model, spec) == "failed"
     assert 2 <= model.count("start", DEADLY) <= MAX_STARTS
+
+
+def crash_counts(model: Model, task: str) -> list[int]:
+    """Return the number of crashes at each crash that an owner has counted."""
+    return [
+        fields["crashes"]
+        for _, _, event, fields in model.notes
+        if event == "run lost with its worker" and fields["task"] == task
+    ]
+
+
+@pytest.mark.parametrize("seed", range(200, 210))
+def test_random_faults_beside_deadly_tasks_violate_no_invariant(seed: int) -> None:
+    """Only a job that met two crashes may fail, whatever else happens."""
+    deadly = frozenset(f"{number:016x}.0.0.0" for number in range(0, 40, 5))
+    outcome = Fuzz(seed, deadly).run()
+    assert outcome.problems == [], "\n".join(outcome.actions)
+
+
+def test_a_crash_that_is_reported_twice_counts_once() -> None:
+    """A job must not be given up since answers and acknowledgements were lost."""
+    model = deadly_model(agents=2)
+    spec = job(JOB, count=1)
+    submit(model, spec)
+    model.run(1_000)
+    owner, agent = model.owner_of(spec), felled_agents(model)[0]
+    core = model.owners[owner].core
+    report = EndedRun(0, DEADLY, 1, "crashed", crash_number=7)
+    for _ in range(3):
+        core.handle_agent_message(model.now_ms, agent, Ends([report], 1))
+        model.step(model.owners[owner])
+        model.run(50)
+    assert crash_counts(model, DEADLY) == [1]
+
+
+@pytest.mark.parametrize("cut_ms", [500, 6_000])
+def test_a_crash_behind_a_cut_link_is_counted(cut_ms: int) -> None:
+    """The owner must learn of the crash after the link is back.
+
+    After the longer cut it has started the task elsewhere.
+    """
+    model = deadly_model(agents=3, entries=1)
+    spec = job(JOB, count=1)
+    submit(model, spec)
+    model.run(2_500)
+    agent = felled_agents(model)[0]
+    model.cut_link("e0", agent)
+    model.run(cut_ms)
+    model.heal_link("e0", agent)
+    model.run(THREE_CRASHES_MS)
+    assert final_state(model, spec) == "failed"
+    assert crash_counts(model, DEADLY)[:2] == [1, 2]
+    assert model.count("start", DEADLY) <= MAX_STARTS
+    assert model.workers[agent].core.state.crash_reports == {}
+
+
+def test_orders_that_meet_a_crashed_worker_do_not_count() -> None:
+    """A task that never started on the worker must not be taken for the cause."""
+    model = deadly_model(agents=1, entries=1)
+    submit(model, job(JOB, count=1))
+    model.run(1_000)
+    late = job("0" * 16, count=1)
+    submit(model, late)
+    model.run(500)
+    model.machines["u0"].deadly = frozenset()
+    model.run(THREE_CRASHES_MS)
+    assert final_state(model, late) == "completed"
+    assert any(row[2] == "start unanswered" for row in model.notes)
+    assert crash_counts(model, DEADLY) == [1]
+    assert crash_counts(model, f"{late.id}.0.0.0") == []
+
+
+def test_records_that_are_written_again_keep_crashes() -> None:
+    """Old records expire, and a task must not begin with no crash again."""
+    record = JobAccepted(job(JOB, count=2), 0, 1)
+    kept = Job.from_record(record, 0)
+    ends = [TaskEnd(JOB, 0, 1, run, "crashed", agent=f"u{run}") for run in (1, 1, 5)]
+    for end in ends:
+        kept.apply_end(end, 0)
+    data = encode_record(kept.snapshot_record())
+    copy = Job.from_record(decode_record(data), 0)
+    assert copy.tasks[0][1].crashes == kept.tasks[0][1].crashes
+    assert (copy.final_state, copy.tasks[0][1].exclusive) == (None, True)
+    copy.apply_end(TaskEnd(JOB, 0, 1, 6, "crashed", agent="u6"), 0)
+    assert copy.final_state is JobState.FAILED
+    again = Job.from_record(decode_record(encode_record(copy.snapshot_record())), 0)
+    assert again.final_state is JobState.FAILED
