Give no task up for runs that may not have started

A job would have been shown as `failed` under which one worker had crashed.

Change: the agent marks a crash as uncertain if the order of the run had got no answer. Uncertain crashes count for the choice of the worker and for exclusive runs. A task is given up after two certain crashes if it was alone, after three certain ones, and after five of both kinds, so that a task that crashes workers before they answer still ends.

--- a/catkincross/jobs/_crashes.py
+++ b/catkincross/jobs/_crashes.py
@@ -18,6 +18,9 @@
 MAX_CRASHES_IF_ALONE = 2
 # A task is given up after this many crashes whatever else ran on the workers.
 MAX_CRASHES = 3
+# The same if it is not certain that the runs had started. A task that has not run is
+# counted only if the answer to its order is lost shortly before a crash.
+MAX_UNCERTAIN_CRASHES = 5
 
 
 @attrs.frozen
@@ -28,11 +31,13 @@
         agent: Agent of the worker.
         alone: Whether the worker had no other run when it crashed.
         counted_ms: When the owner counted the crash, on its clock.
+        uncertain: Whether the run may not have started, since its order got no answer.
     """
 
     agent: str
     alone: bool
     counted_ms: int
+    uncertain: bool = False
 
 
 def must_isolate(crash_count: int) -> bool:
@@ -42,6 +47,7 @@
 
 def must_give_up(crashes: Sequence[Crash]) -> bool:
     """Whether a task, or a gang, with these crashes in order is given up."""
-    if len(crashes) >= MAX_CRASHES:
+    certain_count = sum(not crash.uncertain for crash in crashes)
+    if certain_count >= MAX_CRASHES or len(crashes) >= MAX_UNCERTAIN_CRASHES:
         return True
-    return len(crashes) >= MAX_CRASHES_IF_ALONE and crashes[-1].alone
+    return certain_count >= MAX_CRASHES_IF_ALONE and crashes[-1].alone
--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -257,7 +257,7 @@
 
     def _apply_crash(self, task: Task, end: TaskEnd, now_ms: int) -> None:
         """Count a crash once for each run; long-running tasks are never given up."""
-        crash = Crash(end.agent, end.alone, now_ms)
+        crash = Crash(end.agent, end.alone, now_ms, end.uncertain)
         task.crashes.setdefault(end.run, crash)
         if task.step_spec.long_running or self.final_state is not None:
             return
@@ -274,9 +274,12 @@
         crash_by_run: dict[int, Crash] = {}
         for member in members:
             for run, crash in member.crashes.items():
-                other = crash_by_run.get(run)
-                if other is None or other.alone:
-                    crash_by_run[run] = crash
+                other = crash_by_run.get(run, crash)
+                crash_by_run[run] = attrs.evolve(
+                    other,
+                    alone=other.alone and crash.alone,
+                    uncertain=other.uncertain and crash.uncertain,
+                )
         return [crash_by_run[run] for run in sorted(crash_by_run)]
 
     def crash_ends(self) -> tuple[TaskEnd, ...]:
@@ -290,6 +293,7 @@
                 "crashed",
                 agent=crash.agent,
                 alone=crash.alone,
+                uncertain=crash.uncertain,
             )
             for task in self.all_tasks()
             for run, crash in task.crashes.items()
--- a/catkincross/jobs/_records.py
+++ b/catkincross/jobs/_records.py
@@ -38,6 +38,7 @@
         checkpoint: Newest checkpoint; empty for none.
         agent: Agent of the worker that crashed; empty for other outcomes.
         alone: Whether the worker that crashed had no other run.
+        uncertain: Whether the run may not have started before the crash.
     """
 
     job_id: str
@@ -48,6 +49,7 @@
     checkpoint: str = ""
     agent: str = ""
     alone: bool = False
+    uncertain: bool = False
 
 
 @record("job")
--- a/catkincross/owner/_crashes.py
+++ b/catkincross/owner/_crashes.py
@@ -45,6 +45,7 @@
         ended_run.checkpoint or task.checkpoint,
         agent_info.name,
         ended_run.alone,
+        ended_run.uncertain,
     )
 
     def count_crash(now_ms: int) -> None:
@@ -87,4 +88,5 @@
         agent=agent_info.name,
         crashes=len(task.crashes),
         alone=ended_run.alone,
+        uncertain=ended_run.uncertain,
     )
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -44,6 +44,7 @@
         crash_number: Number of the report of a run that ended `crashed`, unique among
             the reports of the agent; 0 for other ends.
         alone: Whether the worker that crashed had no other run.
+        uncertain: Whether the run may not have started before the crash.
     """
 
     sequence: int
@@ -54,6 +55,7 @@
     run_ms: int = 0
     crash_number: int = 0
     alone: bool = False
+    uncertain: bool = False
 
 
 @register_message
--- a/catkincross/workers/_crashes.py
+++ b/catkincross/workers/_crashes.py
@@ -64,11 +64,11 @@
 def crash_end(state: WorkerState, run: Run) -> EndedRun:
     """Return the end of a run under which the worker crashed, and keep its report.
 
-    A run whose order got no answer may not have started, so it never counts as alone.
+    A run whose order got no answer may not have started, so the crash is uncertain.
     """
     state.last_crash_number += 1
     number = state.last_crash_number
-    alone = run.crashed_with == 1 and run.confirmed_ms is not None
+    uncertain = run.confirmed_ms is None
     ended = EndedRun(
         0,
         run.task,
@@ -76,7 +76,8 @@
         "crashed",
         run.checkpoint,
         crash_number=number,
-        alone=alone,
+        alone=run.crashed_with == 1 and not uncertain,
+        uncertain=uncertain,
     )
     state.crash_reports[number] = CrashReport(
         ended, run.shard, run.entry, run.incarnation, state.now_ms
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -343,3 +343,16 @@
     assert copy.final_state is JobState.FAILED
     again = Job.from_record(decode_record(encode_record(copy.snapshot_record())), 0)
     assert again.final_state is JobState.FAILED
+
+
+def test_a_job_is_not_given_up_for_runs_that_may_not_have_started() -> None:
+    """An order without an answer must not count as a crash under the task."""
+    job_spec = job(JOB, count=1)
+    open_job = Job.from_record(JobAccepted(job_spec, 0, 1), 0)
+    for run in range(1, 3):
+        open_job.apply_end(TaskEnd(JOB, 0, 0, run, "crashed", uncertain=True), 0)
+    open_job.apply_end(TaskEnd(JOB, 0, 0, 3, "crashed", alone=True), 0)
+    copy = Job.from_record(open_job.snapshot_record(), 0)
+    assert (copy.final_state, copy.tasks[0][0].exclusive) == (None, True)
+    copy.apply_end(TaskEnd(JOB, 0, 0, 4, "crashed", alone=True), 0)
+    assert copy.final_state is JobState.FAILED
