--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -236,7 +236,10 @@
         return
     agent_info.reported_shards.add(shard.number)
     state.retry_placement = True
-    handle_ends(state, agent_info, Ends(message.ended, message.worker_incarnation))
+    # The ends in a report of volatile jobs are of runs that this process has ordered.
+    entry_incarnation = shard.epoch if shard is state.volatile else 0
+    ends = Ends(message.ended, message.worker_incarnation, entry_incarnation)
+    handle_ends(state, agent_info, ends)
     _reconcile_runs(state, shard, agent_info, message)
     shard.unresolved.discard(agent_info.name)
     state.note(
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -347,6 +347,7 @@
         )
         if may_have_run:
             self.volatile.highest_runs[job.spec.id] = job.highest_run
+        self.volatile.remember_crashes(job, self.now_ms)
         self.volatile.forget(job.spec.id)
         for resubmission in self.volatile.resubmissions.pop(job.spec.id, []):
             resubmission.submit()
