--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -179,8 +179,13 @@
 
     def register(self, name: str, *, draining: bool = False) -> None:
         """Let a worker send a heartbeat."""
+        content = self.registration(name, draining=draining)
+        self.workers[name].core.handle_heartbeat(self.now_ms, content)
+
+    def registration(self, name: str, *, draining: bool = False) -> Registration:
+        """Return the content of a heartbeat of a worker."""
         machine = self.machines[name]
-        content = Registration(
+        return Registration(
             machine.instance,
             SERVICE,
             "perth",
@@ -192,7 +197,6 @@
             machine.worker_incarnation,
             self.now_ms,
         )
-        self.workers[name].core.handle_heartbeat(self.now_ms, content)
 
     def kill(self, name: str) -> None:
         """Kill a process; its links end."""
@@ -217,10 +221,10 @@
         changes = host.core.link_changes(self.now_ms)
         for entry, _ in changes.to_close:
             host.core.handle_entry_lost(self.now_ms, entry)
-            if entry in self.owners and (entry, host.name) not in self.cut:
+            if entry in self.owners and self.is_connected(entry, host.name):
                 self.owners[entry].core.handle_agent_lost(self.now_ms, host.name)
         for entry in changes.to_open:
-            if entry in self.owners and (entry, host.name) not in self.cut:
+            if entry in self.owners and self.is_connected(entry, host.name):
                 self.connect(entry, host.name)
             else:
                 host.core.handle_connect_failed(self.now_ms, entry)
@@ -231,9 +235,13 @@
             if agent_info.connected and self.now_ms - heard_ms > AGENT_TIMEOUT_MS:
                 host.core.handle_agent_lost(self.now_ms, agent_info.name)
                 worker = self.workers.get(agent_info.name)
-                if worker is not None and (host.name, worker.name) not in self.cut:
+                if worker is not None and self.is_connected(host.name, worker.name):
                     worker.core.handle_entry_lost(self.now_ms, host.name)
 
+    def is_connected(self, entry: str, agent: str) -> bool:
+        """Whether messages pass between an entry and an agent."""
+        return (entry, agent) not in self.cut
+
     def connect(self, entry: str, agent: str) -> None:
         """Open a link."""
         if entry in self.owners and agent in self.workers:
--- /dev/null
+++ b/scenarios/volatile_model.py
@@ -0,0 +1,517 @@
+"""Model of the platform with volatile jobs that client accounts send again.
+
+It extends `platform_model` by links between entries, over which they announce their
+volatile jobs, and by networks that fail between any two processes: messages are held
+until a cut ends, calls to workers are lost or arrive late, and hosts go silent.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from catkincross.dispatch import LiveHolder, NoHolder, PeerVolatileJobs
+from catkincross.jobs import JobSpec
+from catkincross.owner import OwnerLimits, Reply
+from catkincross.peers import Answer, Greeting, VolatileJobs
+from catkincross.workers import StartOutcome, StartRun, StopRun
+
+from .platform_model import CALL_MS, LINK_MS, RENEWAL_MS, Host, Model
+
+ANNOUNCE_MS = 40
+ANNOUNCE_ENDED_MS = 400
+# Interval at which entries open missing links and close silent ones.
+MAINTAIN_MS = 250
+SILENT_LINK_MS = 1_600
+REMOTE_RETRY_MS = 50
+HEARTBEAT_MS = 1_500
+# Time after which a call to a worker counts as unanswered.
+START_TIMEOUT_MS = 100
+RENEWAL_TIMEOUT_MS = 350
+
+
+@attrs.define(eq=False)
+class Request:
+    """A request of a client account at an entry.
+
+    Attributes:
+        key: Identifies the request.
+        spec: The job.
+        deadline_ms: Time until which the client account waits.
+        on_answer: Called with the answer.
+        asked: Entry that was asked for the job, with the key of the question.
+        unanswered: Whether an entry may have begun the job without an answer.
+        closed: Whether the entry knows that the client account has left.
+    """
+
+    key: str
+    spec: JobSpec
+    deadline_ms: int
+    on_answer: Callable[[Answer], None]
+    asked: tuple[str, str] | None = None
+    unanswered: bool = False
+    closed: bool = False
+
+
+@attrs.define(eq=False)
+class Node:
+    """An entry with what it knows of the volatile jobs of other entries.
+
+    Attributes:
+        host: The entry's process.
+        greeting: Its greeting on links to other entries.
+        peer_jobs: Volatile jobs of other entries.
+        heard_ms: When another entry was last heard, by name, while the link that this
+            entry has opened to it is open.
+        requests: Open requests by key.
+        announced_ms: When changes were last announced.
+    """
+
+    host: Host
+    greeting: Greeting
+    peer_jobs: PeerVolatileJobs
+    heard_ms: dict[str, int] = attrs.field(factory=dict)
+    requests: dict[str, Request] = attrs.field(factory=dict)
+    announced_ms: int = 0
+
+
+@attrs.define(eq=False)
+class VolatileModel(Model):
+    """The model; see `Model`.
+
+    Attributes:
+        nodes: Entries by name.
+        blocked: Pairs of sender and receiver between which messages are held.
+        held: Held messages by sender and receiver.
+        worker_cuts: How calls to a worker fail, by agent: `lost`, `late`, or `answers`
+            if they are carried out and only the answers are lost.
+        late_calls: Calls to a worker that arrive when its cut ends, by agent.
+        lost_stops: Number of stop orders that get lost next.
+        link_ends: Both processes of the newest link of an entry and an agent.
+        links_opened: Number of links opened, by entry and agent.
+    """
+
+    nodes: dict[str, Node] = attrs.field(factory=dict)
+    blocked: set[tuple[str, str]] = attrs.field(factory=set)
+    held: dict[tuple[str, str], list[Callable[[], None]]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
+    worker_cuts: dict[str, str] = attrs.field(factory=dict)
+    late_calls: dict[str, list[Callable[[], None]]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
+    lost_stops: int = 0
+    link_ends: dict[tuple[str, str], tuple[Host, Host]] = attrs.field(factory=dict)
+    links_opened: dict[tuple[str, str], int] = attrs.field(
+        factory=lambda: defaultdict(int)
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Start all processes, and let the workers send heartbeats."""
+        super().__attrs_post_init__()
+        self.at(MAINTAIN_MS, self._maintain_links)
+        self.at(ANNOUNCE_MS, self._announce)
+        for name in self.machines:
+            self.at(HEARTBEAT_MS, lambda name=name: self._heartbeat(name))
+
+    # Networks.
+
+    def send(self, sender: str, receiver: str, call: Callable[[], None]) -> None:
+        """Deliver a message, or hold it until the cut between two processes ends."""
+        if (sender, receiver) in self.blocked:
+            self.held[sender, receiver].append(call)
+        else:
+            self.at(LINK_MS, call)
+
+    def block(self, sender: str, receiver: str, for_ms: int) -> None:
+        """Hold the messages from one process to another for a while."""
+        self.blocked.add((sender, receiver))
+        self.at(for_ms, lambda: self._unblock(sender, receiver))
+
+    def _unblock(self, sender: str, receiver: str) -> None:
+        self.blocked.discard((sender, receiver))
+        for call in self.held.pop((sender, receiver), []):
+            self.at(LINK_MS, call)
+
+    def is_connected(self, one: str, other: str) -> bool:
+        """Whether messages pass between two processes in both directions."""
+        return not {(one, other), (other, one)} & self.blocked
+
+    def when_awake(self, host: Host, call: Callable[[], None]) -> None:
+        """Call something now, or when a frozen process goes on; never if it ended."""
+        if self.awake(host):
+            call()
+        elif host.up:
+            delay_ms = host.frozen_until_ms - self.now_ms
+            self.at(delay_ms, lambda: self.when_awake(host, call))
+
+    # Processes.
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry; it knows nothing of the other ones yet."""
+        super().start_entry(name)
+        limits = OwnerLimits()
+        greeting = Greeting("entry", name, self.now_ms, name)
+        expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
+        peer_jobs = PeerVolatileJobs(expiry_ms)
+        self.nodes[name] = Node(self.owners[name], greeting, peer_jobs)
+
+    def kill(self, name: str, *, silent: bool = False) -> None:
+        """Kill a process, or turn off its host, so that its links do not end."""
+        node = self.nodes.pop(name, None)
+        host = (self.owners if node else self.workers).pop(name)
+        host.up = False
+        if node is not None:
+            self.at(1_000, self.announce_entries)
+        if silent:
+            return
+        for other in list((self.workers if node else self.owners).values()):
+            self._close_agent_link(host, other)
+        for other in list(self.nodes.values()) if node else ():
+            receiver = other.host.name
+            self.send(name, receiver, lambda other=other: self._lost(other, node))
+
+    def _close_agent_link(self, ended: Host, other: Host) -> None:
+        """Let a process note that its link to one that ended has closed."""
+        of_entry = ended.name.startswith("e")
+        pair = (ended.name, other.name) if of_entry else (other.name, ended.name)
+        opened = self.links_opened[pair]
+
+        def note() -> None:
+            if self.links_opened[pair] != opened:
+                return
+            if of_entry:
+                other.core.handle_entry_lost(self.now_ms, ended.name)
+            elif ended.name in other.core.state.agents:
+                other.core.handle_agent_lost(self.now_ms, ended.name)
+
+        self.send(ended.name, other.name, lambda: self.when_awake(other, note))
+
+    def _lost(self, node: Node, lost: Node) -> None:
+        """Let an entry note that the links of another one have closed."""
+        node.peer_jobs.mark_entry_lost(lost.greeting, now_ms=self.now_ms)
+        self._close_link(node, lost.host.name)
+
+    def connect(self, entry: str, agent: str) -> None:
+        """Open a link if messages pass; an earlier one of the agent is closed."""
+        if not self.is_connected(entry, agent):
+            self.workers[agent].core.handle_connect_failed(self.now_ms, entry)
+            return
+        self.links_opened[entry, agent] += 1
+        self.link_ends[entry, agent] = self.owners[entry], self.workers[agent]
+        core = self.owners[entry].core
+        known = core.state.agents.get(agent)
+        if known is not None and known.connected:
+            core.handle_agent_lost(self.now_ms, agent)
+        super().connect(entry, agent)
+
+    def _pass(self, entry: str, agent: str, content: Any, *, to_agent: bool) -> None:
+        """Send a message on the link in use; it is lost if the link ends before."""
+        opened = self.links_opened[entry, agent]
+        ends = self.link_ends.get((entry, agent))
+        if ends is None:
+            return
+        owner, worker = ends
+
+        def arrive() -> None:
+            if opened != self.links_opened[entry, agent] or not worker.up:
+                return
+            if not owner.up:
+                if entry in self.owners:
+                    # The new process resets the connection.
+                    worker.core.handle_entry_lost(self.now_ms, entry)
+            elif to_agent:
+                worker.core.handle_entry_message(self.now_ms, entry, content)
+                self.step(worker)
+            elif owner.core.state.agents[agent].connected:
+                owner.core.handle_agent_message(self.now_ms, agent, content)
+                self.step(owner)
+
+        target = worker if to_agent or not owner.up else owner
+        ways = (entry, agent) if to_agent else (agent, entry)
+        self.send(*ways, lambda: self.when_awake(target, arrive))
+
+    # Links between entries.
+
+    def _maintain_links(self) -> None:
+        for node in list(self.nodes.values()):
+            if not self.awake(node.host):
+                continue
+            for other in list(self.nodes.values()):
+                if other is not node:
+                    self._maintain_link(node, other)
+            for name in set(node.heard_ms) - set(self.nodes):
+                if self.now_ms - node.heard_ms[name] > SILENT_LINK_MS:
+                    self._close_link(node, name)
+        self.at(MAINTAIN_MS, self._maintain_links)
+
+    def _maintain_link(self, node: Node, other: Node) -> None:
+        name, other_name = node.host.name, other.host.name
+        passes = self.is_connected(name, other_name)
+        if passes and other_name not in node.heard_ms:
+            node.heard_ms[other_name] = self.now_ms
+            changes = VolatileJobs(node.host.core.volatile_job_ids(), [])
+            self._tell(node, other, changes, greeting=True)
+        elif passes and self.awake(other.host):
+            node.heard_ms[other_name] = self.now_ms
+        elif self.now_ms - node.heard_ms.get(other_name, 0) > SILENT_LINK_MS:
+            self._close_link(node, other_name)
+            self.send(name, other_name, lambda: self._inbound_closed(other, node))
+
+    def _inbound_closed(self, node: Node, other: Node) -> None:
+        if node.host.name not in other.heard_ms:
+            node.peer_jobs.mark_entry_lost(other.greeting, now_ms=self.now_ms)
+
+    def _close_link(self, node: Node, name: str) -> None:
+        """Close an entry's link to another one; questions stay without an answer."""
+        node.heard_ms.pop(name, None)
+        for request in list(node.requests.values()):
+            if request.asked is not None and request.asked[0] == name:
+                request.asked, request.unanswered = None, True
+                self.at(
+                    REMOTE_RETRY_MS,
+                    lambda request=request: self.run_or_ask(node, request),
+                )
+
+    def _tell(
+        self, node: Node, other: Node, changes: VolatileJobs, *, greeting: bool = False
+    ) -> None:
+        def arrive() -> None:
+            if greeting:
+                other.peer_jobs.add_entry(node.greeting)
+            other.peer_jobs.update(node.greeting, changes, self.now_ms)
+
+        self.send(
+            node.host.name,
+            other.host.name,
+            lambda: self.when_awake(other.host, arrive),
+        )
+
+    def _announce(self) -> None:
+        for node in self.nodes.values():
+            core = node.host.core
+            due = self.now_ms - node.announced_ms >= ANNOUNCE_ENDED_MS
+            if not self.awake(node.host) or not (due or core.has_begun_volatile_jobs):
+                continue
+            node.announced_ms = self.now_ms
+            changes = core.take_volatile_changes()
+            for name in node.heard_ms:
+                if name in self.nodes:
+                    self._tell(node, self.nodes[name], changes)
+        self.at(ANNOUNCE_MS, self._announce)
+
+    # Requests, as in `VolatileRequests`.
+
+    def receive(self, name: str, request: Request) -> None:
+        """Let an entry receive a request for a volatile job."""
+        node = self.nodes[name]
+        node.requests[request.key] = request
+        self.run_or_ask(node, request)
+
+    def run_or_ask(self, node: Node, request: Request) -> None:
+        """Run a job here, ask the entry that has it, or wait for a lost one."""
+        if not self.awake(node.host):
+            self.when_awake(node.host, lambda: self.run_or_ask(node, request))
+            return
+        if request.closed or request.asked or request.key not in node.requests:
+            return
+        holder = node.peer_jobs.find_holder(request.spec.id, self.now_ms)
+        remaining_ms = request.deadline_ms - self.now_ms
+        if isinstance(holder, NoHolder):
+            request.asked = node.host.name, request.key
+            self._submit(node, request.key, request.spec, remaining_ms)
+            return
+        if isinstance(holder, LiveHolder):
+            if self._ask(node, holder.address, request, remaining_ms):
+                return
+            request.unanswered = True
+        wait_ms = max(holder.wait_ms, REMOTE_RETRY_MS)
+        if remaining_ms <= wait_ms:
+            self._answer(node, request, Answer(0, "unknown", "lost entry"))
+        else:
+            self.at(wait_ms, lambda: self.run_or_ask(node, request))
+
+    def _submit(self, node: Node, key: str, spec: JobSpec, timeout_ms: int) -> None:
+        core = node.host.core
+        core.submit(self.now_ms, key, spec, timeout_ms=timeout_ms)
+        self.step(node.host)
+
+    def _ask(
+        self, node: Node, address: str, request: Request, remaining_ms: int
+    ) -> bool:
+        other = self.nodes.get(address)
+        if other is None or address not in node.heard_ms or remaining_ms <= 0:
+            return False
+        key = f"{node.host.name}>{request.key}@{self.now_ms}"
+        request.asked = address, key
+        self.send(
+            node.host.name,
+            address,
+            lambda: self.when_awake(
+                other.host,
+                lambda: self._submit(other, key, request.spec, remaining_ms),
+            ),
+        )
+
+        def expire() -> None:
+            if request.asked == (address, key):
+                request.asked, request.unanswered = None, True
+                self.run_or_ask(node, request)
+
+        self.at(remaining_ms, expire)
+        return True
+
+    def leave(self, name: str, request: Request) -> None:
+        """Let an entry note that a client account has left."""
+        node = self.nodes.get(name)
+        if node is None or node.requests.pop(request.key, None) is None:
+            return
+        request.closed = True
+        if request.asked is None:
+            return
+        holder, key = request.asked
+        other = self.nodes.get(holder)
+        if other is None:
+            return
+
+        def abandon() -> None:
+            other.host.core.abandon(self.now_ms, key, request.spec.id)
+            self.step(other.host)
+
+        self.send(name, holder, lambda: self.when_awake(other.host, abandon))
+
+    def _answer(self, node: Node, request: Request, answer: Answer) -> None:
+        if node.requests.pop(request.key, None) is None:
+            return
+        rejected = answer.outcome == "rejected"
+        may_have_run = node.peer_jobs.may_have_run(request.spec.id)
+        if rejected and (request.unanswered or may_have_run):
+            answer = Answer(0, "unknown", answer.detail)
+        request.on_answer(answer)
+
+    def _reply(self, host: Host, reply: Reply) -> None:
+        asking = reply.request.partition(">")[0] if ">" in reply.request else ""
+        node = self.nodes.get(asking or host.name)
+        if node is None:
+            return
+
+        def arrive() -> None:
+            for request in list(node.requests.values()):
+                if request.asked == (host.name, reply.request):
+                    if asking and reply.answer.outcome == "rejected":
+                        node.peer_jobs.record_rejection(host.name, request.spec.id)
+                    self._answer(node, request, reply.answer)
+
+        if asking:
+            self.send(host.name, asking, lambda: self.when_awake(node.host, arrive))
+        else:
+            arrive()
+
+    # Workers.
+
+    def _carry_out(self, host: Host, effect: Any) -> None:
+        match effect:
+            case Reply():
+                self._reply(host, effect)
+            case StopRun() if self.lost_stops:
+                self.lost_stops -= 1
+            case StopRun():
+                machine = self.machines[host.name]
+                self._call(host, lambda: machine.stop(self.now_ms, effect))
+            case _:
+                super()._carry_out(host, effect)
+
+    def _call(self, host: Host, call: Callable[[], Any]) -> bool:
+        """Call a worker; return whether the agent gets an answer."""
+        mode = self.worker_cuts.get(host.name)
+        if mode == "late":
+            self.late_calls[host.name].append(call)
+        elif mode != "lost":
+            self.at(CALL_MS, call)
+        return mode is None
+
+    def cut_worker(self, agent: str, mode: str, for_ms: int) -> None:
+        """Cut a worker from its agent for a while."""
+        self.worker_cuts[agent] = mode
+
+        def heal() -> None:
+            self.worker_cuts.pop(agent, None)
+            for call in self.late_calls.pop(agent, []):
+                call()
+
+        self.at(for_ms, heal)
+
+    def _start(self, host: Host, order: StartRun) -> None:
+        machine = self.machines[host.name]
+
+        def answer(outcome: StartOutcome) -> None:
+            args = order.task, order.run, outcome
+            host.core.handle_start_outcome(self.now_ms, *args)
+            self.step(host)
+
+        def call() -> None:
+            outcome = machine.start(self.now_ms, order)
+            if answered:
+                self.when_awake(host, lambda: answer(outcome))
+
+        answered = self._call(host, call)
+        if not answered:
+            unanswered = StartOutcome.UNANSWERED
+            self.at(
+                START_TIMEOUT_MS,
+                lambda: self.when_awake(host, lambda: answer(unanswered)),
+            )
+
+    def _renew_lease(self, host: Host) -> None:
+        if self.workers.get(host.name) is not host:
+            return
+        if not self.awake(host):
+            self.at(RENEWAL_MS, lambda: self._renew_lease(host))
+            return
+        sent_ms = self.now_ms
+        machine = self.machines[host.name]
+        renewal = host.core.next_renewal(sent_ms)
+
+        def receive(reply: Any) -> None:
+            if reply is None:
+                host.core.handle_renewal_fenced(self.now_ms, renewal)
+            else:
+                args = sent_ms, renewal, reply
+                host.core.handle_renewal_reply(self.now_ms, *args)
+            self.step(host)
+            self.at(RENEWAL_MS, lambda: self._renew_lease(host))
+
+        def call() -> None:
+            reply = machine.renew_lease(self.now_ms, renewal)
+            if answered:
+                self.at(CALL_MS, lambda: self.when_awake(host, lambda: receive(reply)))
+
+        answered = self._call(host, call)
+        if not answered:
+            self.at(RENEWAL_TIMEOUT_MS, lambda: self._renew_lease(host))
+
+    def _heartbeat(self, name: str) -> None:
+        self.heartbeat(name)
+        self.at(HEARTBEAT_MS, lambda: self._heartbeat(name))
+
+    def heartbeat(self, name: str) -> None:
+        """Let a worker send a heartbeat, which a cut loses or delays."""
+        content = self.registration(name)
+        self.notify(name, lambda core: core.handle_heartbeat(self.now_ms, content))
+
+    def notify(self, name: str, call: Callable[[Any], Any]) -> None:
+        """Deliver a message of a worker to its agent."""
+
+        def arrive() -> None:
+            host = self.workers.get(name)
+            if host is not None:
+                self.when_awake(host, lambda: call(host.core))
+
+        mode = self.worker_cuts.get(name)
+        if mode == "late":
+            self.late_calls[name].append(arrive)
+        elif mode is None:
+            self.at(CALL_MS, arrive)
