Show a run that an old run of the task replaces

Cause: a job that was given up begins anew, in the same process, with run 1. _adopt_run takes an old run 1 of another agent for the newest run and assigns the task to that agent; the run on the other worker goes on, unknown to the entry. The check of agents in handle_ends alone does not prevent it: with that check patched in, in a trial, it fails too.

--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from scenarios.platform_model import job, ready_model
+from scenarios.volatile_fuzz import Action, Plan, play_plan
 
 JOB = "5c0e7a21d94b36f8"
 
@@ -32,3 +33,18 @@
     assert model.answers["post"].detail == "completed"
     assert model.overlapping() == []
     assert model.workers["u0"].core.state.ready
+
+
+def test_the_run_of_a_job_begun_anew_is_not_replaced_by_an_old_one() -> None:
+    """A job that was given up begins anew with run 1, after its agent was lost.
+
+    When that agent was back it reported its old run 1. The entry assigned the task to
+    it, forgot the new run, and started a third one when the old run had lapsed.
+    """
+    actions = (
+        Action(150, "submit", (JOB, 4, "e2")),
+        Action(2_420, "freeze_agent", ("u0", 3_000)),
+        Action(2_420, "freeze_agent", ("u1", 3_000)),
+        Action(2_924, "cut_clients", ("e2", 1)),
+    )
+    assert play_plan(Plan(92, (4_000,) * 4, actions)) == []
