Show a job that a restarted entry starts twice

Cause: an entry learns of the jobs of lost entries only through links that were open in its own process. A restarted entry knows no job of the process before it.

--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -48,3 +48,17 @@
         Action(2_924, "cut_clients", ("e2", 1)),
     )
     assert play_plan(Plan(92, (4_000,) * 4, actions)) == []
+
+
+def test_a_restarted_entry_waits_for_the_runs_of_its_earlier_process() -> None:
+    """A new process knew nothing of the volatile jobs of the process before it.
+
+    It started a job again 1,300 ms after the loss, while an agent that was killed soon
+    after the entry, and came back, kept a run of it.
+    """
+    actions = (
+        Action(49, "submit", ("000000000000250c", 3, "e1")),
+        Action(196, "kill_entry", ("e1", 350, False)),
+        Action(801, "kill_agent", ("u0", 600, True)),
+    )
+    assert play_plan(Plan(264, (4_000,) * 4, actions)) == []
