Show an unannounced job that runs twice

Cause: an entry sends tasks before it has announced the job, so nobody knows that it may have runs if it is lost within 40 ms.

--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -62,3 +62,17 @@
         Action(801, "kill_agent", ("u0", 600, True)),
     )
     assert play_plan(Plan(264, (4_000,) * 4, actions)) == []
+
+
+def test_a_job_that_was_not_announced_does_not_run_twice() -> None:
+    """Its entry was lost before it had announced the job to the other entries.
+
+    Another entry started it again 1,300 ms later, while a frozen agent had not stopped
+    the first run.
+    """
+    actions = (
+        Action(171, "submit", ("0000000000002028", 4, "e0")),
+        Action(195, "kill_entry", ("e0", 700, True)),
+        Action(651, "freeze_agent", ("u3", 1_400)),
+    )
+    assert play_plan(Plan(475, (4_000,) * 4, actions)) == []
