Keep runs after a departure until the worker's lists show which go on

Cause: a departure names the worker and not its process. One that arrived late ended the runs of the next process under the same identity as lost, so their tasks started elsewhere beside them, and made the agent ignore all heartbeats of that process.

Change: record_departure removes the worker and lets its lists be read anew, but keeps the runs. The next lists decide which go on; without any answer the runs end as lost once the worker's lease must have lapsed. An answer of the departed incarnation revokes the departure. The run of a worker that leaves for good and gives no answer is given up up to 1,020 ms later than before.

--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -14,8 +14,10 @@
     update_offered,
 )
 from ._observing import (
+    MAX_CLOCK_DRIFT,
     apply_renewal_reply,
     apply_start_outcome,
+    end_runs_of_departed_worker,
     record_departure,
     record_heartbeat,
 )
@@ -35,9 +37,6 @@
 # Interval at which unacknowledged ends are sent again; an append takes a few
 # milliseconds.
 ENDS_RETRY_MS = 500
-# Largest share by which the worker's clock may be slower than the agent's; a lease
-# lasts that much longer on the worker.
-MAX_CLOCK_DRIFT = 0.02
 # Amount added to a fencing token that the worker rejected as too low. Tokens start at
 # the time of day in milliseconds, and the clock may have been set back by seconds.
 FENCING_TOKEN_STEP = 60_000
@@ -84,6 +83,7 @@
             state.resumed_ms = now_ms
             state.note("resumed", paused_ms=now_ms - state.stepped_ms)
         state.stepped_ms = now_ms
+        end_runs_of_departed_worker(state)
         self._expire_shard_leases()
         self._resend_stops()
         self._resend_ends()
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -8,6 +8,10 @@
 from ._state import Run, WorkerState
 from ._worker_messages import LeaseRenewalReply, Registration, StartOutcome
 
+# Largest share by which the worker's clock may be slower than the agent's; a lease
+# lasts that much longer on the worker.
+MAX_CLOCK_DRIFT = 0.02
+
 
 def record_heartbeat(state: WorkerState, new: Registration) -> bool:
     """Record a heartbeat of the worker.
@@ -49,11 +53,28 @@
 
 
 def record_departure(state: WorkerState, worker: str) -> None:
-    """Remove a worker that announced its departure, and all its runs."""
+    """Remove a worker that announced its departure.
+
+    The departure does not name the process and may be late, so the runs are kept until
+    the worker's next lists show which go on, or until its lease must have lapsed.
+    """
     if state.registration is not None and state.registration.worker == worker:
-        state.note("worker left", worker=worker)
+        state.note("worker left", worker=worker, runs=len(state.runs))
         state.departed = worker, state.registration.worker_incarnation
+        state.departed_ms = state.now_ms
         state.registration = None
+        reset_ends(state, 0)
+
+
+def end_runs_of_departed_worker(state: WorkerState) -> None:
+    """End the runs of a worker that left as `lost` once its lease must have lapsed.
+
+    Nothing happens after a worker has answered, since its lists show what goes on.
+    """
+    if state.departed is None or state.worker_synced or not state.runs:
+        return
+    lapse_ms = state.limits.lease_ms * (1 + MAX_CLOCK_DRIFT)
+    if state.now_ms - state.departed_ms > lapse_ms:
         discard_worker_state(state, 0)
 
 
@@ -105,6 +126,9 @@
     _record_running(state, reply)
     _resolve_unlisted_runs(state, sent_ms, fence, reply)
     if first_reply:
+        if state.departed is not None and state.departed[1] == reply.worker_incarnation:
+            # The departure was that of an earlier process.
+            state.departed = None
         for entry_info in state.entries.values():
             for shard, shard_lease in state.shard_leases.items():
                 if shard_lease.entry == entry_info.name:
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -207,7 +207,9 @@
         resumed_ms: When the process went on after its last pause.
         registration: Newest heartbeat of the worker; None if no worker is registered.
         departed: Identity and incarnation of the worker that last announced its
-            departure; None before the first.
+            departure; None before the first, and if a worker of this incarnation has
+            answered since.
+        departed_ms: When that departure arrived.
         worker_incarnation: Start of the worker process, in milliseconds since 1970; 0
             until its lists of runs have been read.
         reply_received_ms: When the newest answer to a lease renewal arrived.
@@ -243,6 +245,7 @@
     resumed_ms: int = -1_000_000
     registration: Registration | None = None
     departed: tuple[str, int] | None = None
+    departed_ms: int = 0
     worker_incarnation: int = 0
     reply_received_ms: int = -1_000_000
     reply_clock_ms: int = 0
--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from scenarios.platform_model import job, ready_model
+from scenarios.platform_model import SETTLE_MS, job, ready_model
 from scenarios.volatile_fuzz import Action, Plan, play_plan
+from scenarios.volatile_model import VolatileModel
 
 JOB = "5c0e7a21d94b36f8"
 
@@ -35,6 +36,25 @@
     assert model.workers["u0"].core.state.ready
 
 
+def test_runs_of_a_worker_that_left_for_good_are_given_up() -> None:
+    """No list of runs shows their end, so they end as lost after the worker's lease."""
+    model = VolatileModel()
+    model.run(SETTLE_MS)
+    for machine in model.machines.values():
+        machine.run_ms = 3_000
+    model.submit("post", job(JOB, volatile=True), "e0", timeout_ms=9_000)
+    model.run(200)
+    worker = model.machines["u0"]
+    assert worker.running
+    model.cut_worker("u0", "lost", 20_000)
+    model.workers["u0"].core.handle_worker_left(model.now_ms, worker.instance)
+    model.run(1_200)
+    assert model.workers["u0"].core.state.runs == {}
+    model.run(4_000)
+    assert model.count("done") == 4
+    assert model.overlapping() == []
+
+
 def test_the_run_of_a_job_begun_anew_is_not_replaced_by_an_old_one() -> None:
     """A job that was given up begins anew with run 1, after its agent was lost.
 
