Stop a reported run instead of replacing the own run of that number

Cause: _adopt_run compared run numbers only. Volatile jobs number their runs from 1 in each process and each time they are begun anew, so an old run 1 that another agent reported replaced the own run 1, which went on unknown to the entry.

Change: a run of the same number at another agent is stopped. A run of a higher number still replaces the own one, which is stopped then.

--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -16,6 +16,7 @@
 )
 from ._agents import AgentInfo
 from ._effects import BroadcastToEntries, ClaimShard
+from ._requests import stop_run
 from ._runs import handle_ends
 from ._shard import Shard, ShardPhase
 from ._state import OwnerState, agent_handler, owner_system
@@ -289,19 +290,27 @@
 def _adopt_run(state: OwnerState, agent_info: AgentInfo, running: RunningTask) -> bool:
     """Assign a task to the agent that has its run.
 
+    A task that another agent has keeps its run, since a job that was begun anew numbers
+    its runs from 1 again. Only a run of a higher number replaces it, and the earlier
+    one is stopped.
+
     Returns:
         False if the run is not needed and has to be stopped.
     """
     found = state.find_task(running.task)
     if found is None:
         return False
-    _, task = found
+    shard, task = found
     if task.state is TaskState.DONE or running.run < task.run:
         return False
     if task.job.final_state is not None:
         return False
     if running.run == task.run and task.agent == agent_info.name:
         return not task.stopping
+    if task.state is TaskState.ASSIGNED and task.agent != agent_info.name:
+        if running.run == task.run:
+            return False
+        stop_run(state, shard, task)
     state.assign(task, agent_info, running.run)
     return True
 
--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from catkincross.jobs import VOLATILE_SHARD
+from catkincross.owner import SendToAgent
+from catkincross.peers import Report, RunningTask, Stop
 from scenarios.platform_model import SETTLE_MS, job, ready_model
 from scenarios.volatile_fuzz import Action, Plan, play_plan
 from scenarios.volatile_model import VolatileModel
@@ -70,6 +73,35 @@
     assert play_plan(Plan(92, (4_000,) * 4, actions)) == []
 
 
+def test_an_old_run_of_the_same_number_is_stopped_and_not_adopted() -> None:
+    """The entry would forget its own run of the task, which went on."""
+    model = ready_model()
+    for machine in model.machines.values():
+        machine.run_ms = 3_000
+    model.submit("post", job(JOB, volatile=True), "e0", timeout_ms=9_000)
+    model.run(50)
+    core = model.owners["e0"].core
+    own = core.state.volatile.jobs[JOB].tasks[0][0]
+    holder = own.agent
+    other = next(name for name in model.workers if name != holder)
+    report = Report(
+        VOLATILE_SHARD,
+        core.state.volatile.epoch,
+        [RunningTask(own.name, own.run)],
+        [],
+        model.machines[other].worker_incarnation,
+        core.state.agents[other].last_order,
+    )
+    core.handle_agent_message(model.now_ms, other, report)
+    stops = [
+        effect
+        for effect in core.step(model.now_ms)
+        if isinstance(effect, SendToAgent) and isinstance(effect.content, Stop)
+    ]
+    assert own.agent == holder
+    assert [stop.agent for stop in stops if stop.content.task == own.name] == [other]
+
+
 def test_a_restarted_entry_waits_for_the_runs_of_its_earlier_process() -> None:
     """A new process knew nothing of the volatile jobs of the process before it.
 
