Let a new process reset the links to the process before it in the model

Cause: an entry whose host was turned off and on kept the links that other entries had opened to its earlier process. Those never greeted the new process, so it knew none of their jobs and began them again; a real connection is reset.

Change: links between entries belong to two processes.

--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -66,6 +66,7 @@
         peer_jobs: Volatile jobs of other entries.
         heard_ms: When another entry was last heard, by name, while the link that this
             entry has opened to it is open.
+        linked: The process at the other end of that link, by name.
         requests: Open requests by key.
         announced_ms: When changes were last announced.
     """
@@ -74,6 +75,7 @@
     greeting: Greeting
     peer_jobs: PeerVolatileJobs
     heard_ms: dict[str, int] = attrs.field(factory=dict)
+    linked: dict[str, Node] = attrs.field(factory=dict)
     requests: dict[str, Request] = attrs.field(factory=dict)
     announced_ms: int = 0
 
@@ -193,7 +195,8 @@
     def _lost(self, node: Node, lost: Node) -> None:
         """Let an entry note that the links of another one have closed."""
         node.peer_jobs.mark_entry_lost(lost.greeting, now_ms=self.now_ms)
-        self._close_link(node, lost.host.name)
+        if node.linked.get(lost.host.name) is lost:
+            self._close_link(node, lost.host.name)
 
     def connect(self, entry: str, agent: str) -> None:
         """Open a link if messages pass; an earlier one of the agent is closed."""
@@ -251,8 +254,13 @@
     def _maintain_link(self, node: Node, other: Node) -> None:
         name, other_name = node.host.name, other.host.name
         passes = self.is_connected(name, other_name)
-        if passes and other_name not in node.heard_ms:
+        linked = node.linked.get(other_name)
+        if passes and linked is not None and linked is not other:
+            # The new process resets the connection.
+            self._close_link(node, other_name)
+        elif passes and linked is None:
             node.heard_ms[other_name] = self.now_ms
+            node.linked[other_name] = other
             changes = VolatileJobs(node.host.core.volatile_job_ids(), [])
             self._tell(node, other, changes, greeting=True)
         elif passes and self.awake(other.host):
@@ -268,6 +276,7 @@
     def _close_link(self, node: Node, name: str) -> None:
         """Close an entry's link to another one; questions stay without an answer."""
         node.heard_ms.pop(name, None)
+        node.linked.pop(name, None)
         for request in list(node.requests.values()):
             if request.asked is not None and request.asked[0] == name:
                 request.asked, request.unanswered = None, True
@@ -298,9 +307,8 @@
                 continue
             node.announced_ms = self.now_ms
             changes = core.take_volatile_changes()
-            for name in node.heard_ms:
-                if name in self.nodes:
-                    self._tell(node, self.nodes[name], changes)
+            for other in node.linked.values():
+                self._tell(node, other, changes)
         self.at(ANNOUNCE_MS, self._announce)
 
     # Requests, as in `VolatileRequests`.
@@ -342,8 +350,8 @@
     def _ask(
         self, node: Node, address: str, request: Request, remaining_ms: int
     ) -> bool:
-        other = self.nodes.get(address)
-        if other is None or address not in node.heard_ms or remaining_ms <= 0:
+        other = node.linked.get(address)
+        if other is None or remaining_ms <= 0:
             return False
         key = f"{node.host.name}>{request.key}@{self.now_ms}"
         request.asked = address, key
