Tell an entry that has started which jobs lost entries held

Cause: only entries with an open link learn which volatile jobs another one has begun. A process that starts after the loss of an entry, also the next one at the same address, knew none of its jobs and began them again while workers still ran their tasks.

Change: each new link between entries carries LostVolatileJobs first: the jobs of entries that were lost less than 2,250 ms ago, with the time since. The receiver waits for them as if it had seen the loss itself. An entry of an earlier version cannot decode the message and closes the link, so a rolling update may reset links while an entry is lost.

A request that reaches the new process before its first link is still begun at once.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -25,7 +25,7 @@
     Reply,
     SendToAgent,
 )
-from ..peers import Answer, Ask, Greeting, VolatileJobs
+from ..peers import Answer, Ask, Greeting, Link, VolatileJobs
 from ..platform import (
     DeclarationFeed,
     GroupAssignment,
@@ -110,9 +110,7 @@
             log.note_error,
         )
         self.owner_requests.on_backlogs = self.core.update_peer_backlogs
-        self.owner_requests.on_connected = lambda link: link.send(
-            VolatileJobs(self.core.volatile_job_ids(), [])
-        )
+        self.owner_requests.on_connected = self._on_connected
         run_expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
         self.peer_jobs = PeerVolatileJobs(run_expiry_ms)
         self.leaving = False
@@ -323,6 +321,12 @@
                 self.core.abandon(now_ms, request, ask.job_id)
         self.core_loop.schedule_step()
 
+    def _on_connected(self, link: Link) -> None:
+        """Tell another entry which volatile jobs are held here, or by lost entries."""
+        for lost in self.peer_jobs.lost_jobs(self.clock.now_ms()):
+            link.send(lost)
+        link.send(VolatileJobs(self.core.volatile_job_ids(), []))
+
     def _on_entries_changed(self) -> None:
         self.log.note("owners", owners=sorted(set(self.owners.by_shard.values())))
         self.entry_links.announce_entries()
--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -15,6 +15,7 @@
     Backlog,
     Greeting,
     Link,
+    LostVolatileJobs,
     Members,
     ReportTo,
     SeekAgents,
@@ -104,6 +105,8 @@
             link.send(self.core.backlog())
         elif isinstance(message, VolatileJobs):
             self.peer_jobs.update(link.peer, message, self.clock.now_ms())
+        elif isinstance(message, LostVolatileJobs):
+            self.peer_jobs.add_lost_jobs(message, self.clock.now_ms())
         elif isinstance(message, SeekAgents):
             for name in message.agents:
                 self.send_to_agent(name, ReportTo(link.peer.address))
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from ..peers import Greeting, VolatileJobs
+from ..peers import Greeting, LostVolatileJobs, VolatileJobs
 
 # How long the jobs of a lost entry are remembered, in milliseconds.
 LOST_ENTRY_RETENTION_MS = 10_000
@@ -134,6 +134,33 @@
         if peer is not None and peer.lost_ms is None:
             peer.lost_ms = now_ms
 
+    def lost_jobs(self, now_ms: int) -> list[LostVolatileJobs]:
+        """Return the jobs of lost entries of which agents may still have runs.
+
+        They are sent first on each new link, since a process that has started after the
+        loss cannot know them.
+        """
+        return [
+            LostVolatileJobs(
+                name, incarnation, entry.address, now_ms - entry.lost_ms, [*entry.jobs]
+            )
+            for (name, incarnation), entry in self.entries.items()
+            if entry.lost_ms is not None
+            and entry.jobs
+            and now_ms - entry.lost_ms < self.run_expiry_ms
+        ]
+
+    def add_lost_jobs(self, lost: LostVolatileJobs, now_ms: int) -> None:
+        """Record the jobs of a lost entry that another entry knows.
+
+        Nothing is recorded if this entry still has a link to that process.
+        """
+        key = lost.name, lost.incarnation
+        peer = self.entries.setdefault(key, _PeerEntry(lost.address, lost_ms=0))
+        if peer.lost_ms is not None:
+            peer.jobs.update(lost.jobs)
+            peer.lost_ms = max(peer.lost_ms, now_ms - lost.lost_for_ms)
+
     def find_holder(
         self, job_id: str, now_ms: int
     ) -> NoHolder | LiveHolder | LostHolder:
--- a/catkincross/peers/_entry_messages.py
+++ b/catkincross/peers/_entry_messages.py
@@ -105,6 +105,26 @@
     dropped: list[str] = attrs.field(factory=list)
 
 
+@register_message
+@attrs.frozen
+class LostVolatileJobs:
+    """Volatile jobs of a lost entry, told to an entry that may have missed its loss.
+
+    Attributes:
+        name: Name of the lost entry.
+        incarnation: Incarnation of its process.
+        address: Address of the entry, `IP:port`.
+        lost_for_ms: Time since its link closed, in milliseconds.
+        jobs: IDs of the jobs that it held.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+    lost_for_ms: int
+    jobs: list[str]
+
+
 @register_message
 @attrs.frozen
 class Backlog:
--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -16,7 +16,7 @@
 from catkincross.dispatch import LiveHolder, NoHolder, PeerVolatileJobs
 from catkincross.jobs import JobSpec
 from catkincross.owner import OwnerLimits, Reply
-from catkincross.peers import Answer, Greeting, VolatileJobs
+from catkincross.peers import Answer, Greeting, LostVolatileJobs, VolatileJobs
 from catkincross.workers import StartOutcome, StartRun, StopRun
 
 from .platform_model import CALL_MS, LINK_MS, RENEWAL_MS, Host, Model
@@ -262,7 +262,7 @@
             node.heard_ms[other_name] = self.now_ms
             node.linked[other_name] = other
             changes = VolatileJobs(node.host.core.volatile_job_ids(), [])
-            self._tell(node, other, changes, greeting=True)
+            self._tell(node, other, changes, lost=node.peer_jobs.lost_jobs(self.now_ms))
         elif passes and self.awake(other.host):
             node.heard_ms[other_name] = self.now_ms
         elif self.now_ms - node.heard_ms.get(other_name, 0) > SILENT_LINK_MS:
@@ -286,11 +286,20 @@
                 )
 
     def _tell(
-        self, node: Node, other: Node, changes: VolatileJobs, *, greeting: bool = False
+        self,
+        node: Node,
+        other: Node,
+        changes: VolatileJobs,
+        *,
+        lost: list[LostVolatileJobs] | None = None,
     ) -> None:
+        """Announce jobs; `lost` are those of lost entries, told on a new link."""
+
         def arrive() -> None:
-            if greeting:
+            if lost is not None:
                 other.peer_jobs.add_entry(node.greeting)
+            for jobs in lost or ():
+                other.peer_jobs.add_lost_jobs(jobs, self.now_ms)
             other.peer_jobs.update(node.greeting, changes, self.now_ms)
 
         self.send(
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -13,9 +13,16 @@
 from catkincross.daemons._log import DecisionLog
 from catkincross.daemons._owner_requests import LINK_CLOSED
 from catkincross.daemons._volatile_requests import VolatileRequests
-from catkincross.dispatch import NoHolder, PeerLoad, PeerVolatileJobs, choose_forwarding
+from catkincross.dispatch import (
+    LiveHolder,
+    LostHolder,
+    NoHolder,
+    PeerLoad,
+    PeerVolatileJobs,
+    choose_forwarding,
+)
 from catkincross.operations import Declarations, Service
-from catkincross.peers import Answer, Ask, Greeting, VolatileJobs
+from catkincross.peers import Answer, Ask, Greeting, LostVolatileJobs, VolatileJobs
 from scenarios.platform_model import SERVICE, Model, job, ready_model
 from tests.test_platform_daemons import free_port, settings_for
 
@@ -270,6 +277,31 @@
     assert core.run_here == ["a" * 16]
 
 
+def test_an_entry_that_has_started_learns_of_the_jobs_of_lost_entries() -> None:
+    """It began such a job again while workers still ran its tasks."""
+    lost = Greeting("entry", "e2", 7, "e2:1")
+    other, started = PeerVolatileJobs(2_250), PeerVolatileJobs(2_250)
+    other.add_entry(lost)
+    other.update(lost, VolatileJobs(["a" * 16], []), 0)
+    assert other.lost_jobs(1_000) == []
+    other.mark_entry_lost(lost, now_ms=1_000)
+    for message in other.lost_jobs(1_400):
+        started.add_lost_jobs(message, 50_000)
+    assert started.find_holder("a" * 16, 50_000) == LostHolder(1_850)
+    assert started.may_have_run("a" * 16)
+    assert other.lost_jobs(3_250) == []
+
+
+def test_a_connected_entry_is_not_lost_because_another_one_says_so() -> None:
+    """The other entry may only have lost its own link to it."""
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16], []), 0)
+    peer_jobs.add_lost_jobs(LostVolatileJobs("e2", 7, "e2:1", 10, ["a" * 16]), 100)
+    assert peer_jobs.find_holder("a" * 16, 100) == LiveHolder("e2:1")
+
+
 def test_a_rejection_after_a_lost_answer_is_not_passed_on() -> None:
     """A new process of the entry rejects a job that the earlier one may have begun."""
     greeting = Greeting("entry", "e2", 7, "e2:1")
