Show a job that a late question begins a second time

Cause: a question to the holder of a job may be delivered after the asking entry has given it up: a closed link still delivers what was sent on it. The holder counts the job's time from the arrival, and begins a job that it has given up meanwhile. The asking entry learns that the job was given up, takes that for the end of its question too, and begins the job itself; the announcement of the other begin comes up to 40 ms later.

--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -128,3 +128,18 @@
         Action(651, "freeze_agent", ("u3", 1_400)),
     )
     assert play_plan(Plan(475, (4_000,) * 4, actions)) == []
+
+
+def test_a_question_that_arrives_late_does_not_begin_a_job_twice() -> None:
+    """An entry asked the holder of a job, and the network held the question for 3 s.
+
+    The holder had given the job up, and began it when the question arrived. The asking
+    entry had closed the link meanwhile, learned that the job was given up, and began it
+    as well.
+    """
+    actions = (
+        Action(93, "submit", ("00000000000023a0", 2, "e1")),
+        Action(243, "cut_entries", ("e1", "e2", True, 3_000)),
+        Action(395, "cut_clients", ("e1", 500)),
+    )
+    assert play_plan(Plan(10_145, (1_500, 4_000, 4_000, 4_000), actions)) == []
