Show an orphaned run that outlives the wait of the other entries

Cause: a restarted agent keeps a run that it finds for 900 ms from then on, and renews the worker's lease in full meanwhile. The run may belong to an entry that was lost up to 1,800 ms before, and the other entries wait 2,250 ms since the loss.

--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -143,3 +143,17 @@
         Action(395, "cut_clients", ("e1", 500)),
     )
     assert play_plan(Plan(10_145, (1_500, 4_000, 4_000, 4_000), actions)) == []
+
+
+def test_an_orphaned_run_ends_before_its_job_may_begin_elsewhere() -> None:
+    """An agent came back 900 ms after it was killed, and found a run of a lost entry.
+
+    It kept the run for 900 ms from then on, though the entry was lost before, so the
+    run went on after the 2,250 ms for which the other entries wait.
+    """
+    actions = (
+        Action(88, "submit", ("0000000000001d6d", 5, "e0")),
+        Action(311, "kill_entry", ("e0", 350, False)),
+        Action(938, "kill_agent", ("u1", 900, False)),
+    )
+    assert play_plan(Plan(129, (4_000,) * 4, actions)) == []
