Show a job that an entry begins before it knows those of the others

Cause: an entry takes requests as soon as it serves, but learns of the volatile jobs of the others only when they open links to it, up to 500 ms later. A job that a client account sends again meanwhile is begun, also if it runs at a live entry that has not noted that its client account has left.

--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -157,3 +157,17 @@
         Action(938, "kill_agent", ("u1", 900, False)),
     )
     assert play_plan(Plan(129, (4_000,) * 4, actions)) == []
+
+
+def test_an_entry_that_has_just_started_begins_no_job_of_a_live_entry() -> None:
+    """It took a request 36 ms after its start, before other entries had linked to it.
+
+    The job was still running at the entry whose client connection had broken.
+    """
+    actions = (
+        Action(4, "submit", ("0000000000002348", 5, "e2")),
+        Action(165, "submit", ("0000000000001973", 2, "e1")),
+        Action(608, "kill_entry", ("e0", 3_000, True)),
+        Action(1_044, "cut_clients", ("e1", 3_000)),
+    )
+    assert play_plan(Plan(10_496, (300, 300, 4_000, 4_000), actions)) == []
