Keep an entry as the holder of a job until it answers the question for it

Cause: a question to run a job may be delivered after the asking entry has given it up, and the holder then begins the job anew. The asking entry took an announcement that the job was given up before for its end, and began the job as well.

--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -135,9 +135,17 @@
     ) -> Answer | None:
         """Submit a job to the entry that holds it; return None without an answer."""
         ask = Ask(0, "submit", spec.id, to_fields(spec), timeout_ms)
-        answer = await self.owner_requests.ask_entry(address, ask)
-        if answer is not None and answer.outcome == "rejected":
-            self.peer_jobs.record_rejection(address, spec.id)
+        self.peer_jobs.record_question(address, spec.id, self.clock.now_ms())
+        try:
+            answer = await self.owner_requests.ask_entry(address, ask)
+        except asyncio.CancelledError:
+            # The other entry is told to give the job up, after the question.
+            self.peer_jobs.record_answer(address, spec.id)
+            raise
+        if answer is not None and answer is not LINK_CLOSED:
+            self.peer_jobs.record_answer(address, spec.id)
+            if answer.outcome == "rejected":
+                self.peer_jobs.record_rejection(address, spec.id)
         return answer
 
     async def _run_locally(
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -65,6 +65,8 @@
         ended_ms: When the entry announced the end of a job, by job ID, on the process's
             clock in milliseconds; the oldest come first.
         given_up_ms: The same for jobs that were given up and may have run.
+        asked_ms: When the entry was asked to run a job, by job ID, without an answer
+            until now; the question may still be on its way.
         lost_ms: When the entry's link closed, on the process's clock in milliseconds;
             None while the link is open.
     """
@@ -73,6 +75,7 @@
     jobs: set[str] = attrs.field(factory=set)
     ended_ms: dict[str, int] = attrs.field(factory=dict)
     given_up_ms: dict[str, int] = attrs.field(factory=dict)
+    asked_ms: dict[str, int] = attrs.field(factory=dict)
     lost_ms: int | None = None
 
 
@@ -128,6 +131,22 @@
             if peer.address == address and peer.lost_ms is None:
                 peer.jobs.discard(job_id)
 
+    def record_question(self, address: str, job_id: str, now_ms: int) -> None:
+        """Record that a connected entry is asked to run a job.
+
+        Until it answers it counts as the holder, also if it gives the job up meanwhile:
+        it begins the job anew when the question arrives.
+        """
+        for peer in self.entries.values():
+            if peer.address == address and peer.lost_ms is None:
+                _remember(peer.asked_ms, [job_id], now_ms, GIVEN_UP_MEMORY_MS)
+
+    def record_answer(self, address: str, job_id: str) -> None:
+        """Record that an entry has answered a question."""
+        for peer in self.entries.values():
+            if peer.address == address:
+                peer.asked_ms.pop(job_id, None)
+
     def mark_entry_lost(self, greeting: Greeting, *, now_ms: int) -> None:
         """Record that the link of an entry has closed."""
         peer = self.entries.get((greeting.name, greeting.incarnation))
@@ -172,7 +191,7 @@
             lost_ms = entry.lost_ms
             if lost_ms is not None and now_ms - lost_ms > LOST_ENTRY_RETENTION_MS:
                 del self.entries[key]
-            elif job_id in entry.jobs:
+            elif job_id in entry.jobs or _asked_lately(entry, job_id, now_ms):
                 if lost_ms is None:
                     return LiveHolder(entry.address)
                 remaining_ms = lost_ms + self.run_expiry_ms - now_ms
@@ -208,3 +227,8 @@
 def _ended_lately(entry: _PeerEntry, job_id: str, now_ms: int) -> bool:
     ended_ms = entry.ended_ms.get(job_id)
     return ended_ms is not None and now_ms - ended_ms <= ENDED_JOB_MEMORY_MS
+
+
+def _asked_lately(entry: _PeerEntry, job_id: str, now_ms: int) -> bool:
+    asked_ms = entry.asked_ms.get(job_id)
+    return asked_ms is not None and now_ms - asked_ms <= GIVEN_UP_MEMORY_MS
--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -364,6 +364,7 @@
             return False
         key = f"{node.host.name}>{request.key}@{self.now_ms}"
         request.asked = address, key
+        node.peer_jobs.record_question(address, request.spec.id, self.now_ms)
         self.send(
             node.host.name,
             address,
@@ -390,6 +391,7 @@
         if request.asked is None:
             return
         holder, key = request.asked
+        node.peer_jobs.record_answer(holder, request.spec.id)
         other = self.nodes.get(holder)
         if other is None:
             return
@@ -418,6 +420,7 @@
         def arrive() -> None:
             for request in list(node.requests.values()):
                 if request.asked == (host.name, reply.request):
+                    node.peer_jobs.record_answer(host.name, request.spec.id)
                     if asking and reply.answer.outcome == "rejected":
                         node.peer_jobs.record_rejection(host.name, request.spec.id)
                     self._answer(node, request, reply.answer)
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -302,6 +302,21 @@
     assert peer_jobs.find_holder("a" * 16, 100) == LiveHolder("e2:1")
 
 
+def test_an_entry_that_was_asked_for_a_job_holds_it_until_it_answers() -> None:
+    """The question may arrive after the entry has given up an earlier begin of it."""
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16], []), 0)
+    peer_jobs.record_question("e2:1", "a" * 16, 10)
+    peer_jobs.update(greeting, VolatileJobs([], [], ["a" * 16]), 20)
+    assert peer_jobs.find_holder("a" * 16, 20) == LiveHolder("e2:1")
+    peer_jobs.mark_entry_lost(greeting, now_ms=100)
+    assert peer_jobs.find_holder("a" * 16, 100) == LostHolder(2_250)
+    peer_jobs.record_answer("e2:1", "a" * 16)
+    assert peer_jobs.find_holder("a" * 16, 100) == NoHolder()
+
+
 def test_a_rejection_after_a_lost_answer_is_not_passed_on() -> None:
     """A new process of the entry rejects a job that the earlier one may have begun."""
     greeting = Greeting("entry", "e2", 7, "e2:1")
