Show a job that a host begins again after it was off

Cause: a host that is turned off closes no link, so the other entries take its entry for a live one when the new process greets them. They count an earlier process as lost only when its link closes, and LostVolatileJobs does not name its jobs.

--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -171,3 +171,17 @@
         Action(1_044, "cut_clients", ("e1", 3_000)),
     )
     assert play_plan(Plan(10_496, (300, 300, 4_000, 4_000), actions)) == []
+
+
+def test_a_restarted_host_waits_for_the_runs_of_its_earlier_entry() -> None:
+    """No link of an entry closes when its host is turned off.
+
+    The other entries still took the earlier process for a live one when the new one had
+    started, so they did not tell it of the jobs, and it began one again.
+    """
+    actions = (
+        Action(0, "submit", ("0000000000001095", 5, "e2")),
+        Action(346, "lose_stops", (6,)),
+        Action(1_308, "kill_entry", ("e2", 700, True)),
+    )
+    assert play_plan(Plan(1_163, (300, 300, 1_500, 4_000), actions)) == []
