--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from ..peers import Greeting, VolatileJobs
+from ..peers import Greeting, LostVolatileJobs, VolatileJobs
 
 # How long the jobs of a lost entry are remembered, in milliseconds.
 LOST_ENTRY_RETENTION_MS = 10_000
@@ -71,6 +71,8 @@
         given_up_ms: The same for jobs that were given up and may have run.
         unanswered_ms: When a request from here for a job last ended without an answer,
             by job ID, on the process's clock in milliseconds.
+        asked_ms: When the entry was asked to run a job, by job ID, without an answer
+            until now; the question may still be on its way.
         lost_ms: When the entry's link closed, on the process's clock in milliseconds;
             None while the link is open.
         replaced: Whether a later incarnation of the entry is known, so that this one
@@ -82,6 +84,7 @@
     ended_ms: dict[str, int] = attrs.field(factory=dict)
     given_up_ms: dict[str, int] = attrs.field(factory=dict)
     unanswered_ms: dict[str, int] = attrs.field(factory=dict)
+    asked_ms: dict[str, int] = attrs.field(factory=dict)
     lost_ms: int | None = None
     replaced: bool = False
 
@@ -121,8 +124,6 @@
             peer.jobs.difference_update(ended)
         for job_id in changes.begun:
             peer.ended_ms.pop(job_id, None)
-        for job_id in (*changes.ended, *changes.given_up, *changes.dropped):
-            peer.unanswered_ms.pop(job_id, None)
         _remember(peer.ended_ms, changes.ended, now_ms, ENDED_JOB_MEMORY_MS)
         _remember(peer.given_up_ms, changes.given_up, now_ms, GIVEN_UP_MEMORY_MS)
 
@@ -143,8 +144,8 @@
     def record_no_answer(self, address: str, job_id: str, now_ms: int) -> None:
         """Record that a request for a job to an entry has ended without an answer."""
         for peer in self.entries.values():
-            if peer.address == address and job_id in peer.jobs:
-                peer.unanswered_ms[job_id] = now_ms
+            if peer.address == address:
+                _remember(peer.unanswered_ms, [job_id], now_ms, GIVEN_UP_MEMORY_MS)
 
     def record_rejection(self, address: str, job_id: str) -> None:
         """Record that an entry has rejected a job that was forwarded to it."""
@@ -152,12 +153,56 @@
             if peer.address == address and peer.lost_ms is None:
                 peer.jobs.discard(job_id)
 
+    def record_question(self, address: str, job_id: str, now_ms: int) -> None:
+        """Record that a connected entry is asked to run a job.
+
+        Until it answers it counts as the holder, also if it gives the job up meanwhile:
+        it begins the job anew when the question arrives.
+        """
+        for peer in self.entries.values():
+            if peer.address == address and peer.lost_ms is None:
+                _remember(peer.asked_ms, [job_id], now_ms, GIVEN_UP_MEMORY_MS)
+
+    def record_answer(self, address: str, job_id: str) -> None:
+        """Record that an entry has answered a question."""
+        for peer in self.entries.values():
+            if peer.address == address:
+                peer.asked_ms.pop(job_id, None)
+                peer.unanswered_ms.pop(job_id, None)
+
     def mark_entry_lost(self, greeting: Greeting, *, now_ms: int) -> None:
         """Record that the link of an entry has closed."""
         peer = self.entries.get((greeting.name, greeting.incarnation))
         if peer is not None and peer.lost_ms is None:
             peer.lost_ms = now_ms
 
+    def lost_jobs(self, now_ms: int) -> list[LostVolatileJobs]:
+        """Return the jobs of lost entries of which agents may still have runs.
+
+        They are sent first on each new link, since a process that has started after the
+        loss cannot know them.
+        """
+        return [
+            LostVolatileJobs(
+                name, incarnation, entry.address, now_ms - entry.lost_ms, [*entry.jobs]
+            )
+            for (name, incarnation), entry in self.entries.items()
+            if entry.lost_ms is not None
+            and entry.jobs
+            and now_ms - entry.lost_ms < self.run_expiry_ms
+        ]
+
+    def add_lost_jobs(self, lost: LostVolatileJobs, now_ms: int) -> None:
+        """Record the jobs of a lost entry that another entry knows.
+
+        Nothing is recorded if this entry still has a link to that process.
+        """
+        key = lost.name, lost.incarnation
+        peer = self.entries.setdefault(key, _PeerEntry(lost.address, lost_ms=0))
+        if peer.lost_ms is not None:
+            peer.jobs.update(lost.jobs)
+            peer.lost_ms = max(peer.lost_ms, now_ms - lost.lost_for_ms)
+
     def find_holder(
         self, job_id: str, now_ms: int
     ) -> NoHolder | LiveHolder | LostHolder:
@@ -169,7 +214,7 @@
             lost_ms = entry.lost_ms
             if lost_ms is not None and now_ms - lost_ms > LOST_ENTRY_RETENTION_MS:
                 del self.entries[key]
-            elif job_id in entry.jobs:
+            elif job_id in entry.jobs or _asked_lately(entry, job_id, now_ms):
                 if lost_ms is None:
                     return LiveHolder(entry.address)
                 remaining_ms = self._release_ms(entry, job_id, lost_ms) - now_ms
@@ -213,3 +258,8 @@
 def _ended_lately(entry: _PeerEntry, job_id: str, now_ms: int) -> bool:
     ended_ms = entry.ended_ms.get(job_id)
     return ended_ms is not None and now_ms - ended_ms <= ENDED_JOB_MEMORY_MS
+
+
+def _asked_lately(entry: _PeerEntry, job_id: str, now_ms: int) -> bool:
+    asked_ms = entry.asked_ms.get(job_id)
+    return asked_ms is not None and now_ms - asked_ms <= GIVEN_UP_MEMORY_MS
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -249,7 +249,9 @@
         heartbeat_ms: When that heartbeat arrived.
         heartbeat_overdue: Whether it has been reported as too old to start runs by.
         departed: Identity and incarnation of the worker that last announced its
-            departure; None before the first.
+            departure; None before the first, and if a worker of this incarnation has
+            answered since.
+        departed_ms: When that departure arrived.
         worker_incarnation: Start of the worker process, in milliseconds since 1970; 0
             until its lists of runs have been read.
         reply_received_ms: When the newest answer to a lease renewal arrived.
@@ -296,6 +298,7 @@
     heartbeat_ms: int = -1_000_000
     heartbeat_overdue: bool = False
     departed: tuple[str, int] | None = None
+    departed_ms: int = 0
     worker_incarnation: int = 0
     reply_received_ms: int = -1_000_000
     lists_read_ms: int = -1_000_000
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -256,10 +256,10 @@
         changes = host.core.link_changes(self.now_ms)
         for entry, _ in changes.to_close:
             host.core.handle_entry_lost(self.now_ms, entry)
-            if entry in self.owners and (entry, host.name) not in self.cut:
+            if entry in self.owners and self.is_connected(entry, host.name):
                 self.owners[entry].core.handle_agent_lost(self.now_ms, host.name)
         for entry in changes.to_open:
-            if entry in self.owners and (entry, host.name) not in self.cut:
+            if entry in self.owners and self.is_connected(entry, host.name):
                 self.connect(entry, host.name)
             else:
                 host.core.handle_connect_failed(self.now_ms, entry)
@@ -270,9 +270,13 @@
             if agent_info.connected and self.now_ms - heard_ms > AGENT_TIMEOUT_MS:
                 host.core.handle_agent_lost(self.now_ms, agent_info.name)
                 worker = self.workers.get(agent_info.name)
-                if worker is not None and (host.name, worker.name) not in self.cut:
+                if worker is not None and self.is_connected(host.name, worker.name):
                     worker.core.handle_entry_lost(self.now_ms, host.name)
 
+    def is_connected(self, entry: str, agent: str) -> bool:
+        """Whether messages pass between an entry and an agent."""
+        return (entry, agent) not in self.cut
+
     def connect(self, entry: str, agent: str) -> None:
         """Open a link."""
         if entry in self.owners and agent in self.workers:
