--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -15,6 +15,7 @@
     update_offered,
 )
 from ._observing import (
+    DEPARTED_ANSWER_MS,
     MAX_CLOCK_DRIFT,
     apply_renewal_reply,
     apply_start_outcome,
@@ -234,6 +235,11 @@
             return False
         if state.now_ms < state.renewal_blocked_until_ms:
             return False
+        if (
+            state.unexpected_departure_ms is not None
+            and state.now_ms - state.reply_received_ms > DEPARTED_ANSWER_MS
+        ):
+            return False
         limits_ms = (run.renewal_end_ms for run in state.runs.values())
         return not any(
             limit_ms is not None and state.now_ms >= limit_ms for limit_ms in limits_ms
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -12,6 +12,9 @@
 # Largest share by which the worker's clock may be slower than the agent's; a lease
 # lasts that much longer on the worker.
 MAX_CLOCK_DRIFT = 0.02
+# The lease of a worker that has left unexpectedly is renewed for this long after its
+# last answer, in milliseconds; it answers renewals every 250 ms while it is there.
+DEPARTED_ANSWER_MS = 400
 
 
 def record_heartbeat(state: WorkerState, new: Registration) -> bool:
@@ -66,6 +69,7 @@
     elif state.draining_incarnation == incarnation:
         state.draining_incarnation = 0
     state.registration = new
+    state.unexpected_departure_ms = None
     state.mark_states_outdated()
     return True
 
@@ -79,28 +83,45 @@
 
 
 def record_departure(state: WorkerState, worker: str) -> None:
-    """Remove a worker that announced its departure.
+    """Remove a worker that announced its departure, and all its runs.
 
-    The departure does not name the process and may be late, so the runs are kept until
-    the worker's next lists show which go on, or until its lease must have lapsed.
+    The departure does not name the process. Unless that process has announced that it
+    drains, the departure may be a late one of an earlier process. The runs are then
+    kept until the worker's next lists show which go on, or until its lease must have
+    lapsed.
     """
-    if state.registration is not None and state.registration.worker == worker:
-        state.note("worker left", worker=worker, runs=len(state.runs))
-        state.departed = worker, state.registration.worker_incarnation
-        state.departed_ms = state.now_ms
-        state.registration = None
+    registration = state.registration
+    if registration is None or registration.worker != worker:
+        return
+    state.note(
+        "worker left",
+        worker=worker,
+        draining=registration.draining,
+        runs=len(state.runs),
+    )
+    state.departed = worker, registration.worker_incarnation
+    state.registration = None
+    if registration.draining:
+        discard_worker_state(state, 0)
+    else:
+        state.unexpected_departure_ms = state.now_ms
         reset_ends(state, 0)
 
 
 def end_runs_of_departed_worker(state: WorkerState) -> None:
-    """End the runs of a worker that left as `lost` once its lease must have lapsed.
+    """End the runs of a worker that left unexpectedly as `lost`.
 
-    Nothing happens after a worker has answered, since its lists show what goes on.
+    That is done once its lease must have lapsed. The lease is not renewed unless the
+    worker has answered since.
     """
-    if state.departed is None or state.worker_synced or not state.runs:
+    left_ms = state.unexpected_departure_ms
+    if left_ms is None or not state.runs:
         return
     lapse_ms = state.limits.lease_ms * (1 + MAX_CLOCK_DRIFT)
-    if state.now_ms - state.departed_ms > lapse_ms:
+    renewed_ms = left_ms
+    if state.worker_synced:
+        renewed_ms = state.reply_received_ms + DEPARTED_ANSWER_MS
+    if state.now_ms - renewed_ms > lapse_ms:
         discard_worker_state(state, 0)
 
 
@@ -154,7 +175,11 @@
     _resolve_unlisted_runs(state, sent_ms, fence, reply)
     state.lists_read_ms = state.now_ms
     if first_reply:
-        if state.departed is not None and state.departed[1] == reply.worker_incarnation:
+        if (
+            state.unexpected_departure_ms is not None
+            and state.departed is not None
+            and state.departed[1] == reply.worker_incarnation
+        ):
             # The departure was that of an earlier process.
             state.departed = None
         for entry_info in state.entries.values():
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -251,7 +251,8 @@
         departed: Identity and incarnation of the worker that last announced its
             departure; None before the first, and if a worker of this incarnation has
             answered since.
-        departed_ms: When that departure arrived.
+        unexpected_departure_ms: When a departure arrived that the worker had not
+            announced by draining; None if a heartbeat has arrived since.
         worker_incarnation: Start of the worker process, in milliseconds since 1970; 0
             until its lists of runs have been read.
         reply_received_ms: When the newest answer to a lease renewal arrived.
@@ -298,7 +299,7 @@
     heartbeat_ms: int = -1_000_000
     heartbeat_overdue: bool = False
     departed: tuple[str, int] | None = None
-    departed_ms: int = 0
+    unexpected_departure_ms: int | None = None
     worker_incarnation: int = 0
     reply_received_ms: int = -1_000_000
     lists_read_ms: int = -1_000_000
--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -185,3 +185,24 @@
         Action(1_308, "kill_entry", ("e2", 700, True)),
     )
     assert play_plan(Plan(1_163, (300, 300, 1_500, 4_000), actions)) == []
+
+
+def test_a_worker_that_answers_after_its_departure_is_given_up_when_it_ends() -> None:
+    """No heartbeat and no list of runs would ever show the end of its runs."""
+    model = VolatileModel()
+    model.run(SETTLE_MS)
+    for machine in model.machines.values():
+        machine.run_ms = 6_000
+    model.submit("post", job(JOB, volatile=True), "e0", timeout_ms=15_000)
+    model.run(200)
+    worker = model.machines["u0"]
+    assert worker.running
+    model.workers["u0"].core.handle_worker_left(model.now_ms, worker.instance)
+    model.run(100)
+    assert model.workers["u0"].core.state.runs
+    model.cut_worker("u0", "lost", 20_000)
+    model.run(1_700)
+    assert model.workers["u0"].core.state.runs == {}
+    model.run(7_000)
+    assert model.count("done") == 4
+    assert model.overlapping() == []
