Refuse start orders while a run has to end with the lease of its worker

Cause: two runs of one task at a time. When the entry of a run is lost its agent stops the run, and no longer renews the worker's lease 300 ms later. Each start order of another entry renewed that lease all the same, so a run whose stops got lost went on beyond the 2,250 ms after which its job may be begun elsewhere. Class: a permission that has run out is extended on another path.

Change: an agent is not ready for starts while one of its runs is past the time from which the lease must not be renewed.

--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -240,10 +240,7 @@
             and state.now_ms - state.reply_received_ms > DEPARTED_ANSWER_MS
         ):
             return False
-        limits_ms = (run.renewal_end_ms for run in state.runs.values())
-        return not any(
-            limit_ms is not None and state.now_ms >= limit_ms for limit_ms in limits_ms
-        )
+        return not state.awaits_lapse
 
     def _note_overdue_heartbeat(self) -> None:
         """Log once that the newest heartbeat is too old to start runs by it."""
@@ -307,6 +304,7 @@
             if state.now_ms >= run.expires_ms:
                 run.stop_deadline_ms = state.now_ms + state.limits.stop_grace_ms
                 order_stop(state, run, "entry silent")
+                state.mark_states_outdated()
 
     def _resend_stops(self) -> None:
         state = self.state
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -381,7 +381,8 @@
         """Whether the worker may be given new runs.
 
         Orphaned runs of unknown size make the free capacity unknown, so the worker is
-        not ready while it has any.
+        not ready while it has any. Nor is it while a run has to end with the worker's
+        lease, since each start order renews that lease.
         """
         registration = self.registration
         return (
@@ -392,6 +393,15 @@
             and not self.leaving
             and self.now_ms >= self.renewal_blocked_until_ms
             and all(run.cpu is not None for run in self.runs.values())
+            and not self.awaits_lapse
+        )
+
+    @property
+    def awaits_lapse(self) -> bool:
+        """Whether a run goes on for which the worker's lease must not be renewed."""
+        return any(
+            run.renewal_end_ms is not None and self.now_ms >= run.renewal_end_ms
+            for run in self.runs.values()
         )
 
     @property
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -64,6 +64,7 @@
         draining: Whether the worker is about to leave.
         run_ms: Duration of each run.
         fail_all: Whether every run fails, 5 ms after its start.
+        loses_stops: Whether orders to stop a run get lost.
         deadly: Names of tasks that crash the worker 30 ms after their start.
         down_until_ms: When the worker is back after the crash by a deadly task.
         fence: Highest fencing token seen.
@@ -85,6 +86,7 @@
     draining: bool = False
     run_ms: int = 100
     fail_all: bool = False
+    loses_stops: bool = False
     deadly: frozenset[str] = frozenset()
     down_until_ms: int = 0
     fence: int = 0
@@ -152,7 +154,7 @@
     def stop(self, now_ms: int, order: StopRun) -> None:
         """Carry out an order to stop a run; ignored if its token is too low."""
         self.advance(now_ms)
-        if order.fence < self.fence:
+        if order.fence < self.fence or self.loses_stops:
             return
         active_run = self.running.get(order.task)
         if active_run is not None and active_run.run == order.run:
--- a/tests/test_platform_volatile.py
+++ b/tests/test_platform_volatile.py
@@ -319,3 +319,25 @@
     changes = core.take_volatile_changes()
     assert (changes.begun, changes.ended) == ([], [])
     assert (changes.given_up, changes.dropped) == ([JOB], ["b" * 16])
+
+
+def test_start_orders_of_other_entries_do_not_keep_runs_of_a_lost_entry() -> None:
+    """Each start order renews the worker's lease, also that of a run to be stopped.
+
+    Stops that the worker does not get would leave the run to its lease alone, and
+    another entry may begin the job 2,250 ms after the loss.
+    """
+    model = ready_model(agents=1)
+    machine = model.machines["u0"]
+    machine.run_ms = 6_000
+    model.submit("post", job(JOB, count=1, volatile=True), "e1", timeout_ms=9_000)
+    model.run(200)
+    machine.run_ms = 50
+    machine.loses_stops = True
+    model.kill("e1")
+    for number in range(23):
+        spec = job(f"{number:016x}", count=1, volatile=True)
+        model.submit(f"{number}", spec, "e0", timeout_ms=9_000)
+        model.run(100)
+    ends = [what for _, what, task, *_ in model.runs() if task.startswith(JOB)]
+    assert ends == ["start", "lapsed"]
