Derive the age of a usable heartbeat from the platform's bounds

Cause: an agent started nothing by a heartbeat older than 4,200 ms. On a deployment with slower heartbeats or a longer time of contact that would stop all starts after one lost heartbeat; with shorter ones it starts by a capacity that binds no more (rule LIMIT).

Change: the age is the time of contact plus the interval of heartbeats, both from the platform's settings, less 300 ms for the order.

The new test was not run without the change, since the settings did not carry the bounds.

--- a/catkincross/daemons/_own_settings.py
+++ b/catkincross/daemons/_own_settings.py
@@ -21,6 +21,9 @@
 # Time reserved for message delays within and between data centres and for timer delays,
 # in milliseconds.
 MESSAGE_RESERVE_MS = 80
+# A heartbeat is not used for starts this long before the time at which a capacity that
+# has shrunk since is in force, in milliseconds; the order takes up to 100 ms.
+ORDER_RESERVE_MS = 300
 # Runs of a lost entry have to be stopped this long before client accounts send its jobs
 # again, in milliseconds: a state interval of 200 ms, a stop of 50 ms, and delays.
 RESEND_RESERVE_MS = 500
@@ -118,6 +121,7 @@
             state_interval_ms=self.state_interval_ms,
             far_interval_ms=self.far_interval_ms,
             offered_entries=self.offered_entries,
+            heartbeat_valid_ms=node.capacity_change_ms - ORDER_RESERVE_MS,
         )
 
 
--- a/catkincross/platform/_settings.py
+++ b/catkincross/platform/_settings.py
@@ -12,6 +12,8 @@
 # Defaults for bounds that the settings file omits, as documented by the platform.
 DEFAULT_RESEND_MS = 1_300
 DEFAULT_CONFIG_MS = 2_000
+DEFAULT_CONTACT_MS = 3_000
+DEFAULT_HEARTBEAT_MS = 1_500
 NODE_FILE_VARIABLE = "CATKINCROSS_NODE_FILE"
 
 
@@ -45,6 +47,8 @@
         grace_ms: Time from SIGTERM to SIGKILL, in milliseconds.
         remote_factor: Factor on the run time of a task that runs away from the rack of
             its data.
+        capacity_change_ms: Time after which a worker that has shrunk may not be brought
+            over its new capacity, in milliseconds.
     """
 
     name: str
@@ -66,6 +70,7 @@
     status_ms: int
     grace_ms: int
     remote_factor: float
+    capacity_change_ms: int = DEFAULT_CONTACT_MS + DEFAULT_HEARTBEAT_MS
 
 
 def load_node_settings(path: str | None = None) -> NodeSettings:
@@ -116,4 +121,6 @@
         status_ms=int(bounds["status_s"] * 1_000),
         grace_ms=int(bounds["grace_s"] * 1_000),
         remote_factor=float(bounds.get("remote_factor", 1.0)),
+        capacity_change_ms=int(bounds.get("contact_ms", DEFAULT_CONTACT_MS))
+        + int(fields.get("heartbeat_ms", DEFAULT_HEARTBEAT_MS)),
     )
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -70,3 +70,13 @@
     assert volatile_silence_ms(own, node(resend_ms=100)) >= (
         2 * WorkerLimits().state_interval_ms
     )
+
+
+def test_a_heartbeat_is_used_for_starts_until_a_smaller_capacity_binds() -> None:
+    """With other bounds a fixed age starts too much, or nothing between heartbeats."""
+    own = OwnSettings()
+    assert own.worker_limits(node(capacity_change_ms=4_500)) == WorkerLimits(
+        shards=1, lease_ms=1_000
+    )
+    slower = own.worker_limits(node(capacity_change_ms=9_000))
+    assert slower.heartbeat_valid_ms == 8_700
