Ignore the end of a run that another agent does not have

Cause: a second reading found a case of two runs of one task that the check of the ordering process lets through. An entry told a restarted agent to stop an orphaned run and claimed it in the same report, so its end carried the entry's own incarnation and ended the entry's run of the same number on another agent.

Change: a run that is told to stop is not claimed, and an end does not count if another agent has the newest run of that number.

--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -267,14 +267,16 @@
     for running in message.running:
         runs_on_worker.add((running.task, running.run))
         found = state.find_task(running.task)
-        if found is not None:
+        if found is None:
+            # The run may belong to a volatile job of another entry; the agent stops it
+            # if no entry knows it.
+            continue
+        if _adopt_run(state, agent_info, running):
             step_spec = found[1].step_spec
             volatile = found[0] is state.volatile
             size = [running.task, step_spec.cpu, step_spec.memory_mb, step_spec.gpu]
             sizes.append([*size, volatile])
-        # A run of an unknown job may belong to a volatile job of another entry; the
-        # agent stops it if no entry knows it.
-        if found is not None and not _adopt_run(state, agent_info, running):
+        else:
             stop = Stop(shard.number, shard.epoch, running.task, running.run)
             state.send_to_agent(agent_info.name, stop)
     if sizes:
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -85,7 +85,12 @@
         return handle_crash(
             state, shard, agent_info, task, ended_run, worker_incarnation
         )
-    if task.state is TaskState.DONE or ended_run.run < task.run:
+    elsewhere = (
+        task.state is TaskState.ASSIGNED
+        and task.run == ended_run.run
+        and task.agent != agent_info.name
+    )
+    if task.state is TaskState.DONE or ended_run.run < task.run or elsewhere:
         state.note(
             "end of a superseded run",
             task=ended_run.task,
--- a/tests/test_platform_run_identity.py
+++ b/tests/test_platform_run_identity.py
@@ -89,3 +89,28 @@
     assert len(numbers) == len(set(numbers)) == 2
     assert model.overlapping() == []
     assert model.answers["again"].detail == "completed"
+
+
+def test_the_end_of_an_orphaned_run_does_not_end_the_run_on_another_agent() -> None:
+    """The orphan was claimed together with the order to stop it.
+
+    Its agent was restarted after the loss of the entry that had ordered it. The two
+    runs overlap until the stop, and the task must not be started a third time.
+    """
+    model = ready_model(entries=2, agents=2)
+    for machine in model.machines.values():
+        machine.run_ms = 5_000
+    model.submit("post", job(JOB, count=1, volatile=True), "e0", timeout_ms=15_000)
+    model.run(200)
+    busy = next(name for name, machine in model.machines.items() if machine.running)
+    model.kill("e0")
+    model.run(100)
+    model.kill(busy)
+    model.run(300)
+    model.submit("again", job(JOB, count=1, volatile=True), "e1", timeout_ms=15_000)
+    model.run(100)
+    model.start_agent(busy)
+    model.run(9_000)
+    assert model.count("start", TASK) == 2
+    assert len(model.overlapping()) <= 1
+    assert model.answers["again"].detail == "completed"
