Keep the runs of a draining worker after a departure until they are known to end

Cause: a second reading showed two runs of a task after a late departure of an earlier worker process, if the present process drains: its runs were reported as lost and started elsewhere while they went on.

Change: only a worker that drains and has no runs is taken as gone at once.

--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -85,10 +85,9 @@
 def record_departure(state: WorkerState, worker: str) -> None:
     """Remove a worker that announced its departure, and all its runs.
 
-    The departure does not name the process. Unless that process has announced that it
-    drains, the departure may be a late one of an earlier process. The runs are then
-    kept until the worker's next lists show which go on, or until its lease must have
-    lapsed.
+    The departure does not name the process, and may be a late one of an earlier
+    process. Runs are kept until the worker's next lists show which go on, or until its
+    lease must have lapsed. A worker that drains and has no runs has left.
     """
     registration = state.registration
     if registration is None or registration.worker != worker:
@@ -101,7 +100,7 @@
     )
     state.departed = worker, registration.worker_incarnation
     state.registration = None
-    if registration.draining:
+    if registration.draining and not state.runs:
         discard_worker_state(state, 0)
     else:
         state.unexpected_departure_ms = state.now_ms
--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -206,3 +206,36 @@
     model.run(7_000)
     assert model.count("done") == 4
     assert model.overlapping() == []
+
+
+def test_a_late_departure_ends_no_run_while_the_present_worker_drains() -> None:
+    """Draining does not tell which process of the worker a departure is of."""
+    model = VolatileModel()
+    model.run(SETTLE_MS)
+    for machine in model.machines.values():
+        machine.run_ms = 3_000
+    worker = model.machines["u0"]
+    model.submit("post", job(JOB, volatile=True), "e0", timeout_ms=9_000)
+    model.run(200)
+    assert worker.running
+    model.register("u0", draining=True)
+    model.run(100)
+    model.workers["u0"].core.handle_worker_left(model.now_ms, worker.instance)
+    model.run(8_000)
+    assert model.overlapping() == []
+    assert model.count("done") == 4
+
+
+def test_a_stop_does_not_end_the_run_of_another_entry() -> None:
+    """Both entries number the runs of the same volatile job from 1."""
+    model = ready_model(entries=2, agents=1)
+    model.machines["u0"].run_ms = 3_000
+    model.submit("post", job(JOB, count=1, volatile=True), "e0", timeout_ms=9_000)
+    model.run(200)
+    core = model.workers["u0"].core
+    epoch = model.owners["e1"].core.state.volatile.epoch
+    stop = Stop(VOLATILE_SHARD, epoch, f"{JOB}.0.0.0", 1)
+    core.handle_entry_message(model.now_ms, "e1", stop)
+    model.run(4_000)
+    assert model.count("stopped") == 0
+    assert model.answers["post"].detail == "completed"
