Ignore a stop that names the run of another entry

Cause: entries number the runs of the same volatile job from 1. A stop of an entry whose start was refused, since another entry's run of the task was there, stopped that run (found by reading, shown by the test).

Change: an agent stops a run of a volatile job only for the process that has it; to any other one it answers that it does not have the run.

Measured: test_a_stop_does_not_end_the_run_of_another_entry failed before and passes.

--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -248,6 +248,11 @@
     if not volatile and (lease is None or lease.epoch != message.epoch):
         return
     run = state.runs.get((message.task, message.run))
+    if run is not None and volatile and run.entry:
+        owner = run.entry, run.incarnation
+        if owner != (entry_info.name, message.epoch):
+            # Each entry numbers the runs of the same volatile job from 1.
+            run = None
     if run is None:
         ends = [] if volatile else list(state.ends.values())
         ends += (report.ended for report in state.crash_reports.values())
