--- a/catkincross/workers/__init__.py
+++ b/catkincross/workers/__init__.py
@@ -4,7 +4,7 @@
 
 from ._core import MAX_CLOCK_DRIFT, WorkerCore
 from ._effects import Note, SendToEntry, StartRun, StopRun
-from ._state import WorkerLimits
+from ._limits import WorkerLimits
 from ._worker_messages import (
     LeaseRenewal,
     LeaseRenewalReply,
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -9,6 +9,7 @@
 from ..jobs import VOLATILE_SHARD, shard_of
 from ..peers import EndedRun, EntryDirectory, WorkerProfile
 from ._effects import Effect, Note, SendToEntry
+from ._limits import WorkerLimits
 from ._worker_messages import Registration
 
 # A worker counts as shared with an entry for this long after an order from it, in
@@ -16,78 +17,6 @@
 SHARED_MS = 1_000
 
 
-@attrs.frozen
-class WorkerLimits:
-    """Durations and sizes that bound the agent, in milliseconds unless stated.
-
-    Attributes:
-        shards: Number of job shards.
-        lease_ms: Longest lease that the worker grants.
-        stop_grace_ms: How long the agent keeps renewing the worker's lease while a run
-            whose owner's lease has expired is still running. After that the worker's
-            lease expires too, which ends all its runs.
-        orphan_run_ms: How long an orphaned run is kept, that is, a run found on the
-            worker that no entry has claimed yet.
-        state_interval_ms: Longest time between two states sent to an entry that has a
-            run here.
-        idle_state_interval_ms: The same for an offered entry that has none.
-        progress_interval_ms: Shortest time between two progress messages to an entry.
-        min_interval_run_ended_ms: Shortest time between two states sent to an entry
-            after one of its runs has ended.
-        min_interval_waiting_ms: Shortest time between two states sent to an offered
-            entry that has tasks waiting for capacity.
-        turn_ms: Shortest time between states sent to two entries that have waiting
-            tasks.
-        min_interval_idle_ms: Shortest time between two states sent to an offered entry
-            that has no waiting tasks.
-        far_interval_ms: Time between two states sent to an entry that is not offered.
-        offered_entries: Number of offered entries, that is, entries that may send
-            tasks.
-        renewal_wait_ms: How long the worker may wait for a run to end before it answers
-            a lease renewal.
-        heartbeat_valid_ms: How long after a heartbeat runs are started by the capacity
-            that it states.
-    """
-
-    shards: int = 16
-    lease_ms: int = 1_000
-    stop_grace_ms: int = 300
-    # A run outlives the agent process that started it by at most one worker lease. An
-    # owner waits 2,000 ms plus 1,450 ms for a silent agent, which covers that lease
-    # and this time.
-    orphan_run_ms: int = 900
-    # A quarter of the silence of an entry after which its volatile jobs' runs are
-    # stopped.
-    state_interval_ms: int = 200
-    # Half of that silence, so that a lost packet leaves the lease valid for the next
-    # start order.
-    idle_state_interval_ms: int = 400
-    # The worker's lists are read at most 250 ms apart.
-    progress_interval_ms: int = 300
-    # Batches changes that occur together; well below the shortest tasks of 50 ms.
-    min_interval_run_ended_ms: int = 10
-    # Bounds the extra wait of a queued task to less than the shortest task of 50 ms.
-    min_interval_waiting_ms: int = 30
-    # The orders of one entry arrive before the next one learns of free capacity. If all
-    # learn of it at once, most of their orders find it taken.
-    turn_ms: int = 8
-    # Most messages are states that follow starts and ends of other entries' runs. An
-    # entry without waiting tasks needs them only to choose among free workers.
-    min_interval_idle_ms: int = 150
-    # Links are closed as silent after 1,600 ms, so one lost state is tolerated.
-    far_interval_ms: int = 700
-    # A data centre has up to three entries; the other two offered entries belong to
-    # other data centres and take over its bursts. Message traffic grows with this
-    # number instead of with the number of entries.
-    offered_entries: int = 5
-    # A quarter of the lease, so that three consecutive renewals may fail.
-    renewal_wait_ms: int = 250
-    # A start may bring a worker over its new capacity until 4,500 ms after it shrank,
-    # which may have been just after the heartbeat. The rest is for the order. Two
-    # heartbeats in a row may be lost.
-    heartbeat_valid_ms: int = 4_200
-
-
 @attrs.define(eq=False)
 class Run:
     """A run that is in progress on the worker or has been ordered there.
