--- a/catkincross/owner/__init__.py
+++ b/catkincross/owner/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..jobs import AppendOutcome
-from ._core import OwnerCore, OwnerLimits
+from ._core import OwnerCore
 from ._effects import (
     Append,
     BroadcastToEntries,
@@ -12,6 +12,7 @@
     Reply,
     SendToAgent,
 )
+from ._limits import OwnerLimits
 from ._shard import Shard, ShardPhase
 
 __all__ = [
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -17,6 +17,7 @@
 )
 from ._agents import AgentInfo
 from ._effects import Effect
+from ._limits import OwnerLimits
 from ._recovery import (
     assign_shards,
     check_membership,
@@ -25,7 +26,7 @@
 )
 from ._requests import cancel, job_state, submit
 from ._shard import ShardPhase, VolatileChange, VolatileShard
-from ._state import AGENT_HANDLERS, OWNER_SYSTEMS, OwnerLimits, OwnerState
+from ._state import AGENT_HANDLERS, OWNER_SYSTEMS, OwnerState
 from ._volatile import abandon, submit_volatile
 from ._wall_clock import WallClock
 
