Move the effects of the platform model into their own module

Change: the methods that carry out effects, Host and the delays that they use move unchanged to scenarios/platform_effects.py. Model derives from EffectsMixin, so its methods stay where callers find them.

--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -19,7 +19,8 @@
 from catkincross.peers import Answer, Greeting, LostVolatileJobs, VolatileJobs
 from catkincross.workers import StartOutcome, StartRun, StopRun
 
-from .platform_model import CALL_MS, LINK_MS, RENEWAL_MS, Host, Model
+from .platform_effects import CALL_MS, LINK_MS, RENEWAL_MS, Host
+from .platform_model import Model
 
 ANNOUNCE_MS = 40
 ANNOUNCE_ENDED_MS = 400
