Move the requests of the model of volatile jobs into their own module

Change: Request, Node and the methods that handle requests move unchanged to scenarios/volatile_requests.py. VolatileModel derives from RequestsMixin; scenarios/volatile_fuzz.py imports Request from the new module.

--- a/scenarios/volatile_fuzz.py
+++ b/scenarios/volatile_fuzz.py
@@ -15,7 +15,8 @@
 from catkincross.peers import Answer
 
 from .platform_model import SETTLE_MS, job
-from .volatile_model import Request, VolatileModel
+from .volatile_model import VolatileModel
+from .volatile_requests import Request
 
 ENTRIES = 3
 AGENTS = 4
--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -13,21 +13,20 @@
 
 import attrs
 
-from catkincross.dispatch import LiveHolder, NoHolder, PeerVolatileJobs
-from catkincross.jobs import JobSpec
+from catkincross.dispatch import PeerVolatileJobs
 from catkincross.owner import OwnerLimits, Reply
-from catkincross.peers import Answer, Greeting, LostVolatileJobs, VolatileJobs
+from catkincross.peers import Greeting, LostVolatileJobs, VolatileJobs
 from catkincross.workers import StartOutcome, StartRun, StopRun
 
 from .platform_effects import CALL_MS, LINK_MS, RENEWAL_MS, Host
 from .platform_model import Model
+from .volatile_requests import REMOTE_RETRY_MS, Node, RequestsMixin
 
 ANNOUNCE_MS = 40
 ANNOUNCE_ENDED_MS = 400
 # Interval at which entries open missing links and close silent ones.
 MAINTAIN_MS = 250
 SILENT_LINK_MS = 1_600
-REMOTE_RETRY_MS = 50
 HEARTBEAT_MS = 1_500
 # Time after which a call to a worker counts as unanswered.
 START_TIMEOUT_MS = 100
@@ -35,54 +34,7 @@
 
 
 @attrs.define(eq=False)
-class Request:
-    """A request of a client account at an entry.
-
-    Attributes:
-        key: Identifies the request.
-        spec: The job.
-        deadline_ms: Time until which the client account waits.
-        on_answer: Called with the answer.
-        asked: Entry that was asked for the job, with the key of the question.
-        unanswered: Whether an entry may have begun the job without an answer.
-        closed: Whether the entry knows that the client account has left.
-    """
-
-    key: str
-    spec: JobSpec
-    deadline_ms: int
-    on_answer: Callable[[Answer], None]
-    asked: tuple[str, str] | None = None
-    unanswered: bool = False
-    closed: bool = False
-
-
-@attrs.define(eq=False)
-class Node:
-    """An entry with what it knows of the volatile jobs of other entries.
-
-    Attributes:
-        host: The entry's process.
-        greeting: Its greeting on links to other entries.
-        peer_jobs: Volatile jobs of other entries.
-        heard_ms: When another entry was last heard, by name, while the link that this
-            entry has opened to it is open.
-        linked: The process at the other end of that link, by name.
-        requests: Open requests by key.
-        announced_ms: When changes were last announced.
-    """
-
-    host: Host
-    greeting: Greeting
-    peer_jobs: PeerVolatileJobs
-    heard_ms: dict[str, int] = attrs.field(factory=dict)
-    linked: dict[str, Node] = attrs.field(factory=dict)
-    requests: dict[str, Request] = attrs.field(factory=dict)
-    announced_ms: int = 0
-
-
-@attrs.define(eq=False)
-class VolatileModel(Model):
+class VolatileModel(RequestsMixin, Model):
     """The model; see `Model`.
 
     Attributes:
@@ -319,116 +271,6 @@
                 self._tell(node, other, changes)
         self.at(ANNOUNCE_MS, self._announce)
 
-    # Requests, as in `VolatileRequests`.
-
-    def receive(self, name: str, request: Request) -> None:
-        """Let an entry receive a request for a volatile job."""
-        node = self.nodes[name]
-        node.requests[request.key] = request
-        self.run_or_ask(node, request)
-
-    def run_or_ask(self, node: Node, request: Request) -> None:
-        """Run a job here, ask the entry that has it, or wait for a lost one."""
-        if not self.awake(node.host):
-            self.when_awake(node.host, lambda: self.run_or_ask(node, request))
-            return
-        if request.closed or request.asked or request.key not in node.requests:
-            return
-        holder = node.peer_jobs.find_holder(request.spec.id, self.now_ms)
-        remaining_ms = request.deadline_ms - self.now_ms
-        if isinstance(holder, NoHolder):
-            request.asked = node.host.name, request.key
-            self._submit(node, request.key, request.spec, remaining_ms)
-            return
-        if isinstance(holder, LiveHolder):
-            if self._ask(node, holder.address, request, remaining_ms):
-                return
-            request.unanswered = True
-        wait_ms = max(holder.wait_ms, REMOTE_RETRY_MS)
-        if remaining_ms <= wait_ms:
-            self._answer(node, request, Answer(0, "unknown", "lost entry"))
-        else:
-            self.at(wait_ms, lambda: self.run_or_ask(node, request))
-
-    def _submit(self, node: Node, key: str, spec: JobSpec, timeout_ms: int) -> None:
-        core = node.host.core
-        core.submit(self.now_ms, key, spec, timeout_ms=timeout_ms)
-        self.step(node.host)
-
-    def _ask(
-        self, node: Node, address: str, request: Request, remaining_ms: int
-    ) -> bool:
-        other = node.linked.get(address)
-        if other is None or remaining_ms <= 0:
-            return False
-        key = f"{node.host.name}>{request.key}@{self.now_ms}"
-        request.asked = address, key
-        node.peer_jobs.record_question(address, request.spec.id, self.now_ms)
-        self.send(
-            node.host.name,
-            address,
-            lambda: self.when_awake(
-                other.host,
-                lambda: self._submit(other, key, request.spec, remaining_ms),
-            ),
-        )
-
-        def expire() -> None:
-            if request.asked == (address, key):
-                request.asked, request.unanswered = None, True
-                self.run_or_ask(node, request)
-
-        self.at(remaining_ms, expire)
-        return True
-
-    def leave(self, name: str, request: Request) -> None:
-        """Let an entry note that a client account has left."""
-        node = self.nodes.get(name)
-        if node is None or node.requests.pop(request.key, None) is None:
-            return
-        request.closed = True
-        if request.asked is None:
-            return
-        holder, key = request.asked
-        node.peer_jobs.record_answer(holder, request.spec.id)
-        other = self.nodes.get(holder)
-        if other is None:
-            return
-
-        def abandon() -> None:
-            other.host.core.abandon(self.now_ms, key, request.spec.id)
-            self.step(other.host)
-
-        self.send(name, holder, lambda: self.when_awake(other.host, abandon))
-
-    def _answer(self, node: Node, request: Request, answer: Answer) -> None:
-        if node.requests.pop(request.key, None) is None:
-            return
-        rejected = answer.outcome == "rejected"
-        may_have_run = node.peer_jobs.may_have_run(request.spec.id)
-        if rejected and (request.unanswered or may_have_run):
-            answer = Answer(0, "unknown", answer.detail)
-        request.on_answer(answer)
-
-    def _reply(self, host: Host, reply: Reply) -> None:
-        asking = reply.request.partition(">")[0] if ">" in reply.request else ""
-        node = self.nodes.get(asking or host.name)
-        if node is None:
-            return
-
-        def arrive() -> None:
-            for request in list(node.requests.values()):
-                if request.asked == (host.name, reply.request):
-                    node.peer_jobs.record_answer(host.name, request.spec.id)
-                    if asking and reply.answer.outcome == "rejected":
-                        node.peer_jobs.record_rejection(host.name, request.spec.id)
-                    self._answer(node, request, reply.answer)
-
-        if asking:
-            self.send(host.name, asking, lambda: self.when_awake(node.host, arrive))
-        else:
-            arrive()
-
     # Workers.
 
     def _carry_out(self, host: Host, effect: Any) -> None:
