Drop requests of lost entries at once after a pause of the process

Cause: a second reading found that an entry which stands still for longer than other entries wait keeps their requests for up to 800 ms after it goes on, and starts their jobs again in that time while the others run them (model, with the drop played by a script: two runs for 800 ms). The limit on the holder's side was a timer of the process that stood still.

Change: after a pause of more than one second requests end with their link, and those of a silent link end when it is closed.

Measured: test_a_job_of_a_lost_asker_does_not_go_on_after_a_pause failed before and passes.

--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -34,6 +34,9 @@
 # Time after the close of an entry's link for which its requests are kept, in
 # milliseconds. If only the connection was reset, the entry sends them again.
 ASKER_GRACE_MS = 400
+# A longer time between two checks means that the process or its host was paused, in
+# milliseconds.
+PAUSE_MS = 1_000
 # Longest time after an entry has last sent something on its link until its requests for
 # volatile jobs are dropped here, in milliseconds, with a reserve for late steps.
 ASKER_RELEASE_MS = LINK_TIMEOUT_MS + LINK_CHECK_MS + ASKER_GRACE_MS + 100
@@ -58,6 +61,8 @@
     Attributes:
         agents: Link of each connected agent, by name.
         entries: Greeting of each other entry, by its link.
+        checked_ms: Time of the newest check for silent links, on the same clock.
+        resumed_ms: When the process went on after its last pause, on the same clock.
         heard_ms: Time of the last message on the link of each entry, on the clock of
             the process.
         announced: Data centre by address of the entries last announced to the agents.
@@ -86,6 +91,8 @@
         self.agents: dict[str, Link] = {}
         self.entries: dict[Link, Greeting] = {}
         self.heard_ms: dict[Link, int] = {}
+        self.checked_ms = clock.now_ms()
+        self.resumed_ms = self.checked_ms - PAUSE_MS
         self.announced: dict[str, str] = {}
         self.announced_to_entries: dict[str, str] = {}
 
@@ -155,9 +162,13 @@
         greeting = self.entries.pop(link, None)
         if greeting is not None:
             self.heard_ms.pop(link, None)
-            asyncio.get_running_loop().call_later(
-                ASKER_GRACE_MS / MS_PER_S, self._abandon_requests, link
-            )
+            if self._paused_lately():
+                # The entry may have begun its jobs itself during the pause.
+                self._abandon_requests(link)
+            else:
+                asyncio.get_running_loop().call_later(
+                    ASKER_GRACE_MS / MS_PER_S, self._abandon_requests, link
+                )
             if not self._is_linked(greeting):
                 self.peer_jobs.mark_entry_lost(greeting, now_ms=self.clock.now_ms())
             self._update_linked_entries()
@@ -166,6 +177,12 @@
             self.core.handle_agent_lost(self.clock.now_ms(), link.peer.name)
             self.schedule_step()
 
+    def _paused_lately(self) -> bool:
+        now_ms = self.clock.now_ms()
+        return now_ms - self.checked_ms > PAUSE_MS or (
+            now_ms - self.resumed_ms < PAUSE_MS
+        )
+
     def _abandon_requests(self, link: Link) -> None:
         """Drop the requests for volatile jobs that came on a closed link.
 
@@ -230,11 +247,15 @@
         while True:
             await asyncio.sleep(LINK_CHECK_MS / MS_PER_S)
             now_ms = self.clock.now_ms()
+            if now_ms - self.checked_ms > PAUSE_MS:
+                self.resumed_ms = now_ms
+            self.checked_ms = now_ms
             for entry_link, heard_ms in list(self.heard_ms.items()):
                 if now_ms - heard_ms > LINK_TIMEOUT_MS:
                     name = entry_link.peer.name
                     self.log.note("peer silent", entry=name, age_ms=now_ms - heard_ms)
                     entry_link.close()
+                    self._abandon_requests(entry_link)
             for name, link in list(self.agents.items()):
                 agent_info = self.core.state.agents[name]
                 heard_ms = max(agent_info.received_ms, agent_info.connected_ms)
--- a/tests/test_platform_lost_askers.py
+++ b/tests/test_platform_lost_askers.py
@@ -131,6 +131,18 @@
     assert not holds_job(scenario)
 
 
+def test_a_job_of_a_lost_asker_does_not_go_on_after_a_pause() -> None:
+    """The asker has begun the job in the pause, so its requests are not kept at all."""
+
+    async def scenario(entry: EntryDaemon) -> None:
+        link = open_link(entry)
+        ask(link, 1)
+        entry.entry_links.checked_ms = entry.clock.now_ms() - 6_000
+        link.connection_lost(ConnectionResetError())
+
+    assert not holds_job(scenario)
+
+
 def test_a_job_goes_on_if_its_asker_asks_again_on_a_new_link() -> None:
     """A connection that was reset must not cost the runs of its jobs."""
 
