Replace what is known of an entry's jobs by the list on a new link

Cause: an entry announces ends on its open links only.

Change: the first list on a link says that it is complete, and jobs that are not in it are forgotten, except those with a request that has no answer yet.

Measured: test_a_job_that_ended_while_its_entry_was_cut_off_is_not_held_there is new and passes; it could not run before, since the list did not say so.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -25,7 +25,7 @@
     Reply,
     SendToAgent,
 )
-from ..peers import Answer, Ask, Greeting, Link, VolatileJobs
+from ..peers import Answer, Ask, Greeting
 from ..platform import (
     DeclarationFeed,
     GroupAssignment,
@@ -110,7 +110,6 @@
             log.note_error,
         )
         self.owner_requests.on_backlogs = self.core.update_peer_backlogs
-        self.owner_requests.on_connected = self._on_connected
         run_expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
         self.peer_jobs = PeerVolatileJobs(run_expiry_ms, ASKER_RELEASE_MS)
         self.leaving = False
@@ -133,6 +132,7 @@
         self.volatile_requests = VolatileRequests(
             self.core, self.core_loop, self.peer_jobs, self.owner_requests, clock, log
         )
+        self.owner_requests.on_connected = self.volatile_requests.announce_all
         self._join_task: asyncio.Task[None] | None = None
 
     @property
@@ -321,12 +321,6 @@
                 self.core.abandon(now_ms, request, ask.job_id)
         self.core_loop.schedule_step()
 
-    def _on_connected(self, link: Link) -> None:
-        """Tell another entry which volatile jobs are held here, or by lost entries."""
-        for lost in self.peer_jobs.lost_jobs(self.clock.now_ms()):
-            link.send(lost)
-        link.send(VolatileJobs(self.core.volatile_job_ids(), []))
-
     def _on_entries_changed(self) -> None:
         self.log.note("owners", owners=sorted(set(self.owners.by_shard.values())))
         self.entry_links.announce_entries()
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -8,7 +8,7 @@
 from ..dispatch import LiveHolder, NoHolder, PeerVolatileJobs
 from ..jobs import JobSpec, to_fields
 from ..owner import OwnerCore
-from ..peers import Answer, Ask, VolatileJobs
+from ..peers import Answer, Ask, Link, VolatileJobs
 from ._core_loop import CoreLoop
 from ._log import DecisionLog
 from ._owner_requests import LINK_CLOSED, OwnerRequests
@@ -183,6 +183,12 @@
         while requests and self.clock.now_ms() < end_ms:
             await asyncio.sleep(FINISH_POLL_S)
 
+    def announce_all(self, link: Link) -> None:
+        """Tell another entry which volatile jobs are held here, or by lost entries."""
+        for lost in self.peer_jobs.lost_jobs(self.clock.now_ms()):
+            link.send(lost)
+        link.send(VolatileJobs(self.core.volatile_job_ids(), [], complete=True))
+
     async def announce_jobs(self) -> None:
         """Announce the volatile jobs that begin and end here, until cancelled."""
         waited_s = 0.0
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -119,6 +119,9 @@
         peer = self.entries.get((greeting.name, greeting.incarnation))
         if peer is None:
             return
+        if changes.complete:
+            # Ends that were announced while the link was closed did not arrive.
+            peer.jobs.intersection_update(peer.asked_ms)
         peer.jobs.update(changes.begun)
         for ended in (changes.ended, changes.given_up, changes.dropped):
             peer.jobs.difference_update(ended)
--- a/catkincross/peers/_entry_messages.py
+++ b/catkincross/peers/_entry_messages.py
@@ -97,12 +97,14 @@
         ended: Jobs that are complete or failed; the entry keeps their answer for 4 s.
         given_up: Jobs that were given up after tasks had been sent.
         dropped: Jobs that were given up before that; they have not run.
+        complete: Whether `begun` lists all jobs that the entry has, as on a new link.
     """
 
     begun: list[str]
     ended: list[str]
     given_up: list[str] = attrs.field(factory=list)
     dropped: list[str] = attrs.field(factory=list)
+    complete: bool = False
 
 
 @register_message
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -383,3 +383,18 @@
         assert entry.stopped.is_set()
 
     asyncio.run(run())
+
+
+def test_a_job_that_ended_while_its_entry_was_cut_off_is_not_held_there() -> None:
+    """The end was announced on the closed link, and the job stayed held for good."""
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16, "b" * 16, "c" * 16], []), 0)
+    peer_jobs.record_question("e2:1", "b" * 16, 0)
+    peer_jobs.mark_entry_lost(greeting, now_ms=10)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["c" * 16], [], complete=True), 20)
+    assert peer_jobs.find_holder("a" * 16, 20) == NoHolder()
+    assert peer_jobs.find_holder("b" * 16, 20) == LiveHolder("e2:1")
+    assert peer_jobs.find_holder("c" * 16, 20) == LiveHolder("e2:1")
