Do not count the own process as a lost entry

Cause: since a new link carries the jobs of lost entries, an entry that was reconnected after a reset was told that it was lost itself.

Change: an entry ignores what others tell of its own process.

Measured: test_an_entry_does_not_count_itself_as_lost is new and passes.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -111,7 +111,9 @@
         )
         self.owner_requests.on_backlogs = self.core.update_peer_backlogs
         run_expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
-        self.peer_jobs = PeerVolatileJobs(run_expiry_ms, ASKER_RELEASE_MS)
+        self.peer_jobs = PeerVolatileJobs(
+            run_expiry_ms, ASKER_RELEASE_MS, (settings.name, self.incarnation)
+        )
         self.leaving = False
         self.store_reachable = True
         self.open_requests = 0
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -98,11 +98,13 @@
             runs of its volatile jobs, in milliseconds.
         release_ms: Longest time for which an entry that is cut off keeps the request of
             another one after it was last reached, in milliseconds.
+        own_process: Name and incarnation of this entry.
         entries: Other entries by name and incarnation.
     """
 
     run_expiry_ms: int
     release_ms: int = 0
+    own_process: tuple[str, int] = ("", 0)
     entries: dict[tuple[str, int], _PeerEntry] = attrs.field(factory=dict)
 
     def add_entry(self, greeting: Greeting) -> None:
@@ -198,9 +200,12 @@
     def add_lost_jobs(self, lost: LostVolatileJobs, now_ms: int) -> None:
         """Record the jobs of a lost entry that another entry knows.
 
-        Nothing is recorded if this entry still has a link to that process.
+        Nothing is recorded if this entry still has a link to that process, or is that
+        process itself.
         """
         key = lost.name, lost.incarnation
+        if key == self.own_process:
+            return
         peer = self.entries.setdefault(key, _PeerEntry(lost.address, lost_ms=0))
         if peer.lost_ms is not None:
             peer.jobs.update(lost.jobs)
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -385,6 +385,20 @@
     asyncio.run(run())
 
 
+def test_an_entry_does_not_count_itself_as_lost() -> None:
+    """Another entry that lost the link to it tells the jobs of lost entries."""
+    other = PeerVolatileJobs(run_expiry_ms=2_250)
+    own = Greeting("entry", "e1", 3, "e1:1")
+    other.add_entry(own)
+    other.update(own, VolatileJobs(["a" * 16], []), 0)
+    other.mark_entry_lost(own, now_ms=10)
+    own_view = PeerVolatileJobs(run_expiry_ms=2_250, own_process=("e1", 3))
+    for lost in other.lost_jobs(20):
+        own_view.add_lost_jobs(lost, 20)
+    assert own_view.find_holder("a" * 16, 20) == NoHolder()
+    assert not own_view.may_have_run("a" * 16)
+
+
 def test_a_job_that_ended_while_its_entry_was_cut_off_is_not_held_there() -> None:
     """The end was announced on the closed link, and the job stayed held for good."""
     greeting = Greeting("entry", "e2", 7, "e2:1")
