--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -12,6 +12,7 @@
 from ..peers import Backlog, VolatileJobs
 from . import (
     _due_steps as _due_steps,
+    _lost_agents as _lost_agents,
     _placement as _placement,
     _retention as _retention,
 )
--- /dev/null
+++ b/catkincross/owner/_lost_agents.py
@@ -0,0 +1,80 @@
+"""Lost agents: those of earlier owners are sought, and their tasks run elsewhere."""
+
+from __future__ import annotations
+
+from ..jobs import Task
+from ..peers import SeekAgents
+from ._effects import BroadcastToEntries
+from ._recovery import agents_resolved
+from ._state import OwnerState, owner_system
+
+# Interval at which agents are sought that may have runs of an earlier owner.
+SEEK_INTERVAL_MS = 300
+# Agents without a link or tasks are forgotten after this time. Their leases have ended
+# long before.
+FORGET_AGENT_MS = 30_000
+
+
+@owner_system(order=90)
+def seek_unresolved_agents(state: OwnerState) -> None:
+    """Ask the other entries to put this one in touch with unresolved agents.
+
+    Agents have links only to the entries that they offer capacity to, and a new owner
+    may be none of these.
+    """
+    if state.now_ms < state.next_seek_ms:
+        return
+    state.next_seek_ms = state.now_ms + SEEK_INTERVAL_MS
+    names: set[str] = set()
+    for shard in state.shards.values():
+        names |= shard.unresolved
+    names = {name for name in names if not _is_connected(state, name)}
+    if names:
+        state.effects.append(BroadcastToEntries(SeekAgents(sorted(names))))
+
+
+def _is_connected(state: OwnerState, name: str) -> bool:
+    agent_info = state.agents.get(name)
+    return agent_info is not None and agent_info.connected
+
+
+@owner_system(order=100)
+def expire_lost_agents(state: OwnerState) -> None:
+    """Queue tasks of lost agents again once their runs must have been stopped.
+
+    Also stop waiting for agents of earlier owners whose leases must have ended.
+    """
+    limits = state.limits
+    for agent_info in list(state.agents.values()):
+        if agent_info.connected:
+            continue
+        if not agent_info.assigned_tasks:
+            if state.now_ms - agent_info.lost_ms > FORGET_AGENT_MS:
+                del state.agents[agent_info.name]
+            continue
+        silent_ms = state.now_ms - agent_info.lease_sent_ms - limits.lapse_ms
+        for task in list(agent_info.assigned_tasks):
+            volatile = task.job.spec.volatile
+            limit_ms = limits.volatile_silence_ms if volatile else limits.silence_ms
+            if silent_ms < limit_ms:
+                continue
+            state.note(
+                "run of a lost agent given up", agent=agent_info.name, task=task.name
+            )
+            if (task.name, task.run) not in _pending_ends_of(state, task):
+                state.requeue(task)
+            agent_info.assigned_tasks.discard(task)
+    for shard in state.shards.values():
+        if shard.unresolved and state.now_ms >= shard.unresolved_until_ms:
+            state.note(
+                "agents of earlier owners given up",
+                shard=shard.number,
+                agents=sorted(shard.unresolved),
+            )
+            shard.unresolved.clear()
+            agents_resolved(state, shard)
+
+
+def _pending_ends_of(state: OwnerState, task: Task) -> set[tuple[str, int]]:
+    shard = state.shard_for(task.job.spec.id)
+    return shard.pending_ends if shard is not None else set()
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -1,4 +1,4 @@
-"""Takeover of shards, and recovery of runs of earlier owners and lost agents."""
+"""Takeover of shards, and recovery of runs of earlier owners."""
 
 from __future__ import annotations
 
@@ -9,28 +9,22 @@
     Lease,
     Report,
     RunningTask,
-    SeekAgents,
     Sizes,
     Stop,
     WorkerProfile,
 )
 from ._agents import AgentInfo
-from ._effects import BroadcastToEntries, ClaimShard
+from ._effects import ClaimShard
 from ._requests import stop_run
 from ._runs import handle_ends
 from ._shard import Shard, ShardPhase
-from ._state import OwnerState, agent_handler, owner_system
+from ._state import OwnerState, agent_handler
 
 # Shortest time between the states of an agent that two leases answer. It is below the
 # interval at which an idle agent sends its state, so that each of these states is
 # answered by a lease. It counts on the agent's clock: an entry that was paused reads
 # several states at once, and a lease that answers the oldest one has nearly ended.
 LEASE_INTERVAL_MS = 180
-# Interval at which agents are sought that may have runs of an earlier owner.
-SEEK_INTERVAL_MS = 300
-# Agents without a link or tasks are forgotten after this time. Their leases have ended
-# long before.
-FORGET_AGENT_MS = 30_000
 
 
 def assign_shards(state: OwnerState, numbers: list[int], generation: int) -> None:
@@ -253,7 +247,7 @@
         unresolved=len(shard.unresolved),
     )
     if not shard.unresolved:
-        _agents_resolved(state, shard)
+        agents_resolved(state, shard)
 
 
 def _reconcile_runs(
@@ -321,7 +315,7 @@
     return True
 
 
-def _agents_resolved(state: OwnerState, shard: Shard) -> None:
+def agents_resolved(state: OwnerState, shard: Shard) -> None:
     """Queue the jobs that were held back until all agents were resolved.
 
     The log then names only the agents that are connected or may still hold runs.
@@ -345,68 +339,3 @@
         for task in agent_info.assigned_tasks
         if state.shard_for(task.job.spec.id) is shard
     ]
-
-
-@owner_system(order=90)
-def seek_unresolved_agents(state: OwnerState) -> None:
-    """Ask the other entries to put this one in touch with unresolved agents.
-
-    Agents have links only to the entries that they offer capacity to, and a new owner
-    may be none of these.
-    """
-    if state.now_ms < state.next_seek_ms:
-        return
-    state.next_seek_ms = state.now_ms + SEEK_INTERVAL_MS
-    names: set[str] = set()
-    for shard in state.shards.values():
-        names |= shard.unresolved
-    names = {name for name in names if not _is_connected(state, name)}
-    if names:
-        state.effects.append(BroadcastToEntries(SeekAgents(sorted(names))))
-
-
-def _is_connected(state: OwnerState, name: str) -> bool:
-    agent_info = state.agents.get(name)
-    return agent_info is not None and agent_info.connected
-
-
-@owner_system(order=100)
-def expire_lost_agents(state: OwnerState) -> None:
-    """Queue tasks of lost agents again once their runs must have been stopped.
-
-    Also stop waiting for agents of earlier owners whose leases must have ended.
-    """
-    limits = state.limits
-    for agent_info in list(state.agents.values()):
-        if agent_info.connected:
-            continue
-        if not agent_info.assigned_tasks:
-            if state.now_ms - agent_info.lost_ms > FORGET_AGENT_MS:
-                del state.agents[agent_info.name]
-            continue
-        silent_ms = state.now_ms - agent_info.lease_sent_ms - limits.lapse_ms
-        for task in list(agent_info.assigned_tasks):
-            volatile = task.job.spec.volatile
-            limit_ms = limits.volatile_silence_ms if volatile else limits.silence_ms
-            if silent_ms < limit_ms:
-                continue
-            state.note(
-                "run of a lost agent given up", agent=agent_info.name, task=task.name
-            )
-            if (task.name, task.run) not in _pending_ends_of(state, task):
-                state.requeue(task)
-            agent_info.assigned_tasks.discard(task)
-    for shard in state.shards.values():
-        if shard.unresolved and state.now_ms >= shard.unresolved_until_ms:
-            state.note(
-                "agents of earlier owners given up",
-                shard=shard.number,
-                agents=sorted(shard.unresolved),
-            )
-            shard.unresolved.clear()
-            _agents_resolved(state, shard)
-
-
-def _pending_ends_of(state: OwnerState, task: Task) -> set[tuple[str, int]]:
-    shard = state.shard_for(task.job.spec.id)
-    return shard.pending_ends if shard is not None else set()
