Name requests between entries by the usual terms

Change: names, comments, one log event (requesting entry lost), and the place of two tests. No behaviour changes.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -35,7 +35,7 @@
 )
 from ..transport._http_server import HttpServer
 from ._core_loop import CoreLoop
-from ._entry_links import ASKER_RELEASE_MS, EntryLinks
+from ._entry_links import REQUEST_RELEASE_MS, EntryLinks
 from ._log import DecisionLog
 from ._membership import ShardOwners, maintain_membership, member_name
 from ._own_settings import OwnSettings
@@ -112,7 +112,7 @@
         self.owner_requests.on_backlogs = self.core.update_peer_backlogs
         run_expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
         self.peer_jobs = PeerVolatileJobs(
-            run_expiry_ms, ASKER_RELEASE_MS, (settings.name, self.incarnation)
+            run_expiry_ms, REQUEST_RELEASE_MS, (settings.name, self.incarnation)
         )
         self.leaving = False
         self.store_reachable = True
--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -33,13 +33,13 @@
 LINK_CHECK_MS = 400
 # Time after the close of an entry's link for which its requests are kept, in
 # milliseconds. If only the connection was reset, the entry sends them again.
-ASKER_GRACE_MS = 400
+REQUEST_GRACE_MS = 400
 # A longer time between two checks means that the process or its host was paused, in
 # milliseconds.
 PAUSE_MS = 1_000
 # Longest time after an entry has last sent something on its link until its requests for
 # volatile jobs are dropped here, in milliseconds, with a reserve for late steps.
-ASKER_RELEASE_MS = LINK_TIMEOUT_MS + LINK_CHECK_MS + ASKER_GRACE_MS + 100
+REQUEST_RELEASE_MS = LINK_TIMEOUT_MS + LINK_CHECK_MS + REQUEST_GRACE_MS + 100
 MS_PER_S = 1_000
 # Source, in the directory, of the entries that have opened a link to this one.
 LINKS_SOURCE = "links"
@@ -167,7 +167,7 @@
                 self._abandon_requests(link)
             else:
                 asyncio.get_running_loop().call_later(
-                    ASKER_GRACE_MS / MS_PER_S, self._abandon_requests, link
+                    REQUEST_GRACE_MS / MS_PER_S, self._abandon_requests, link
                 )
             if not self._is_linked(greeting):
                 self.peer_jobs.mark_entry_lost(greeting, now_ms=self.clock.now_ms())
@@ -192,7 +192,7 @@
             lambda request: isinstance(request, tuple) and request[0] is link
         )
         for request, job_id in requests:
-            self.log.note("asker lost", job=job_id, entry=link.peer.name)
+            self.log.note("requesting entry lost", job=job_id, entry=link.peer.name)
             self.core.abandon(self.clock.now_ms(), request, job_id)
         if requests:
             self.schedule_step()
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -142,11 +142,11 @@
     ) -> Answer | None:
         """Submit a job to the entry that holds it; return None without an answer."""
         ask = Ask(0, "submit", spec.id, to_fields(spec), timeout_ms)
-        self.peer_jobs.record_question(address, spec.id, self.clock.now_ms())
+        self.peer_jobs.record_request(address, spec.id, self.clock.now_ms())
         try:
             answer = await self.owner_requests.ask_entry(address, ask)
         except asyncio.CancelledError:
-            # The other entry is told to give the job up, after the question.
+            # The other entry is told to give the job up, after the request.
             self.peer_jobs.record_answer(address, spec.id)
             raise
         if answer is not None and answer is not LINK_CLOSED:
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -72,7 +72,7 @@
         unanswered_ms: When a request from here for a job last ended without an answer,
             by job ID, on the process's clock in milliseconds.
         asked_ms: When the entry was asked to run a job, by job ID, without an answer
-            until now; the question may still be on its way.
+            until now; the request may still be on its way.
         lost_ms: When the entry's link closed, on the process's clock in milliseconds;
             None while the link is open.
         replaced: Whether a later incarnation of the entry is known, so that this one
@@ -158,18 +158,18 @@
             if peer.address == address and peer.lost_ms is None:
                 peer.jobs.discard(job_id)
 
-    def record_question(self, address: str, job_id: str, now_ms: int) -> None:
+    def record_request(self, address: str, job_id: str, now_ms: int) -> None:
         """Record that a connected entry is asked to run a job.
 
         Until it answers it counts as the holder, also if it gives the job up meanwhile:
-        it begins the job anew when the question arrives.
+        it begins the job anew when the request arrives.
         """
         for peer in self.entries.values():
             if peer.address == address and peer.lost_ms is None:
                 _remember(peer.asked_ms, [job_id], now_ms, GIVEN_UP_MEMORY_MS)
 
     def record_answer(self, address: str, job_id: str) -> None:
-        """Record that an entry has answered a question."""
+        """Record that an entry has answered a request."""
         for peer in self.entries.values():
             if peer.address == address:
                 peer.asked_ms.pop(job_id, None)
--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -225,7 +225,7 @@
             node.peer_jobs.mark_entry_lost(other.greeting, now_ms=self.now_ms)
 
     def _close_link(self, node: Node, name: str) -> None:
-        """Close an entry's link to another one; questions stay without an answer."""
+        """Close an entry's link to another one; requests stay without an answer."""
         node.heard_ms.pop(name, None)
         node.linked.pop(name, None)
         for request in list(node.requests.values()):
--- a/scenarios/volatile_requests.py
+++ b/scenarios/volatile_requests.py
@@ -25,7 +25,7 @@
         spec: The job.
         deadline_ms: Time until which the client account waits.
         on_answer: Called with the answer.
-        asked: Entry that was asked for the job, with the key of the question.
+        asked: Entry that was asked for the job, with the key of the request.
         unanswered: Whether an entry may have begun the job without an answer.
         closed: Whether the entry knows that the client account has left.
     """
@@ -110,7 +110,7 @@
             return False
         key = f"{node.host.name}>{request.key}@{self.now_ms}"
         request.asked = address, key
-        node.peer_jobs.record_question(address, request.spec.id, self.now_ms)
+        node.peer_jobs.record_request(address, request.spec.id, self.now_ms)
         self.send(
             node.host.name,
             address,
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -303,12 +303,12 @@
 
 
 def test_an_entry_that_was_asked_for_a_job_holds_it_until_it_answers() -> None:
-    """The question may arrive after the entry has given up an earlier begin of it."""
+    """The request may arrive after the entry has given up an earlier begin of it."""
     greeting = Greeting("entry", "e2", 7, "e2:1")
     peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
     peer_jobs.add_entry(greeting)
     peer_jobs.update(greeting, VolatileJobs(["a" * 16], []), 0)
-    peer_jobs.record_question("e2:1", "a" * 16, 10)
+    peer_jobs.record_request("e2:1", "a" * 16, 10)
     peer_jobs.update(greeting, VolatileJobs([], [], ["a" * 16]), 20)
     assert peer_jobs.find_holder("a" * 16, 20) == LiveHolder("e2:1")
     peer_jobs.mark_entry_lost(greeting, now_ms=100)
@@ -383,32 +383,3 @@
         assert entry.stopped.is_set()
 
     asyncio.run(run())
-
-
-def test_an_entry_does_not_count_itself_as_lost() -> None:
-    """Another entry that lost the link to it tells the jobs of lost entries."""
-    other = PeerVolatileJobs(run_expiry_ms=2_250)
-    own = Greeting("entry", "e1", 3, "e1:1")
-    other.add_entry(own)
-    other.update(own, VolatileJobs(["a" * 16], []), 0)
-    other.mark_entry_lost(own, now_ms=10)
-    own_view = PeerVolatileJobs(run_expiry_ms=2_250, own_process=("e1", 3))
-    for lost in other.lost_jobs(20):
-        own_view.add_lost_jobs(lost, 20)
-    assert own_view.find_holder("a" * 16, 20) == NoHolder()
-    assert not own_view.may_have_run("a" * 16)
-
-
-def test_a_job_that_ended_while_its_entry_was_cut_off_is_not_held_there() -> None:
-    """The end was announced on the closed link, and the job stayed held for good."""
-    greeting = Greeting("entry", "e2", 7, "e2:1")
-    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
-    peer_jobs.add_entry(greeting)
-    peer_jobs.update(greeting, VolatileJobs(["a" * 16, "b" * 16, "c" * 16], []), 0)
-    peer_jobs.record_question("e2:1", "b" * 16, 0)
-    peer_jobs.mark_entry_lost(greeting, now_ms=10)
-    peer_jobs.add_entry(greeting)
-    peer_jobs.update(greeting, VolatileJobs(["c" * 16], [], complete=True), 20)
-    assert peer_jobs.find_holder("a" * 16, 20) == NoHolder()
-    assert peer_jobs.find_holder("b" * 16, 20) == LiveHolder("e2:1")
-    assert peer_jobs.find_holder("c" * 16, 20) == LiveHolder("e2:1")
--- a/tests/test_platform_lost_askers.py
+++ b/tests/test_platform_lost_requesters.py
@@ -10,13 +10,13 @@
 from catkincross.clock import SystemClock
 from catkincross.daemons._entry import EntryDaemon
 from catkincross.daemons._entry_links import (
-    ASKER_GRACE_MS,
-    ASKER_RELEASE_MS,
     LINK_CHECK_MS,
     LINK_TIMEOUT_MS,
+    REQUEST_GRACE_MS,
+    REQUEST_RELEASE_MS,
 )
 from catkincross.daemons._log import DecisionLog
-from catkincross.dispatch import LostHolder, NoHolder, PeerVolatileJobs
+from catkincross.dispatch import LiveHolder, LostHolder, NoHolder, PeerVolatileJobs
 from catkincross.dispatch._peer_jobs import LOST_ENTRY_RETENTION_MS
 from catkincross.jobs import to_fields
 from catkincross.peers import Ask, Greeting, Link, VolatileJobs, encode_message
@@ -24,8 +24,8 @@
 from tests.test_platform_daemons import free_port, settings_for
 
 JOB = "a" * 16
-ASKER = Greeting("entry", "e2", 7, "127.0.0.1:9")
-# Time in which an entry gives up the jobs of a lost asker, with a reserve.
+REQUESTER = Greeting("entry", "e2", 7, "127.0.0.1:9")
+# Time in which an entry gives up the jobs of a lost requesting entry, with a reserve.
 RELEASE_S = 1.0
 
 
@@ -56,11 +56,11 @@
 
 
 def open_link(entry: EntryDaemon) -> Link:
-    """Return a link that the asker has opened to the entry."""
+    """Return a link that the requesting entry has opened to the entry."""
     links = entry.entry_links
     link = Link(links._on_message, links._on_close, entry.log.note_error)
     link.connection_made(EndlessTransport())
-    receive(link, ASKER)
+    receive(link, REQUESTER)
     return link
 
 
@@ -71,7 +71,7 @@
 
 
 def ask(link: Link, number: int) -> None:
-    """Let the asker submit the job."""
+    """Let the requesting entry submit the job."""
     spec = job(JOB, volatile=True)
     receive(link, Ask(number, "submit", JOB, to_fields(spec), 20_000))
 
@@ -95,8 +95,8 @@
     return asyncio.run(run())
 
 
-def test_a_job_goes_on_while_the_link_to_its_asker_is_open() -> None:
-    """The asker sends its backlog every 500 ms."""
+def test_a_job_goes_on_while_the_link_to_its_requester_is_open() -> None:
+    """The requesting entry sends its backlog every 500 ms."""
 
     async def scenario(entry: EntryDaemon) -> None:
         link = open_link(entry)
@@ -109,7 +109,7 @@
 
 
 def test_a_job_of_a_lost_asker_does_not_go_on() -> None:
-    """The asker began the job too, while this entry still ran it."""
+    """The requesting entry began the job too, while this entry still ran it."""
 
     async def scenario(entry: EntryDaemon) -> None:
         link = open_link(entry)
@@ -121,8 +121,8 @@
     assert not holds_job(scenario)
 
 
-def test_a_job_of_a_silent_asker_does_not_go_on() -> None:
-    """A cut without a reset closes no link, and the asker may have closed its side."""
+def test_a_job_of_a_silent_requester_does_not_go_on() -> None:
+    """A cut without a reset closes no link, and the other side may be closed."""
 
     async def scenario(entry: EntryDaemon) -> None:
         ask(open_link(entry), 1)
@@ -132,7 +132,7 @@
 
 
 def test_a_job_of_a_lost_asker_does_not_go_on_after_a_pause() -> None:
-    """The asker has begun the job in the pause, so its requests are not kept at all."""
+    """The other entry has begun the job in the pause, so no request is kept."""
 
     async def scenario(entry: EntryDaemon) -> None:
         link = open_link(entry)
@@ -143,7 +143,7 @@
     assert not holds_job(scenario)
 
 
-def test_a_job_goes_on_if_its_asker_asks_again_on_a_new_link() -> None:
+def test_a_job_goes_on_if_its_requester_asks_again_on_a_new_link() -> None:
     """A connection that was reset must not cost the runs of its jobs."""
 
     async def scenario(entry: EntryDaemon) -> None:
@@ -163,12 +163,12 @@
 ):
     """It was begun 2,250 ms after the loss of the link, while the other went on."""
     other = Greeting("entry", "e2", 7, "e2:1")
-    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250, release_ms=ASKER_RELEASE_MS)
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250, release_ms=REQUEST_RELEASE_MS)
     peer_jobs.add_entry(other)
     assert peer_jobs.record_forwarding("e2:1", JOB)
     peer_jobs.mark_entry_lost(other, now_ms=1_000)
     peer_jobs.record_no_answer("e2:1", JOB, 1_100)
-    end_ms = 1_100 + ASKER_RELEASE_MS + 2_250
+    end_ms = 1_100 + REQUEST_RELEASE_MS + 2_250
     assert peer_jobs.find_holder(JOB, 3_300) == LostHolder(end_ms - 3_300)
     assert peer_jobs.find_holder(JOB, end_ms) == NoHolder()
     peer_jobs.add_entry(Greeting("entry", "e2", 8, "e2:1"))
@@ -178,18 +178,47 @@
 def test_a_job_that_is_asked_again_waits_from_the_last_request_on() -> None:
     """The entry that is cut off keeps a job if the request arrives once more."""
     other = Greeting("entry", "e2", 7, "e2:1")
-    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250, release_ms=ASKER_RELEASE_MS)
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250, release_ms=REQUEST_RELEASE_MS)
     peer_jobs.add_entry(other)
     peer_jobs.update(other, VolatileJobs([JOB], []), 0)
     peer_jobs.record_no_answer("e2:1", JOB, 500)
     peer_jobs.record_no_answer("e2:1", JOB, 5_000)
     peer_jobs.mark_entry_lost(other, now_ms=5_100)
-    end_ms = 5_000 + ASKER_RELEASE_MS + 2_250
+    end_ms = 5_000 + REQUEST_RELEASE_MS + 2_250
     assert peer_jobs.find_holder(JOB, end_ms - 1) == LostHolder(1)
     assert peer_jobs.find_holder(JOB, end_ms) == NoHolder()
 
 
 def test_no_entry_waits_less_than_another_one_keeps_its_requests() -> None:
     """Both sides would act in the time between."""
-    assert ASKER_RELEASE_MS > LINK_TIMEOUT_MS + LINK_CHECK_MS + ASKER_GRACE_MS
-    assert LOST_ENTRY_RETENTION_MS > ASKER_RELEASE_MS + 2_250
+    assert REQUEST_RELEASE_MS > LINK_TIMEOUT_MS + LINK_CHECK_MS + REQUEST_GRACE_MS
+    assert LOST_ENTRY_RETENTION_MS > REQUEST_RELEASE_MS + 2_250
+
+
+def test_an_entry_does_not_count_itself_as_lost() -> None:
+    """Another entry that lost the link to it tells the jobs of lost entries."""
+    other = PeerVolatileJobs(run_expiry_ms=2_250)
+    own = Greeting("entry", "e1", 3, "e1:1")
+    other.add_entry(own)
+    other.update(own, VolatileJobs(["a" * 16], []), 0)
+    other.mark_entry_lost(own, now_ms=10)
+    own_view = PeerVolatileJobs(run_expiry_ms=2_250, own_process=("e1", 3))
+    for lost in other.lost_jobs(20):
+        own_view.add_lost_jobs(lost, 20)
+    assert own_view.find_holder("a" * 16, 20) == NoHolder()
+    assert not own_view.may_have_run("a" * 16)
+
+
+def test_a_job_that_ended_while_its_entry_was_cut_off_is_not_held_there() -> None:
+    """The end was announced on the closed link, and the job stayed held for good."""
+    greeting = Greeting("entry", "e2", 7, "e2:1")
+    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["a" * 16, "b" * 16, "c" * 16], []), 0)
+    peer_jobs.record_request("e2:1", "b" * 16, 0)
+    peer_jobs.mark_entry_lost(greeting, now_ms=10)
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs(["c" * 16], [], complete=True), 20)
+    assert peer_jobs.find_holder("a" * 16, 20) == NoHolder()
+    assert peer_jobs.find_holder("b" * 16, 20) == LiveHolder("e2:1")
+    assert peer_jobs.find_holder("c" * 16, 20) == LiveHolder("e2:1")
--- a/tests/test_platform_resubmission.py
+++ b/tests/test_platform_resubmission.py
@@ -130,10 +130,10 @@
     assert play_plan(Plan(475, (4_000,) * 4, actions)) == []
 
 
-def test_a_question_that_arrives_late_does_not_begin_a_job_twice() -> None:
-    """An entry asked the holder of a job, and the network held the question for 3 s.
+def test_a_request_that_arrives_late_does_not_begin_a_job_twice() -> None:
+    """An entry asked the holder of a job, and the network held the request for 3 s.
 
-    The holder had given the job up, and began it when the question arrived. The asking
+    The holder had given the job up, and began it when the request arrived. The asking
     entry had closed the link meanwhile, learned that the job was given up, and began it
     as well.
     """
