Let the soak see the end of leases on workers that get no calls

Trace: the agent of worker u1 had ended, so nobody called the worker any more, and the stand-in records the end of a lease at the next call only. Run 1 on u1 had lapsed after one second; run 2 on u2 began 3.5 s after the start of run 1.

Change: the check lets all workers advance first. It is as strict: a run ends at the end of its lease, as in every other case, and an overlap before that counts.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -26,7 +26,7 @@
 import orjson
 
 from catkincross.transport._http_server import HttpServer
-from standins.platform_http import StoreHttp, WorkerHttp
+from standins.platform_http import StoreHttp, WorkerHttp, now_ms
 from standins.platform_worker import PlatformWorker
 
 from .loopback_proxy import Proxy
@@ -238,7 +238,13 @@
         return left
 
     def overlapping(self) -> list[str]:
-        """Return the tasks of which two runs went on at the same time."""
+        """Return the tasks of which two runs went on at the same time.
+
+        Workers learn of the end of their lease at the next call only, and their agent
+        may make no call any more.
+        """
+        for worker in self.workers:
+            worker.advance(now_ms())
         rows = sorted(
             (at, what == "start", task)
             for worker in self.workers
