--- a/tests/test_platform_early.py
+++ b/tests/test_platform_early.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import os
+import signal
 import socket
 import subprocess
 import sys
 from typing import Any
 
+import pytest
+
 from catkincross import dispatch, jobs, platform
+from catkincross.daemons import agent, entry
 from catkincross.foundation._listening import open_available_sockets
 from catkincross.transport._http_server import HttpServer
 from scenarios.platform_soak import free_address
@@ -113,3 +117,24 @@
     first = open_available_sockets([address])
     assert open_available_sockets([address]) == {}
     first[address].close()
+
+
+@pytest.mark.parametrize("daemon", [entry, agent])
+def test_a_reload_during_the_start_does_not_end_a_daemon(
+    daemon: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A SIGHUP that came before its handler was installed ended the process."""
+    handlers = []
+
+    def open_sockets(_: str) -> None:
+        handlers.append(signal.getsignal(signal.SIGHUP))
+        raise SystemExit
+
+    monkeypatch.setattr(daemon, "open_listening_sockets", open_sockets)
+    previous = signal.getsignal(signal.SIGHUP)
+    try:
+        with pytest.raises(SystemExit):
+            daemon.main()
+    finally:
+        signal.signal(signal.SIGHUP, previous)
+    assert handlers == [signal.SIG_IGN]
