--- a/review/harness.py
+++ b/review/harness.py
@@ -814,7 +814,7 @@
         return max(times, default=self.began)
 
     async def watch_job(self, job: str, limit_s: float) -> tuple[str, int]:
-        """Ask for a job until it has ended; return its state and since when it idles."""
+        """Ask for a job until it has ended; return its state and how long it idles."""
         end = now_ms() + int(limit_s * 1_000)
         state = ""
         while now_ms() < end and state not in ("completed", "failed", "cancelled"):
