--- a/review/harness.py
+++ b/review/harness.py
@@ -331,6 +331,7 @@
         self.last_end = self.cursor = self.sequence = 0
         self.end_listed = asyncio.Event()
         self.control = ""
+        self.labels = ["a"]
 
     async def beat(self) -> None:
         """Send status reports to the agent until the worker is lost."""
@@ -345,7 +346,7 @@
                 "state": "ready",
                 "cold_left_ms": 0,
                 "capacity": self.capacity,
-                "labels": ["a", f"r-{self.zone}"],
+                "labels": [*self.labels, f"r-{self.zone}"],
                 "clock_ms": now_ms(),
                 "seq": self.sequence,
                 "born": self.born,
@@ -667,6 +668,7 @@
         capacity: dict[str, int] | None = None,
         work_ms: Callable[[str], int],
         settle_s: float = 3.5,
+        labels: Callable[[int], list[str]] = lambda number: ["a"],
     ) -> None:
         """Start the stand-ins and all processes, and wait until they serve."""
         config = {
@@ -701,6 +703,7 @@
                 self, f"side-{number}", "agent", f"127.0.2.{number + 1}", zone
             )
             worker = Worker(self, f"i-{number:08x}", zone, room, work_ms)
+            worker.labels = labels(number)
             agent.worker = await worker.server.start(agent.ip)
             self.agents.append(agent)
             self.workers.append(worker)
@@ -813,6 +816,10 @@
         times += [at for at, task, _, _ in self.lost if task.startswith(job)]
         return max(times, default=self.began)
 
+    def idle_for(self, job: str) -> int:
+        """Return for how long no minion that is up has run a task of a job."""
+        return now_ms() - self.idle_since(job)
+
     async def watch_job(self, job: str, limit_s: float) -> tuple[str, int]:
         """Ask for a job until it has ended; return its state and how long it idles."""
         end = now_ms() + int(limit_s * 1_000)
@@ -824,7 +831,7 @@
             if answer is not None and answer[0] == 200 and answer[1]["state"] != state:
                 state = answer[1]["state"]
                 self.event(f"client GET {job} at {at.name}: {answer}")
-        return state, now_ms() - self.idle_since(job)
+        return state, self.idle_for(job)
 
     async def stop(self) -> None:
         """End all processes and stand-ins; KEEP_LOGS names a folder for their logs."""
