--- a/review/harness.py
+++ b/review/harness.py
@@ -31,6 +31,7 @@
 ZONES = ("perth", "stirling", "dundee")
 HEARTBEAT_S = 1.5
 STORE_ANSWER_S = 0.004
+RECORD_BYTES = 262_144
 HELD, BROKEN, UNUSABLE = 0, 1, 2
 
 Answer = tuple[int, bytes] | None
@@ -176,6 +177,8 @@
             size = int.from_bytes(body[:4], "big")
             records.append(body[4 : 4 + size])
             body = body[4 + size :]
+        if any(len(record) > RECORD_BYTES for record in records):
+            return 400, body_of({"error": "record too large"})
         kept = self._expire(part)
         producer = self.producers.setdefault(part, {"epoch": -1, "seq": -1, "last": {}})
         if epoch < producer["epoch"]:
@@ -597,7 +600,7 @@
             'form = "log"',
             f"parts = {PARTS}",
             "append_ms = 3.0",
-            "record_bytes = 262144",
+            f"record_bytes = {RECORD_BYTES}",
             "call_bytes = 2097152",
             f"keep_s = {keep_s}",
             "part_mb = 200",
