--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,69 +1,104 @@
-"""LOST: replicas that fit nowhere keep all other tasks of their entry from starting."""
+"""TWICE: a restarted agent keeps a run of a lost entry that begins elsewhere."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import random
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import TROUBLE, Case, now_ms, play
+from harness import TROUBLE, Case, Process, now_ms, play
 
-SERVING = [f"aaaa7a21d94b36{number:02x}" for number in range(64)]
-JOBS = [f"bbbb7a21d94b36{number:02x}" for number in range(16)]
-MINIONS = 7
-FINISH_S = 14
-NOTHING_RUNS_MS = 3_000
+# Times count from the kill of the entry, in milliseconds.
+AGENT_KILL_MS = (500, 540, 560, 580, 600, 620, 640)
+# The new agent process looks at its worker this long before the worker's lease ends.
+BEFORE_LEASE_END_MS = 120
+# Time from the start of an agent to its first call; measured again in each cycle.
+START_MS = 300
+CYCLE_S = 8.0
+LONG_JOBS = 20
+LONG_MS, SHORT_MS = 3_500, 100
+SHORT_INTERVAL_S = 0.03
+DEADLINE_S = 5.0
+RESEND_S = 1.3
+LONG = {"count": 8, "cpu": 250, "mem_mb": 64, "estimate_ms": LONG_MS}
+SHORT = {"count": 4, "cpu": 250, "mem_mb": 64, "estimate_ms": SHORT_MS}
 
 
 def work_ms(task: str) -> int:
-    """Return the run time of a task; those that serve last until they are cancelled."""
-    return 10**9 if task[:16] in SERVING else 300
+    """Return the run time of a task."""
+    return SHORT_MS if task.startswith("aaaa") else LONG_MS
 
 
-async def scenario(case: Case) -> list[str] | None:
-    await case.start(entries=2, agents=MINIONS, work_ms=work_ms)
-    # One replica on each minion, on a fifth of a core.
-    replicas = {
-        "count": MINIONS,
-        "cpu": 200,
-        "mem_mb": 64,
-        "estimate_ms": 1_000,
-        "long_running": True,
-        "anti_affinity": 1,
-    }
-    for job in SERVING:
-        if not await case.submit(job, {"spec": "server", "steps": [replicas]}):
-            return None
-    await asyncio.sleep(3)
-    if any(len(worker.running) != len(SERVING) for worker in case.workers):
-        return None
-    if TROUBLE:
-        case.event("side-0 is lost for good, with its minion")
-        case.agents[0].send(signal.SIGKILL)
-        case.workers[0].lose()
-    await asyncio.sleep(6)
-    step = {"count": 2, "cpu": 1_000, "mem_mb": 64, "estimate_ms": 300}
-    for number, job in enumerate(JOBS):
+async def send(case: Case, job: str, entry: Process, step: dict[str, int]) -> None:
+    """Hand in a job, and once more 1,300 ms after its channel has broken."""
+    body = {"spec": "record check", "best_effort": True, "steps": [step]}
+    answer = await case.ask("POST", job, body, entry=entry, limit_s=DEADLINE_S)
+    if answer is None:
+        await asyncio.sleep(RESEND_S)
+        other = random.choice([e for e in case.entries if e is not entry])
+        await case.ask("POST", job, body, entry=other, limit_s=DEADLINE_S)
+
+
+def spawn(case: Case, job: str, entry: Process, step: dict[str, int]) -> None:
+    """Send a job in the background."""
+    case.background.append(asyncio.create_task(send(case, job, entry, step)))
+
+
+async def short_jobs(case: Case) -> None:
+    """Send short jobs to the entries in turn until cancelled."""
+    number = 0
+    while True:
+        number += 1
         entry = case.entries[number % len(case.entries)]
-        body = {"spec": "turn check", "steps": [step]}
-        if not await case.submit(job, body, entry=entry):
-            return None
-    submitted_ms = now_ms()
-    await asyncio.sleep(FINISH_S)
-    broken = []
-    for job in JOBS:
-        answer = await case.ask("GET", job)
-        idle_ms = min(case.idle_for(job), now_ms() - submitted_ms)
-        if answer != (200, {"state": "completed"}) and idle_ms >= NOTHING_RUNS_MS:
-            broken.append(f"{job}: {answer}, no task of it has run for {idle_ms} ms")
-    up = [worker for worker in case.workers if worker.alive]
-    used = sum(len(worker.running) * 200 for worker in up)
-    room = sum(worker.capacity["cpu"] for worker in up)
-    case.event(f"in use on {len(up)} minions: {used} of {room} thousandths of a core")
-    return broken
+        spawn(case, f"aaaa7a21{number:08x}", entry, SHORT)
+        await asyncio.sleep(SHORT_INTERVAL_S)
+
+
+async def sleep_until(at_ms: float) -> None:
+    """Sleep until a time on the steady clock."""
+    await asyncio.sleep(max(0.0, (at_ms - now_ms()) / 1_000))
+
+
+async def kill_both(case: Case, cycle: int, start_ms: int) -> int:
+    """Kill an entry and then an agent; return how long the agent took to start."""
+    entry, agent = case.entries[cycle % len(case.entries)], case.agents[cycle]
+    worker = case.workers[cycle]
+    case.event(f"SIGKILL of {entry.name}")
+    killed_ms = now_ms()
+    await entry.end()
+    await sleep_until(killed_ms + AGENT_KILL_MS[cycle])
+    case.event(f"SIGKILL of {agent.name}, {len(worker.running)} tasks run there")
+    await agent.end()
+    await entry.start()
+    await sleep_until(worker.lease_until - BEFORE_LEASE_END_MS - start_ms)
+    calls, started_ms = worker.holds, now_ms()
+    await agent.start()
+    while worker.holds == calls and now_ms() < started_ms + 3_000:
+        await asyncio.sleep(0.002)
+    took_ms = now_ms() - started_ms
+    at_ms = now_ms() - killed_ms
+    case.event(f"{agent.name} calls its worker after {at_ms} ms, {took_ms} to start")
+    return took_ms
+
+
+async def scenario(case: Case) -> list[str] | None:
+    await case.start(entries=3, agents=7, slo_ms=500, work_ms=work_ms)
+    case.background.append(asyncio.create_task(short_jobs(case)))
+    start_ms = START_MS
+    for cycle in range(len(AGENT_KILL_MS)):
+        begin_ms = now_ms()
+        await asyncio.sleep(1.0)
+        entry = case.entries[cycle % len(case.entries)]
+        for number in range(LONG_JOBS):
+            spawn(case, f"5c0e7a21{cycle:04x}{number:04x}", entry, LONG)
+        await asyncio.sleep(0.6)
+        if TROUBLE:
+            start_ms = await kill_both(case, cycle, start_ms)
+        await sleep_until(begin_ms + CYCLE_S * 1_000)
+    return case.overlapping()
 
 
 play(str(Path(__file__).resolve().parent), scenario)
--- a/review/harness.py
+++ b/review/harness.py
@@ -275,44 +275,51 @@
         Two runs of a task at the same time on minions that are up; or a start after an
         end `done` that is taken note of, then or later.
         """
+        found = self.overlapping()
+        done: dict[str, list[dict[str, Any]]] = {}
+        for end in self._ends():
+            if end["how"] == "done" and end["noted"] and not end["lapsed"]:
+                done.setdefault(end["task"], []).append(end)
+        for at, task, run, name in self.starts:
+            for end in done.get(task, []):
+                if at > end["at"]:
+                    found.append(
+                        f"{task}: run {run} began on {name} {at - end['at']} ms"
+                        f" after run {end['run']} had ended done on"
+                        f" {end['worker']}; that end was taken note of"
+                        f" {end['noted'] - end['at']} ms after it"
+                    )
+        return found
+
+    def overlapping(self) -> list[str]:
+        """Return the tasks of which two runs went on at once on minions that are up."""
         found = []
-        ends = [end for worker in self.workers for end in worker.past + worker.ended]
-        ended_at = {(e["worker"], e["task"], e["run"]): e["at"] for e in ends}
+        ended_at = {(e["worker"], e["task"], e["run"]): e["at"] for e in self._ends()}
         ended_at |= {(name, task, run): at for at, task, run, name in self.lost}
         by_task: dict[str, list[tuple[int, int, str]]] = {}
         for at, task, run, name in self.starts:
             by_task.setdefault(task, []).append((at, run, name))
-        done: dict[str, list[dict[str, Any]]] = {}
-        for end in ends:
-            if end["how"] == "done" and end["noted"] and not end["lapsed"]:
-                done.setdefault(end["task"], []).append(end)
         for task, starts in by_task.items():
-            for at, run, name in starts:
-                for end in done.get(task, []):
-                    if at > end["at"]:
-                        found.append(
-                            f"{task}: run {run} began on {name} {at - end['at']} ms"
-                            f" after run {end['run']} had ended done on"
-                            f" {end['worker']}; that end was taken note of"
-                            f" {end['noted'] - end['at']} ms after it"
-                        )
-                for other_at, other_run, other in starts:
-                    if (other_at, other_run, other) >= (at, run, name):
-                        continue
-                    until = ended_at.get((other, task, other_run))
-                    if until is None or until > at:
+            starts.sort()
+            for number, (at, run, name) in enumerate(starts):
+                for other_at, other_run, other in starts[:number]:
+                    until = ended_at.get((other, task, other_run), now_ms())
+                    if until > at:
                         found.append(
                             f"{task}: run {run} began on {name} while run {other_run}"
-                            f" was in progress on {other}"
+                            f" was in progress on {other}, {at - other_at} ms after its"
+                            f" start and {until - at} ms before its end"
                         )
         return found
 
+    def _ends(self) -> list[dict[str, Any]]:
+        return [end for worker in self.workers for end in worker.past + worker.ended]
+
     def idle_since(self, job: str) -> int:
         """Return since when no minion that is up runs a task of a job."""
         if any(t.startswith(job) for w in self.workers for t in w.running):
             return now_ms()
-        ends = [e for w in self.workers for e in w.past + w.ended]
-        times = [e["at"] for e in ends if e["task"].startswith(job)]
+        times = [e["at"] for e in self._ends() if e["task"].startswith(job)]
         times += [at for at, task, _, _ in self.lost if task.startswith(job)]
         return max(times, default=self.began)
 
--- a/review/worker.py
+++ b/review/worker.py
@@ -40,6 +40,7 @@
         self.last_end = self.cursor = self.sequence = 0
         self.end_listed = asyncio.Event()
         self.control = ""
+        self.holds = 0
         self.labels = ["a"]
 
     async def beat(self) -> None:
@@ -183,6 +184,7 @@
         return 200, self._fields()
 
     async def _hold(self, fields: dict[str, Any]) -> Answer:
+        self.holds += 1
         self._extend(fields.get("until_ms"))
         self._acknowledge(fields["ack_cursor"])
         wait_s = fields.get("wait_ms", 0) / 1_000
