--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 
 from harness import TROUBLE, Case, now_ms, play
 
-JOBS = [f"5c0e7a21d94b36{number:02x}" for number in range(12)]
+JOBS = [f"5c0e7a21d94b36{number:02x}" for number in range(24)]
 KEEP_S = 300
 # The system writes the record of a job again at this age, or up to 1 s later.
 REWRITE_S = 101.4
@@ -18,9 +18,9 @@
 STEPS = [
     {
         "count": 20,
-        "cpu": 500,
+        "cpu": 250,
         "mem_mb": 64,
-        "estimate_ms": 1_600,
+        "estimate_ms": 1_200,
         **({"after": [number - 1]} if number else {}),
     }
     for number in range(60)
@@ -28,8 +28,10 @@
 
 
 def work_ms(task: str) -> int:
-    """Return the run time of a task: 900 to 2,420 ms, by its place in the step."""
-    return 900 + int(task.rpartition(".")[2]) * 80
+    """Return the run time of a task: 150 to 2,240 ms, spread evenly over a step."""
+    job, _, step, index = task.split(".")
+    place = int(index) * 7 + int(job[-2:], 16) * 5 + int(step) * 3
+    return 150 + place % 20 * 110
 
 
 async def scenario(case: Case) -> list[str] | None:
