--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -121,6 +121,9 @@
         if isinstance(message, Greeting):
             self._on_greeting(link, message)
         elif isinstance(message, Ask):
+            if message.verb == "submit" and message.timeout_ms and link.peer:
+                name = link.peer.name
+                self.log.note("job asked for", job=message.job_id, entry=name)
             self.ask_core((link, message.request_number), message)
         elif isinstance(message, Backlog):
             link.send(self.core.backlog())
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -35,6 +35,8 @@
 MAX_STEP_INTERVAL_MS = 100
 # Age up to which a backlog is used again instead of counting all open jobs.
 BACKLOG_AGE_MS = 100
+# A longer time between two steps means that the process or its host was paused.
+PAUSE_MS = 250
 # Changes of the wall-clock offset up to this are not logged.
 CLOCK_STEP_LOG_MS = 50
 
@@ -62,6 +64,7 @@
         self.wall_clock = WallClock()
         self.leaving = False
         self._backlog = (-BACKLOG_AGE_MS, Backlog({}, {}))
+        self._stepped_ms: int | None = None
 
     def update_limits(self, limits: OwnerLimits) -> None:
         """Replace the settings; the number of shards must stay the same."""
@@ -69,7 +72,10 @@
 
     def step(self, now_ms: int) -> list[Effect]:
         """Run all systems, and return the effects since the last step."""
-        self.state.now_ms = now_ms
+        paused_ms = now_ms - (self._stepped_ms or now_ms)
+        self._stepped_ms = self.state.now_ms = now_ms
+        if paused_ms > PAUSE_MS:
+            self.state.note("resumed", paused_ms=paused_ms)
         if self.state.started_ms is None:
             self.state.started_ms = now_ms
         for _, system in OWNER_SYSTEMS:
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -181,7 +181,14 @@
     entry_info.state_outdated = True
     reason = _refusal_reason(state, entry_info, message)
     if reason:
-        state.note("start refused", task=message.task, run=message.run, reason=reason)
+        state.note(
+            "start refused",
+            task=message.task,
+            run=message.run,
+            entry=entry_info.name,
+            reason=reason,
+            **_other_run(state, message.task),
+        )
         entry_incarnation = message.epoch if message.shard == VOLATILE_SHARD else 0
         notice = NotStarted(message.task, message.run, reason, entry_incarnation)
         state.send(entry_info.name, notice)
@@ -215,6 +222,14 @@
     )
 
 
+def _other_run(state: WorkerState, task: str) -> dict[str, Any]:
+    """Return log fields on a run of a task that is on the worker; empty for none."""
+    for run in state.runs.values():
+        if run.task == task:
+            return {"other_run": run.number, "other_entry": run.entry}
+    return {}
+
+
 def _lease_refusal(state: WorkerState, entry_info: EntryInfo, message: Start) -> str:
     if message.shard == VOLATILE_SHARD:
         if message.epoch != entry_info.incarnation:
