--- a/scenarios/volatile_fuzz.py
+++ b/scenarios/volatile_fuzz.py
@@ -54,11 +54,13 @@
         seed: The seed, from which client accounts draw entries too.
         run_ms: Duration of the runs on each worker.
         actions: The actions.
+        resend_ms: Time after which client accounts send a job again, in milliseconds.
     """
 
     seed: int
     run_ms: tuple[int, ...]
     actions: tuple[Action, ...]
+    resend_ms: int = RESEND_MS
 
 
 ACTIONS: dict[str, Callable[..., None]] = {}
@@ -159,7 +161,9 @@
         if number < MAX_ATTEMPTS:
             entry = _entry(random.Random(f"{self.plan.seed}/{request.key}"))
             count = spec.steps[0].count
-            self.model.at(RESEND_MS, lambda: self.send_job(spec.id, count, entry))
+            self.model.at(
+                self.plan.resend_ms, lambda: self.send_job(spec.id, count, entry)
+            )
 
     def reset(self, job_id: str, notice_ms: int) -> None:
         """Break the connection of a client account; its entry notes it later."""
