Claim volatile jobs at other entries before they begin

Announcements every 40 ms are not proof that nobody has the job: 'not known' was taken for 'not there'.

An entry now claims a job at its witnesses before it starts a task. These are the first entries in a ranking by the job's hash, so that the next entry asks at least one of the same, also after a loss of two entries. A witness that has started lately says so; if an entry and all of its witnesses may be lost, the job waits until their runs must have ended. The earlier process of an entry counts as lost when the next one greets.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -12,7 +12,7 @@
 import attrs
 
 from ..clock import Clock
-from ..dispatch import PeerVolatileJobs
+from ..dispatch import JobClaims, PeerVolatileJobs
 from ..foundation._background import spawn, spawn_repeated
 from ..http11 import ErrorReportingApp
 from ..jobs import JobSpec, from_fields, to_fields
@@ -36,6 +36,7 @@
 from ..transport._http_server import HttpServer
 from ._core_loop import CoreLoop
 from ._entry_links import REQUEST_RELEASE_MS, EntryLinks
+from ._job_claimer import JobClaimer
 from ._log import DecisionLog
 from ._membership import ShardOwners, maintain_membership, member_name
 from ._own_settings import OwnSettings
@@ -131,8 +132,18 @@
             self.peer_jobs,
             self._ask_core,
         )
+        claims = JobClaims(self.peer_jobs, self.address, clock.now_ms())
+        self.claimer = JobClaimer(
+            claims, self.owner_requests, self.core.has_volatile_job, clock, log
+        )
         self.volatile_requests = VolatileRequests(
-            self.core, self.core_loop, self.peer_jobs, self.owner_requests, clock, log
+            self.core,
+            self.core_loop,
+            self.peer_jobs,
+            self.owner_requests,
+            clock,
+            log,
+            self.claimer,
         )
         self.owner_requests.on_connected = self.volatile_requests.announce_all
         self._join_task: asyncio.Task[None] | None = None
@@ -307,6 +318,11 @@
         match ask.verb:
             case "submit":
                 spec = from_fields(ask.body, JobSpec)
+                if spec.volatile:
+                    self.volatile_requests.submit_for_entry(
+                        request, spec, ask.timeout_ms
+                    )
+                    return
                 wall_ms = time.time_ns() // 1_000_000
                 self.core.submit(
                     now_ms,
@@ -320,7 +336,12 @@
             case "cancel":
                 self.core.cancel(now_ms, request, ask.job_id)
             case "abandon":
-                self.core.abandon(now_ms, request, ask.job_id)
+                self.volatile_requests.abandon(request, ask.job_id)
+            case "claim" | "withdraw":
+                answer = self.claimer.answer(request[0], ask)
+                if answer is not None:
+                    self._reply(request, answer)
+                return
         self.core_loop.schedule_step()
 
     def _on_entries_changed(self) -> None:
--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -24,7 +24,7 @@
     serve_links,
 )
 from ._log import DecisionLog
-from ._membership import ShardOwners
+from ._membership import LINKS_SOURCE, ShardOwners
 
 # Links of agents and entries on which nothing was received for this long are closed, in
 # milliseconds. Agents send a state every 700 ms at least, entries a backlog every 500.
@@ -41,8 +41,6 @@
 # volatile jobs are dropped here, in milliseconds, with a reserve for late steps.
 REQUEST_RELEASE_MS = LINK_TIMEOUT_MS + LINK_CHECK_MS + REQUEST_GRACE_MS + 100
 MS_PER_S = 1_000
-# Source, in the directory, of the entries that have opened a link to this one.
-LINKS_SOURCE = "links"
 
 
 class EntryLinks:
@@ -143,6 +141,7 @@
         if greeting.role == "entry":
             self.entries[link] = greeting
             self.heard_ms[link] = self.clock.now_ms()
+            self.peer_jobs.end_earlier_processes(greeting, self.clock.now_ms())
             self.peer_jobs.add_entry(greeting)
             link.send(Members(self._unlisted_entries(), [], complete=True))
             self._update_linked_entries()
--- /dev/null
+++ b/catkincross/daemons/_job_claimer.py
@@ -0,0 +1,162 @@
+"""Claims volatile jobs at other entries before they begin here."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ..clock import Clock
+from ..dispatch import (
+    Claim,
+    Contested,
+    JobClaims,
+    LiveHolder,
+    LostHolder,
+    NoHolder,
+    holder_in,
+)
+from ..peers import Answer, Ask, Greeting, Link
+from ._log import DecisionLog
+from ._owner_requests import LINK_CLOSED, OwnerRequests
+
+# Verbs of requests to witnesses.
+CLAIM = "claim"
+WITHDRAW = "withdraw"
+# Time limit for the answers to a claim, in milliseconds. Entries answer within a few
+# milliseconds unless they stand still.
+CLAIM_TIMEOUT_MS = 200
+# Pause before a claim is repeated that another entry contests, in milliseconds.
+CONTEST_RETRY_MS = 20
+# Number of attempts after which the contesting entry counts as the holder.
+MAX_CONTESTS = 5
+MS_PER_S = 1_000
+
+
+class JobClaimer:
+    """Claims jobs for this entry, and answers the claims of other entries.
+
+    Args:
+        claims: The decisions.
+        owner_requests: Links to the other entries.
+        has_job: Whether this entry has a job.
+        clock: Clock of the process.
+        log: Log of the process.
+
+    Attributes:
+        silent_since_ms: Since when an entry has given no answer to a claim, by address,
+            until something is heard of it.
+    """
+
+    def __init__(
+        self,
+        claims: JobClaims,
+        owner_requests: OwnerRequests,
+        has_job: Callable[[str], bool],
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        self.claims = claims
+        self.owner_requests = owner_requests
+        self.has_job = has_job
+        self.clock = clock
+        self.log = log
+        self.silent_since_ms: dict[str, int] = {}
+
+    async def claim(self, job_id: str) -> NoHolder | LiveHolder | LostHolder:
+        """Claim a job at its witnesses.
+
+        Returns:
+            `NoHolder` if this entry may begin the job now, else who has it. If nobody
+            can tell, the time until the runs of lost entries must have ended.
+        """
+        granted = False
+        asked: set[str] = set()
+        self.claims.start(job_id)
+        try:
+            for _ in range(MAX_CONTESTS):
+                claim = await self._ask_witnesses(job_id, asked)
+                verdict = claim.verdict()
+                if not isinstance(verdict, Contested):
+                    break
+                await asyncio.sleep(CONTEST_RETRY_MS / MS_PER_S)
+            holder = self._holder(claim, verdict)
+            granted = isinstance(holder, NoHolder)
+            if not granted:
+                self.log.note("claim denied", job=job_id, place=repr(holder))
+            return holder
+        finally:
+            self.claims.end(job_id)
+            if not granted:
+                self._withdraw_at(job_id, asked)
+
+    def _holder(self, claim: Claim, verdict: Any) -> NoHolder | LiveHolder | LostHolder:
+        if verdict is None:
+            return LostHolder(self.claims.doubt_ms(self.clock.now_ms()))
+        if isinstance(verdict, Contested):
+            held = (claim.answers.get(address) for address in claim.ranking)
+            return holder_in(next(a for a in held if a and a.outcome == "held"))
+        return verdict
+
+    async def _ask_witnesses(self, job_id: str, asked: set[str]) -> Claim:
+        """Ask the witnesses of a job, and add them to those that were asked."""
+        if self.claims.remaining_doubt_ms(self.clock.now_ms()) > 0:
+            await self.owner_requests.learn_entries()
+        claim = self._prepare(job_id)
+        while witnesses := claim.next_witnesses():
+            await self.owner_requests.connect_all(witnesses)
+            futures = {}
+            for address in witnesses:
+                claim.record_asked(address)
+                asked.add(address)
+                ask = Ask(0, CLAIM, job_id)
+                future = self.owner_requests.send_request(address, ask)
+                if future is None:
+                    claim.record_answer(address, None)
+                else:
+                    futures[address] = future
+            if futures:
+                timeout_s = CLAIM_TIMEOUT_MS / MS_PER_S
+                await asyncio.wait(futures.values(), timeout=timeout_s)
+            for address, future in futures.items():
+                claim.record_answer(address, self._answer_of(address, future))
+        return claim
+
+    def _answer_of(self, address: str, future: asyncio.Future[Answer]) -> Answer | None:
+        if not future.done():
+            self.silent_since_ms[address] = self.clock.now_ms()
+            self.log.note("claim unanswered", entry=address)
+            return None
+        return None if future.result() is LINK_CLOSED else future.result()
+
+    def _silent(self) -> list[str]:
+        """Return the entries that are silent, and forget those that were heard."""
+        for address, since_ms in list(self.silent_since_ms.items()):
+            heard_ms = self.owner_requests.heard_ms(address)
+            if heard_ms is None or heard_ms > since_ms:
+                del self.silent_since_ms[address]
+        return list(self.silent_since_ms)
+
+    def _prepare(self, job_id: str) -> Claim:
+        known = self.owner_requests.known_addresses()
+        return self.claims.prepare(job_id, known, self._silent(), self.clock.now_ms())
+
+    def withdraw(self, job_id: str) -> None:
+        """Withdraw the claim on a job that does not run here after all."""
+        self._withdraw_at(job_id, self._prepare(job_id).next_witnesses())
+
+    def _withdraw_at(self, job_id: str, witnesses: Iterable[str]) -> None:
+        if self.has_job(job_id) or job_id in self.claims.claiming:
+            return
+        for address in witnesses:
+            self.owner_requests.notify(address, Ask(0, WITHDRAW, job_id))
+
+    def answer(self, link: Link, ask: Ask) -> Answer | None:
+        """Answer a claim of another entry; None for a withdrawn one."""
+        claimant: Greeting = link.peer
+        now_ms = self.clock.now_ms()
+        if ask.verb == WITHDRAW:
+            self.claims.withdraw(claimant, ask.job_id, now_ms)
+            return None
+        has_job = self.has_job(ask.job_id)
+        return self.claims.answer(claimant, ask.job_id, has_job=has_job, now_ms=now_ms)
--- a/catkincross/daemons/_membership.py
+++ b/catkincross/daemons/_membership.py
@@ -11,6 +11,8 @@
 from ..peers import STORE_SOURCE, EntryDirectory, Members
 from ..platform import GroupAssignment, StoreClient
 
+# Source, in the directory, of the entries that have opened a link to this one.
+LINKS_SOURCE = "links"
 # Joins per TTL: the group drops a member that does not join within the TTL.
 JOINS_PER_TTL = 4
 # Interval at which the owners of all shards are read, in seconds.
@@ -124,6 +126,11 @@
         except TimeoutError:
             return
 
+    @property
+    def has_peer_views(self) -> bool:
+        """Whether another entry has announced which entries it knows."""
+        return bool(self.directory.views.keys() - {STORE_SOURCE, LINKS_SOURCE})
+
     def addresses(self) -> list[str]:
         """Return the addresses of all known entries, sorted."""
         return sorted(self.directory.known())
--- a/catkincross/daemons/_owner_requests.py
+++ b/catkincross/daemons/_owner_requests.py
@@ -15,6 +15,8 @@
 from ._membership import ShardOwners, member_address
 
 CONNECT_TIMEOUT_S = 0.5
+# Time for which a new process waits for the entries that another one knows, in seconds.
+LEARN_TIMEOUT_S = 0.05
 # Delay before a request is retried, in seconds; a change of owners ends it early.
 RETRY_DELAY_S = 0.03
 # Part of a request's time limit reserved for the answer's way back, in milliseconds.
@@ -158,6 +160,50 @@
             raise
         return future.result() if done else None
 
+    def known_addresses(self) -> list[str]:
+        """Return the addresses of the other known entries."""
+        own_address = member_address(self.member)
+        return [name for name in self.owners.addresses() if name != own_address]
+
+    async def learn_entries(self) -> None:
+        """Wait until another entry has told which entries it knows, for a short time.
+
+        The store lists only those that own a shard.
+        """
+        known = self.known_addresses()
+        if not known or self.owners.has_peer_views:
+            return
+        await self.connect_all(known)
+        await self.owners.wait_for_change(LEARN_TIMEOUT_S)
+
+    async def connect_all(self, addresses: list[str]) -> None:
+        """Open the missing links to entries; those that fail stay closed."""
+        missing = [
+            self._connected_peer(address)
+            for address in addresses
+            if address not in self.links or self.links[address].link.closed
+        ]
+        if missing:
+            await asyncio.gather(*missing)
+
+    def send_request(self, address: str, ask: Ask) -> asyncio.Future[Answer] | None:
+        """Send a request on an open link; None if there is none."""
+        peer = self.links.get(address)
+        if peer is None or peer.link.closed:
+            return None
+        return self._send(peer, ask)
+
+    def notify(self, address: str, message: Any) -> None:
+        """Send a message that needs no answer; it is dropped without a link."""
+        peer = self.links.get(address)
+        if peer is not None:
+            peer.link.send(message)
+
+    def heard_ms(self, address: str) -> int | None:
+        """Return when an entry was last heard on its open link; None without one."""
+        peer = self.links.get(address)
+        return None if peer is None or peer.link.closed else peer.last_heard_ms
+
     def record_forwarding(self, address: str) -> None:
         """Count a job that is forwarded to an entry."""
         peer = self.links.get(address)
@@ -296,8 +342,7 @@
         """
         while True:
             now_ms = self.clock.now_ms()
-            own_address = member_address(self.member)
-            known_addresses = set(self.owners.addresses()) - {own_address}
+            known_addresses = set(self.known_addresses())
             for address, peer in list(self.links.items()):
                 if now_ms - peer.last_heard_ms > LINK_TIMEOUT_MS:
                     peer.link.close()
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from ..clock import Clock
-from ..dispatch import LiveHolder, NoHolder, PeerVolatileJobs
+from ..dispatch import LiveHolder, LostHolder, NoHolder, PeerVolatileJobs
+from ..foundation._background import spawn
 from ..jobs import JobSpec, to_fields
 from ..owner import OwnerCore
 from ..peers import Answer, Ask, Link, VolatileJobs
 from ._core_loop import CoreLoop
+from ._job_claimer import JobClaimer
 from ._log import DecisionLog
 from ._owner_requests import LINK_CLOSED, OwnerRequests
 
@@ -43,9 +46,11 @@
         owner_requests: Links to the other entries.
         clock: Clock of the process.
         log: Log of the process.
+        claimer: Claims jobs at other entries; None to begin them without a claim.
 
     Attributes:
         open_requests: Number of requests that wait for the end of a job here.
+        claiming: Tasks that claim a job for a request of another entry, by request.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         owner_requests: OwnerRequests,
         clock: Clock,
         log: DecisionLog,
+        claimer: JobClaimer | None = None,
     ) -> None:
         self.core = core
         self.core_loop = core_loop
@@ -63,7 +69,9 @@
         self.owner_requests = owner_requests
         self.clock = clock
         self.log = log
+        self.claimer = claimer
         self.open_requests = 0
+        self.claiming: dict[Any, asyncio.Task[None]] = {}
 
     async def submit(
         self, spec: JobSpec, timeout_ms: int, *, waited_ms: int = 0
@@ -99,17 +107,19 @@
         while True:
             now_ms = self.clock.now_ms()
             holder = self.peer_jobs.find_holder(spec.id, now_ms)
-            remaining_ms = deadline_ms - now_ms
             if isinstance(holder, NoHolder):
                 may_forward = now_ms - arrived_ms <= MAX_FORWARDING_AGE_MS
-                if not (may_forward and self._forward(spec)):
-                    if previous_holder:
-                        self.log.note(
-                            "job taken over", job=spec.id, previous=previous_holder
-                        )
-                    answer = await self._run_locally(spec, arrived_ms, timeout_ms)
-                    return _unknown_if_rejected(answer) if unanswered else answer
-                continue
+                if may_forward and self._forward(spec):
+                    continue
+                holder = await self._claim(spec.id)
+            if isinstance(holder, NoHolder):
+                if previous_holder:
+                    self.log.note(
+                        "job taken over", job=spec.id, previous=previous_holder
+                    )
+                answer = await self._run_locally(spec, arrived_ms, timeout_ms)
+                return _unknown_if_rejected(answer) if unanswered else answer
+            remaining_ms = deadline_ms - self.clock.now_ms()
             if isinstance(holder, LiveHolder):
                 answer = await self._ask_holder(holder.address, spec, remaining_ms)
                 if answer is not None and answer is not LINK_CLOSED:
@@ -125,6 +135,60 @@
             self.log.note("job waits", job=spec.id, place=previous_holder)
             await asyncio.sleep(wait_ms / MS_PER_S)
 
+    async def _claim(self, job_id: str) -> NoHolder | LiveHolder | LostHolder:
+        """Claim a job that is not known here; return who has it otherwise."""
+        if self.claimer is None or self.core.has_volatile_job(job_id):
+            return NoHolder()
+        return await self.claimer.claim(job_id)
+
+    def submit_for_entry(self, request: Any, spec: JobSpec, timeout_ms: int) -> None:
+        """Begin a job for another entry, whose request is answered by the core.
+
+        Args:
+            request: Link of the other entry, and number of its request.
+            spec: The job.
+            timeout_ms: How long the client account waits, in milliseconds.
+        """
+        task = spawn(self._claim_and_submit(request, spec, timeout_ms))
+        self.claiming[request] = task
+        task.add_done_callback(lambda _: self.claiming.pop(request, None))
+
+    async def _claim_and_submit(
+        self, request: Any, spec: JobSpec, timeout_ms: int
+    ) -> None:
+        arrived_ms = self.clock.now_ms()
+        holder = await self._claim(spec.id)
+        link, number = request
+        if not isinstance(holder, NoHolder):
+            link.send(Answer(number, "unknown", "job is at another entry"))
+            return
+        if link.closed:
+            self._withdraw(spec.id)
+            return
+        self.core.submit(
+            self.clock.now_ms(),
+            request,
+            spec,
+            arrived_ms=arrived_ms,
+            timeout_ms=timeout_ms,
+        )
+        self._withdraw(spec.id)
+        self.core_loop.schedule_step()
+
+    def abandon(self, request: Any, job_id: str) -> None:
+        """Drop the request of another entry whose client account has left."""
+        task = self.claiming.get(request)
+        if task is not None:
+            task.cancel()
+            return
+        self.core.abandon(self.clock.now_ms(), request, job_id)
+        self.core_loop.schedule_step()
+
+    def _withdraw(self, job_id: str) -> None:
+        """Withdraw the claim on a job that does not run here after all."""
+        if self.claimer is not None:
+            self.claimer.withdraw(job_id)
+
     def _forward(self, spec: JobSpec) -> bool:
         """Record another entry as the holder of a new job, if it should run there."""
         peers = self.owner_requests.peer_loads(spec.policy.service)
@@ -166,7 +230,10 @@
         self.core_loop.schedule_step()
         self.open_requests += 1
         try:
-            return await future
+            answer = await future
+            if answer.outcome == "rejected":
+                self._withdraw(spec.id)
+            return answer
         finally:
             self.open_requests -= 1
             if not future.done() or future.cancelled():
--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -14,6 +14,7 @@
     from ._forwarding import PeerLoad, choose_forwarding
     from ._gangs import choose_gang, fits_idle_workers, gang_fits_when_idle
     from ._health import AgentHealth
+    from ._job_claims import Claim, Contested, JobClaims, holder_in
     from ._offering import offered_entries
     from ._overload import WaitingJob, jobs_to_defer
     from ._peer_jobs import (
@@ -38,7 +39,10 @@
     "GIVEN_UP_MEMORY_MS",
     "AgentHealth",
     "AgentResources",
+    "Claim",
+    "Contested",
     "Estimates",
+    "JobClaims",
     "LiveHolder",
     "LostHolder",
     "NoHolder",
@@ -61,6 +65,7 @@
     "expected_wait_ms",
     "fits_idle_workers",
     "gang_fits_when_idle",
+    "holder_in",
     "jobs_to_defer",
     "latest_start_ms",
     "objective_ms",
@@ -73,7 +78,10 @@
     "GIVEN_UP_MEMORY_MS": "_peer_jobs",
     "AgentHealth": "_health",
     "AgentResources": "_placement",
+    "Claim": "_job_claims",
+    "Contested": "_job_claims",
     "Estimates": "_estimates",
+    "JobClaims": "_job_claims",
     "LiveHolder": "_peer_jobs",
     "LostHolder": "_peer_jobs",
     "NoHolder": "_peer_jobs",
@@ -96,6 +104,7 @@
     "expected_wait_ms": "_admission",
     "fits_idle_workers": "_gangs",
     "gang_fits_when_idle": "_gangs",
+    "holder_in": "_job_claims",
     "jobs_to_defer": "_overload",
     "latest_start_ms": "_waiting",
     "objective_ms": "_waiting",
--- /dev/null
+++ b/catkincross/dispatch/_job_claims.py
@@ -0,0 +1,210 @@
+"""Claims of volatile jobs, by which only one entry runs a job at a time.
+
+Load pattern: an entry is killed or stands still just after it took a job, and the
+client account sends the job to another entry, which has not heard of it. An entry
+therefore claims a job at other entries, its witnesses, before it starts the first task.
+The witnesses of a job are the first ones in a ranking of all entries by its hash, so
+that the next entry asks at least one of the same.
+
+A witness that has started lately has forgotten the claims before, and one that was
+lost takes them with it. If an entry and all of its witnesses were lost, the runs of its
+jobs must have ended before another entry may begin them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from ..foundation._rendezvous import rank_by_hash
+from ..peers import Answer, Greeting, VolatileJobs
+from ._peer_jobs import LiveHolder, LostHolder, NoHolder, PeerVolatileJobs
+
+# Number of entries that are to know of a claim, the claiming one included. Two of them
+# may be lost at the same time.
+CLAIM_COPIES = 3
+# Outcomes of the answer to a claim.
+GRANTED = "granted"
+HELD = "held"
+# Detail of a granted claim if the witness may have forgotten earlier ones.
+STARTED_LATELY = "started lately"
+
+
+@attrs.frozen
+class Contested:
+    """Another entry claims the job at the same time, and has to withdraw."""
+
+
+@attrs.define(eq=False)
+class Claim:
+    """Progress of one claim.
+
+    Attributes:
+        own_address: Address of the claiming entry, `IP:port`.
+        ranking: Addresses of all entries in the order in which they are witnesses.
+        unavailable: Entries that cannot tell of earlier claims: lost or silent ones,
+            and those that have started lately.
+        unreachable: The lost and silent ones among them.
+        asked: Entries that were asked.
+        answers: Answer of each entry that has given one.
+    """
+
+    own_address: str
+    ranking: list[str]
+    unavailable: set[str] = attrs.field(factory=set)
+    unreachable: set[str] = attrs.field(factory=set)
+    asked: set[str] = attrs.field(factory=set)
+    answers: dict[str, Answer] = attrs.field(factory=dict)
+
+    def next_witnesses(self) -> list[str]:
+        """Return the entries to ask next; none if the verdict is due."""
+        chosen: list[str] = []
+        copies = 0
+        for address in self.ranking:
+            if copies == CLAIM_COPIES:
+                break
+            if address not in self.unreachable:
+                chosen.append(address)
+                copies += address not in self.unavailable
+        return [
+            address
+            for address in chosen
+            if address != self.own_address and address not in self.asked
+        ]
+
+    def record_asked(self, address: str) -> None:
+        """Record that an entry is being asked."""
+        self.asked.add(address)
+
+    def record_answer(self, address: str, answer: Answer | None) -> None:
+        """Record the answer of an entry; None if it gave none."""
+        if answer is None or answer.outcome not in (GRANTED, HELD):
+            self.unreachable.add(address)
+            self.unavailable.add(address)
+            return
+        self.answers[address] = answer
+        if answer.detail == STARTED_LATELY:
+            self.unavailable.add(address)
+
+    @property
+    def unwitnessed(self) -> bool:
+        """Whether another entry and all of its witnesses may have been lost."""
+        copies = min(CLAIM_COPIES, len(self.ranking))
+        first = self.ranking[: max(copies - 1, 1)]
+        return len(self.unavailable) >= copies and self.unavailable.issuperset(first)
+
+    def verdict(self) -> NoHolder | LiveHolder | LostHolder | Contested | None:
+        """Return who has the job after all answers; None if nobody can tell.
+
+        The first witness in the ranking decides between two entries that claim a job at
+        the same time.
+        """
+        held = [
+            self.answers[address]
+            for address in self.ranking
+            if address in self.answers and self.answers[address].outcome == HELD
+        ]
+        if not held:
+            return None if self.unwitnessed else NoHolder()
+        first = next(
+            address
+            for address in self.ranking
+            if address == self.own_address or address in self.answers
+        )
+        decisive = self.answers.get(first)
+        if decisive is None or decisive.outcome == GRANTED:
+            return Contested()
+        return holder_in(decisive)
+
+
+def holder_in(answer: Answer) -> LiveHolder | LostHolder:
+    """Return the holder that the answer to a claim names."""
+    if answer.detail:
+        return LiveHolder(answer.detail)
+    return LostHolder(answer.retry_after_ms)
+
+
+@attrs.define(eq=False)
+class JobClaims:
+    """Claims of this entry, and its answers to those of other entries.
+
+    Attributes:
+        peer_jobs: Volatile jobs that other entries hold or have claimed.
+        own_address: Address of this entry, `IP:port`.
+        started_ms: When this process started, on its clock in milliseconds.
+        claiming: Number of claims of this entry without a verdict, by job ID.
+    """
+
+    peer_jobs: PeerVolatileJobs
+    own_address: str
+    started_ms: int
+    claiming: dict[str, int] = attrs.field(factory=dict)
+
+    def prepare(
+        self, job_id: str, known: Iterable[str], silent: Iterable[str], now_ms: int
+    ) -> Claim:
+        """Return a claim for which nobody was asked yet.
+
+        Args:
+            job_id: The job.
+            known: Addresses of the other entries.
+            silent: Those among them that have lately given no answer to a claim.
+            now_ms: Current time on the process's clock, in milliseconds.
+        """
+        lost = self.peer_jobs.lost_addresses(now_ms)
+        addresses = {self.own_address, *known, *lost}
+        claim = Claim(self.own_address, rank_by_hash(job_id.encode(), addresses))
+        claim.unreachable = {*lost, *silent} - {self.own_address}
+        claim.unavailable = set(claim.unreachable)
+        if self.remaining_doubt_ms(now_ms) > 0:
+            claim.unavailable.add(self.own_address)
+        return claim
+
+    def start(self, job_id: str) -> None:
+        """Record that this entry claims a job, and is to be asked for it."""
+        self.claiming[job_id] = self.claiming.get(job_id, 0) + 1
+
+    def end(self, job_id: str) -> None:
+        """Record that a claim has got its verdict or was withdrawn."""
+        self.claiming[job_id] -= 1
+        if not self.claiming[job_id]:
+            del self.claiming[job_id]
+
+    def remaining_doubt_ms(self, now_ms: int) -> int:
+        """Return how long this process may still lack claims from before its start."""
+        return max(self.started_ms + self.peer_jobs.run_expiry_ms - now_ms, 0)
+
+    def doubt_ms(self, now_ms: int) -> int:
+        """Return when a job without a witness may begin, in milliseconds from now.
+
+        By then the runs of all entries that are lost now must have ended.
+        """
+        return max(self.remaining_doubt_ms(now_ms), self.peer_jobs.lost_runs_ms(now_ms))
+
+    def answer(
+        self, claimant: Greeting, job_id: str, *, has_job: bool, now_ms: int
+    ) -> Answer:
+        """Answer the claim of another entry, and record the job as its own if granted.
+
+        Args:
+            claimant: The entry.
+            job_id: The job.
+            has_job: Whether this entry has the job itself.
+            now_ms: Current time on the process's clock, in milliseconds.
+        """
+        if has_job or job_id in self.claiming:
+            return Answer(0, HELD, self.own_address)
+        process = claimant.name, claimant.incarnation
+        match self.peer_jobs.find_holder(job_id, now_ms, other_than=process):
+            case LiveHolder(address):
+                return Answer(0, HELD, address)
+            case LostHolder(wait_ms):
+                return Answer(0, HELD, "", wait_ms)
+        self.peer_jobs.update(claimant, VolatileJobs([job_id], []), now_ms)
+        lately = self.remaining_doubt_ms(now_ms) > 0
+        return Answer(0, GRANTED, STARTED_LATELY if lately else "")
+
+    def withdraw(self, claimant: Greeting, job_id: str, now_ms: int) -> None:
+        """Forget the claim of an entry that does not run the job."""
+        self.peer_jobs.update(claimant, VolatileJobs([], [], [], [job_id]), now_ms)
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -211,17 +211,56 @@
             peer.jobs.update(lost.jobs)
             peer.lost_ms = max(peer.lost_ms, now_ms - lost.lost_for_ms)
 
+    def end_earlier_processes(self, greeting: Greeting, now_ms: int) -> None:
+        """Record that the earlier processes of an entry are lost.
+
+        No link of theirs has closed if their host was turned off.
+        """
+        for (name, incarnation), other in self.entries.items():
+            if name == greeting.name and incarnation < greeting.incarnation:
+                other.replaced = True
+                if other.lost_ms is None:
+                    other.lost_ms = now_ms
+
+    def lost_addresses(self, now_ms: int) -> set[str]:
+        """Return the addresses of lost entries of which agents may still have runs."""
+        linked = {
+            entry.address for entry in self.entries.values() if entry.lost_ms is None
+        }
+        lost = {
+            entry.address
+            for entry in self.entries.values()
+            if entry.lost_ms is not None and now_ms - entry.lost_ms < self.run_expiry_ms
+        }
+        return lost - linked
+
+    def lost_runs_ms(self, now_ms: int) -> int:
+        """Return how long agents may have runs of the entries that are lost now."""
+        lost_ms = [
+            entry.lost_ms
+            for entry in self.entries.values()
+            if entry.lost_ms is not None
+        ]
+        return max(max(lost_ms, default=now_ms) + self.run_expiry_ms - now_ms, 0)
+
     def find_holder(
-        self, job_id: str, now_ms: int
+        self, job_id: str, now_ms: int, *, other_than: tuple[str, int] = ("", 0)
     ) -> NoHolder | LiveHolder | LostHolder:
         """Return who holds a job, and remove lost entries past their retention.
 
         A connected entry also holds the answer of a job that has ended there lately.
+
+        Args:
+            job_id: The job.
+            now_ms: Current time on the process's clock, in milliseconds.
+            other_than: Name and incarnation of an entry that is left out.
         """
         for key, entry in list(self.entries.items()):
             lost_ms = entry.lost_ms
             if lost_ms is not None and now_ms - lost_ms > LOST_ENTRY_RETENTION_MS:
                 del self.entries[key]
+            elif key == other_than:
+                continue
             elif job_id in entry.jobs or _asked_lately(entry, job_id, now_ms):
                 if lost_ms is None:
                     return LiveHolder(entry.address)
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -175,6 +175,10 @@
         """Whether a volatile job has begun of which other entries do not know yet."""
         return VolatileChange.BEGUN in self.state.volatile_changes.values()
 
+    def has_volatile_job(self, job_id: str) -> bool:
+        """Whether a volatile job is known; workers may have runs of it."""
+        return job_id in self.state.volatile.jobs
+
     def volatile_job_ids(self) -> list[str]:
         """Return the IDs of all known volatile jobs; workers may have runs of them."""
         return list(self.state.volatile.jobs)
--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from catkincross.dispatch import PeerVolatileJobs
+from catkincross.dispatch import JobClaims, PeerVolatileJobs
 from catkincross.owner import OwnerLimits, Reply
 from catkincross.peers import Greeting, LostVolatileJobs, VolatileJobs
 from catkincross.workers import StartOutcome, StartRun, StopRun
@@ -22,6 +22,7 @@
 from .platform_model import Model
 from .volatile_requests import REMOTE_RETRY_MS, Node, RequestsMixin
 
+START_MS = 1_000
 ANNOUNCE_MS = 40
 ANNOUNCE_ENDED_MS = 400
 # Interval at which entries open missing links and close silent ones.
@@ -110,7 +111,10 @@
         greeting = Greeting("entry", name, self.now_ms, name)
         expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
         peer_jobs = PeerVolatileJobs(expiry_ms)
-        self.nodes[name] = Node(self.owners[name], greeting, peer_jobs)
+        # The first processes are the first ones of the deployment.
+        started_ms = self.now_ms if self.now_ms > START_MS else -expiry_ms
+        claims = JobClaims(peer_jobs, name, started_ms)
+        self.nodes[name] = Node(self.owners[name], greeting, peer_jobs, claims)
 
     def kill(self, name: str, *, silent: bool = False) -> None:
         """Kill a process, or turn off its host, so that its links do not end."""
@@ -248,6 +252,7 @@
 
         def arrive() -> None:
             if lost is not None:
+                other.peer_jobs.end_earlier_processes(node.greeting, self.now_ms)
                 other.peer_jobs.add_entry(node.greeting)
             for jobs in lost or ():
                 other.peer_jobs.add_lost_jobs(jobs, self.now_ms)
