Give up a job of which an agent has another entry's run

An agent refuses a start if the worker has another run of the task. The entry took that for a full worker and sent the task to another agent at once.

The refusal shows that another entry has the job. The entry now gives the job up, and answers that its end is not known.

--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from ..jobs import Task, TaskEnd, TasksEnded, TaskState
-from ..peers import EndedRun, Ends, Logged, NotStarted, Progress
+from ..peers import ANOTHER_RUN, EndedRun, Ends, Logged, NotStarted, Progress
 from ._agents import AgentInfo
 from ._crashes import handle_crash, requeue_ended_run
 from ._requests import job_ended, stop_run
 from ._shard import END_BATCH_DELAY_MS, Shard
 from ._state import OwnerState, agent_handler
+from ._volatile import give_up_and_answer
 
 # A run has stalled if it makes no progress for this long, and for the share
 # `STALL_RUN_TIME_SHARE` of its expected run time. A task of 70 s still progresses by
@@ -274,6 +275,9 @@
         reason=message.reason,
     )
     state.requeue(task)
+    if message.reason == ANOTHER_RUN and task.job.spec.volatile:
+        # Another entry has the job, which must not run here as well.
+        give_up_and_answer(state, task.job, "another entry has a run")
 
 
 @agent_handler(Progress)
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -135,6 +135,16 @@
     state.close_volatile_job(job)
 
 
+def give_up_and_answer(state: OwnerState, job: Job, reason: str) -> None:
+    """Give up a job that may run elsewhere, and answer its requests at once."""
+    shard = state.volatile
+    shard.given_up_ms[job.spec.id] = state.now_ms
+    for request in shard.requests.pop(job.spec.id, []):
+        reply(state, request, "unknown", reason)
+    if job.final_state is None:
+        give_up(state, job, reason)
+
+
 def reply_to_requests(state: OwnerState, job: Job) -> None:
     """Answer the requests that wait for a job with its final state."""
     for request in state.volatile.requests.pop(job.spec.id, []):
--- a/catkincross/peers/__init__.py
+++ b/catkincross/peers/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._agent_messages import (
+    ANOTHER_RUN,
     AgentState,
     EndedRun,
     Ends,
@@ -33,6 +34,7 @@
 from ._link import Link, connect, serve_links
 
 __all__ = [
+    "ANOTHER_RUN",
     "AgentState",
     "Answer",
     "Ask",
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -11,6 +11,9 @@
 
 from ._message_registry import register_message
 
+# Reason of `NotStarted` if the worker has another run of the task.
+ANOTHER_RUN = "another run is here"
+
 
 @attrs.frozen
 class RunningTask:
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -7,6 +7,7 @@
 
 from ..jobs import VOLATILE_SHARD
 from ..peers import (
+    ANOTHER_RUN,
     EndedRun,
     Ends,
     Greeting,
@@ -254,7 +255,7 @@
     if not state.ready:
         return "not ready"
     if any(run.task == message.task for run in state.runs.values()):
-        return "another run is here"
+        return ANOTHER_RUN
     reason = exclusivity_refusal(state, message)
     if reason:
         return reason
--- a/tests/test_platform_job_claims.py
+++ b/tests/test_platform_job_claims.py
@@ -78,4 +78,6 @@
     model.run(5_000)
     refusals = [note[3] for note in model.notes if note[2] == "start refused"]
     assert {refusal["reason"] for refusal in refusals} == {"another run is here"}
+    given_up = [note for note in model.notes if note[2] == "job given up"]
+    assert [(note[1], note[3]["job"]) for note in given_up] == [("e1", JOB)]
     assert model.overlapping() == []
