Choose ports of the soak outside the range of outgoing connections

Cause: free_address took a port from the range that the system hands out for outgoing connections. Between the end of a daemon and its restart another process could get the port, and the daemon did not come back.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -13,7 +13,6 @@
 import asyncio
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -31,10 +30,10 @@
 
 from .loopback_proxy import Proxy
 from .soak_faults import FAULTS, Daemon
+from .soak_ports import HOST, free_address
 
 ENTRIES = 2
 AGENTS = 3
-HOST = "127.0.0.1"
 SERVICE = "checks"
 CONFIG = {
     "version": 1,
@@ -83,13 +82,6 @@
 SETTLE_LIMIT_S = 90.0
 
 
-def free_address() -> str:
-    """Return a free address on loopback."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return f"{HOST}:{sock.getsockname()[1]}"
-
-
 @attrs.define(eq=False)
 class Soak:
     """Processes, stand-ins and what the client accounts were told.
