Start daemons of the soak again, count them and keep their output

Cause: a daemon that ended by itself stayed away for the rest of a soak and went unnoticed, and its log was discarded.

Change: the soak starts such a daemon again after 0.3 s and counts it with its exit code. The output of each daemon is appended to <name>.log in the folder of the soak.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 import tempfile
 import time
@@ -89,6 +88,7 @@
     Attributes:
         accepted: Stored jobs that were answered with 200.
         faults: What was done, with the time.
+        exits: Daemons that ended by themselves, with their exit codes.
     """
 
     folder: Path
@@ -98,6 +98,7 @@
     daemons: list[Daemon] = attrs.field(factory=list)
     accepted: list[str] = attrs.field(factory=list)
     faults: list[str] = attrs.field(factory=list)
+    exits: list[tuple[str, int]] = attrs.field(factory=list)
     servers: list[HttpServer] = attrs.field(factory=list)
     session: Any = None
 
@@ -142,9 +143,20 @@
         path.write_text(NODE.format(**fields), encoding="utf-8")
         metrics_port = int(free_address().partition(":")[2])
         self.daemons.append(
-            Daemon(role, path, store_proxy, worker_proxy, front, metrics_port)
+            Daemon(
+                role,
+                path,
+                store_proxy,
+                worker_proxy,
+                front,
+                metrics_port,
+                self._on_exit,
+            )
         )
 
+    def _on_exit(self, daemon: Daemon, code: int) -> None:
+        self.exits.append((daemon.name, code))
+
     async def ask(self, daemon: Daemon, method: str, path: str, body: Any) -> Any:
         """Return status and body of a request; None without an answer."""
         url = f"http://{daemon.address}{path}"
@@ -209,9 +221,7 @@
             daemon = rng.choice(self.daemons)
             length_s = rng.uniform(0.3, LONGEST_FAULT_S)
             at = time.monotonic() - began
-            self.faults.append(
-                f"{at:.1f} s {name} {daemon.settings.stem} {length_s:.1f}"
-            )
+            self.faults.append(f"{at:.1f} s {name} {daemon.name} {length_s:.1f}")
             await FAULTS[name](daemon, length_s)
             await asyncio.sleep(rng.uniform(0.2, 1.0))
 
@@ -253,12 +263,7 @@
     async def stop(self) -> None:
         """End all processes and stand-ins."""
         for daemon in self.daemons:
-            daemon.send(signal.SIGKILL)
-            if daemon.process is not None:
-                await daemon.process.wait()
-            await daemon.store.stop()
-            if daemon.worker is not None:
-                await daemon.worker.stop()
+            await daemon.stop()
         for server in self.servers:
             await server.stop(0.1)
         await self.session.close()
@@ -293,6 +298,7 @@
         click.echo(line)
     overlapping = run.overlapping()
     click.echo(f"{len(run.accepted)} stored jobs accepted, {len(lost)} not completed")
+    click.echo(f"{len(run.exits)} daemons ended by themselves {run.exits or ''}")
     click.echo(f"{len(overlapping)} tasks ran twice at a time: {overlapping[:5]}")
     sys.exit(1 if lost or overlapping else 0)
 
--- a/scenarios/soak_faults.py
+++ b/scenarios/soak_faults.py
@@ -16,11 +16,13 @@
 
 # Time after which an agent takes a silent worker for lost, in seconds.
 WORKER_LOSS_S = 5.0
+# Time after which a process that has ended by itself is started again, in seconds.
+RESTART_DELAY_S = 0.3
 
 
 @attrs.define(eq=False)
 class Daemon:
-    """One process of the system.
+    """One process of the system, which is started again whenever it ends.
 
     Attributes:
         role: `entry` or `agent`.
@@ -28,6 +30,7 @@
         store: Proxy between it and the store.
         worker: Proxy between it and its worker; None for an entry.
         address: Address for client accounts, or for the worker's heartbeats.
+        on_exit: Called with the daemon and its exit code when it ends by itself.
         process: The process.
     """
 
@@ -37,23 +40,48 @@
     worker: Proxy | None
     address: str
     metrics_port: int
+    on_exit: Callable[[Daemon, int], None]
     process: asyncio.subprocess.Process | None = None
+    _ending: bool = False
+    _running: asyncio.Task[None] | None = None
+    _started: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def name(self) -> str:
+        """Name of the host."""
+        return self.settings.stem
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process, and start it again when it ends."""
         own = self.settings.with_suffix(".ini")
         own.write_text(f"[platform]\nmetrics_port = {self.metrics_port}\n")
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            f"catkincross.daemons.{self.role}",
-            env={
-                "CATKINCROSS_NODE_FILE": str(self.settings),
-                "CATKINCROSS_SETTINGS": str(own),
-            },
-            cwd=Path(__file__).resolve().parent.parent,
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        self._running = asyncio.create_task(self._keep_running())
+        await self._started.wait()
+
+    async def _keep_running(self) -> None:
+        while True:
+            process = self.process = await self._create_process()
+            self._ending = False
+            self._started.set()
+            code = await process.wait()
+            self._started.clear()
+            if not self._ending:
+                self.on_exit(self, code)
+                await asyncio.sleep(RESTART_DELAY_S)
+
+    async def _create_process(self) -> asyncio.subprocess.Process:
+        with self.settings.with_suffix(".log").open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                f"catkincross.daemons.{self.role}",
+                env={
+                    "CATKINCROSS_NODE_FILE": str(self.settings),
+                    "CATKINCROSS_SETTINGS": str(self.settings.with_suffix(".ini")),
+                },
+                cwd=Path(__file__).resolve().parent.parent,
+                stdout=log,
+            )
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal if the process runs."""
@@ -63,11 +91,25 @@
             self.process.send_signal(number)
 
     async def restart(self, number: signal.Signals) -> None:
-        """End the process by a signal, and start it again."""
+        """End the process by a signal, and wait until it has been started again."""
         assert self.process is not None
+        self._ending = True
         self.send(number)
         await self.process.wait()
-        await self.start()
+        await asyncio.sleep(0)
+        await self._started.wait()
+
+    async def stop(self) -> None:
+        """End the process and its proxies."""
+        if self._running is not None:
+            self._running.cancel()
+            await asyncio.wait({self._running})
+        if self.process is not None:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+        await self.store.stop()
+        if self.worker is not None:
+            await self.worker.stop()
 
 
 FAULTS: dict[str, Callable[[Daemon, float], Awaitable[None]]] = {}
