Play overlapping faults and jobs that are sent again in the soak

Cause: the soak ran two entries and three agents with one fault at a time, and no caller sent a volatile job again. It did not show that volatile jobs run twice at the same time.

Callers of volatile jobs that get no answer, or 504, send the job to another entry. A finding lists both runs, the requests for the job and the faults around it.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -6,6 +6,7 @@
 and each accepted job is completed.
 
     python -m scenarios.platform_soak --seconds 60 --seed 1
+    python -m scenarios.platform_soak --plan dense --seeds 1-8 --keep FOLDER
 """
 
 from __future__ import annotations
@@ -25,14 +26,13 @@
 
 from catkincross.transport._http_server import HttpServer
 from standins.platform_http import StoreHttp, WorkerHttp, now_ms
-from standins.platform_worker import PlatformWorker
 
 from .loopback_proxy import Proxy
+from .soak_callers import Callers, SoakPlan, SoakWorker
 from .soak_faults import FAULTS, Daemon
+from .soak_findings import Fault, describe, overlapping_runs
 from .soak_ports import HOST, free_address
 
-ENTRIES = 2
-AGENTS = 3
 SERVICE = "checks"
 CONFIG = {
     "version": 1,
@@ -73,7 +73,7 @@
 grace_s = 6
 """
 HEARTBEAT_S = 1.5
-SUBMIT_S = 0.15
+HEARTBEAT_LIMIT_S = 1.0
 # Faults last shorter than the limits after which the platform takes hosts out.
 LONGEST_FAULT_S = 2.0
 # Time in which everything has to end after the last fault, in seconds; far above the
@@ -86,34 +86,56 @@
     """Processes, stand-ins and what the client accounts were told.
 
     Attributes:
-        accepted: Stored jobs that were answered with 200.
-        faults: What was done, with the time.
+        began_ms: When traffic began, on the stand-ins' clock.
+        faults: What was done, and which daemons ended by themselves.
         exits: Daemons that ended by themselves, with their exit codes.
     """
 
     folder: Path
     seed: int
+    plan: SoakPlan
+    began_ms: int = attrs.field(factory=now_ms)
     store: StoreHttp = attrs.field(factory=StoreHttp)
-    workers: list[PlatformWorker] = attrs.field(factory=list)
-    daemons: list[Daemon] = attrs.field(factory=list)
-    accepted: list[str] = attrs.field(factory=list)
-    faults: list[str] = attrs.field(factory=list)
+    workers: list[SoakWorker] = attrs.field(factory=list)
+    entries: list[Daemon] = attrs.field(factory=list)
+    agents: list[Daemon] = attrs.field(factory=list)
+    faults: list[Fault] = attrs.field(factory=list)
     exits: list[tuple[str, int]] = attrs.field(factory=list)
     servers: list[HttpServer] = attrs.field(factory=list)
     session: Any = None
+    callers: Any = None
+
+    @property
+    def daemons(self) -> list[Daemon]:
+        """All processes."""
+        return self.entries + self.agents
+
+    @property
+    def accepted(self) -> list[str]:
+        """Stored jobs that were answered with 200."""
+        return self.callers.accepted
 
     async def start(self) -> None:
         """Start the stand-ins and all processes."""
-        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=8))
+        # A connection that is used again may be closed by the other end meanwhile.
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        self.session = aiohttp.ClientSession(connector=connector)
+        self.callers = Callers(self.entries, self.plan, self.session)
         self.store.declared.append(("config", orjson.dumps(CONFIG)))
         store_address = self._serve(self.store.app())
-        for number in range(ENTRIES):
-            await self._add(f"e{number}", "entry", store_address, "")
-        for number in range(AGENTS):
-            worker = PlatformWorker(f"w{number}", run_ms=120)
+        for number in range(self.plan.entries):
+            self.entries.append(
+                await self._daemon(f"e{number}", "entry", store_address, "")
+            )
+        for number in range(self.plan.agents):
+            worker = SoakWorker(
+                f"w{number}", seed=self.seed, run_range_ms=self.plan.run_ms
+            )
             self.workers.append(worker)
             address = self._serve(WorkerHttp(worker).app())
-            await self._add(f"u{number}", "agent", store_address, address)
+            self.agents.append(
+                await self._daemon(f"u{number}", "agent", store_address, address)
+            )
         for daemon in self.daemons:
             await daemon.start()
 
@@ -123,7 +145,7 @@
         self.servers.append(server)
         return server.address
 
-    async def _add(self, name: str, role: str, store: str, worker: str) -> None:
+    async def _daemon(self, name: str, role: str, store: str, worker: str) -> Daemon:
         store_proxy = Proxy(store)
         worker_proxy = Proxy(worker) if worker else None
         await store_proxy.start()
@@ -142,123 +164,75 @@
         }
         path.write_text(NODE.format(**fields), encoding="utf-8")
         metrics_port = int(free_address().partition(":")[2])
-        self.daemons.append(
-            Daemon(
-                role,
-                path,
-                store_proxy,
-                worker_proxy,
-                front,
-                metrics_port,
-                self._on_exit,
-            )
+        return Daemon(
+            role, path, store_proxy, worker_proxy, front, metrics_port, self._on_exit
         )
 
     def _on_exit(self, daemon: Daemon, code: int) -> None:
         self.exits.append((daemon.name, code))
+        what = f"{daemon.name} ended by itself with code {code}"
+        self.faults.append(Fault(what, now_ms(), now_ms()))
 
-    async def ask(self, daemon: Daemon, method: str, path: str, body: Any) -> Any:
-        """Return status and body of a request; None without an answer."""
-        url = f"http://{daemon.address}{path}"
-        headers = {"Host": "soak.example", "X-Catkincross-Deadline-Ms": "4000"}
-        try:
-            async with self.session.request(
-                method, url, data=orjson.dumps(body), headers=headers
-            ) as response:
-                return response.status, orjson.loads(await response.read() or b"null")
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            # The process is down or cut; the caller goes on with another.
-            return None
-
-    async def beat(self) -> None:
-        """Send the heartbeats of all workers until cancelled."""
+    async def beat(self, worker: SoakWorker, agent: Daemon) -> None:
+        """Send the heartbeats of a worker until cancelled."""
         sequence = 0
         while True:
             sequence += 1
-            agents = [daemon for daemon in self.daemons if daemon.role == "agent"]
-            for worker, agent in zip(self.workers, agents, strict=True):
-                body = {
-                    "service": SERVICE,
-                    "zone": "perth",
-                    "state": "ready",
-                    "capacity": {"cpu": 8_000, "mem_mb": 8_192},
-                    "labels": ["a", "r1"],
-                    "seq": sequence,
-                    "born": worker.worker_incarnation,
-                }
-                await self.ask(agent, "PUT", f"/instances/{worker.instance}", body)
+            body = {
+                "service": SERVICE,
+                "zone": "perth",
+                "state": "ready",
+                "capacity": {"cpu": 8_000, "mem_mb": 8_192},
+                "labels": ["a", "r1"],
+                "seq": sequence,
+                "born": worker.worker_incarnation,
+            }
+            path = f"/instances/{worker.instance}"
+            await self.callers.ask(agent, "PUT", path, body, HEARTBEAT_LIMIT_S)
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def submit(self, rng: random.Random) -> None:
-        """Hand in stored and volatile jobs until cancelled."""
-        entries = [daemon for daemon in self.daemons if daemon.role == "entry"]
-        number = 0
-        waiting: set[asyncio.Task[None]] = set()
-        while True:
-            number += 1
-            job_id = f"{number:016x}"
-            steps = [{"count": 3, "cpu": 1_000, "mem_mb": 64, "estimate_ms": 120}]
-            body = {"spec": "x", "steps": steps, "best_effort": number % 3 == 0}
-            task = asyncio.create_task(
-                self._submit_one(rng.choice(entries), job_id, body)
-            )
-            waiting.add(task)
-            task.add_done_callback(waiting.discard)
-            await asyncio.sleep(SUBMIT_S)
-
-    async def _submit_one(
-        self, entry: Daemon, job_id: str, body: dict[str, Any]
-    ) -> None:
-        found = await self.ask(entry, "POST", f"/r/{job_id}", body)
-        if found is not None and found[0] == 200 and not body["best_effort"]:
-            self.accepted.append(job_id)
-
-    async def disturb(self, rng: random.Random, seconds: float) -> None:
+    async def disturb(self, rng: random.Random) -> None:
         """Do faults at random times, and heal them."""
-        began = time.monotonic()
-        while time.monotonic() - began < seconds:
+        end_ms = now_ms() + self.plan.seconds * 1_000
+        while now_ms() < end_ms:
             name = rng.choice(sorted(FAULTS))
-            daemon = rng.choice(self.daemons)
+            count = min(rng.choice(self.plan.at_once), len(self.daemons))
+            daemons = rng.sample(self.daemons, count)
             length_s = rng.uniform(0.3, LONGEST_FAULT_S)
-            at = time.monotonic() - began
-            self.faults.append(f"{at:.1f} s {name} {daemon.name} {length_s:.1f}")
-            await FAULTS[name](daemon, length_s)
+            names = " ".join(daemon.name for daemon in daemons)
+            fault = Fault(f"{name} {names}", now_ms())
+            self.faults.append(fault)
+            await asyncio.gather(
+                *(FAULTS[name](daemon, length_s) for daemon in daemons)
+            )
+            fault.end_ms = now_ms()
             await asyncio.sleep(rng.uniform(0.2, 1.0))
 
     async def settled(self) -> list[str]:
         """Return the accepted jobs that are not completed within the limit."""
-        entries = [daemon for daemon in self.daemons if daemon.role == "entry"]
         left = list(self.accepted)
         end = time.monotonic() + SETTLE_LIMIT_S
         while left and time.monotonic() < end:
-            job_id = left[0]
-            found = await self.ask(entries[len(left) % 2], "GET", f"/r/{job_id}", None)
-            if found is not None and found[1] == {"state": "completed"}:
+            entry = self.entries[len(left) % len(self.entries)]
+            _, found = await self.callers.ask(entry, "GET", f"/r/{left[0]}", None)
+            if found == {"state": "completed"}:
                 left.pop(0)
             else:
                 await asyncio.sleep(0.05)
         return left
 
     def overlapping(self) -> list[str]:
-        """Return the tasks of which two runs went on at the same time.
+        """Return a description of each two runs of a task at the same time.
 
         Workers learn of the end of their lease at the next call only, and their agent
         may make no call any more.
         """
         for worker in self.workers:
             worker.advance(now_ms())
-        rows = sorted(
-            (at, what == "start", task)
-            for worker in self.workers
-            for at, what, task, _ in worker.run_events
-        )
-        active: dict[str, int] = {}
-        found = []
-        for _, starts, task in rows:
-            active[task] = active.get(task, 0) + (1 if starts else -1)
-            if active[task] > 1:
-                found.append(task)
-        return found
+        return [
+            describe(pair, self.callers.sends, self.faults, self.began_ms)
+            for pair in overlapping_runs(self.workers)
+        ]
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
@@ -269,38 +243,77 @@
         await self.session.close()
 
 
-async def soak(folder: Path, seed: int, seconds: float) -> tuple[Soak, list[str]]:
+async def soak(folder: Path, seed: int, plan: SoakPlan) -> tuple[Soak, list[str]]:
     """Run a soak; return it and the accepted jobs that were lost."""
-    run = Soak(folder, seed)
-    await run.start()
-    tasks = [asyncio.create_task(run.beat())]
+    run = Soak(folder, seed, plan)
+    beats: list[asyncio.Task[None]] = []
     try:
+        await run.start()
+        for worker, agent in zip(run.workers, run.agents, strict=True):
+            beats.append(asyncio.create_task(run.beat(worker, agent)))
         await asyncio.sleep(HEARTBEAT_S)
-        tasks.append(asyncio.create_task(run.submit(random.Random(seed))))
-        await run.disturb(random.Random(seed + 1), seconds)
-        tasks.pop().cancel()
+        run.began_ms = now_ms()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(run.callers.submit(random.Random(seed)))
+            for number in range(1, plan.series + 1):
+                group.create_task(run.disturb(random.Random(seed + number)))
         lost = await run.settled()
     finally:
-        for task in tasks:
+        for task in beats:
             task.cancel()
         await run.stop()
     return run, lost
 
 
+def run_seed(folder: Path, seed: int, plan: SoakPlan, verbose: bool) -> bool:
+    """Run a soak, print what was found, and return whether all promises held."""
+    folder.mkdir(parents=True, exist_ok=True)
+    run, lost = asyncio.run(soak(folder, seed, plan))
+    findings = run.overlapping()
+    faults = [f"{(f.at_ms - run.began_ms) / 1e3:.1f} s {f.what}" for f in run.faults]
+    lines = faults if verbose else []
+    lines.append(
+        f"seed {seed}: {len(run.accepted)} stored jobs accepted, {len(lost)} not "
+        f"completed, {len(findings)} times two runs of a task at a time, "
+        f"{len(run.exits)} daemons ended by themselves {run.exits or ''}"
+    )
+    click.echo("\n".join(lines + findings))
+    report = "\n".join([lines[-1], *findings, *faults, f"not completed: {lost}"])
+    (folder / "report.txt").write_text(report + "\n", encoding="utf-8")
+    return not lost and not findings
+
+
 @click.command()
+@click.option("--plan", "name", type=click.Choice(["small", "dense"]), default="small")
 @click.option("--seconds", default=60.0, help="How long faults go on, in seconds.")
 @click.option("--seed", default=1, help="Seed of faults and requests.")
-def main(seconds: float, seed: int) -> None:
-    """Run a soak and print what was found."""
+@click.option("--seeds", help="Range of seeds `A-B`, run one after the other.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Folder for the logs.")
+@click.option("--entries", type=int, help="Number of entries.")
+@click.option("--agents", type=int, help="Number of agents.")
+@click.option("--run-ms", type=(int, int), help="Range of the tasks' run times.")
+@click.option("--jobs-per-s", type=float, help="Rate of jobs.")
+@click.option("--series", type=int, help="Number of series of faults side by side.")
+@click.option("--resend-s", type=float, help="Delay before a job is sent again.")
+def main(
+    name: str,
+    seconds: float,
+    seed: int,
+    seeds: str | None,
+    keep: Path | None,
+    **changes: Any,
+) -> None:
+    """Run one or more soaks and print what was found."""
+    plan = SoakPlan.dense(seconds) if name == "dense" else SoakPlan.small(seconds)
+    given = {field: value for field, value in changes.items() if value is not None}
+    plan = attrs.evolve(plan, **given)
+    first, _, last = (seeds or str(seed)).partition("-")
     with tempfile.TemporaryDirectory() as folder:
-        run, lost = asyncio.run(soak(Path(folder), seed, seconds))
-    for line in run.faults:
-        click.echo(line)
-    overlapping = run.overlapping()
-    click.echo(f"{len(run.accepted)} stored jobs accepted, {len(lost)} not completed")
-    click.echo(f"{len(run.exits)} daemons ended by themselves {run.exits or ''}")
-    click.echo(f"{len(overlapping)} tasks ran twice at a time: {overlapping[:5]}")
-    sys.exit(1 if lost or overlapping else 0)
+        results = [
+            run_seed((keep or Path(folder)) / f"seed-{number}", number, plan, not seeds)
+            for number in range(int(first), int(last or first) + 1)
+        ]
+    sys.exit(0 if all(results) else 1)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/scenarios/soak_callers.py
@@ -0,0 +1,168 @@
+"""Callers of a soak, which send stored and volatile jobs to the entries."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+
+from standins.platform_http import now_ms
+from standins.platform_worker import PlatformWorker
+
+from .soak_faults import Daemon
+from .soak_findings import Send
+
+TASKS = 3
+# Time after which a caller of a stored job leaves, in seconds.
+PATIENCE_S = 8.0
+# Answer that leaves open whether a job has run.
+UNKNOWN = 504
+
+
+@attrs.frozen(kw_only=True)
+class SoakPlan:
+    """Size and load of a soak.
+
+    Attributes:
+        seconds: How long faults go on.
+        run_ms: Shortest and longest run time of a task.
+        jobs_per_s: Rate of jobs.
+        volatile_of_three: How many of three jobs are volatile.
+        leave_s: Time after which a caller of a volatile job leaves.
+        resend_s: Time from there to the same request to another entry.
+        max_sends: Largest number of requests for a volatile job.
+        series: Number of series of faults that go on side by side.
+        at_once: Numbers of processes that a fault may take.
+    """
+
+    entries: int = 2
+    agents: int = 3
+    seconds: float = 60.0
+    run_ms: tuple[int, int] = (120, 120)
+    jobs_per_s: float = 1 / 0.15
+    volatile_of_three: int = 1
+    leave_s: float = PATIENCE_S
+    resend_s: float = 1.3
+    max_sends: int = 1
+    series: int = 1
+    at_once: tuple[int, ...] = (1,)
+
+    @classmethod
+    def small(cls, seconds: float = 60.0) -> SoakPlan:
+        """Return few processes with short tasks and one fault at a time."""
+        return cls(seconds=seconds)
+
+    @classmethod
+    def dense(cls, seconds: float = 60.0) -> SoakPlan:
+        """Return overlapping faults under callers that send jobs again at once."""
+        return cls(
+            entries=4,
+            agents=6,
+            seconds=seconds,
+            run_ms=(40, 1_500),
+            jobs_per_s=10.0,
+            volatile_of_three=2,
+            leave_s=1.3,
+            resend_s=0.05,
+            max_sends=3,
+            series=2,
+            at_once=(1, 2, 4),
+        )
+
+
+@attrs.define(kw_only=True)
+class SoakWorker(PlatformWorker):
+    """Worker whose run times are drawn for each task from the seed of the soak."""
+
+    seed: int
+    run_range_ms: tuple[int, int]
+
+    def start(self, now_ms: int, order: Any) -> Any:
+        """Carry out an order to start a run."""
+        rng = random.Random(f"{self.seed} {order.task}")
+        self.run_ms = rng.randint(*self.run_range_ms)
+        return super().start(now_ms, order)
+
+
+@attrs.define(eq=False)
+class Callers:
+    """Callers of all jobs.
+
+    Attributes:
+        accepted: Stored jobs that were answered with 200.
+        sends: All requests for jobs.
+    """
+
+    entries: Sequence[Daemon]
+    plan: SoakPlan
+    session: aiohttp.ClientSession
+    accepted: list[str] = attrs.field(factory=list)
+    sends: list[Send] = attrs.field(factory=list)
+
+    async def submit(self, rng: random.Random) -> None:
+        """Hand in jobs for the time of the plan, and wait for the last answers."""
+        end_ms = now_ms() + self.plan.seconds * 1_000
+        number = 0
+        async with asyncio.TaskGroup() as group:
+            while now_ms() < end_ms:
+                number += 1
+                volatile = number % 3 < self.plan.volatile_of_three
+                order = rng.sample(self.entries, len(self.entries))
+                call = self._call_volatile if volatile else self._call_stored
+                group.create_task(call(f"{number:016x}", order))
+                await asyncio.sleep(1 / self.plan.jobs_per_s)
+
+    async def _call_stored(self, job_id: str, order: list[Daemon]) -> None:
+        if await self._send(order[0], job_id, False, PATIENCE_S) == 200:
+            self.accepted.append(job_id)
+
+    async def _call_volatile(self, job_id: str, order: list[Daemon]) -> None:
+        for number in range(self.plan.max_sends):
+            if number:
+                await asyncio.sleep(self.plan.resend_s)
+            entry = order[number % len(order)]
+            status = await self._send(entry, job_id, True, self.plan.leave_s)
+            if status not in (None, UNKNOWN):
+                return
+
+    async def _send(
+        self, entry: Daemon, job_id: str, volatile: bool, timeout_s: float
+    ) -> int | None:
+        estimate_ms = sum(self.plan.run_ms) // 2
+        step = {"count": TASKS, "cpu": 1_000, "mem_mb": 64, "estimate_ms": estimate_ms}
+        body = {"spec": "x", "steps": [step], "best_effort": volatile}
+        at_ms = now_ms()
+        status, found = await self.ask(entry, "POST", f"/r/{job_id}", body, timeout_s)
+        outcome = f"{status} {found}" if status else str(found)
+        self.sends.append(Send(job_id, entry.name, at_ms, now_ms(), outcome))
+        return status
+
+    async def ask(
+        self,
+        daemon: Daemon,
+        method: str,
+        path: str,
+        body: Any,
+        timeout_s: float = PATIENCE_S,
+    ) -> tuple[int | None, Any]:
+        """Return status and body of an answer; without one, None and the reason."""
+        url = f"http://{daemon.address}{path}"
+        headers = {"Host": "soak.example", "X-Catkincross-Deadline-Ms": "4000"}
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self.session.request(
+                    method, url, data=orjson.dumps(body), headers=headers
+                ) as response,
+            ):
+                return response.status, orjson.loads(await response.read() or b"null")
+        except TimeoutError:
+            return None, "caller left"
+        except (aiohttp.ClientError, OSError) as error:
+            # The process is down or cut; the caller goes on with another.
+            return None, type(error).__name__
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from scenarios.platform_soak import FAULTS, soak
+from scenarios.soak_callers import SoakPlan
 
 FAULTS_S = 8.0
 SEED = 3
@@ -13,7 +14,7 @@
 
 def test_faults_lose_no_job_and_let_no_runs_overlap(tmp_path: Path) -> None:
     """Faults must neither lose accepted jobs nor let two runs of a task overlap."""
-    run, lost = asyncio.run(soak(tmp_path, SEED, FAULTS_S))
+    run, lost = asyncio.run(soak(tmp_path, SEED, SoakPlan.small(FAULTS_S)))
     assert run.accepted
     assert run.faults
     assert lost == []
