Report when the jobs of a soak were completed, and its clock

Cause: in a dense soak a stored job was completed 88 s after the last fault, just below the limit, and no line of the result showed it. Logs of the daemons have a clock whose reading at the start of traffic was not reported. A folder that is used again mixed the logs of two soaks.

Change: the result states the time until all accepted jobs were completed, the report has the clock's reading, and a soak removes logs of an earlier one.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -89,6 +89,7 @@
         began_ms: When traffic began, on the stand-ins' clock.
         faults: What was done, and which daemons ended by themselves.
         exits: Daemons that ended by themselves, with their exit codes.
+        settle_s: Time from the last fault until all accepted jobs were completed.
     """
 
     folder: Path
@@ -101,6 +102,7 @@
     agents: list[Daemon] = attrs.field(factory=list)
     faults: list[Fault] = attrs.field(factory=list)
     exits: list[tuple[str, int]] = attrs.field(factory=list)
+    settle_s: float = 0.0
     servers: list[HttpServer] = attrs.field(factory=list)
     session: Any = None
     callers: Any = None
@@ -163,6 +165,7 @@
             "store": store_proxy.address,
         }
         path.write_text(NODE.format(**fields), encoding="utf-8")
+        path.with_suffix(".log").unlink(missing_ok=True)
         metrics_port = int(free_address().partition(":")[2])
         return Daemon(
             role, path, store_proxy, worker_proxy, front, metrics_port, self._on_exit
@@ -211,14 +214,15 @@
     async def settled(self) -> list[str]:
         """Return the accepted jobs that are not completed within the limit."""
         left = list(self.accepted)
-        end = time.monotonic() + SETTLE_LIMIT_S
-        while left and time.monotonic() < end:
+        began = time.monotonic()
+        while left and self.settle_s < SETTLE_LIMIT_S:
             entry = self.entries[len(left) % len(self.entries)]
             _, found = await self.callers.ask(entry, "GET", f"/r/{left[0]}", None)
             if found == {"state": "completed"}:
                 left.pop(0)
             else:
                 await asyncio.sleep(0.05)
+            self.settle_s = time.monotonic() - began
         return left
 
     def overlapping(self) -> list[str]:
@@ -274,11 +278,20 @@
     lines = faults if verbose else []
     lines.append(
         f"seed {seed}: {len(run.accepted)} stored jobs accepted, {len(lost)} not "
-        f"completed, {len(findings)} times two runs of a task at a time, "
-        f"{len(run.exits)} daemons ended by themselves {run.exits or ''}"
+        f"completed after {run.settle_s:.1f} s, {len(findings)} times two runs of a "
+        f"task at a time, {len(run.exits)} daemons ended by themselves "
+        f"{run.exits or ''}"
     )
     click.echo("\n".join(lines + findings))
-    report = "\n".join([lines[-1], *findings, *faults, f"not completed: {lost}"])
+    report = "\n".join(
+        [
+            lines[-1],
+            f"not completed: {lost}",
+            f"traffic began at clock_ms {run.began_ms} of the logs",
+            *findings,
+            *faults,
+        ]
+    )
     (folder / "report.txt").write_text(report + "\n", encoding="utf-8")
     return not lost and not findings
 
