Give up volatile jobs after a pause in which others may have begun them

When the entry went on it started the stopped tasks again, since its client accounts had not been seen to leave yet.

After such a pause an entry gives its volatile jobs up and answers that their end is not known.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -111,9 +111,10 @@
             log.note_error,
         )
         self.owner_requests.on_backlogs = self.core.update_peer_backlogs
-        run_expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
         self.peer_jobs = PeerVolatileJobs(
-            run_expiry_ms, REQUEST_RELEASE_MS, (settings.name, self.incarnation)
+            limits.volatile_expiry_ms,
+            REQUEST_RELEASE_MS,
+            (settings.name, self.incarnation),
         )
         self.leaving = False
         self.store_reachable = True
@@ -252,7 +253,7 @@
         limits = own_settings.owner_limits(settings)
         self.settings = settings
         self.core.update_limits(attrs.evolve(limits, shards=self.owner_requests.shards))
-        self.peer_jobs.run_expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
+        self.peer_jobs.run_expiry_ms = limits.volatile_expiry_ms
         self.store.set_address(settings.store)
         self.feed.set_apply_limit(settings.config_ms)
 
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -28,7 +28,7 @@
 from ._requests import cancel, job_state, submit
 from ._shard import ShardPhase, VolatileChange, VolatileShard
 from ._state import AGENT_HANDLERS, OWNER_SYSTEMS, OwnerState
-from ._volatile import abandon, submit_volatile
+from ._volatile import abandon, give_up_all, submit_volatile
 from ._wall_clock import WallClock
 
 # Longest time between two steps if no event comes.
@@ -76,6 +76,9 @@
         self._stepped_ms = self.state.now_ms = now_ms
         if paused_ms > PAUSE_MS:
             self.state.note("resumed", paused_ms=paused_ms)
+        if paused_ms >= self.state.limits.volatile_expiry_ms:
+            # Another entry may have begun the jobs meanwhile.
+            give_up_all(self.state, "entry stood still")
         if self.state.started_ms is None:
             self.state.started_ms = now_ms
         for _, system in OWNER_SYSTEMS:
--- a/catkincross/owner/_limits.py
+++ b/catkincross/owner/_limits.py
@@ -45,3 +45,11 @@
     status_ms: int = 120_000
     keep_ms: int = 300_000
     remote_factor: float = 1.5
+
+    @property
+    def volatile_expiry_ms(self) -> int:
+        """Time after the loss of an entry in which agents may have its volatile jobs.
+
+        In milliseconds; other entries do not begin these jobs before that.
+        """
+        return self.volatile_silence_ms + self.lapse_ms
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -145,6 +145,12 @@
         give_up(state, job, reason)
 
 
+def give_up_all(state: OwnerState, reason: str) -> None:
+    """Give up all open jobs, which may run elsewhere, and answer their requests."""
+    for job in list(state.volatile.open_jobs.values()):
+        give_up_and_answer(state, job, reason)
+
+
 def reply_to_requests(state: OwnerState, job: Job) -> None:
     """Answer the requests that wait for a job with its final state."""
     for request in state.volatile.requests.pop(job.spec.id, []):
--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -109,7 +109,7 @@
         super().start_entry(name)
         limits = OwnerLimits()
         greeting = Greeting("entry", name, self.now_ms, name)
-        expiry_ms = limits.volatile_silence_ms + limits.lapse_ms
+        expiry_ms = limits.volatile_expiry_ms
         peer_jobs = PeerVolatileJobs(expiry_ms)
         # The first processes are the first ones of the deployment.
         started_ms = self.now_ms if self.now_ms > START_MS else -expiry_ms
--- a/tests/test_platform_job_claims.py
+++ b/tests/test_platform_job_claims.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from scenarios.platform_model import SETTLE_MS, job
+from scenarios.platform_model import SETTLE_MS, job, ready_model
 from scenarios.volatile_fuzz import Action, Plan, play_plan
 from scenarios.volatile_model import VolatileModel
 
@@ -81,3 +81,19 @@
     given_up = [note for note in model.notes if note[2] == "job given up"]
     assert [(note[1], note[3]["job"]) for note in given_up] == [("e1", JOB)]
     assert model.overlapping() == []
+
+
+def test_an_entry_that_stood_still_starts_no_job_that_was_taken_over() -> None:
+    """Its runs had been stopped, and it started the tasks again when it went on.
+
+    By then another entry had waited for the end of the runs, and had begun the job.
+    """
+    model = ready_model()
+    for machine in model.machines.values():
+        machine.run_ms = 3_000
+    model.submit("post", job(JOB, volatile=True), "e0", timeout_ms=20_000)
+    model.run(100)
+    model.owners["e0"].frozen_until_ms = model.now_ms + 4_000
+    model.run(8_000)
+    assert model.count("start") == 4
+    assert model.answers["post"].outcome == "unknown"
