Begin jobs without a witness once the agents prove that nothing runs

Agents tell entries now whether their worker may have runs of an entry that gives no leases. If all agents that the shards' logs name are connected and none has, a job without a witness begins at once. Large sites, where agents do not have links to all entries, wait as before.

A claim whose answers are older than 2 s, since the process stood still, is made anew, and the jobs that are being claimed are part of the list on a new link.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -135,7 +135,12 @@
         )
         claims = JobClaims(self.peer_jobs, self.address, clock.now_ms())
         self.claimer = JobClaimer(
-            claims, self.owner_requests, self.core.has_volatile_job, clock, log
+            claims,
+            self.owner_requests,
+            self.core,
+            clock,
+            log,
+            own_settings.offered_entries,
         )
         self.volatile_requests = VolatileRequests(
             self.core,
--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 from ..clock import Clock
@@ -16,6 +16,7 @@
     NoHolder,
     holder_in,
 )
+from ..owner import OwnerCore
 from ..peers import Answer, Ask, Greeting, Link
 from ._log import DecisionLog
 from ._owner_requests import LINK_CLOSED, OwnerRequests
@@ -28,8 +29,17 @@
 CLAIM_TIMEOUT_MS = 200
 # Pause before a claim is repeated that another entry contests, in milliseconds.
 CONTEST_RETRY_MS = 20
-# Number of attempts after which the contesting entry counts as the holder.
-MAX_CONTESTS = 5
+# Number of attempts after which a contesting entry counts as the holder.
+MAX_ATTEMPTS = 5
+# Longest time for which a claim without a witness waits for the agents, in
+# milliseconds. They connect to an entry that has started within 800 ms.
+DOUBT_WAIT_MS = 1_000
+# Interval at which it is checked whether they have told that nothing runs, in seconds.
+DOUBT_POLL_S = 0.025
+# Time from the first question of a claim after which its answers are not used, in
+# milliseconds. It is longer than the waits of a claim, and shorter than the time after
+# which jobs of a lost entry begin elsewhere.
+CLAIM_VALID_MS = 2_000
 MS_PER_S = 1_000
 
 
@@ -39,9 +49,10 @@
     Args:
         claims: The decisions.
         owner_requests: Links to the other entries.
-        has_job: Whether this entry has a job.
+        core: Core of this entry.
         clock: Clock of the process.
         log: Log of the process.
+        max_entries: Largest number of entries of which each agent has a link to all.
 
     Attributes:
         silent_since_ms: Since when an entry has given no answer to a claim, by address,
@@ -52,13 +63,15 @@
         self,
         claims: JobClaims,
         owner_requests: OwnerRequests,
-        has_job: Callable[[str], bool],
+        core: OwnerCore,
         clock: Clock,
         log: DecisionLog,
+        max_entries: int,
     ) -> None:
         self.claims = claims
         self.owner_requests = owner_requests
-        self.has_job = has_job
+        self.core = core
+        self.max_entries = max_entries
         self.clock = clock
         self.log = log
         self.silent_since_ms: dict[str, int] = {}
@@ -74,9 +87,15 @@
         asked: set[str] = set()
         self.claims.start(job_id)
         try:
-            for _ in range(MAX_CONTESTS):
+            for _ in range(MAX_ATTEMPTS):
+                began_ms = self.clock.now_ms()
                 claim = await self._ask_witnesses(job_id, asked)
                 verdict = claim.verdict()
+                if verdict is None and await self._doubt_ends(claim):
+                    verdict = NoHolder()
+                if self.clock.now_ms() - began_ms > CLAIM_VALID_MS:
+                    # The process stood still, and the answers may be out of date.
+                    continue
                 if not isinstance(verdict, Contested):
                     break
                 await asyncio.sleep(CONTEST_RETRY_MS / MS_PER_S)
@@ -90,6 +109,18 @@
             if not granted:
                 self._withdraw_at(job_id, asked)
 
+    async def _doubt_ends(self, claim: Claim) -> bool:
+        """Wait for a proof that no run of a lost entry goes on; False without one."""
+        if len(claim.ranking) > self.max_entries:
+            return False
+        end_ms = self.clock.now_ms() + DOUBT_WAIT_MS
+        while (now_ms := self.clock.now_ms()) < end_ms:
+            since_ms = self.claims.doubt_since_ms(now_ms)
+            if now_ms >= since_ms and self.core.lost_runs_ended(now_ms, since_ms):
+                return True
+            await asyncio.sleep(DOUBT_POLL_S)
+        return False
+
     def _holder(self, claim: Claim, verdict: Any) -> NoHolder | LiveHolder | LostHolder:
         if verdict is None:
             return LostHolder(self.claims.doubt_ms(self.clock.now_ms()))
@@ -146,7 +177,7 @@
         self._withdraw_at(job_id, self._prepare(job_id).next_witnesses())
 
     def _withdraw_at(self, job_id: str, witnesses: Iterable[str]) -> None:
-        if self.has_job(job_id) or job_id in self.claims.claiming:
+        if self.core.has_volatile_job(job_id) or job_id in self.claims.claiming:
             return
         for address in witnesses:
             self.owner_requests.notify(address, Ask(0, WITHDRAW, job_id))
@@ -158,5 +189,5 @@
         if ask.verb == WITHDRAW:
             self.claims.withdraw(claimant, ask.job_id, now_ms)
             return None
-        has_job = self.has_job(ask.job_id)
+        has_job = self.core.has_volatile_job(ask.job_id)
         return self.claims.answer(claimant, ask.job_id, has_job=has_job, now_ms=now_ms)
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -254,7 +254,11 @@
         """Tell another entry which volatile jobs are held here, or by lost entries."""
         for lost in self.peer_jobs.lost_jobs(self.clock.now_ms()):
             link.send(lost)
-        link.send(VolatileJobs(self.core.volatile_job_ids(), [], complete=True))
+        begun = self.core.volatile_job_ids()
+        if self.claimer is not None:
+            # The link before this one may have carried a claim.
+            begun += self.claimer.claims.claiming
+        link.send(VolatileJobs(begun, [], complete=True))
 
     async def announce_jobs(self) -> None:
         """Announce the volatile jobs that begin and end here, until cancelled."""
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -19,6 +19,7 @@
 from ._agents import AgentInfo
 from ._effects import Effect
 from ._limits import OwnerLimits
+from ._lost_entry_runs import lost_runs_ended
 from ._recovery import (
     assign_shards,
     check_membership,
@@ -182,6 +183,16 @@
         """Whether a volatile job is known; workers may have runs of it."""
         return job_id in self.state.volatile.jobs
 
+    def lost_runs_ended(self, now_ms: int, since_ms: int) -> bool:
+        """Whether all agents have told that no run of a lost entry goes on.
+
+        Args:
+            now_ms: Current time on the process's clock, in milliseconds.
+            since_ms: Earliest time at which an agent may have told it.
+        """
+        self.state.now_ms = now_ms
+        return lost_runs_ended(self.state, since_ms)
+
     def volatile_job_ids(self) -> list[str]:
         """Return the IDs of all known volatile jobs; workers may have runs of them."""
         return list(self.state.volatile.jobs)
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -126,6 +126,8 @@
         shared: Whether other entries have lately sent orders to the worker, or have
             tasks waiting.
         run_count: Number of runs that are on the worker or have been ordered there.
+        unleased_runs: Whether the worker may have runs of volatile jobs whose entry
+            gives no leases or is not known.
     """
 
     clock_ms: int
@@ -136,6 +138,7 @@
     acked_order: int = 0
     shared: bool = False
     run_count: int = 0
+    unleased_runs: bool = True
 
 
 @register_message
--- a/tests/test_platform_job_claims.py
+++ b/tests/test_platform_job_claims.py
@@ -97,3 +97,35 @@
     model.run(8_000)
     assert model.count("start") == 4
     assert model.answers["post"].outcome == "unknown"
+
+
+@pytest.mark.parametrize("down_ms", [100, 700, 1_600])
+def test_agents_prove_that_nothing_runs_only_when_nothing_does(down_ms: int) -> None:
+    """All entries and agents lose power, and the workers keep their runs for a while.
+
+    Entries that waited for the longest time in any case served nothing for 2,250 ms.
+    """
+    model = VolatileModel(entries=2, agents=3)
+    model.run(SETTLE_MS)
+    for machine in model.machines.values():
+        machine.run_ms = 6_000
+    model.submit("post", job(JOB, count=6, volatile=True), "e0", timeout_ms=9_000)
+    model.run(300)
+    for name in ("e0", "e1", "u0", "u1", "u2"):
+        model.kill(name)
+    model.run(down_ms)
+    for name in ("e0", "e1"):
+        model.start_entry(name)
+    for name in ("u0", "u1", "u2"):
+        model.start_agent(name)
+    model.assign()
+    started_ms = model.now_ms
+    proofs = []
+    while model.now_ms < started_ms + 6_000:
+        model.run(10)
+        core = model.owners["e1"].core
+        if core.lost_runs_ended(model.now_ms, started_ms + 450):
+            proofs.append(model.now_ms - started_ms)
+            assert not any(machine.running for machine in model.machines.values())
+    assert proofs
+    assert proofs[0] < 2_250
