Let all entries prove together that no run of a lost entry goes on

An entry now asks all others whether the agents that they know have told it. Agents tell the age of the oldest lease of their runs in place of a flag, so that a worker without runs is clear at once. The time at which a state was sent counts, by the agent's clock, since it may arrive late. Requests of other entries are passed to the core by a module of their own.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -15,7 +15,7 @@
 from ..dispatch import JobClaims, PeerVolatileJobs
 from ..foundation._background import spawn, spawn_repeated
 from ..http11 import ErrorReportingApp
-from ..jobs import JobSpec, from_fields, to_fields
+from ..jobs import JobSpec, to_fields
 from ..owner import (
     Append,
     BroadcastToEntries,
@@ -35,9 +35,11 @@
 )
 from ..transport._http_server import HttpServer
 from ._core_loop import CoreLoop
+from ._core_requests import pass_request, send_reply
 from ._entry_links import REQUEST_RELEASE_MS, EntryLinks
 from ._job_claimer import JobClaimer
 from ._log import DecisionLog
+from ._lost_runs_proof import LostRunsProof
 from ._membership import ShardOwners, maintain_membership, member_name
 from ._own_settings import OwnSettings
 from ._owner_requests import OwnerRequests
@@ -134,13 +136,9 @@
             self._ask_core,
         )
         claims = JobClaims(self.peer_jobs, self.address, clock.now_ms())
+        proof = LostRunsProof(self.core, self.owner_requests, clock, log)
         self.claimer = JobClaimer(
-            claims,
-            self.owner_requests,
-            self.core,
-            clock,
-            log,
-            own_settings.offered_entries,
+            claims, self.owner_requests, self.core, clock, log, proof
         )
         self.volatile_requests = VolatileRequests(
             self.core,
@@ -320,34 +318,14 @@
         return future
 
     def _ask_core(self, request: Any, ask: Ask) -> None:
-        now_ms = self.clock.now_ms()
-        match ask.verb:
-            case "submit":
-                spec = from_fields(ask.body, JobSpec)
-                if spec.volatile:
-                    self.volatile_requests.submit_for_entry(
-                        request, spec, ask.timeout_ms
-                    )
-                    return
-                wall_ms = time.time_ns() // 1_000_000
-                self.core.submit(
-                    now_ms,
-                    request,
-                    spec,
-                    accepted_ms=wall_ms,
-                    timeout_ms=ask.timeout_ms,
-                )
-            case "state":
-                self.core.job_state(now_ms, request, ask.job_id)
-            case "cancel":
-                self.core.cancel(now_ms, request, ask.job_id)
-            case "abandon":
-                self.volatile_requests.abandon(request, ask.job_id)
-            case "claim" | "withdraw":
-                answer = self.claimer.answer(request[0], ask)
-                if answer is not None:
-                    self._reply(request, answer)
-                return
+        pass_request(
+            self.core,
+            self.volatile_requests,
+            self.claimer,
+            request,
+            ask,
+            now_ms=self.clock.now_ms(),
+        )
         self.core_loop.schedule_step()
 
     def _on_entries_changed(self) -> None:
@@ -399,7 +377,7 @@
             case BroadcastToEntries(message):
                 self.owner_requests.broadcast(message)
             case Reply(request, answer):
-                self._reply(request, answer)
+                send_reply(request, answer)
             case Append():
                 spawn(
                     self._run_then_step(
@@ -417,11 +395,3 @@
     async def _run_then_step(self, coro: Any) -> None:
         await coro
         self.core_loop.schedule_step()
-
-    def _reply(self, request: Any, answer: Answer) -> None:
-        if isinstance(request, asyncio.Future):
-            if not request.done():
-                request.set_result(answer)
-            return
-        link, number = request
-        link.send(Answer(number, answer.outcome, answer.detail, answer.retry_after_ms))
--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -19,6 +19,7 @@
 from ..owner import OwnerCore
 from ..peers import Answer, Ask, Greeting, Link
 from ._log import DecisionLog
+from ._lost_runs_proof import LostRunsProof
 from ._owner_requests import LINK_CLOSED, OwnerRequests
 
 # Verbs of requests to witnesses.
@@ -52,7 +53,7 @@
         core: Core of this entry.
         clock: Clock of the process.
         log: Log of the process.
-        max_entries: Largest number of entries of which each agent has a link to all.
+        proof: Proof that no run of a lost entry goes on.
 
     Attributes:
         silent_since_ms: Since when an entry has given no answer to a claim, by address,
@@ -66,12 +67,12 @@
         core: OwnerCore,
         clock: Clock,
         log: DecisionLog,
-        max_entries: int,
+        proof: LostRunsProof,
     ) -> None:
         self.claims = claims
         self.owner_requests = owner_requests
         self.core = core
-        self.max_entries = max_entries
+        self.proof = proof
         self.clock = clock
         self.log = log
         self.silent_since_ms: dict[str, int] = {}
@@ -91,7 +92,7 @@
                 began_ms = self.clock.now_ms()
                 claim = await self._ask_witnesses(job_id, asked)
                 verdict = claim.verdict()
-                if verdict is None and await self._doubt_ends(claim):
+                if verdict is None and await self._doubt_ends():
                     verdict = NoHolder()
                 if self.clock.now_ms() - began_ms > CLAIM_VALID_MS:
                     # The process stood still, and the answers may be out of date.
@@ -109,14 +110,11 @@
             if not granted:
                 self._withdraw_at(job_id, asked)
 
-    async def _doubt_ends(self, claim: Claim) -> bool:
+    async def _doubt_ends(self) -> bool:
         """Wait for a proof that no run of a lost entry goes on; False without one."""
-        if len(claim.ranking) > self.max_entries:
-            return False
         end_ms = self.clock.now_ms() + DOUBT_WAIT_MS
         while (now_ms := self.clock.now_ms()) < end_ms:
-            since_ms = self.claims.doubt_since_ms(now_ms)
-            if now_ms >= since_ms and self.core.lost_runs_ended(now_ms, since_ms):
+            if self.proof.holds(self.claims.doubt_since_ms(now_ms)):
                 return True
             await asyncio.sleep(DOUBT_POLL_S)
         return False
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -24,8 +24,8 @@
 # Number of entries that are to know of a claim, the claiming one included. Two of them
 # may be lost at the same time.
 CLAIM_COPIES = 3
-# Time in which agents notice that an entry gives no more leases, in milliseconds.
-LOSS_NOTICE_MS = 450
+# Time in which the last start orders of a lost entry arrive, in milliseconds.
+ORDER_MS = 50
 # Outcomes of the answer to a claim.
 GRANTED = "granted"
 HELD = "held"
@@ -178,11 +178,13 @@
         return max(self.started_ms + self.peer_jobs.run_expiry_ms - now_ms, 0)
 
     def doubt_since_ms(self, now_ms: int) -> int:
-        """Return from when on agents notice the newest loss, on the process's clock."""
-        lost_ms = (
-            now_ms - self.peer_jobs.run_expiry_ms + self.peer_jobs.lost_runs_ms(now_ms)
-        )
-        return max(self.started_ms, lost_ms) + LOSS_NOTICE_MS
+        """Return when the last orders of the entries that are lost now had arrived.
+
+        That is shortly after the newest loss or the own start, on the process's clock.
+        """
+        expiry_ms = self.peer_jobs.run_expiry_ms
+        lost_ms = now_ms - expiry_ms + self.peer_jobs.lost_runs_ms(now_ms)
+        return max(self.started_ms, lost_ms) + ORDER_MS
 
     def doubt_ms(self, now_ms: int) -> int:
         """Return when a job without a witness may begin, in milliseconds from now.
--- a/catkincross/owner/_agents.py
+++ b/catkincross/owner/_agents.py
@@ -29,6 +29,8 @@
         state: Newest state that the agent sent, with the free resources of its worker;
             None before the first one on the link.
         received_ms: Time at which `state` was received.
+        clock_offset_ms: Time of receipt minus the agent's clock, of the fastest state
+            on the link; None before the first one.
         cpu_history: Free processor capacity in millicores by the time at which it was
             received, from `RECENT_MS` ago on.
         connected_ms: Time at which the link was opened.
@@ -51,6 +53,7 @@
     profile: WorkerProfile | None = None
     state: AgentState | None = None
     received_ms: int = 0
+    clock_offset_ms: int | None = None
     cpu_history: list[tuple[int, int]] = attrs.field(factory=list)
     connected_ms: int = 0
     lost_ms: int = 0
@@ -70,7 +73,7 @@
         self.incarnation = incarnation
         self.connected = True
         self.connected_ms = now_ms
-        self.profile = self.state = None
+        self.profile = self.state = self.clock_offset_ms = None
         self.cpu_history.clear()
         self.last_order = self.exclusive_order = 0
         self.unacknowledged_orders.clear()
@@ -89,6 +92,9 @@
         """Record a state of the agent, and drop the orders that it accounts for."""
         self.state = state
         self.received_ms = now_ms
+        offset_ms = now_ms - state.clock_ms
+        if self.clock_offset_ms is None or offset_ms < self.clock_offset_ms:
+            self.clock_offset_ms = offset_ms
         self.cpu_history.append((now_ms, state.cpu_free))
         self._drop_old_history(now_ms)
         acknowledged = [
@@ -103,6 +109,17 @@
         self.unacknowledged_orders[self.last_order] = step_spec
         return self.last_order
 
+    def leases_seen_since(self, since_ms: int) -> bool:
+        """Whether the worker has no run of an entry that was lost before a time.
+
+        The newest state may have arrived late, so the time at which it was sent counts,
+        by the agent's clock.
+        """
+        state, offset_ms = self.state, self.clock_offset_ms
+        if state is None or offset_ms is None or state.lease_age_ms < 0:
+            return False
+        return state.clock_ms + offset_ms - state.lease_age_ms >= since_ms
+
     @property
     def kind(self) -> str:
         """Kind of the worker, its first label; empty while it is not known."""
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -188,7 +188,7 @@
 
         Args:
             now_ms: Current time on the process's clock, in milliseconds.
-            since_ms: Earliest time at which an agent may have told it.
+            since_ms: Time before which the entries were lost, on the same clock.
         """
         self.state.now_ms = now_ms
         return lost_runs_ended(self.state, since_ms)
--- a/catkincross/owner/_lost_entry_runs.py
+++ b/catkincross/owner/_lost_entry_runs.py
@@ -11,15 +11,14 @@
 
 
 def lost_runs_ended(state: OwnerState, since_ms: int) -> bool:
-    """Whether all agents have told that their workers have no run of a lost entry.
+    """Whether all known agents have told that they have no run of a lost entry.
 
-    The shards' logs name the agents of earlier processes, which have to be connected.
-    The proof holds only while every agent has a link to every entry.
+    The shards' logs name the agents of earlier owners, which have to report first.
 
     Args:
         state: State of the owner.
-        since_ms: Earliest time at which an agent's state may have been received, on
-            the owner's clock in milliseconds.
+        since_ms: Time before which the entries were lost, on the owner's clock in
+            milliseconds.
     """
     if not state.shards:
         return False
@@ -29,10 +28,7 @@
     clear_agents = 0
     for agent_info in state.agents.values():
         if agent_info.connected:
-            agent_state = agent_info.state
-            if agent_state is None or agent_info.received_ms < since_ms:
-                return False
-            if agent_state.unleased_runs:
+            if not agent_info.leases_seen_since(since_ms):
                 return False
             clear_agents += 1
         elif state.now_ms - agent_info.lost_ms < state.limits.volatile_expiry_ms:
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -126,8 +126,9 @@
         shared: Whether other entries have lately sent orders to the worker, or have
             tasks waiting.
         run_count: Number of runs that are on the worker or have been ordered there.
-        unleased_runs: Whether the worker may have runs of volatile jobs whose entry
-            gives no leases or is not known.
+        lease_age_ms: Longest time since the entry of a volatile job's run on the worker
+            has given a lease, in milliseconds; 0 without such runs, and -1 if the
+            worker may have runs of entries that are lost or not known.
     """
 
     clock_ms: int
@@ -138,7 +139,7 @@
     acked_order: int = 0
     shared: bool = False
     run_count: int = 0
-    unleased_runs: bool = True
+    lease_age_ms: int = -1
 
 
 @register_message
--- a/catkincross/workers/_reporting.py
+++ b/catkincross/workers/_reporting.py
@@ -83,7 +83,7 @@
         entry_info.acked_order,
         state.shared_with_others(entry_info.name),
         len(state.runs),
-        state.has_unleased_runs,
+        state.lease_age_ms,
     )
     state.send(entry_info.name, message)
     if (
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -17,9 +17,6 @@
 # A worker counts as shared with an entry for this long after an order from it, in
 # milliseconds. Under load an entry sends several orders a second to each worker.
 SHARED_MS = 1_000
-# An entry of which no lease has arrived for this long may be lost, in milliseconds. It
-# answers each state with a lease, at least every 200 ms while it has runs here.
-LEASE_OVERDUE_MS = 400
 
 
 @attrs.define(eq=False)
@@ -232,28 +229,25 @@
         return any(run.orphaned for run in self.runs.values())
 
     @property
-    def has_unleased_runs(self) -> bool:
-        """Whether the worker may have runs whose entry gives no leases.
+    def lease_age_ms(self) -> int:
+        """Longest time since the entry of a volatile job's run has given a lease.
 
-        Only runs of volatile jobs and those that no entry has claimed count. Before
-        the worker's lists were read, all its runs have ended with its lease at the
-        latest.
+        -1 if an entry is lost or not known. Before the worker's lists were read, all
+        its runs have ended with its lease at the latest.
         """
         if not self.worker_synced and self.now_ms < self.lease_end_ms:
-            return True
-        return any(self._is_unleased(run) for run in self.runs.values())
-
-    def _is_unleased(self, run: Run) -> bool:
-        if run.orphaned:
-            return True
-        if run.shard != VOLATILE_SHARD:
-            return False
-        entry_info = self.entries.get(run.entry)
-        return (
-            entry_info is None
-            or entry_info.incarnation != run.incarnation
-            or self.now_ms - entry_info.lease_received_ms > LEASE_OVERDUE_MS
-        )
+            return -1
+        ages_ms = [0]
+        for run in self.runs.values():
+            if run.orphaned:
+                return -1
+            if run.shard != VOLATILE_SHARD:
+                continue
+            entry_info = self.entries.get(run.entry)
+            if entry_info is None or entry_info.incarnation != run.incarnation:
+                return -1
+            ages_ms.append(self.now_ms - entry_info.lease_received_ms)
+        return max(ages_ms)
 
     @property
     def list_of_ends_full(self) -> bool:
--- a/tests/test_platform_job_claims.py
+++ b/tests/test_platform_job_claims.py
@@ -124,7 +124,7 @@
     while model.now_ms < started_ms + 6_000:
         model.run(10)
         core = model.owners["e1"].core
-        if core.lost_runs_ended(model.now_ms, started_ms + 450):
+        if core.lost_runs_ended(model.now_ms, started_ms):
             proofs.append(model.now_ms - started_ms)
             assert not any(machine.running for machine in model.machines.values())
     assert proofs
