End the processes of a soak that is terminated

Cause: SIGTERM ended the soak at once, and its entries and agents went on.

Change: SIGTERM cancels the soak, which then ends its processes as at its end.

The tests of the soak pass.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -198,7 +199,7 @@
         """Do faults at random times, and heal them."""
         end_ms = now_ms() + self.plan.seconds * 1_000
         while now_ms() < end_ms:
-            name = rng.choice(sorted(FAULTS))
+            name = rng.choice(self.plan.faults)
             count = min(rng.choice(self.plan.at_once), len(self.daemons))
             daemons = rng.sample(self.daemons, count)
             length_s = rng.uniform(0.3, LONGEST_FAULT_S)
@@ -250,6 +251,10 @@
 async def soak(folder: Path, seed: int, plan: SoakPlan) -> tuple[Soak, list[str]]:
     """Run a soak; return it and the accepted jobs that were lost."""
     run = Soak(folder, seed, plan)
+    this_task = asyncio.current_task()
+    assert this_task is not None
+    # A soak that is terminated ends its processes.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
     beats: list[asyncio.Task[None]] = []
     try:
         await run.start()
@@ -307,6 +312,13 @@
 @click.option("--run-ms", type=(int, int), help="Range of the tasks' run times.")
 @click.option("--jobs-per-s", type=float, help="Rate of jobs.")
 @click.option("--series", type=int, help="Number of series of faults side by side.")
+@click.option(
+    "--fault",
+    "faults",
+    multiple=True,
+    type=click.Choice(sorted(FAULTS)),
+    help="Fault to draw from; all kinds if none is given.",
+)
 @click.option("--resend-s", type=float, help="Delay before a job is sent again.")
 def main(
     name: str,
@@ -318,7 +330,9 @@
 ) -> None:
     """Run one or more soaks and print what was found."""
     plan = SoakPlan.dense(seconds) if name == "dense" else SoakPlan.small(seconds)
-    given = {field: value for field, value in changes.items() if value is not None}
+    given = {
+        field: value for field, value in changes.items() if value not in (None, ())
+    }
     plan = attrs.evolve(plan, **given)
     first, _, last = (seeds or str(seed)).partition("-")
     with tempfile.TemporaryDirectory() as folder:
--- a/scenarios/soak_callers.py
+++ b/scenarios/soak_callers.py
@@ -14,7 +14,7 @@
 from standins.platform_http import now_ms
 from standins.platform_worker import PlatformWorker
 
-from .soak_faults import Daemon
+from .soak_faults import FAULTS, Daemon
 from .soak_findings import Send
 
 TASKS = 3
@@ -38,6 +38,7 @@
         max_sends: Largest number of requests for a volatile job.
         series: Number of series of faults that go on side by side.
         at_once: Numbers of processes that a fault may take.
+        faults: Names of the faults to draw from.
     """
 
     entries: int = 2
@@ -51,6 +52,7 @@
     max_sends: int = 1
     series: int = 1
     at_once: tuple[int, ...] = (1,)
+    faults: tuple[str, ...] = tuple(sorted(FAULTS))
 
     @classmethod
     def small(cls, seconds: float = 60.0) -> SoakPlan:
