--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -106,8 +106,11 @@
         previous_holder = ""
         while True:
             now_ms = self.clock.now_ms()
-            holder = self.peer_jobs.find_holder(spec.id, now_ms)
-            if isinstance(holder, NoHolder):
+            is_here = self.core.has_volatile_job(spec.id)
+            holder = (
+                NoHolder() if is_here else self.peer_jobs.find_holder(spec.id, now_ms)
+            )
+            if isinstance(holder, NoHolder) and not is_here:
                 may_forward = now_ms - arrived_ms <= MAX_FORWARDING_AGE_MS
                 if may_forward and self._forward(spec):
                     continue
