Check the epoch of shards after a generation that was not seen

An entry owned a shard in generation 18, another one in 19, the first one again in 20; it joined in 18 and 20 only and kept its epoch, although the other owner had fenced it. Agents follow the higher epoch, so nothing showed this until the next append.

An owner that has missed a generation appends a record that changes nothing, so that the store tells it.

--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -40,7 +40,8 @@
     """Drop all shards if the group may have assigned them to others meanwhile.
 
     If the membership lapsed between two joins, another entry may have owned a shard
-    that is assigned to this entry again.
+    that is assigned to this entry again. The same may have happened if this entry has
+    not seen each generation; the log then tells whether its epoch is still in force.
 
     Args:
         state: State of the owner.
@@ -53,10 +54,22 @@
     if lapsed and generation != state.generation:
         for number in list(state.shards):
             drop_shard(state, number, "membership lapsed")
+    if generation > state.generation + 1:
+        for shard in state.shards.values():
+            _check_epoch(state, shard)
     state.joined_ms = sent_ms
     state.generation = generation
 
 
+def _check_epoch(state: OwnerState, shard: Shard) -> None:
+    """Append a record that changes nothing, which fails if a later owner has fenced."""
+    if shard.phase is ShardPhase.OPEN:
+        names = tuple(sorted(shard.recorded_agents))
+        record = AgentsUsed(names, recorded_ms=state.wall_ms)
+        shard.append(record, state.now_ms)
+        state.note("epoch checked", shard=shard.number, epoch=shard.epoch)
+
+
 def claim_shard(state: OwnerState, number: int, epoch: int) -> None:
     """Start to claim a shard under a new epoch."""
     state.shards[number] = Shard(number, epoch)
