Tell new entries from restarted ones, and forget agents that were lost long ago

When four entries were added at once, jobs whose first witnesses were new waited as after a loss of all.

An owner removes agents from the logs that have been lost for longer than they can hold runs. A witness that has started lately counts as lost only if an earlier process of it is known, or this process has started lately itself. The property test now lets a surviving entry see the loss of earlier processes, as links show it.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -113,8 +113,8 @@
     async def _doubt_ends(self) -> bool:
         """Wait for a proof that no run of a lost entry goes on; False without one."""
         end_ms = self.clock.now_ms() + DOUBT_WAIT_MS
-        while (now_ms := self.clock.now_ms()) < end_ms:
-            if self.proof.holds(self.claims.doubt_since_ms(now_ms)):
+        while self.clock.now_ms() < end_ms:
+            if self.proof.holds(self.claims.doubt_since_ms()):
                 return True
             await asyncio.sleep(DOUBT_POLL_S)
         return False
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -45,17 +45,18 @@
     Attributes:
         own_address: Address of the claiming entry, `IP:port`.
         ranking: Addresses of all entries in the order in which they are witnesses.
-        unavailable: Entries that cannot tell of earlier claims: lost or silent ones,
-            and those that have started lately.
-        unreachable: The lost and silent ones among them.
+        unreachable: Entries that are lost or silent.
+        restarted: Entries that may have lost claims in a restart.
+        started_lately: Entries that do not know the claims before their start.
         asked: Entries that were asked.
         answers: Answer of each entry that has given one.
     """
 
     own_address: str
     ranking: list[str]
-    unavailable: set[str] = attrs.field(factory=set)
     unreachable: set[str] = attrs.field(factory=set)
+    restarted: set[str] = attrs.field(factory=set)
+    started_lately: set[str] = attrs.field(factory=set)
     asked: set[str] = attrs.field(factory=set)
     answers: dict[str, Answer] = attrs.field(factory=dict)
 
@@ -68,7 +69,7 @@
                 break
             if address not in self.unreachable:
                 chosen.append(address)
-                copies += address not in self.unavailable
+                copies += address not in self.started_lately
         return [
             address
             for address in chosen
@@ -83,18 +84,24 @@
         """Record the answer of an entry; None if it gave none."""
         if answer is None or answer.outcome not in (GRANTED, HELD):
             self.unreachable.add(address)
-            self.unavailable.add(address)
             return
         self.answers[address] = answer
         if answer.detail == STARTED_LATELY:
-            self.unavailable.add(address)
+            self.started_lately.add(address)
 
     @property
     def unwitnessed(self) -> bool:
         """Whether another entry and all of its witnesses may have been lost."""
-        copies = min(CLAIM_COPIES, len(self.ranking))
-        first = self.ranking[: max(copies - 1, 1)]
-        return len(self.unavailable) >= copies and self.unavailable.issuperset(first)
+        lost = self.unreachable | (self.started_lately & self.restarted)
+        # Entries that are new had no claims before.
+        ranking = [
+            address
+            for address in self.ranking
+            if address in lost or address not in self.started_lately
+        ]
+        copies = min(CLAIM_COPIES, len(ranking))
+        first = ranking[: max(copies - 1, 1)]
+        return len(lost) >= copies and lost.issuperset(first)
 
     def verdict(self) -> NoHolder | LiveHolder | LostHolder | Contested | None:
         """Return who has the job after all answers; None if nobody can tell.
@@ -158,9 +165,11 @@
         addresses = {self.own_address, *known, *lost}
         claim = Claim(self.own_address, rank_by_hash(job_id.encode(), addresses))
         claim.unreachable = {*lost, *silent} - {self.own_address}
-        claim.unavailable = set(claim.unreachable)
+        claim.restarted = self.peer_jobs.restarted_addresses(now_ms)
         if self.remaining_doubt_ms(now_ms) > 0:
-            claim.unavailable.add(self.own_address)
+            # Which entries have restarted before is not known here.
+            claim.restarted = addresses
+            claim.started_lately.add(self.own_address)
         return claim
 
     def start(self, job_id: str) -> None:
@@ -177,13 +186,12 @@
         """Return how long this process may still lack claims from before its start."""
         return max(self.started_ms + self.peer_jobs.run_expiry_ms - now_ms, 0)
 
-    def doubt_since_ms(self, now_ms: int) -> int:
+    def doubt_since_ms(self) -> int:
         """Return when the last orders of the entries that are lost now had arrived.
 
         That is shortly after the newest loss or the own start, on the process's clock.
         """
-        expiry_ms = self.peer_jobs.run_expiry_ms
-        lost_ms = now_ms - expiry_ms + self.peer_jobs.lost_runs_ms(now_ms)
+        lost_ms = self.peer_jobs.newest_loss_ms() or self.started_ms
         return max(self.started_ms, lost_ms) + ORDER_MS
 
     def doubt_ms(self, now_ms: int) -> int:
@@ -191,7 +199,9 @@
 
         By then the runs of all entries that are lost now must have ended.
         """
-        return max(self.remaining_doubt_ms(now_ms), self.peer_jobs.lost_runs_ms(now_ms))
+        lost_ms = self.peer_jobs.newest_loss_ms() or self.started_ms
+        end_ms = max(self.started_ms, lost_ms) + self.peer_jobs.run_expiry_ms
+        return max(end_ms - now_ms, 0)
 
     def answer(
         self, claimant: Greeting, job_id: str, *, has_job: bool, now_ms: int
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -223,25 +223,31 @@
                     other.lost_ms = now_ms
 
     def lost_addresses(self, now_ms: int) -> set[str]:
-        """Return the addresses of lost entries of which agents may still have runs."""
+        """Return the addresses of entries that are lost and have not come back.
+
+        Agents may still have runs of these entries.
+        """
         linked = {
             entry.address for entry in self.entries.values() if entry.lost_ms is None
         }
-        lost = {
+        return self.restarted_addresses(now_ms) - linked
+
+    def restarted_addresses(self, now_ms: int) -> set[str]:
+        """Return the addresses of which a process was lost lately, back or not."""
+        return {
             entry.address
             for entry in self.entries.values()
             if entry.lost_ms is not None and now_ms - entry.lost_ms < self.run_expiry_ms
         }
-        return lost - linked
 
-    def lost_runs_ms(self, now_ms: int) -> int:
-        """Return how long agents may have runs of the entries that are lost now."""
+    def newest_loss_ms(self) -> int | None:
+        """Return when an entry was last lost, on the process's clock; None if never."""
         lost_ms = [
             entry.lost_ms
             for entry in self.entries.values()
             if entry.lost_ms is not None
         ]
-        return max(max(lost_ms, default=now_ms) + self.run_expiry_ms - now_ms, 0)
+        return max(lost_ms, default=None)
 
     def find_holder(
         self, job_id: str, now_ms: int, *, other_than: tuple[str, int] = ("", 0)
--- a/catkincross/owner/_lost_agents.py
+++ b/catkincross/owner/_lost_agents.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from ..jobs import Task
+from ..jobs import AgentsUsed, Task
 from ..peers import SeekAgents
+from ._agents import AgentInfo
 from ._effects import BroadcastToEntries
 from ._recovery import agents_resolved
+from ._shard import ShardPhase
 from ._state import OwnerState, owner_system
 
 # Interval at which agents are sought that may have runs of an earlier owner.
@@ -50,8 +52,7 @@
         if agent_info.connected:
             continue
         if not agent_info.assigned_tasks:
-            if state.now_ms - agent_info.lost_ms > FORGET_AGENT_MS:
-                del state.agents[agent_info.name]
+            _forget_agent(state, agent_info)
             continue
         silent_ms = state.now_ms - agent_info.lease_sent_ms - limits.lapse_ms
         for task in list(agent_info.assigned_tasks):
@@ -81,6 +82,30 @@
             agents_resolved(state, shard)
 
 
+def _forget_agent(state: OwnerState, agent_info: AgentInfo) -> None:
+    """Forget a lost agent without tasks step by step."""
+    limits = state.limits
+    lost_for_ms = state.now_ms - agent_info.lost_ms
+    if lost_for_ms > limits.silence_ms + limits.lapse_ms:
+        _forget_recorded(state, agent_info.name)
+    if lost_for_ms > FORGET_AGENT_MS:
+        del state.agents[agent_info.name]
+
+
+def _forget_recorded(state: OwnerState, name: str) -> None:
+    """Remove a lost agent from the shards' logs once it can hold no runs of them.
+
+    A later owner would wait for its report otherwise.
+    """
+    for shard in state.shards.values():
+        if shard.phase is not ShardPhase.OPEN or name in shard.unresolved:
+            continue
+        if name in shard.recorded_agents:
+            shard.recorded_agents.discard(name)
+            names = tuple(sorted(shard.recorded_agents | shard.pending_agents))
+            shard.append(AgentsUsed(names, True, state.wall_ms), state.now_ms)
+
+
 def _has_lease(state: OwnerState, name: str) -> bool:
     """Whether a lease of this entry lets an agent keep runs of stored jobs."""
     agent_info = state.agents.get(name)
--- a/tests/test_dispatch_claims.py
+++ b/tests/test_dispatch_claims.py
@@ -33,6 +33,13 @@
     """Return the claim of an entry after the answers of all that it asked."""
     started_ms = LATER_MS if claimant in young else 0
     claims = claims_of(claimant, started_ms)
+    if claimant not in young:
+        # It has seen the links of the earlier processes close.
+        for address in young:
+            earlier = Greeting("entry", address, 1, address)
+            claims.peer_jobs.add_entry(earlier)
+            claims.peer_jobs.mark_entry_lost(earlier, now_ms=LATER_MS - 100)
+            claims.peer_jobs.add_entry(Greeting("entry", address, 2, address))
     claim = claims.prepare(job_id, others | lost, lost, LATER_MS)
     while witnesses := claim.next_witnesses():
         for address in witnesses:
@@ -131,3 +138,17 @@
     """Its earlier process may have left runs, and no other entry can tell."""
     assert asked_by("e0", set(), set(), {"e0"}, JOB).verdict() is None
     assert asked_by("e0", set(), set(), set(), JOB).verdict() == NoHolder()
+
+
+def test_new_entries_leave_no_doubt_about_the_claims_of_others() -> None:
+    """Jobs waited for 2,250 ms when entries were added, as after a loss of several."""
+    names = {f"10.0.0.{number}:1" for number in range(8)}
+    claims = claims_of("10.0.0.0:1")
+    claim = claims.prepare(JOB, names, [], LATER_MS)
+    new = set(claim.ranking[:5]) - {"10.0.0.0:1"}
+    while witnesses := claim.next_witnesses():
+        for address in witnesses:
+            claim.record_asked(address)
+            claim.record_answer(address, LATELY if address in new else GRANTED)
+    assert claim.verdict() == NoHolder()
+    assert len(claim.asked - new) >= 2
