Mend what the review of the claims found

A new process that has learned from no other one which entries there are does not trust its claims, and an unexpected error of a claim is answered.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
-from typing import Any
 
 from ..clock import Clock
 from ..dispatch import (
+    HELD,
     Claim,
     Contested,
     JobClaims,
@@ -76,6 +75,8 @@
         self.clock = clock
         self.log = log
         self.silent_since_ms: dict[str, int] = {}
+        # Entries that were asked for each job that is being claimed.
+        self._asked: dict[str, set[str]] = {}
 
     async def claim(self, job_id: str) -> NoHolder | LiveHolder | LostHolder:
         """Claim a job at its witnesses.
@@ -85,22 +86,10 @@
             can tell, the time until the runs of lost entries must have ended.
         """
         granted = False
-        asked: set[str] = set()
+        asked = self._asked.setdefault(job_id, set())
         self.claims.start(job_id)
         try:
-            for _ in range(MAX_ATTEMPTS):
-                began_ms = self.clock.now_ms()
-                claim = await self._ask_witnesses(job_id, asked)
-                verdict = claim.verdict()
-                if verdict is None and await self._doubt_ends():
-                    verdict = NoHolder()
-                if self.clock.now_ms() - began_ms > CLAIM_VALID_MS:
-                    # The process stood still, and the answers may be out of date.
-                    continue
-                if not isinstance(verdict, Contested):
-                    break
-                await asyncio.sleep(CONTEST_RETRY_MS / MS_PER_S)
-            holder = self._holder(claim, verdict)
+            holder = await self._find_holder(job_id, asked)
             granted = isinstance(holder, NoHolder)
             if not granted:
                 self.log.note("claim denied", job=job_id, place=repr(holder))
@@ -108,7 +97,57 @@
         finally:
             self.claims.end(job_id)
             if not granted:
-                self._withdraw_at(job_id, asked)
+                self.end(job_id)
+
+    def end(self, job_id: str) -> None:
+        """End a claim once the job was passed to the core, or is not begun here.
+
+        It is withdrawn at all entries that were asked if the core does not have the
+        job, which may have been rejected.
+        """
+        if job_id in self.claims.claiming:
+            return
+        asked = self._asked.pop(job_id, set())
+        if not self.core.has_volatile_job(job_id):
+            for address in asked:
+                self.owner_requests.notify(address, Ask(0, WITHDRAW, job_id))
+
+    async def _find_holder(
+        self, job_id: str, asked: set[str]
+    ) -> NoHolder | LiveHolder | LostHolder:
+        verdict: NoHolder | LiveHolder | LostHolder | Contested | None = None
+        for _ in range(MAX_ATTEMPTS):
+            claim = await self._ask_witnesses(job_id, asked)
+            verdict = claim.verdict()
+            if isinstance(verdict, NoHolder) and not self._knows_entries():
+                verdict = None
+            if verdict is None and await self._doubt_ends():
+                verdict = NoHolder()
+            if self.clock.now_ms() - claim.asked_ms > CLAIM_VALID_MS:
+                # The answers may be out of date, for example after a pause.
+                verdict = None
+                continue
+            if not isinstance(verdict, Contested):
+                break
+            await asyncio.sleep(CONTEST_RETRY_MS / MS_PER_S)
+        if isinstance(verdict, Contested):
+            answers = (claim.answers.get(address) for address in claim.ranking)
+            return holder_in(next(a for a in answers if a and a.outcome == HELD))
+        now_ms = self.clock.now_ms()
+        if verdict is None:
+            return LostHolder(self.claims.doubt_ms(now_ms))
+        if isinstance(verdict, NoHolder):
+            # Another entry may have announced the job meanwhile.
+            return self.claims.peer_jobs.find_holder(job_id, now_ms)
+        return verdict
+
+    def _knows_entries(self) -> bool:
+        """Whether this process has learned from another one which entries there are."""
+        if self.claims.remaining_doubt_ms(self.clock.now_ms()) == 0:
+            return True
+        owner_requests = self.owner_requests
+        known = owner_requests.known_addresses()
+        return not known or owner_requests.owners.has_peer_views
 
     async def _doubt_ends(self) -> bool:
         """Wait for a proof that no run of a lost entry goes on; False without one."""
@@ -119,19 +158,13 @@
             await asyncio.sleep(DOUBT_POLL_S)
         return False
 
-    def _holder(self, claim: Claim, verdict: Any) -> NoHolder | LiveHolder | LostHolder:
-        if verdict is None:
-            return LostHolder(self.claims.doubt_ms(self.clock.now_ms()))
-        if isinstance(verdict, Contested):
-            held = (claim.answers.get(address) for address in claim.ranking)
-            return holder_in(next(a for a in held if a and a.outcome == "held"))
-        return verdict
-
     async def _ask_witnesses(self, job_id: str, asked: set[str]) -> Claim:
         """Ask the witnesses of a job, and add them to those that were asked."""
         if self.claims.remaining_doubt_ms(self.clock.now_ms()) > 0:
             await self.owner_requests.learn_entries()
-        claim = self._prepare(job_id)
+        known = self.owner_requests.known_addresses()
+        claim = self.claims.prepare(job_id, known, self._silent(), self.clock.now_ms())
+        claim.asked_ms = self.clock.now_ms()
         while witnesses := claim.next_witnesses():
             await self.owner_requests.connect_all(witnesses)
             futures = {}
@@ -141,16 +174,22 @@
                 ask = Ask(0, CLAIM, job_id)
                 future = self.owner_requests.send_request(address, ask)
                 if future is None:
-                    claim.record_answer(address, None)
+                    self._record_answer(claim, address, None)
                 else:
                     futures[address] = future
             if futures:
                 timeout_s = CLAIM_TIMEOUT_MS / MS_PER_S
                 await asyncio.wait(futures.values(), timeout=timeout_s)
             for address, future in futures.items():
-                claim.record_answer(address, self._answer_of(address, future))
+                self._record_answer(claim, address, self._answer_of(address, future))
         return claim
 
+    def _record_answer(self, claim: Claim, address: str, answer: Answer | None) -> None:
+        claim.record_answer(address, answer)
+        reached = answer is not None
+        now_ms = self.clock.now_ms()
+        self.claims.record_reached(address, reached=reached, now_ms=now_ms)
+
     def _answer_of(self, address: str, future: asyncio.Future[Answer]) -> Answer | None:
         if not future.done():
             self.silent_since_ms[address] = self.clock.now_ms()
@@ -166,20 +205,6 @@
                 del self.silent_since_ms[address]
         return list(self.silent_since_ms)
 
-    def _prepare(self, job_id: str) -> Claim:
-        known = self.owner_requests.known_addresses()
-        return self.claims.prepare(job_id, known, self._silent(), self.clock.now_ms())
-
-    def withdraw(self, job_id: str) -> None:
-        """Withdraw the claim on a job that does not run here after all."""
-        self._withdraw_at(job_id, self._prepare(job_id).next_witnesses())
-
-    def _withdraw_at(self, job_id: str, witnesses: Iterable[str]) -> None:
-        if self.core.has_volatile_job(job_id) or job_id in self.claims.claiming:
-            return
-        for address in witnesses:
-            self.owner_requests.notify(address, Ask(0, WITHDRAW, job_id))
-
     def answer(self, link: Link, ask: Ask) -> Answer | None:
         """Answer a claim of another entry; None for a withdrawn one."""
         claimant: Greeting = link.peer
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -34,6 +34,8 @@
 # Interval at which a process that ends looks for open jobs, in seconds.
 FINISH_POLL_S = 0.05
 MS_PER_S = 1_000
+# Outcome of a request for a job that a third entry has.
+ELSEWHERE = "elsewhere"
 
 
 class VolatileRequests:
@@ -103,15 +105,16 @@
         deadline_ms = arrived_ms + timeout_ms
         # Whether an entry may have begun the job without an answer.
         unanswered = False
+        may_forward = True
         previous_holder = ""
         while True:
             now_ms = self.clock.now_ms()
-            is_here = self.core.has_volatile_job(spec.id)
+            is_here = self.core.answers_volatile_job(spec.id)
             holder = (
                 NoHolder() if is_here else self.peer_jobs.find_holder(spec.id, now_ms)
             )
             if isinstance(holder, NoHolder) and not is_here:
-                may_forward = now_ms - arrived_ms <= MAX_FORWARDING_AGE_MS
+                may_forward &= now_ms - arrived_ms <= MAX_FORWARDING_AGE_MS
                 if may_forward and self._forward(spec):
                     continue
                 holder = await self._claim(spec.id)
@@ -125,12 +128,15 @@
             remaining_ms = deadline_ms - self.clock.now_ms()
             if isinstance(holder, LiveHolder):
                 answer = await self._ask_holder(holder.address, spec, remaining_ms)
-                if answer is not None and answer is not LINK_CLOSED:
+                if answer is not None and answer.outcome == ELSEWHERE:
+                    may_forward = False
+                elif answer is not None and answer is not LINK_CLOSED:
                     return _unknown_if_rejected(answer) if unanswered else answer
-                unanswered = True
-                self.peer_jobs.record_no_answer(
-                    holder.address, spec.id, self.clock.now_ms()
-                )
+                else:
+                    unanswered = True
+                    self.peer_jobs.record_no_answer(
+                        holder.address, spec.id, self.clock.now_ms()
+                    )
             wait_ms = max(holder.wait_ms, REMOTE_RETRY_MS)
             if remaining_ms <= wait_ms:
                 return Answer(0, "unknown", "job was at a lost entry")
@@ -140,7 +146,7 @@
 
     async def _claim(self, job_id: str) -> NoHolder | LiveHolder | LostHolder:
         """Claim a job that is not known here; return who has it otherwise."""
-        if self.claimer is None or self.core.has_volatile_job(job_id):
+        if self.claimer is None or self.core.answers_volatile_job(job_id):
             return NoHolder()
         return await self.claimer.claim(job_id)
 
@@ -160,13 +166,18 @@
         self, request: Any, spec: JobSpec, timeout_ms: int
     ) -> None:
         arrived_ms = self.clock.now_ms()
-        holder = await self._claim(spec.id)
         link, number = request
+        try:
+            holder = await self._claim(spec.id)
+        except Exception as error:
+            self.log.note_error("claim", error)
+            link.send(Answer(number, "unknown", "claim failed"))
+            return
         if not isinstance(holder, NoHolder):
-            link.send(Answer(number, "unknown", "job is at another entry"))
+            link.send(Answer(number, ELSEWHERE))
             return
         if link.closed:
-            self._withdraw(spec.id)
+            self._end_claim(spec.id)
             return
         self.core.submit(
             self.clock.now_ms(),
@@ -175,22 +186,23 @@
             arrived_ms=arrived_ms,
             timeout_ms=timeout_ms,
         )
-        self._withdraw(spec.id)
+        self._end_claim(spec.id)
         self.core_loop.schedule_step()
 
     def abandon(self, request: Any, job_id: str) -> None:
         """Drop the request of another entry whose client account has left."""
         task = self.claiming.get(request)
-        if task is not None:
-            task.cancel()
+        if task is not None and task.cancel():
+            # The other entry counts this one as the holder until it hears of the job.
+            self.core.record_dropped_job(job_id)
             return
         self.core.abandon(self.clock.now_ms(), request, job_id)
         self.core_loop.schedule_step()
 
-    def _withdraw(self, job_id: str) -> None:
-        """Withdraw the claim on a job that does not run here after all."""
+    def _end_claim(self, job_id: str) -> None:
+        """Withdraw the claim on a job if it does not run here after all."""
         if self.claimer is not None:
-            self.claimer.withdraw(job_id)
+            self.claimer.end(job_id)
 
     def _forward(self, spec: JobSpec) -> bool:
         """Record another entry as the holder of a new job, if it should run there."""
@@ -218,7 +230,7 @@
             raise
         if answer is not None and answer is not LINK_CLOSED:
             self.peer_jobs.record_answer(address, spec.id)
-            if answer.outcome == "rejected":
+            if answer.outcome in ("rejected", ELSEWHERE):
                 self.peer_jobs.record_rejection(address, spec.id)
         return answer
 
@@ -230,13 +242,11 @@
         self.core.submit(
             now_ms, future, spec, arrived_ms=arrived_ms, timeout_ms=timeout_ms
         )
+        self._end_claim(spec.id)
         self.core_loop.schedule_step()
         self.open_requests += 1
         try:
-            answer = await future
-            if answer.outcome == "rejected":
-                self._withdraw(spec.id)
-            return answer
+            return await future
         finally:
             self.open_requests -= 1
             if not future.done() or future.cancelled():
--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -14,7 +14,7 @@
     from ._forwarding import PeerLoad, choose_forwarding
     from ._gangs import choose_gang, fits_idle_workers, gang_fits_when_idle
     from ._health import AgentHealth
-    from ._job_claims import Claim, Contested, JobClaims, holder_in
+    from ._job_claims import HELD, Claim, Contested, JobClaims, holder_in
     from ._offering import offered_entries
     from ._overload import WaitingJob, jobs_to_defer
     from ._peer_jobs import (
@@ -37,6 +37,7 @@
 
 __all__ = [
     "GIVEN_UP_MEMORY_MS",
+    "HELD",
     "AgentHealth",
     "AgentResources",
     "Claim",
@@ -76,6 +77,7 @@
 # Module of each public name.
 MODULES = {
     "GIVEN_UP_MEMORY_MS": "_peer_jobs",
+    "HELD": "_job_claims",
     "AgentHealth": "_health",
     "AgentResources": "_placement",
     "Claim": "_job_claims",
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -49,6 +49,7 @@
         restarted: Entries that may have lost claims in a restart.
         started_lately: Entries that do not know the claims before their start.
         asked: Entries that were asked.
+        asked_ms: When the first one was asked, on the process's clock in milliseconds.
         answers: Answer of each entry that has given one.
     """
 
@@ -58,6 +59,7 @@
     restarted: set[str] = attrs.field(factory=set)
     started_lately: set[str] = attrs.field(factory=set)
     asked: set[str] = attrs.field(factory=set)
+    asked_ms: int = 0
     answers: dict[str, Answer] = attrs.field(factory=dict)
 
     def next_witnesses(self) -> list[str]:
@@ -143,12 +145,22 @@
         own_address: Address of this entry, `IP:port`.
         started_ms: When this process started, on its clock in milliseconds.
         claiming: Number of claims of this entry without a verdict, by job ID.
+        unreachable_ms: Since when an entry has not answered claims, by address, on the
+            process's clock in milliseconds; it may be lost.
     """
 
     peer_jobs: PeerVolatileJobs
     own_address: str
     started_ms: int
     claiming: dict[str, int] = attrs.field(factory=dict)
+    unreachable_ms: dict[str, int] = attrs.field(factory=dict)
+
+    def record_reached(self, address: str, *, reached: bool, now_ms: int) -> None:
+        """Record whether an entry has answered a claim."""
+        if reached:
+            self.unreachable_ms.pop(address, None)
+        else:
+            self.unreachable_ms.setdefault(address, now_ms)
 
     def prepare(
         self, job_id: str, known: Iterable[str], silent: Iterable[str], now_ms: int
@@ -161,6 +173,9 @@
             silent: Those among them that have lately given no answer to a claim.
             now_ms: Current time on the process's clock, in milliseconds.
         """
+        known = set(known)
+        for address in self.unreachable_ms.keys() - known:
+            del self.unreachable_ms[address]
         lost = self.peer_jobs.lost_addresses(now_ms)
         addresses = {self.own_address, *known, *lost}
         claim = Claim(self.own_address, rank_by_hash(job_id.encode(), addresses))
@@ -186,21 +201,24 @@
         """Return how long this process may still lack claims from before its start."""
         return max(self.started_ms + self.peer_jobs.run_expiry_ms - now_ms, 0)
 
+    def _newest_loss_ms(self) -> int:
+        """Return when an entry was last lost or may have been, or the own start."""
+        lost_ms = self.peer_jobs.newest_loss_ms() or self.started_ms
+        return max(self.started_ms, lost_ms, *self.unreachable_ms.values())
+
     def doubt_since_ms(self) -> int:
         """Return when the last orders of the entries that are lost now had arrived.
 
         That is shortly after the newest loss or the own start, on the process's clock.
         """
-        lost_ms = self.peer_jobs.newest_loss_ms() or self.started_ms
-        return max(self.started_ms, lost_ms) + ORDER_MS
+        return self._newest_loss_ms() + ORDER_MS
 
     def doubt_ms(self, now_ms: int) -> int:
         """Return when a job without a witness may begin, in milliseconds from now.
 
         By then the runs of all entries that are lost now must have ended.
         """
-        lost_ms = self.peer_jobs.newest_loss_ms() or self.started_ms
-        end_ms = max(self.started_ms, lost_ms) + self.peer_jobs.run_expiry_ms
+        end_ms = self._newest_loss_ms() + self.peer_jobs.run_expiry_ms
         return max(end_ms - now_ms, 0)
 
     def answer(
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -183,6 +183,16 @@
         """Whether a volatile job is known; workers may have runs of it."""
         return job_id in self.state.volatile.jobs
 
+    def answers_volatile_job(self, job_id: str) -> bool:
+        """Whether a volatile job is open here, or has ended with an answer."""
+        found = self.state.volatile.jobs.get(job_id)
+        return found is not None and found.final_state is not JobState.CANCELLED
+
+    def record_dropped_job(self, job_id: str) -> None:
+        """Announce that a volatile job was not begun that another entry asked for."""
+        if job_id not in self.state.volatile.jobs:
+            self.state.volatile_changes.setdefault(job_id, VolatileChange.DROPPED)
+
     def lost_runs_ended(self, now_ms: int, since_ms: int) -> bool:
         """Whether all agents have told that no run of a lost entry goes on.
 
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -127,7 +127,7 @@
         self.outcome = "state"
         self.jobs: set[str] = set()
 
-    def has_volatile_job(self, job_id: str) -> bool:
+    def answers_volatile_job(self, job_id: str) -> bool:
         """Whether the entry has a job."""
         return job_id in self.jobs
 
