Stop runs before the worker has registered with a restarted agent

Stop orders were dropped until the worker's next heartbeat, up to 1.5 s later.

The order names no worker until then, as lease renewals do. The test failed before.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -246,9 +246,8 @@
                     return
 
     async def _stop_run(self, order: StopRun) -> None:
+        # Before the worker has registered, any worker on the host gets the order.
         worker = self.core.state.worker
-        if not worker:
-            return
         try:
             await self.worker.stop(worker, order)
         except Exception as error:
