Forget agents that have shut down without runs at once

An agent that shuts down tells when its worker has no runs; its entries then take it out of the shards' logs when it has gone.

--- a/catkincross/owner/_agents.py
+++ b/catkincross/owner/_agents.py
@@ -35,6 +35,7 @@
             received, from `RECENT_MS` ago on.
         connected_ms: Time at which the link was opened.
         lost_ms: Time at which the link was closed, while it is not open.
+        drained: Whether the agent has told that it shuts down without runs.
         lease_sent_ms: Time at which the newest lease was sent; the time until the runs
             of a lost agent must have been stopped counts from it.
         lease_echo_ms: Reading of the agent's clock to which the newest lease answers.
@@ -57,6 +58,7 @@
     cpu_history: list[tuple[int, int]] = attrs.field(factory=list)
     connected_ms: int = 0
     lost_ms: int = 0
+    drained: bool = False
     lease_sent_ms: int = 0
     lease_echo_ms: int = 0
     last_order: int = 0
@@ -72,6 +74,7 @@
         """
         self.incarnation = incarnation
         self.connected = True
+        self.drained = False
         self.connected_ms = now_ms
         self.profile = self.state = self.clock_offset_ms = None
         self.cpu_history.clear()
@@ -91,6 +94,7 @@
     def update_state(self, state: AgentState, now_ms: int) -> None:
         """Record a state of the agent, and drop the orders that it accounts for."""
         self.state = state
+        self.drained = state.drained
         self.received_ms = now_ms
         offset_ms = now_ms - state.clock_ms
         if self.clock_offset_ms is None or offset_ms < self.clock_offset_ms:
--- a/catkincross/owner/_lost_agents.py
+++ b/catkincross/owner/_lost_agents.py
@@ -86,7 +86,7 @@
     """Forget a lost agent without tasks step by step."""
     limits = state.limits
     lost_for_ms = state.now_ms - agent_info.lost_ms
-    if lost_for_ms > limits.silence_ms + limits.lapse_ms:
+    if agent_info.drained or lost_for_ms > limits.silence_ms + limits.lapse_ms:
         _forget_recorded(state, agent_info.name)
     if lost_for_ms > FORGET_AGENT_MS:
         del state.agents[agent_info.name]
--- a/catkincross/owner/_lost_entry_runs.py
+++ b/catkincross/owner/_lost_entry_runs.py
@@ -31,7 +31,7 @@
             if not agent_info.leases_seen_since(since_ms):
                 return False
             clear_agents += 1
-        else:
+        elif not agent_info.drained:
             # Lost entries may have given it leases until their end.
             lost_ms = max(agent_info.lost_ms, since_ms)
             if state.now_ms - lost_ms < state.limits.volatile_expiry_ms:
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -129,6 +129,8 @@
         lease_age_ms: Longest time since the entry of a volatile job's run on the worker
             has given a lease, in milliseconds; 0 without such runs, and -1 if the
             worker may have runs of entries that are lost or not known.
+        drained: Whether the agent shuts down and its worker has no runs, so that no
+            further run can start.
     """
 
     clock_ms: int
@@ -140,6 +142,7 @@
     shared: bool = False
     run_count: int = 0
     lease_age_ms: int = -1
+    drained: bool = False
 
 
 @register_message
--- a/catkincross/workers/_reporting.py
+++ b/catkincross/workers/_reporting.py
@@ -84,6 +84,7 @@
         state.shared_with_others(entry_info.name),
         len(state.runs),
         state.lease_age_ms,
+        state.leaving and state.worker_synced and not state.runs,
     )
     state.send(entry_info.name, message)
     if (
