--- a/tests/test_platform_claim_requests.py
+++ b/tests/test_platform_claim_requests.py
@@ -278,3 +278,43 @@
     requests = VolatileRequests(core, None, peer_jobs, links, clock, LOG)
     assert asyncio.run(requests.submit(spec, 9_000)).outcome == "state"
     assert links.asked == ["e3:1"]
+
+
+class RecordingLink:
+    """Open link that keeps what is sent."""
+
+    closed = False
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    def send(self, message: Any) -> None:
+        """Keep a message."""
+        self.sent.append(message)
+
+
+def test_a_request_that_was_read_after_a_pause_begins_no_job_of_another_entry() -> None:
+    """It lay in the socket's buffer for 6 s, and the entry that asked began the job."""
+    core = OwnerCore("e0", OwnerLimits(), 7)
+    link = RecordingLink()
+
+    async def find_e3() -> LiveHolder:
+        return LiveHolder("e3:1")
+
+    async def play() -> None:
+        requests = VolatileRequests(
+            core,
+            SimpleNamespace(schedule_step=lambda: None),
+            PeerVolatileJobs(EXPIRY_MS),
+            ForwardingRequests(),
+            Clock(),
+            LOG,
+            SimpleNamespace(claim=lambda _: find_e3()),
+        )
+        spec = job(JOB, count=1, volatile=True)
+        requests.submit_for_entry((link, 1), spec, 9_000)
+        await asyncio.sleep(0.01)
+
+    asyncio.run(play())
+    assert link.sent == [Answer(1, "elsewhere")]
+    assert not core.has_volatile_job(JOB)
