Begin no volatile job without an answer of another entry

By the log the entry that went on after its pause was cut off, got no answer to its claims, and was itself one of the first witnesses; so the claim counted as granted, and another entry that waited for the job began it 0.4 s later.

An entry that reaches no other one waits for the proof of the agents or the longest time. Of two entries the last one goes on if the link of the other has closed. The tests of lost requesters, whose requesting entry cannot be reached, now start with a proof.

--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -46,6 +46,7 @@
         own_address: Address of the claiming entry, `IP:port`.
         ranking: Addresses of all entries in the order in which they are witnesses.
         unreachable: Entries that are lost or silent.
+        silent: Those that have not answered, though no link has closed.
         restarted: Entries that may have lost claims in a restart.
         started_lately: Entries that do not know the claims before their start.
         asked: Entries that were asked.
@@ -56,6 +57,7 @@
     own_address: str
     ranking: list[str]
     unreachable: set[str] = attrs.field(factory=set)
+    silent: set[str] = attrs.field(factory=set)
     restarted: set[str] = attrs.field(factory=set)
     started_lately: set[str] = attrs.field(factory=set)
     asked: set[str] = attrs.field(factory=set)
@@ -86,6 +88,7 @@
         """Record the answer of an entry; None if it gave none."""
         if answer is None or answer.outcome not in (GRANTED, HELD):
             self.unreachable.add(address)
+            self.silent.add(address)
             return
         self.answers[address] = answer
         if answer.detail == STARTED_LATELY:
@@ -93,7 +96,14 @@
 
     @property
     def unwitnessed(self) -> bool:
-        """Whether another entry and all of its witnesses may have been lost."""
+        """Whether another entry and all of its witnesses may have been lost.
+
+        An entry that reaches no other one may be cut off, so that the others may begin
+        the job as well. Of two entries the other one has to be silent for that: if its
+        link has closed it has ended.
+        """
+        if not self.answers and (len(self.ranking) > 2 or self.silent):
+            return True
         lost = self.unreachable | (self.started_lately & self.restarted)
         # Entries that are new had no claims before.
         ranking = [
@@ -179,7 +189,8 @@
         lost = self.peer_jobs.lost_addresses(now_ms)
         addresses = {self.own_address, *known, *lost}
         claim = Claim(self.own_address, rank_by_hash(job_id.encode(), addresses))
-        claim.unreachable = {*lost, *silent} - {self.own_address}
+        claim.silent = set(silent) - lost
+        claim.unreachable = lost | claim.silent
         claim.restarted = self.peer_jobs.restarted_addresses(now_ms)
         if self.remaining_doubt_ms(now_ms) > 0:
             # Which entries have restarted before is not known here.
--- a/tests/test_dispatch_claims.py
+++ b/tests/test_dispatch_claims.py
@@ -152,3 +152,27 @@
             claim.record_answer(address, LATELY if address in new else GRANTED)
     assert claim.verdict() == NoHolder()
     assert len(claim.asked - new) >= 2
+
+
+def test_an_entry_that_reaches_no_other_one_begins_no_job() -> None:
+    """It was cut off after a pause, and the others began its jobs meanwhile."""
+    others = {f"10.0.0.{number}:1" for number in range(1, 4)}
+    for number in range(16):
+        claims = claims_of("10.0.0.0:1")
+        claim = claims.prepare(f"{number:016x}", others, [], LATER_MS)
+        while witnesses := claim.next_witnesses():
+            for address in witnesses:
+                claim.record_asked(address)
+                claim.record_answer(address, None)
+        assert claim.verdict() is None
+
+
+def test_the_last_of_two_entries_begins_jobs_after_the_other_one_has_ended() -> None:
+    """It knows the jobs of the other one, since it was its only witness."""
+    claims = claims_of("e0:1")
+    other = Greeting("entry", "e1", 7, "e1:1")
+    claims.peer_jobs.add_entry(other)
+    claims.peer_jobs.mark_entry_lost(other, now_ms=LATER_MS - 10)
+    claim = claims.prepare(JOB, [], [], LATER_MS)
+    assert claim.next_witnesses() == []
+    assert claim.verdict() == NoHolder()
--- a/tests/test_platform_lost_requesters.py
+++ b/tests/test_platform_lost_requesters.py
@@ -85,8 +85,10 @@
         entry = EntryDaemon(
             settings_for("e1", store=f"127.0.0.1:{free_port()}"), clock, log
         )
-        # Its claims are not in doubt, as some seconds after the start.
+        # The requesting entry cannot be reached, but the agents have told that no run
+        # of a lost entry goes on.
         entry.claimer.claims.started_ms -= 10_000
+        entry.claimer.proof.holds = lambda _: True
         # Jobs are accepted without a known worker just after the first step.
         entry.core.step(clock.now_ms())
         watch = asyncio.create_task(entry.entry_links.close_silent_links())
