--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -33,9 +33,9 @@
 MAX_ATTEMPTS = 5
 # Longest time for which a claim without a witness waits for the agents, in
 # milliseconds. They connect to an entry that has started within 800 ms.
-DOUBT_WAIT_MS = 1_000
+PROOF_WAIT_MS = 1_000
 # Interval at which it is checked whether they have told that nothing runs, in seconds.
-DOUBT_POLL_S = 0.025
+PROOF_POLL_S = 0.025
 # Time from the first question of a claim after which its answers are not used, in
 # milliseconds. It is longer than the waits of a claim, and shorter than the time after
 # which jobs of a lost entry begin elsewhere.
@@ -121,7 +121,7 @@
             verdict = claim.verdict()
             if isinstance(verdict, NoHolder) and not self._knows_entries():
                 verdict = None
-            if verdict is None and await self._doubt_ends():
+            if verdict is None and await self._wait_for_proof():
                 verdict = NoHolder()
             if self.clock.now_ms() - claim.asked_ms > CLAIM_VALID_MS:
                 # The answers may be out of date, for example after a pause.
@@ -135,7 +135,7 @@
             return holder_in(next(a for a in answers if a and a.outcome == HELD))
         now_ms = self.clock.now_ms()
         if verdict is None:
-            return LostHolder(self.claims.doubt_ms(now_ms))
+            return LostHolder(self.claims.longest_wait_ms(now_ms))
         if isinstance(verdict, NoHolder):
             # Another entry may have announced the job meanwhile.
             return self.claims.peer_jobs.find_holder(job_id, now_ms)
@@ -143,24 +143,24 @@
 
     def _knows_entries(self) -> bool:
         """Whether this process has learned from another one which entries there are."""
-        if self.claims.remaining_doubt_ms(self.clock.now_ms()) == 0:
+        if self.claims.remaining_start_ms(self.clock.now_ms()) == 0:
             return True
         owner_requests = self.owner_requests
         known = owner_requests.known_addresses()
         return not known or owner_requests.owners.has_peer_views
 
-    async def _doubt_ends(self) -> bool:
+    async def _wait_for_proof(self) -> bool:
         """Wait for a proof that no run of a lost entry goes on; False without one."""
-        end_ms = self.clock.now_ms() + DOUBT_WAIT_MS
+        end_ms = self.clock.now_ms() + PROOF_WAIT_MS
         while self.clock.now_ms() < end_ms:
-            if self.proof.holds(self.claims.doubt_since_ms()):
+            if self.proof.holds(self.claims.proof_since_ms()):
                 return True
-            await asyncio.sleep(DOUBT_POLL_S)
+            await asyncio.sleep(PROOF_POLL_S)
         return False
 
     async def _ask_witnesses(self, job_id: str, asked: set[str]) -> Claim:
         """Ask the witnesses of a job, and add them to those that were asked."""
-        if self.claims.remaining_doubt_ms(self.clock.now_ms()) > 0:
+        if self.claims.remaining_start_ms(self.clock.now_ms()) > 0:
             await self.owner_requests.learn_entries()
         known = self.owner_requests.known_addresses()
         claim = self.claims.prepare(job_id, known, self._silent(), self.clock.now_ms())
--- a/catkincross/daemons/_lost_runs_proof.py
+++ b/catkincross/daemons/_lost_runs_proof.py
@@ -11,16 +11,16 @@
 from ._log import DecisionLog
 from ._owner_requests import OwnerRequests
 
-# Verb of the question to another entry whether all of its agents have told it.
+# Verb of the question to another entry whether its agents have no run of a lost entry.
 PROVE = "prove"
 CLEAR = Answer(0, "clear")
-DOUBT = Answer(0, "doubt")
+UNPROVED = Answer(0, "unproved")
 # Time limit for the answers of the other entries, in seconds.
 PROOF_TIMEOUT_S = 0.2
 
 
 class LostRunsProof:
-    """Asks all entries whether their agents have told that no such run goes on.
+    """Asks all entries whether their agents have runs of lost entries.
 
     Each agent has a link to an entry, and the shards' logs name those that had one
     before, so that together the entries know all agents.
@@ -82,4 +82,4 @@
         """Answer another entry for the agents that this one knows."""
         now_ms = self.clock.now_ms()
         clear = self.core.lost_runs_ended(now_ms, now_ms - ask.timeout_ms)
-        return CLEAR if clear else DOUBT
+        return CLEAR if clear else UNPROVED
--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -17,9 +17,8 @@
 from ._owner_requests import LINK_CLOSED, OwnerRequests
 
 # Shortest interval at which volatile jobs that have begun are announced to other
-# entries, in seconds. If a worker carries out stops late, runs of a lost entry go on
-# for up to 2.25 s, and client accounts resend their jobs after 1.3 s. Only the jobs
-# that began in the last interval before the loss are then not known to be held.
+# entries, in seconds. Claims decide who runs a job; an entry that has heard of a job
+# asks its holder without a claim.
 ANNOUNCE_INTERVAL_S = 0.04
 # Largest number of announcements that an entry sends a second. With tens of entries the
 # interval grows with their number, since each announcement goes to all of them.
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -192,7 +192,7 @@
         claim.silent = set(silent) - lost
         claim.unreachable = lost | claim.silent
         claim.restarted = self.peer_jobs.restarted_addresses(now_ms)
-        if self.remaining_doubt_ms(now_ms) > 0:
+        if self.remaining_start_ms(now_ms) > 0:
             # Which entries have restarted before is not known here.
             claim.restarted = addresses
             claim.started_lately.add(self.own_address)
@@ -208,7 +208,7 @@
         if not self.claiming[job_id]:
             del self.claiming[job_id]
 
-    def remaining_doubt_ms(self, now_ms: int) -> int:
+    def remaining_start_ms(self, now_ms: int) -> int:
         """Return how long this process may still lack claims from before its start."""
         return max(self.started_ms + self.peer_jobs.run_expiry_ms - now_ms, 0)
 
@@ -217,14 +217,14 @@
         lost_ms = self.peer_jobs.newest_loss_ms() or self.started_ms
         return max(self.started_ms, lost_ms, *self.unreachable_ms.values())
 
-    def doubt_since_ms(self) -> int:
+    def proof_since_ms(self) -> int:
         """Return when the last orders of the entries that are lost now had arrived.
 
         That is shortly after the newest loss or the own start, on the process's clock.
         """
         return self._newest_loss_ms() + ORDER_MS
 
-    def doubt_ms(self, now_ms: int) -> int:
+    def longest_wait_ms(self, now_ms: int) -> int:
         """Return when a job without a witness may begin, in milliseconds from now.
 
         By then the runs of all entries that are lost now must have ended.
@@ -252,7 +252,7 @@
             case LostHolder(wait_ms):
                 return Answer(0, HELD, "", wait_ms)
         self.peer_jobs.update(claimant, VolatileJobs([job_id], []), now_ms)
-        lately = self.remaining_doubt_ms(now_ms) > 0
+        lately = self.remaining_start_ms(now_ms) > 0
         return Answer(0, GRANTED, STARTED_LATELY if lately else "")
 
     def withdraw(self, claimant: Greeting, job_id: str, now_ms: int) -> None:
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -79,7 +79,7 @@
             self.state.note("resumed", paused_ms=paused_ms)
         if paused_ms >= self.state.limits.volatile_expiry_ms:
             # Another entry may have begun the jobs meanwhile.
-            give_up_all(self.state, "entry stood still")
+            give_up_all(self.state, "entry was paused")
         if self.state.started_ms is None:
             self.state.started_ms = now_ms
         for _, system in OWNER_SYSTEMS:
--- a/catkincross/peers/_entry_messages.py
+++ b/catkincross/peers/_entry_messages.py
@@ -56,10 +56,12 @@
     Attributes:
         request_number: Number of the request on the link.
         verb: `submit`, `state`, `cancel`, or `abandon` if the client account has left
-            that waited for the answer to the request with this number.
+            that waited for the answer to the request with this number; `claim` or
+            `withdraw` of a volatile job; `prove` that no run of a lost entry goes on.
         job_id: ID of the job.
         body: The encoded job for `submit`; None for the other verbs.
         timeout_ms: How long the client account waits for the answer; 0 if not known.
+            For `prove` the time since the loss. In milliseconds.
     """
 
     request_number: int
--- a/scenarios/volatile_requests.py
+++ b/scenarios/volatile_requests.py
@@ -172,7 +172,7 @@
                     next(a for a in answers if a and a.outcome == "held")
                 )
             if verdict is None:
-                verdict = LostHolder(node.claims.doubt_ms(self.now_ms))
+                verdict = LostHolder(node.claims.longest_wait_ms(self.now_ms))
             if not isinstance(verdict, NoHolder):
                 self.withdraw(node, job_id, claim)
             then(verdict)
--- a/tests/test_dispatch_claims.py
+++ b/tests/test_dispatch_claims.py
@@ -140,7 +140,7 @@
     assert asked_by("e0", set(), set(), set(), JOB).verdict() == NoHolder()
 
 
-def test_new_entries_leave_no_doubt_about_the_claims_of_others() -> None:
+def test_new_entries_do_not_count_as_lost_witnesses() -> None:
     """Jobs waited for 2,250 ms when entries were added, as after a loss of several."""
     names = {f"10.0.0.{number}:1" for number in range(8)}
     claims = claims_of("10.0.0.0:1")
--- a/tests/test_platform_claim_requests.py
+++ b/tests/test_platform_claim_requests.py
@@ -209,7 +209,7 @@
     )
     for _ in range(200):
         model.run(10)
-        since_ms = node.claims.doubt_since_ms()
+        since_ms = node.claims.proof_since_ms()
         if node.host.core.lost_runs_ended(model.now_ms, since_ms):
             assert not any(machine.running for machine in model.machines.values())
 
