--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -5,10 +5,14 @@
 import asyncio
 from pathlib import Path
 
+import attrs
+
 from scenarios.platform_soak import FAULTS, soak
 from scenarios.soak_callers import SoakPlan
 
 FAULTS_S = 8.0
+# Faults that end processes or let them stand still.
+ENDING_FAULTS = ("freeze", "kill", "terminate")
 SEED = 3
 
 
@@ -21,6 +25,16 @@
     assert run.overlapping() == []
 
 
+def test_overlapping_faults_let_no_runs_overlap(tmp_path: Path) -> None:
+    """Callers sent a job again at once, and a second entry ran it beside the first."""
+    plan = attrs.evolve(SoakPlan.dense(FAULTS_S), faults=ENDING_FAULTS)
+    run, lost = asyncio.run(soak(tmp_path, SEED, plan))
+    assert run.accepted
+    assert run.faults
+    assert lost == []
+    assert run.overlapping() == []
+
+
 def test_every_kind_of_fault_is_registered() -> None:
     """The soak draws from the registry, so a fault missing there is never injected."""
     expected = {"kill", "terminate", "freeze", "reload"}
