--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -150,9 +150,11 @@
         return not known or owner_requests.owners.has_peer_views
 
     async def _wait_for_proof(self) -> bool:
-        """Wait for a proof that no run of a lost entry goes on; False without one."""
+        """Wait until no run of a lost entry goes on; False if that takes too long."""
         end_ms = self.clock.now_ms() + PROOF_WAIT_MS
-        while self.clock.now_ms() < end_ms:
+        while (now_ms := self.clock.now_ms()) < end_ms:
+            if self.claims.longest_wait_ms(now_ms) == 0:
+                return True
             if self.proof.holds(self.claims.proof_since_ms()):
                 return True
             await asyncio.sleep(PROOF_POLL_S)
--- a/tests/test_platform_claim_requests.py
+++ b/tests/test_platform_claim_requests.py
@@ -186,6 +186,16 @@
     assert not isinstance(asyncio.run(claimer.claim(job_id)), NoHolder)
 
 
+def test_an_entry_that_is_left_alone_begins_jobs_after_the_longest_wait() -> None:
+    """The store may be down too, so that the other entries stay in its list."""
+    clock = Clock()
+    entries = Entries({f"e{n}:1": None for n in range(1, 4)})
+    claimer = claimer_of(entries, clock, 0, lambda: False)
+    assert not isinstance(asyncio.run(claimer.claim(JOB)), NoHolder)
+    clock.ms += EXPIRY_MS
+    assert asyncio.run(claimer.claim(JOB)) == NoHolder()
+
+
 @pytest.mark.parametrize("kill_ms", [4_500, 4_700])
 def test_an_agent_that_is_cut_off_from_an_entry_proves_nothing_to_it(
     kill_ms: int,
