--- a/tests/test_platform_claim_requests.py
+++ b/tests/test_platform_claim_requests.py
@@ -267,6 +267,26 @@
     assert not peer_jobs.may_have_run(JOB)
 
 
+def test_a_job_that_runs_here_is_not_forwarded() -> None:
+    """An entry asked for a job that it runs forwarded the request, as for a new job.
+
+    The other entry began the job beside the runs here.
+    """
+    peer_jobs = PeerVolatileJobs(EXPIRY_MS)
+    peer_jobs.add_entry(Greeting("entry", "e4", 7, "e4:1"))
+    links = ForwardingRequests()
+    core = SimpleNamespace(
+        choose_forwarding=lambda *_: "e4:1",
+        answers_volatile_job=lambda _: True,
+        submit=lambda _, request, *__, **___: request.set_result(GRANTED),
+    )
+    loop = SimpleNamespace(schedule_step=lambda: None)
+    requests = VolatileRequests(core, loop, peer_jobs, links, Clock(), LOG)
+    spec = job(JOB, count=1, volatile=True)
+    assert asyncio.run(requests.submit(spec, 6_000)) is GRANTED
+    assert links.asked == []
+
+
 def test_a_given_up_job_with_runs_here_is_asked_for_at_its_holder() -> None:
     """The repeated request waited for these runs, and began the job here again."""
     clock = Clock()
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -216,19 +216,6 @@
     assert core.run_here == ["a" * 16]
 
 
-def test_a_job_that_runs_here_is_not_forwarded() -> None:
-    """An entry asked for a job that it runs forwarded the request, as for a new job.
-
-    The other entry began the job beside the runs here.
-    """
-    core = Core()
-    core.jobs.add("a" * 16)
-    peer_jobs = PeerVolatileJobs(run_expiry_ms=2_250)
-    peer_jobs.add_entry(Greeting("entry", "e2", 7, "e2:1"))
-    assert submit_with(peer_jobs, core, []).outcome == "state"
-    assert core.run_here == ["a" * 16]
-
-
 def submit_with(
     peer_jobs: PeerVolatileJobs, core: Core, answers: list[Answer | None]
 ) -> Answer:
