Log what an end of a run was inferred from, and how claims were granted

- Ends name the agent and number of the task's newest run, whether the worker listed the end, and at an agent the entry that was told and the worker.
- A report without a run gives the order numbers that were compared, a lost agent the age of its last lease, an absent run the orders read so far.
- Ends of forgotten runs and claims that were granted in part have lines.
- A heartbeat that replaces the worker names the earlier one and its runs.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -121,8 +121,19 @@
             verdict = claim.verdict()
             if isinstance(verdict, NoHolder) and not self._knows_entries():
                 verdict = None
-            if verdict is None and await self._wait_for_proof():
+            proved = verdict is None and await self._wait_for_proof()
+            if proved:
                 verdict = NoHolder()
+            if isinstance(verdict, NoHolder) and (proved or claim.unreachable):
+                self.log.note(
+                    "claim granted in part",
+                    job=job_id,
+                    answered=sorted(claim.answers),
+                    unreachable=sorted(claim.unreachable),
+                    silent=sorted(claim.silent),
+                    proved=proved,
+                    age_ms=self.clock.now_ms() - claim.asked_ms,
+                )
             if self.clock.now_ms() - claim.asked_ms > CLAIM_VALID_MS:
                 # The answers may be out of date, for example after a pause.
                 verdict = None
--- a/catkincross/owner/_lost_agents.py
+++ b/catkincross/owner/_lost_agents.py
@@ -61,7 +61,11 @@
             if silent_ms < limit_ms:
                 continue
             state.note(
-                "run of a lost agent given up", agent=agent_info.name, task=task.name
+                "run of a lost agent given up",
+                task=task.name,
+                run=task.run,
+                agent=agent_info.name,
+                lease_age_ms=state.now_ms - agent_info.lease_sent_ms,
             )
             if (task.name, task.run) not in _pending_ends_of(state, task):
                 state.requeue(task)
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -296,7 +296,15 @@
             # The start order was in flight when the agent wrote the report.
             continue
         if key not in runs_on_worker and key not in shard.pending_ends:
-            state.note("run is not on its worker", task=key[0], run=key[1])
+            state.note(
+                "run is not on its worker",
+                task=key[0],
+                run=key[1],
+                agent=agent_info.name,
+                order=task.order_number,
+                acked_order=message.acked_order,
+                reported_runs=len(message.running),
+            )
             state.requeue(task)
 
 
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -78,6 +78,13 @@
         return False
     found = state.find_task(ended_run.task)
     if found is None:
+        state.note(
+            "end of a forgotten run",
+            task=ended_run.task,
+            run=ended_run.run,
+            agent=agent_info.name,
+            how=ended_run.how,
+        )
         return True
     shard, task = found
     if (ended_run.task, ended_run.run) in shard.pending_ends:
@@ -116,6 +123,7 @@
             agent=agent_info.name,
             holder=task.agent,
             how=ended_run.how,
+            listed=ended_run.sequence > 0,
         )
         if ended_run.how == "failed":
             task.avoided_agents = (agent_info.name,)
@@ -164,6 +172,8 @@
             task=ended_run.task,
             run=ended_run.run,
             agent=agent_info.name,
+            newest_run=task.run,
+            holder=task.agent,
             how=ended_run.how,
             run_ms=ended_run.run_ms,
             failures=task.failures,
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -47,7 +47,14 @@
         new.worker,
         new.worker_incarnation,
     ):
-        state.note("worker registered", worker=new.worker, born=new.worker_incarnation)
+        state.note(
+            "worker registered",
+            worker=new.worker,
+            born=new.worker_incarnation,
+            earlier_worker=old.worker if old is not None else "",
+            listed_born=state.worker_incarnation,
+            runs=len(state.runs),
+        )
         if old is not None and old.worker != new.worker:
             record_crash(state)
             discard_worker_state(state, 0)
@@ -264,6 +271,9 @@
         how=ended.how,
         number=ended.sequence,
         run_ms=ended.run_ms,
+        entry=state.owner_of_run(run),
+        worker=state.worker,
+        started=run.confirmed_ms is not None,
     )
 
 
@@ -326,7 +336,13 @@
     """Discard a run that the worker has not started and can no longer start."""
     state.runs.pop((run.task, run.number), None)
     state.mark_states_outdated()
-    state.note("run not started", task=run.task, run=run.number, reason=reason)
+    state.note(
+        "run not started",
+        task=run.task,
+        run=run.number,
+        reason=reason,
+        entry=state.owner_of_run(run),
+    )
     notice = NotStarted(run.task, run.number, reason, run.entry_incarnation)
     state.send(state.owner_of_run(run), notice)
 
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -293,6 +293,14 @@
             entry_incarnation = message.epoch if volatile else 0
             ends = Ends([ended], state.worker_incarnation, entry_incarnation)
             state.send(entry_info.name, ends)
+            state.note(
+                "run to stop is absent",
+                task=message.task,
+                run=message.run,
+                entry=entry_info.name,
+                acked_order=entry_info.acked_order,
+                **_other_run(state, message.task),
+            )
         return
     order_stop(state, run, "ordered")
 
