Show that entries keep no account of runs they have forgotten, with failing tests

An entry forgets a job while agents may have runs of it, numbers the runs of its next life from 1, takes ends and progress from agents that do not have the task, and stops no run that it does not know. A run that was ended or refused in error therefore goes on beside the next one.

--- /dev/null
+++ b/tests/test_platform_forgotten_runs.py
@@ -0,0 +1,232 @@
+"""Tests of runs that an entry has forgotten, and of late messages about them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from catkincross.operations import Declarations
+from catkincross.owner import OwnerCore, OwnerLimits, SendToAgent
+from catkincross.peers import (
+    AgentState,
+    EndedRun,
+    Ends,
+    NotStarted,
+    Progress,
+    Report,
+    RunningTask,
+    Start,
+    Stop,
+    WorkerProfile,
+)
+from scenarios.platform_model import SERVICE, job
+
+JOB = "5c0e7a21d94b36f8"
+TASK = f"{JOB}.0.0.0"
+INCARNATION = 7
+VOLATILE = -1
+WORKER_INCARNATION = 5
+# Time after which an ended job is forgotten, with a reserve.
+FORGET_MS = 4_200
+
+
+class Entry:
+    """An entry's core with the messages that it sends to its agents."""
+
+    def __init__(self, *agents: str) -> None:
+        self.core = OwnerCore("e1", OwnerLimits(), INCARNATION)
+        self.core.update_declarations(0, Declarations(version=1))
+        self.now_ms = 1_000
+        self.core.step(0)
+        for agent in agents:
+            self.connect(agent)
+
+    def connect(
+        self, agent: str, incarnation: int = 1, *, report_now: bool = True
+    ) -> None:
+        """Let an agent open a link, and tell of its worker, which has no runs."""
+        self.core.handle_agent_connected(self.now_ms, agent, incarnation)
+        profile = WorkerProfile(
+            f"w-{agent}", 5, SERVICE, "perth", ["a"], 4_000, 8_192, 0
+        )
+        self.receive(agent, profile)
+        self.tell_state(agent)
+        if report_now:
+            self.receive(agent, report(acked_order=0))
+
+    def tell_state(self, agent: str, *, acked_order: int = 0, cpu: int = 4_000) -> None:
+        """Let an agent send its state."""
+        state = AgentState(self.now_ms, cpu, 8_192, 0, True, acked_order)
+        self.receive(agent, state)
+
+    def receive(self, agent: str, message: Any) -> None:
+        """Let a message of an agent arrive."""
+        self.core.handle_agent_message(self.now_ms, agent, message)
+
+    def step(self) -> list[tuple[str, Any]]:
+        """Return the messages of a step, by agent."""
+        effects = self.core.step(self.now_ms)
+        return [(e.agent, e.content) for e in effects if isinstance(e, SendToAgent)]
+
+    def submit(self, *, count: int = 1, timeout_ms: int = 20_000) -> None:
+        """Submit the job."""
+        spec = job(JOB, count=count, volatile=True)
+        self.core.submit(self.now_ms, "post", spec, timeout_ms=timeout_ms)
+
+    def run(self, for_ms: int) -> list[tuple[str, Any]]:
+        """Let time pass, while all connected agents send their states."""
+        sent: list[tuple[str, Any]] = []
+        for _ in range(for_ms // 50):
+            self.now_ms += 50
+            for agent, info in list(self.core.state.agents.items()):
+                if info.connected:
+                    self.tell_state(agent, acked_order=info.last_order)
+            sent += self.step()
+        return sent
+
+
+def starts_in(messages: list[tuple[str, Any]]) -> list[tuple[str, Start]]:
+    """Return the start orders among messages, by agent."""
+    return [(agent, m) for agent, m in messages if isinstance(m, Start)]
+
+
+def stops_in(messages: list[tuple[str, Any]]) -> list[tuple[str, str, int]]:
+    """Return agent, task and run of the stop orders among messages."""
+    return [(agent, m.task, m.run) for agent, m in messages if isinstance(m, Stop)]
+
+
+def started(*agents: str) -> tuple[Entry, str, Start]:
+    """Return an entry that has sent the only task of a job, and to which agent."""
+    entry = Entry(*agents)
+    entry.submit()
+    [(agent, start)] = starts_in(entry.step())
+    return entry, agent, start
+
+
+def ended(run: int, how: str) -> Ends:
+    """Return the end of a run of the task."""
+    return Ends([EndedRun(0, TASK, run, how)], WORKER_INCARNATION, INCARNATION)
+
+
+def report(*running: RunningTask, acked_order: int) -> Report:
+    """Return an agent's report of the entry's volatile jobs."""
+    return Report(
+        VOLATILE, INCARNATION, list(running), [], WORKER_INCARNATION, acked_order
+    )
+
+
+@pytest.mark.parametrize("message", ["progress", "report"])
+def test_a_run_of_a_forgotten_job_is_stopped(message: str) -> None:
+    """Its agent keeps it for as long as this entry gives leases.
+
+    The job begins anew at any entry, since nobody knows of the run.
+    """
+    entry, agent, start = started("u1", "u2")
+    entry.core.abandon(entry.now_ms, "post", JOB)
+    entry.step()
+    entry.receive(agent, ended(start.run, "absent"))
+    assert not entry.core.has_volatile_job(JOB)
+    running = RunningTask(TASK, start.run, "", 40)
+    content: Any = Progress([running])
+    if message == "report":
+        content = report(running, acked_order=start.order)
+    entry.receive(agent, content)
+    assert (agent, TASK, start.run) in stops_in(entry.step())
+
+
+def test_a_superseded_run_that_makes_progress_is_stopped() -> None:
+    """A run whose end was reported in error went on beside the next one."""
+    entry, agent, start = started("u1", "u2")
+    entry.receive(agent, NotStarted(TASK, start.run, "unanswered", INCARNATION))
+    [(_, second)] = starts_in(entry.step())
+    assert second.run > start.run
+    entry.receive(agent, Progress([RunningTask(TASK, start.run, "", 40)]))
+    assert (agent, TASK, start.run) in stops_in(entry.step())
+
+
+@pytest.mark.parametrize("how", ["lost", "crashed", "stopped"])
+@pytest.mark.parametrize("run", [1, 3])
+def test_an_end_from_an_agent_without_the_task_does_not_start_it_again(
+    how: str, run: int
+) -> None:
+    """The run belongs to an earlier life of the job, whose runs had the same numbers.
+
+    An ended job is forgotten after 4 s also while agents have runs of it, and the runs
+    of its next life are numbered from 1.
+    """
+    entry, agent, start = started("u1", "u2")
+    other = {"u1": "u2", "u2": "u1"}[agent]
+    crash_number = 9 if how == "crashed" else 0
+    end = EndedRun(0, TASK, run, how, crash_number=crash_number)
+    entry.receive(other, Ends([end], WORKER_INCARNATION, INCARNATION))
+    assert starts_in(entry.run(500)) == []
+    task = entry.core.state.find_task(TASK)[1]
+    assert (task.agent, task.run) == (agent, start.run)
+
+
+def test_a_job_that_is_submitted_again_after_its_end_numbers_its_runs_anew() -> None:
+    """Ends of its earlier runs would be taken for those of the present ones."""
+    entry, agent, start = started("u1", "u2")
+    entry.receive(agent, ended(start.run, "done"))
+    entry.step()
+    entry.run(FORGET_MS)
+    assert not entry.core.has_volatile_job(JOB)
+    entry.submit()
+    [(_, second)] = starts_in(entry.step())
+    assert second.run > start.run
+
+
+def test_an_ended_job_is_remembered_while_agents_may_have_runs_of_it() -> None:
+    """A job that has failed was forgotten after 4 s, and began anew beside its runs."""
+    entry = Entry("u1", "u2")
+    entry.submit(count=2)
+    starts = starts_in(entry.step())
+    assert len(starts) == 2
+    (agent, failing), _ = starts
+    for number in range(3):
+        end = EndedRun(number + 1, failing.task, failing.run, "failed")
+        entry.receive(agent, Ends([end], WORKER_INCARNATION, INCARNATION))
+        sent = starts_in(entry.step())
+        if sent:
+            [(agent, failing)] = sent
+    entry.run(FORGET_MS)
+    assert any(info.assigned_tasks for info in entry.core.state.agents.values())
+    assert entry.core.has_volatile_job(JOB)
+
+
+def test_progress_of_an_earlier_process_run_does_not_stop_the_present_run() -> None:
+    """An agent tells the progress of runs of the entry's earlier process too.
+
+    That run had stalled, and the run of the same number at another agent was stopped.
+    """
+    entry, agent, start = started("u1", "u2")
+    other = {"u1": "u2", "u2": "u1"}[agent]
+    for percent in range(0, 60, 2):
+        entry.now_ms += 50
+        running = RunningTask(TASK, start.run, "", percent)
+        entry.receive(agent, Progress([running]))
+        # The present run makes progress, the earlier one does not.
+        entry.receive(other, Progress([RunningTask(TASK, start.run, "", 10)]))
+    assert entry.core.state.find_task(TASK)[1].percent == 58
+    entry.now_ms += 800
+    entry.receive(other, Progress([RunningTask(TASK, start.run, "", 10)]))
+    assert stops_in(entry.step()) == []
+
+
+def test_a_report_of_another_host_of_the_same_name_ends_no_runs() -> None:
+    """A host was replaced while it was cut off; its worker ran on.
+
+    The lease of the first host had not ended when its tasks were started elsewhere.
+    """
+    entry, agent, start = started("u1", "u2")
+    entry.receive(agent, report(RunningTask(TASK, start.run), acked_order=start.order))
+    entry.core.handle_agent_lost(entry.now_ms, agent)
+    entry.now_ms += 300
+    entry.connect(agent, incarnation=2, report_now=False)
+    other_worker = WorkerProfile(
+        "w-other", 99, SERVICE, "perth", ["a"], 4_000, 8_192, 0
+    )
+    entry.receive(agent, other_worker)
+    entry.receive(agent, Report(VOLATILE, INCARNATION, [], [], 99, 0))
+    assert starts_in(entry.step()) == []
