Play resets, delays and replacements of single links in the model

Links of the model were one for each pair of entry and agent, and both sides noted their end at once. They are now connections of their own: messages arrive in order on each link, each side notes the end at its own time, and messages of an old link may come after those of a newer one. Plans with links=True draw such disruptions for most of their actions.

A failing test shows that an entry takes the link whose greeting comes last for the newest one.

--- a/scenarios/volatile_fuzz.py
+++ b/scenarios/volatile_fuzz.py
@@ -29,6 +29,11 @@
 QUIET_MS = 14_000
 LENGTHS_MS = (150, 400, 900, 1_400, 2_000, 3_000)
 RUNS_MS = (300, 1_500, 4_000)
+DELAYS_MS = (2, 20, 100, 400, 1_200)
+# When the entry and the agent note the reset of their link; None for never.
+NOTES_MS = ((1, 1), (1, 300), (300, 1), (1, None), (None, 1), (None, None))
+# Share of the disruptions that are of single links, where links are disrupted.
+LINK_SHARE = 0.6
 
 
 @attrs.frozen
@@ -65,18 +70,25 @@
 
 ACTIONS: dict[str, Callable[..., None]] = {}
 DRAWS: dict[str, Callable[[random.Random], tuple[Any, ...]]] = {}
+# Disruptions of single links between entries and agents.
+LINK_ACTIONS: set[str] = set()
 
 
-def action(draw: Callable[[random.Random], tuple[Any, ...]]) -> Any:
+def action(
+    draw: Callable[[random.Random], tuple[Any, ...]], *, of_link: bool = False
+) -> Any:
     """Register a disruption.
 
     Args:
         draw: Returns random arguments of it.
+        of_link: Whether it concerns one link between an entry and an agent.
     """
 
     def add(function: Any) -> Any:
         ACTIONS[function.__name__] = function
         DRAWS[function.__name__] = draw
+        if of_link:
+            LINK_ACTIONS.add(function.__name__)
         return function
 
     return add
@@ -334,24 +346,86 @@
     play.send_job(job_id, count, entry)
 
 
+@action(lambda draw: (_entry(draw), _agent(draw), draw.choice(NOTES_MS)), of_link=True)
+def reset_link(
+    play: Play, entry: str, agent: str, notes_ms: tuple[int | None, int | None]
+) -> None:
+    """Reset a link; each side notes it at its own time, or not at all."""
+    play.model.reset_link(entry, agent, *notes_ms)
+
+
+@action(lambda draw: (_entry(draw), draw.choice(NOTES_MS)), of_link=True)
+def reset_links(
+    play: Play, entry: str, notes_ms: tuple[int | None, int | None]
+) -> None:
+    """Reset the links of all agents to an entry."""
+    for agent in play.model.workers:
+        play.model.reset_link(entry, agent, *notes_ms)
+
+
+@action(
+    lambda draw: (
+        _entry(draw),
+        _agent(draw),
+        draw.choice(("to", "from", "both")),
+        draw.choice(DELAYS_MS),
+        _length(draw),
+    ),
+    of_link=True,
+)
+def delay_link(
+    play: Play, entry: str, agent: str, way: str, delay_ms: int, for_ms: int
+) -> None:
+    """Delay the messages of one link; others are as fast as before."""
+    play.model.delay_link(entry, agent, way, delay_ms, for_ms)
+
+
+@action(lambda draw: (_entry(draw), _agent(draw), draw.choice(DELAYS_MS)), of_link=True)
+def replace_link(play: Play, entry: str, agent: str, delay_ms: int) -> None:
+    """Let an agent open a link anew; messages of the old one arrive late."""
+    play.model.replace_link(entry, agent, delay_ms)
+
+
+@action(
+    lambda draw: (_entry(draw), draw.choice(DELAYS_MS), draw.choice((1, 2, 3))),
+    of_link=True,
+)
+def replace_links(play: Play, entry: str, delay_ms: int, times: int) -> None:
+    """Let all agents open their links to an entry anew, once or more often."""
+    for number in range(times):
+        for agent in list(play.model.workers):
+            play.model.at(
+                30 * number,
+                lambda agent=agent: play.model.replace_link(entry, agent, delay_ms),
+            )
+
+
 # Seeds.
 
 
-def plan_of(seed: int) -> Plan:
-    """Return the plan of a seed: jobs, then disruptions within one lease."""
+def plan_of(seed: int, *, links: bool = False) -> Plan:
+    """Return the plan of a seed: jobs, then disruptions within one lease.
+
+    Args:
+        seed: The seed.
+        links: Whether most disruptions are of single links between entries and agents,
+            and client accounts send their jobs again at other times.
+    """
     draw = random.Random(seed)
     run_ms = tuple(draw.choice(RUNS_MS) for _ in range(AGENTS))
-    disruptions = sorted(set(ACTIONS) - {"submit"})
+    others = sorted(set(ACTIONS) - LINK_ACTIONS - {"submit"})
     actions = [
         Action(draw.randrange(0, 200), "submit", DRAWS["submit"](draw))
         for _ in range(2)
     ]
     first_ms = draw.randrange(150, 500)
     for number in range(draw.randrange(2, 6)):
-        kind = draw.choice(disruptions)
+        of_link = links and draw.random() < LINK_SHARE
+        kind = draw.choice(sorted(LINK_ACTIONS) if of_link else others)
         after_ms = draw.randrange(0, LEASE_MS) if number else 0
         actions.append(Action(first_ms + after_ms, kind, DRAWS[kind](draw)))
-    return Plan(seed, run_ms, tuple(actions))
+    resend_ms = draw.choice((50, 300, RESEND_MS)) if links else RESEND_MS
+    return Plan(seed, run_ms, tuple(actions), resend_ms)
 
 
 def play_plan(plan: Plan) -> list[str]:
--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -18,6 +18,7 @@
 from catkincross.peers import Greeting, LostVolatileJobs, VolatileJobs
 from catkincross.workers import StartOutcome, StartRun, StopRun
 
+from .agent_links import AgentLink, AgentLinksMixin
 from .platform_effects import CALL_MS, LINK_MS, RENEWAL_MS, Host
 from .platform_model import Model
 from .volatile_requests import REMOTE_RETRY_MS, Node, RequestsMixin
@@ -35,7 +36,7 @@
 
 
 @attrs.define(eq=False)
-class VolatileModel(RequestsMixin, Model):
+class VolatileModel(AgentLinksMixin, RequestsMixin, Model):
     """The model; see `Model`.
 
     Attributes:
@@ -46,8 +47,8 @@
             if they are carried out and only the answers are lost.
         late_calls: Calls to a worker that arrive when its cut ends, by agent.
         lost_stops: Number of stop orders that get lost next.
-        link_ends: Both processes of the newest link of an entry and an agent.
-        links_opened: Number of links opened, by entry and agent.
+        agent_links: Link that an agent uses, by entry and agent.
+        entry_links: Link that an entry uses, by entry and agent.
     """
 
     nodes: dict[str, Node] = attrs.field(factory=dict)
@@ -60,10 +61,8 @@
         factory=lambda: defaultdict(list)
     )
     lost_stops: int = 0
-    link_ends: dict[tuple[str, str], tuple[Host, Host]] = attrs.field(factory=dict)
-    links_opened: dict[tuple[str, str], int] = attrs.field(
-        factory=lambda: defaultdict(int)
-    )
+    agent_links: dict[tuple[str, str], AgentLink] = attrs.field(factory=dict)
+    entry_links: dict[tuple[str, str], AgentLink] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Start all processes, and let the workers send heartbeats."""
@@ -123,75 +122,19 @@
         host.up = False
         if node is not None:
             self.at(1_000, self.announce_entries)
+        self._end_links_of(host, silent=silent)
         if silent:
             return
-        for other in list((self.workers if node else self.owners).values()):
-            self._close_agent_link(host, other)
         for other in list(self.nodes.values()) if node else ():
             receiver = other.host.name
             self.send(name, receiver, lambda other=other: self._lost(other, node))
 
-    def _close_agent_link(self, ended: Host, other: Host) -> None:
-        """Let a process note that its link to one that ended has closed."""
-        of_entry = ended.name.startswith("e")
-        pair = (ended.name, other.name) if of_entry else (other.name, ended.name)
-        opened = self.links_opened[pair]
-
-        def note() -> None:
-            if self.links_opened[pair] != opened:
-                return
-            if of_entry:
-                other.core.handle_entry_lost(self.now_ms, ended.name)
-            elif ended.name in other.core.state.agents:
-                other.core.handle_agent_lost(self.now_ms, ended.name)
-
-        self.send(ended.name, other.name, lambda: self.when_awake(other, note))
-
     def _lost(self, node: Node, lost: Node) -> None:
         """Let an entry note that the links of another one have closed."""
         node.peer_jobs.mark_entry_lost(lost.greeting, now_ms=self.now_ms)
         if node.linked.get(lost.host.name) is lost:
             self._close_link(node, lost.host.name)
 
-    def connect(self, entry: str, agent: str) -> None:
-        """Open a link if messages pass; an earlier one of the agent is closed."""
-        if not self.is_connected(entry, agent):
-            self.workers[agent].core.handle_connect_failed(self.now_ms, entry)
-            return
-        self.links_opened[entry, agent] += 1
-        self.link_ends[entry, agent] = self.owners[entry], self.workers[agent]
-        core = self.owners[entry].core
-        known = core.state.agents.get(agent)
-        if known is not None and known.connected:
-            core.handle_agent_lost(self.now_ms, agent)
-        super().connect(entry, agent)
-
-    def _pass(self, entry: str, agent: str, content: Any, *, to_agent: bool) -> None:
-        """Send a message on the link in use; it is lost if the link ends before."""
-        opened = self.links_opened[entry, agent]
-        ends = self.link_ends.get((entry, agent))
-        if ends is None:
-            return
-        owner, worker = ends
-
-        def arrive() -> None:
-            if opened != self.links_opened[entry, agent] or not worker.up:
-                return
-            if not owner.up:
-                if entry in self.owners:
-                    # The new process resets the connection.
-                    worker.core.handle_entry_lost(self.now_ms, entry)
-            elif to_agent:
-                worker.core.handle_entry_message(self.now_ms, entry, content)
-                self.step(worker)
-            elif owner.core.state.agents[agent].connected:
-                owner.core.handle_agent_message(self.now_ms, agent, content)
-                self.step(owner)
-
-        target = worker if to_agent or not owner.up else owner
-        ways = (entry, agent) if to_agent else (agent, entry)
-        self.send(*ways, lambda: self.when_awake(target, arrive))
-
     # Links between entries.
 
     def _maintain_links(self) -> None:
