--- a/scenarios/volatile_fuzz.py
+++ b/scenarios/volatile_fuzz.py
@@ -32,8 +32,10 @@
 DELAYS_MS = (2, 20, 100, 400, 1_200)
 # When the entry and the agent note the reset of their link; None for never.
 NOTES_MS = ((1, 1), (1, 300), (300, 1), (1, None), (None, 1), (None, None))
-# Share of the disruptions that are of single links, where links are disrupted.
+# In plans with failing links, the share of the disruptions that are of single links,
+# and of the jobs whose client account leaves.
 LINK_SHARE = 0.6
+LEAVE_SHARE = 0.7
 
 
 @attrs.frozen
@@ -403,29 +405,46 @@
 # Seeds.
 
 
-def plan_of(seed: int, *, links: bool = False) -> Plan:
-    """Return the plan of a seed: jobs, then disruptions within one lease.
-
-    Args:
-        seed: The seed.
-        links: Whether most disruptions are of single links between entries and agents,
-            and client accounts send their jobs again at other times.
-    """
+def plan_of(seed: int) -> Plan:
+    """Return the plan of a seed: jobs, then disruptions within one lease."""
     draw = random.Random(seed)
     run_ms = tuple(draw.choice(RUNS_MS) for _ in range(AGENTS))
-    others = sorted(set(ACTIONS) - LINK_ACTIONS - {"submit"})
+    disruptions = sorted(set(ACTIONS) - LINK_ACTIONS - {"submit"})
     actions = [
         Action(draw.randrange(0, 200), "submit", DRAWS["submit"](draw))
         for _ in range(2)
     ]
     first_ms = draw.randrange(150, 500)
     for number in range(draw.randrange(2, 6)):
-        of_link = links and draw.random() < LINK_SHARE
-        kind = draw.choice(sorted(LINK_ACTIONS) if of_link else others)
+        kind = draw.choice(disruptions)
         after_ms = draw.randrange(0, LEASE_MS) if number else 0
         actions.append(Action(first_ms + after_ms, kind, DRAWS[kind](draw)))
-    resend_ms = draw.choice((50, 300, RESEND_MS)) if links else RESEND_MS
-    return Plan(seed, run_ms, tuple(actions), resend_ms)
+    return Plan(seed, run_ms, tuple(actions))
+
+
+def link_plan_of(seed: int) -> Plan:
+    """Return a plan in which links fail while jobs begin and are given up.
+
+    Client accounts leave soon after they have sent their jobs, so that stops follow
+    starts while links are reset, delayed or replaced.
+    """
+    draw = random.Random(seed)
+    run_ms = tuple(draw.choice(RUNS_MS) for _ in range(AGENTS))
+    others = sorted(set(ACTIONS) - LINK_ACTIONS - {"submit"})
+    actions = []
+    for _ in range(draw.randrange(2, 5)):
+        sent_ms = draw.randrange(0, 1_000)
+        job_id, count, entry = DRAWS["submit"](draw)
+        actions.append(Action(sent_ms, "submit", (job_id, count, entry)))
+        if draw.random() < LEAVE_SHARE:
+            left_ms = sent_ms + draw.randrange(1, 300)
+            actions.append(Action(left_ms, "cut_clients", (entry, 1)))
+    for _ in range(draw.randrange(2, 6)):
+        of_link = draw.random() < LINK_SHARE
+        kind = draw.choice(sorted(LINK_ACTIONS) if of_link else others)
+        at_ms = draw.randrange(0, LEASE_MS // 2)
+        actions.append(Action(at_ms, kind, DRAWS[kind](draw)))
+    return Plan(seed, run_ms, tuple(actions), draw.choice((50, 300, RESEND_MS)))
 
 
 def play_plan(plan: Plan) -> list[str]:
--- a/tests/test_platform_replaced_links.py
+++ b/tests/test_platform_replaced_links.py
@@ -15,7 +15,7 @@
 from catkincross.daemons._entry import EntryDaemon
 from catkincross.daemons._log import DecisionLog
 from catkincross.peers import Link
-from scenarios.volatile_fuzz import plan_of, play_plan
+from scenarios.volatile_fuzz import link_plan_of, play_plan
 from tests.test_platform_daemons import free_port, settings_for
 from tests.test_platform_lost_requesters import EndlessTransport
 
@@ -28,7 +28,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_task_runs_twice_after_faults_of_single_links(seed: int) -> None:
     """Links are reset, delayed and replaced while messages are on their way."""
-    plan = plan_of(seed, links=True)
+    plan = link_plan_of(seed)
     assert play_plan(plan) == [], "\n".join(map(str, plan.actions))
 
 
