--- a/tests/test_platform_late_starts.py
+++ b/tests/test_platform_late_starts.py
@@ -8,7 +8,6 @@
 import socket
 import struct
 import threading
-import time
 from typing import Any
 
 import attrs
@@ -39,8 +38,10 @@
     reply,
 )
 
-# Length of an iteration of the event loop on a loaded host, in seconds.
-BUSY_S = 0.02
+# Longest wait for the reset of a connection, in seconds.
+RESET_TIMEOUT_S = 5.0
+# Time between two checks of the links, in seconds.
+PAUSE_S = 0.02
 
 
 class Worker:
@@ -189,16 +190,19 @@
     assert not [effect for effect in effects if isinstance(effect, StartRun)]
 
 
-def reset_connections(server: socket.socket, accepted: list[int], count: int) -> None:
-    """Accept connections, and reset the first ones at once."""
+def reset_first_connection(
+    server: socket.socket, accepted: list[int], reset: threading.Event
+) -> None:
+    """Accept connections, and reset the first one at once."""
     with contextlib.suppress(OSError):
         while True:
             connection, _ = server.accept()
-            accepted.append(len(accepted))
-            if len(accepted) <= count:
+            accepted.append(connection.fileno())
+            if not reset.is_set():
                 linger = struct.pack("ii", 1, 0)
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 connection.close()
+                reset.set()
 
 
 def test_a_link_that_is_reset_while_it_is_opened_is_opened_again(
@@ -209,17 +213,17 @@
     The reset arrives while other callbacks of the event loop's iteration run.
     """
     connection_made = Link.connection_made
+    reset = threading.Event()
 
     def make_connection(link: Link, transport: Any) -> None:
         connection_made(link, transport)
-        time.sleep(BUSY_S)
+        reset.wait(RESET_TIMEOUT_S)
 
     monkeypatch.setattr(Link, "connection_made", make_connection)
     accepted: list[int] = []
     server = socket.create_server(("127.0.0.1", 0))
-    threading.Thread(
-        target=reset_connections, args=(server, accepted, 1), daemon=True
-    ).start()
+    arguments = server, accepted, reset
+    threading.Thread(target=reset_first_connection, args=arguments, daemon=True).start()
 
     async def run() -> None:
         clock = ManualClock()
@@ -231,12 +235,14 @@
         agent.core.update_store_entries(0, {address: "perth"}, {})
         for _ in range(20):
             agent._update_links()
-            await asyncio.sleep(BUSY_S)
+            await asyncio.sleep(PAUSE_S)
             clock.advance(500)
-        agent.core_loop._timer.cancel()
+        if agent.core_loop._timer is not None:
+            agent.core_loop._timer.cancel()
         for link in agent.links.values():
             link.close()
 
     asyncio.run(run())
     server.close()
+    assert reset.is_set()
     assert len(accepted) > 1
