--- a/scenarios/volatile_fuzz.py
+++ b/scenarios/volatile_fuzz.py
@@ -29,6 +29,13 @@
 QUIET_MS = 14_000
 LENGTHS_MS = (150, 400, 900, 1_400, 2_000, 3_000)
 RUNS_MS = (300, 1_500, 4_000)
+DELAYS_MS = (2, 20, 100, 400, 1_200)
+# When the entry and the agent note the reset of their link; None for never.
+NOTES_MS = ((1, 1), (1, 300), (300, 1), (1, None), (None, 1), (None, None))
+# In plans with failing links, the share of the disruptions that are of single links,
+# and of the jobs whose client account leaves.
+LINK_SHARE = 0.6
+LEAVE_SHARE = 0.7
 
 
 @attrs.frozen
@@ -65,18 +72,25 @@
 
 ACTIONS: dict[str, Callable[..., None]] = {}
 DRAWS: dict[str, Callable[[random.Random], tuple[Any, ...]]] = {}
+# Disruptions of single links between entries and agents.
+LINK_ACTIONS: set[str] = set()
 
 
-def action(draw: Callable[[random.Random], tuple[Any, ...]]) -> Any:
+def action(
+    draw: Callable[[random.Random], tuple[Any, ...]], *, of_link: bool = False
+) -> Any:
     """Register a disruption.
 
     Args:
         draw: Returns random arguments of it.
+        of_link: Whether it concerns one link between an entry and an agent.
     """
 
     def add(function: Any) -> Any:
         ACTIONS[function.__name__] = function
         DRAWS[function.__name__] = draw
+        if of_link:
+            LINK_ACTIONS.add(function.__name__)
         return function
 
     return add
@@ -334,6 +348,60 @@
     play.send_job(job_id, count, entry)
 
 
+@action(lambda draw: (_entry(draw), _agent(draw), draw.choice(NOTES_MS)), of_link=True)
+def reset_link(
+    play: Play, entry: str, agent: str, notes_ms: tuple[int | None, int | None]
+) -> None:
+    """Reset a link; each side notes it at its own time, or not at all."""
+    play.model.reset_link(entry, agent, *notes_ms)
+
+
+@action(lambda draw: (_entry(draw), draw.choice(NOTES_MS)), of_link=True)
+def reset_links(
+    play: Play, entry: str, notes_ms: tuple[int | None, int | None]
+) -> None:
+    """Reset the links of all agents to an entry."""
+    for agent in play.model.workers:
+        play.model.reset_link(entry, agent, *notes_ms)
+
+
+@action(
+    lambda draw: (
+        _entry(draw),
+        _agent(draw),
+        draw.choice(("to", "from", "both")),
+        draw.choice(DELAYS_MS),
+        _length(draw),
+    ),
+    of_link=True,
+)
+def delay_link(
+    play: Play, entry: str, agent: str, way: str, delay_ms: int, for_ms: int
+) -> None:
+    """Delay the messages of one link; others are as fast as before."""
+    play.model.delay_link(entry, agent, way, delay_ms, for_ms)
+
+
+@action(lambda draw: (_entry(draw), _agent(draw), draw.choice(DELAYS_MS)), of_link=True)
+def replace_link(play: Play, entry: str, agent: str, delay_ms: int) -> None:
+    """Let an agent open a link anew; messages of the old one arrive late."""
+    play.model.replace_link(entry, agent, delay_ms)
+
+
+@action(
+    lambda draw: (_entry(draw), draw.choice(DELAYS_MS), draw.choice((1, 2, 3))),
+    of_link=True,
+)
+def replace_links(play: Play, entry: str, delay_ms: int, times: int) -> None:
+    """Let all agents open their links to an entry anew, once or more often."""
+    for number in range(times):
+        for agent in list(play.model.workers):
+            play.model.at(
+                30 * number,
+                lambda agent=agent: play.model.replace_link(entry, agent, delay_ms),
+            )
+
+
 # Seeds.
 
 
@@ -341,7 +409,7 @@
     """Return the plan of a seed: jobs, then disruptions within one lease."""
     draw = random.Random(seed)
     run_ms = tuple(draw.choice(RUNS_MS) for _ in range(AGENTS))
-    disruptions = sorted(set(ACTIONS) - {"submit"})
+    disruptions = sorted(set(ACTIONS) - LINK_ACTIONS - {"submit"})
     actions = [
         Action(draw.randrange(0, 200), "submit", DRAWS["submit"](draw))
         for _ in range(2)
@@ -354,6 +422,31 @@
     return Plan(seed, run_ms, tuple(actions))
 
 
+def link_plan_of(seed: int) -> Plan:
+    """Return a plan in which links fail while jobs begin and are given up.
+
+    Client accounts leave soon after they have sent their jobs, so that stops follow
+    starts while links are reset, delayed or replaced.
+    """
+    draw = random.Random(seed)
+    run_ms = tuple(draw.choice(RUNS_MS) for _ in range(AGENTS))
+    others = sorted(set(ACTIONS) - LINK_ACTIONS - {"submit"})
+    actions = []
+    for _ in range(draw.randrange(2, 5)):
+        sent_ms = draw.randrange(0, 1_000)
+        job_id, count, entry = DRAWS["submit"](draw)
+        actions.append(Action(sent_ms, "submit", (job_id, count, entry)))
+        if draw.random() < LEAVE_SHARE:
+            left_ms = sent_ms + draw.randrange(1, 300)
+            actions.append(Action(left_ms, "cut_clients", (entry, 1)))
+    for _ in range(draw.randrange(2, 6)):
+        of_link = draw.random() < LINK_SHARE
+        kind = draw.choice(sorted(LINK_ACTIONS) if of_link else others)
+        at_ms = draw.randrange(0, LEASE_MS // 2)
+        actions.append(Action(at_ms, kind, DRAWS[kind](draw)))
+    return Plan(seed, run_ms, tuple(actions), draw.choice((50, 300, RESEND_MS)))
+
+
 def play_plan(plan: Plan) -> list[str]:
     """Play a plan; return the tasks of which two runs overlapped."""
     return Play(plan).run()
