Test a delayed heartbeat that a new agent reads first

Cause: a new agent accepts any heartbeat, also one of an earlier process than the worker whose lists it has read. The next heartbeat of the worker that is there then carries another identity, and record_heartbeat ends all adopted runs as crashed.

Change: a test with an agent that is started again, and a heartbeat that was delayed beyond the end of its sender. No clock is wrong in it.

--- a/tests/test_platform_foreign_heartbeats.py
+++ b/tests/test_platform_foreign_heartbeats.py
@@ -107,6 +107,29 @@
     assert model.overlapping() == []
 
 
+def test_a_delayed_heartbeat_that_a_new_agent_reads_first_ends_no_runs() -> None:
+    """The next heartbeat of the worker that is there was taken for that of a new one.
+
+    A new agent takes any worker on its host for its own until it reads a heartbeat.
+    """
+    model = model_with_runs()
+    machine = model.machines["u0"]
+    machine.run_ms = 4_000
+    earlier, delayed = machine.instance, machine.heartbeat(model.now_ms, SERVICE)
+    model.replace("u0", 300, instance="w-next")
+    model.run(1_600)
+    begin_job(model)
+    model.kill("u0")
+    model.run(50)
+    model.start_agent("u0", registers=False)
+    model.run(50)
+    model.put_heartbeat("u0", earlier, delayed)
+    model.run(50)
+    model.send_heartbeat("u0")
+    model.run(6_000)
+    assert model.overlapping() == []
+
+
 def test_the_heartbeat_of_the_next_worker_ends_no_runs_of_one_that_drains() -> None:
     """A worker goes on for seconds after it has announced that it leaves."""
     model = model_with_runs()
