Test calls to a worker that was started again

Cause: the first renewal that a new process gets under the same identity carries the acknowledgement of the earlier process, whose numbers of ends were higher. The protocol says only that ends up to the cursor are forgotten.

--- a/standins/strict_worker.py
+++ b/standins/strict_worker.py
@@ -32,6 +32,8 @@
         stop_takes_ms: Time that a stop takes.
         unhealthy: Whether it answers start orders with 503.
         stalled: Whether its runs make no progress.
+        keeps_ack: Whether an acknowledgement also applies to later ends with a number
+            up to it; the protocol leaves it open.
         life_began_ms: Start of its process.
         heartbeats: Number of heartbeats of this process.
         active: Runs in progress by task and run number.
@@ -43,6 +45,7 @@
     stop_takes_ms: int = 0
     unhealthy: bool = False
     stalled: bool = False
+    keeps_ack: bool = False
     life_began_ms: int = 0
     heartbeats: int = 0
     active: dict[tuple[str, int], ActiveRun] = attrs.field(factory=dict)
@@ -114,7 +117,8 @@
             self.running.pop(task, None)
         self.highest_run[task] = max(self.highest_run.get(task, 0), number)
         self.last_end_number += 1
-        self.finished.append(EndedRun(self.last_end_number, task, number, how))
+        if not self.keeps_ack or self.last_end_number > self.acknowledged:
+            self.finished.append(EndedRun(self.last_end_number, task, number, how))
         self.run_events.append((at_ms, how, task, number))
 
     def _extend(self, now_ms: int, until_ms: int) -> None:
@@ -154,10 +158,9 @@
             return 200, fields
         if "until_ms" in body:
             self._extend(now_ms, body["until_ms"])
-        self.acknowledged = max(self.acknowledged, body["ack_cursor"])
-        self.finished = [
-            end for end in self.finished if end.sequence > self.acknowledged
-        ]
+        ack = body["ack_cursor"]
+        self.acknowledged = max(self.acknowledged, ack)
+        self.finished = [end for end in self.finished if end.sequence > ack]
         return 200, {**fields, **self.lists(now_ms)}
 
     def lists(self, now_ms: int) -> dict[str, Any]:
