Play the daemons' claims in the model of volatile jobs

The model repeated the steps of a claim in its own code, without the proof of the agents, late answers and silent channels. Channels can be reset or fall silent for good, entries handle messages late or stand still.

--- /dev/null
+++ b/scenarios/claims_fuzz.py
@@ -0,0 +1,192 @@
+"""Random faults of the links between entries, with the daemons' own claims.
+
+Besides the disruptions of `volatile_fuzz`, all channels are reset or fall silent for
+good at once, entries handle messages late, and stand still for short times.
+
+Run `python -m scenarios.claims_fuzz FIRST LAST` to play the seeds of a range.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from .claims_model import ClaimsModel
+from .volatile_fuzz import (
+    ACTIONS,
+    AGENTS,
+    DRAWS,
+    ENTRIES,
+    RUNS_MS,
+    Action,
+    Plan,
+    Play,
+    shrink,
+)
+
+# Time from the first to the last disruption, in milliseconds.
+EPISODE_MS = 4_000
+TIMEOUTS_MS = (1_500, 6_000)
+LAGS_MS = (100, 250, 400, 900)
+STALLS_MS = (150, 250, 400, 900)
+NOTICES_MS = (1, 500, 3_000)
+# Client accounts send a job again after 1,300 ms; shorter times find more.
+RESENDS_MS = (50, 400, 1_300, 1_300)
+JOBS = 12
+NAMES = [f"e{number}" for number in range(ENTRIES)]
+
+
+class ClaimsPlay(Play):
+    """Plays a plan on the model with the daemons' own claims."""
+
+    actions = dict(ACTIONS)
+    draws = dict(DRAWS)
+    model_class = ClaimsModel
+    settle_ms = 1_500
+
+    def run(self) -> list[str]:
+        """Play all actions; return the tasks of which two runs overlapped."""
+        try:
+            found = super().run()
+        finally:
+            self.model.close()
+        assert not self.model.errors, self.model.errors
+        return found
+
+
+def action(draw: Callable[[random.Random], tuple[Any, ...]]) -> Any:
+    """Register a disruption; `draw` returns random arguments of it."""
+
+    def add(function: Any) -> Any:
+        ClaimsPlay.actions[function.__name__] = function
+        ClaimsPlay.draws[function.__name__] = draw
+        return function
+
+    return add
+
+
+def _break_clients(play: Play, entry: str, notice_ms: int | None) -> None:
+    if notice_ms is not None:
+        play.reset_all(entry, notice_ms)
+
+
+def _some_entries(draw: random.Random) -> tuple[str, ...]:
+    return tuple(draw.sample(NAMES, draw.choice((1, 2, 3, 3))))
+
+
+@action(
+    lambda draw: (
+        _some_entries(draw),
+        draw.random() < 0.7,
+        draw.random() < 0.5,
+        draw.choice((None, *NOTICES_MS)),
+    )
+)
+def reset_channels(
+    play: Play,
+    entries: tuple[str, ...],
+    silent: bool,
+    agents: bool,
+    notice_ms: int | None,
+) -> None:
+    """Reset all channels of some entries, or let them fall silent for good."""
+    for entry in entries:
+        play.model.reset_channels(entry, silent=silent, agents=agents)
+        _break_clients(play, entry, notice_ms)
+
+
+@action(
+    lambda draw: (
+        _some_entries(draw),
+        draw.choice(LAGS_MS),
+        draw.choice((500, 2_000, 5_000)),
+    )
+)
+def slow_entries(
+    play: Play, entries: tuple[str, ...], lag_ms: int, for_ms: int
+) -> None:
+    """Let entries handle each message late for a while."""
+    model = play.model
+    for entry in entries:
+        daemon = model.nodes.get(entry)
+        if daemon is not None:
+            daemon.lag_ms = lag_ms
+
+            def recover(daemon: Any = daemon) -> None:
+                daemon.lag_ms = 0
+
+            model.at(for_ms, recover)
+
+
+@action(lambda draw: (_some_entries(draw), draw.randrange(1_000), draw.randrange(2, 7)))
+def stall_entries(play: Play, entries: tuple[str, ...], seed: int, number: int) -> None:
+    """Let entries stand still for short times, one after the other."""
+    model = play.model
+    for entry in entries:
+        draw = random.Random(f"{seed}/{entry}")
+        at_ms = 0
+        for _ in range(number):
+            at_ms += draw.randrange(0, 400)
+            for_ms = draw.choice(STALLS_MS)
+            model.at(at_ms, lambda entry=entry, ms=for_ms: _freeze(play, entry, ms))
+            at_ms += for_ms
+
+
+def _freeze(play: Play, entry: str, for_ms: int) -> None:
+    daemon = play.model.nodes.get(entry)
+    if daemon is not None:
+        daemon.host.frozen_until_ms = play.model.now_ms + for_ms
+
+
+def plan_of(seed: int) -> Plan:
+    """Return the plan of a seed: jobs, and disruptions around them."""
+    draw = random.Random(f"claims/{seed}")
+    run_ms = tuple(draw.choice(RUNS_MS) for _ in range(AGENTS))
+    disruptions = sorted(set(ClaimsPlay.actions) - {"submit"})
+    # Faults of the entries come more often than those of agents and workers.
+    disruptions += ["reset_channels", "slow_entries", "stall_entries"] * 4
+    disruptions += ["cut_clients"] * 4
+    actions = [
+        Action(draw.randrange(0, EPISODE_MS), "submit", DRAWS["submit"](draw))
+        for _ in range(JOBS)
+    ]
+    for _ in range(draw.randrange(3, 9)):
+        kind = draw.choice(disruptions)
+        at_ms = draw.randrange(0, EPISODE_MS)
+        actions.append(Action(at_ms, kind, ClaimsPlay.draws[kind](draw)))
+    return Plan(
+        seed,
+        run_ms,
+        tuple(actions),
+        draw.choice(RESENDS_MS),
+        draw.choice(TIMEOUTS_MS),
+    )
+
+
+def play_plan(plan: Plan) -> list[str]:
+    """Play a plan; return the tasks of which two runs overlapped."""
+    return ClaimsPlay(plan).run()
+
+
+def main(first: int, last: int) -> int:
+    """Play a range of seeds, and print the smallest plan of each that fails."""
+    failed = 0
+    for seed in range(first, last + 1):
+        plan = plan_of(seed)
+        tasks = play_plan(plan)
+        if tasks:
+            failed += 1
+            small = shrink(plan, play_plan)
+            print(f"seed {seed}: {sorted(set(tasks))}, smallest plan:", flush=True)
+            times_ms = small.run_ms, small.resend_ms, small.timeout_ms
+            print("  run_ms, resend_ms, timeout_ms:", times_ms)
+            for step in small.actions:
+                print(f"  {step}", flush=True)
+    print(f"{failed} of {last + 1 - first} seeds failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
--- a/scenarios/volatile_fuzz.py
+++ b/scenarios/volatile_fuzz.py
@@ -55,12 +55,14 @@
         run_ms: Duration of the runs on each worker.
         actions: The actions.
         resend_ms: Time after which client accounts send a job again, in milliseconds.
+        timeout_ms: How long client accounts wait for an answer, in milliseconds.
     """
 
     seed: int
     run_ms: tuple[int, ...]
     actions: tuple[Action, ...]
     resend_ms: int = RESEND_MS
+    timeout_ms: int = TIMEOUT_MS
 
 
 ACTIONS: dict[str, Callable[..., None]] = {}
@@ -101,19 +103,26 @@
         plan: The plan.
 
     Attributes:
+        actions: Disruptions and submissions by name.
+        model_class: Class of the model.
+        settle_ms: Time in which all processes come to know each other.
         model: The model.
         attempts: Number of requests sent so far, by job ID.
         open: Entry and request in progress, by job ID.
     """
 
+    actions = ACTIONS
+    model_class = VolatileModel
+    settle_ms = SETTLE_MS
+
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
-        self.model = VolatileModel(entries=ENTRIES, agents=AGENTS)
+        self.model = self.model_class(entries=ENTRIES, agents=AGENTS)
         for machine, run_ms in zip(
             self.model.machines.values(), plan.run_ms, strict=True
         ):
             machine.run_ms = run_ms
-        self.model.run(SETTLE_MS)
+        self.model.run(self.settle_ms)
         self.attempts: dict[str, int] = {}
         self.open: dict[str, tuple[str, Request]] = {}
 
@@ -122,7 +131,7 @@
         start_ms = self.model.now_ms
         for step in sorted(self.plan.actions, key=lambda step: step.at_ms):
             self.model.run(start_ms + step.at_ms - self.model.now_ms)
-            ACTIONS[step.kind](self, *step.values)
+            self.actions[step.kind](self, *step.values)
         self.model.run(QUIET_MS)
         return self.model.overlapping()
 
@@ -135,7 +144,7 @@
         request = Request(
             f"{job_id}/{number}",
             job(job_id, count=count, volatile=True),
-            model.now_ms + TIMEOUT_MS,
+            model.now_ms + self.plan.timeout_ms,
             lambda answer: self._on_answer(request, answer),
         )
         self.open[job_id] = entry, request
