Test a silent channel beside the restart of the only witness

The channels between two of three entries are silent, the third one grants a claim and restarts. The next claim gets no answer of the holder and is granted by the new process, which has started lately: fewer than three entries count as lost, so the job begins beside its runs, 500 ms after the restart began.

--- a/tests/test_platform_forgotten_claims.py
+++ b/tests/test_platform_forgotten_claims.py
@@ -81,3 +81,24 @@
     play.model.run(5_000)
     play.model.close()
     assert play.model.overlapping() == []
+
+
+def test_a_job_does_not_run_twice_when_the_only_entry_that_knows_it_restarts() -> None:
+    """The channels between its entry and the next one had fallen silent before."""
+    play = Resending()
+    model = play.model
+    for end in model.nodes["e1"].ends:
+        if end.other.owner is model.nodes["e0"]:
+            end.silent = end.other.silent = True
+    play.send("e1")
+    model.run(300)
+    assert model.owners["e1"].core.answers_volatile_job(JOB)
+    model.kill("e2")
+    model.run(350)
+    model.start_entry("e2")
+    model.assign()
+    model.run(150)
+    play.send("e0")
+    model.run(5_000)
+    model.close()
+    assert model.overlapping() == []
