--- a/scenarios/claims_model.py
+++ b/scenarios/claims_model.py
@@ -242,12 +242,10 @@
     Attributes:
         errors: Unexpected errors by entry, with what failed.
         tasks: Requests of client accounts in progress, by key.
-        silent_links: Links of entries and agents on which nothing passes any more.
     """
 
     errors: list[tuple[str, str, Exception]] = attrs.field(factory=list)
     tasks: dict[str, asyncio.Task[Answer]] = attrs.field(factory=dict)
-    silent_links: set[tuple[str, str, int]] = attrs.field(factory=set)
 
     # Time.
 
@@ -347,12 +345,7 @@
                 other.owner.call(other.end)
         if agents and daemon is not None:
             for agent in self.workers:
-                link = (entry, agent, self.links_opened[entry, agent])
-                self.silent_links.add(link)
-
-    def _pass(self, entry: str, agent: str, content: Any, *, to_agent: bool) -> None:
-        if (entry, agent, self.links_opened[entry, agent]) not in self.silent_links:
-            super()._pass(entry, agent, content, to_agent=to_agent)
+                self.reset_link(entry, agent, None, None)
 
     # Requests.
 
