Begin no job while an entry that may hold it has not answered

Entries on busy hosts answer claims after more than 200 ms. The claiming entry counted them as lost, waited for the agents' proof, which speaks of lost entries only, and began the job; an answer that named the holder came later and was dropped. After 2,250 ms of late answers it began every job without any wait, and silent entries were not asked at all, so that claims were off for as long as the hosts were slow.

Change: silent is not lost. Silent entries are asked like the others and late answers count. A job begins without an answer of a silent entry only if a majority of the first five entries that are not lost know of the claim, so that two claims share an entry. While entries are silent neither the proof nor the longest wait lets a job begin, and entries that had no link are asked when they have one again.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import attrs
+
 from ..clock import Clock
 from ..dispatch import (
     HELD,
@@ -24,17 +26,18 @@
 # Verbs of requests to witnesses.
 CLAIM = "claim"
 WITHDRAW = "withdraw"
-# Time limit for the answers to a claim, in milliseconds. Entries answer within a few
-# milliseconds unless they stand still.
+# Time after which an entry that has not answered a claim is silent, in milliseconds.
+# Entries answer within a few milliseconds unless they stand still; other entries are
+# asked in the place of silent ones, and late answers count.
 CLAIM_TIMEOUT_MS = 200
 # Pause before a claim is repeated that another entry contests, in milliseconds.
 CONTEST_RETRY_MS = 20
 # Number of attempts after which a contesting entry counts as the holder.
 MAX_ATTEMPTS = 5
-# Longest time for which a claim without a witness waits for the agents, in
-# milliseconds. They connect to an entry that has started within 800 ms.
+# Longest time for which a claim without a verdict waits for late answers and for the
+# agents, in milliseconds. Agents connect to an entry that has started within 800 ms.
 PROOF_WAIT_MS = 1_000
-# Interval at which it is checked whether they have told that nothing runs, in seconds.
+# Interval at which it is checked whether they have arrived, in seconds.
 PROOF_POLL_S = 0.025
 # Time from the first question of a claim after which its answers are not used, in
 # milliseconds. It is longer than the waits of a claim, and shorter than the time after
@@ -43,6 +46,24 @@
 MS_PER_S = 1_000
 
 
+@attrs.define(eq=False)
+class _Questions:
+    """A claim with its questions to other entries that are not answered yet.
+
+    Attributes:
+        job_id: The job.
+        claim: The decisions.
+        asked: All entries that were asked for the job, also by other claims.
+        open: Time and answer of the newest question without an answer, by address; the
+            time is on the process's clock in milliseconds.
+    """
+
+    job_id: str
+    claim: Claim
+    asked: set[str]
+    open: dict[str, tuple[int, asyncio.Future[Answer]]] = attrs.field(factory=dict)
+
+
 class JobClaimer:
     """Claims jobs for this entry, and answers the claims of other entries.
 
@@ -117,23 +138,11 @@
     ) -> NoHolder | LiveHolder | LostHolder:
         verdict: NoHolder | LiveHolder | LostHolder | Contested | None = None
         for _ in range(MAX_ATTEMPTS):
-            claim = await self._ask_witnesses(job_id, asked)
-            verdict = claim.verdict()
-            if isinstance(verdict, NoHolder) and not self._knows_entries():
-                verdict = None
-            proved = verdict is None and await self._wait_for_proof()
-            if proved:
-                verdict = NoHolder()
-            if isinstance(verdict, NoHolder) and (proved or claim.unreachable):
-                self.log.note(
-                    "claim granted in part",
-                    job=job_id,
-                    answered=sorted(claim.answers),
-                    unreachable=sorted(claim.unreachable),
-                    silent=sorted(claim.silent),
-                    proved=proved,
-                    age_ms=self.clock.now_ms() - claim.asked_ms,
-                )
+            questions = await self._ask_witnesses(job_id, asked)
+            claim = questions.claim
+            verdict = self._verdict(claim)
+            if verdict is None:
+                verdict = await self._wait_for_verdict(questions)
             if self.clock.now_ms() - claim.asked_ms > CLAIM_VALID_MS:
                 # The answers may be out of date, for example after a pause.
                 verdict = None
@@ -152,6 +161,14 @@
             return self.claims.peer_jobs.find_holder(job_id, now_ms)
         return verdict
 
+    def _verdict(
+        self, claim: Claim
+    ) -> NoHolder | LiveHolder | LostHolder | Contested | None:
+        verdict = claim.verdict()
+        if isinstance(verdict, NoHolder) and not self._knows_entries():
+            return None
+        return verdict
+
     def _knows_entries(self) -> bool:
         """Whether this process has learned from another one which entries there are."""
         if self.claims.remaining_start_ms(self.clock.now_ms()) == 0:
@@ -160,55 +177,134 @@
         known = owner_requests.known_addresses()
         return not known or owner_requests.owners.has_peer_views
 
-    async def _wait_for_proof(self) -> bool:
-        """Wait until no run of a lost entry goes on; False if that takes too long."""
+    async def _wait_for_verdict(
+        self, questions: _Questions
+    ) -> NoHolder | LiveHolder | LostHolder | Contested | None:
+        """Wait for late answers, and until no run of a lost entry goes on.
+
+        Returns:
+            The verdict; None if that takes too long.
+        """
+        claim = questions.claim
         end_ms = self.clock.now_ms() + PROOF_WAIT_MS
         while (now_ms := self.clock.now_ms()) < end_ms:
-            if self.claims.longest_wait_ms(now_ms) == 0:
-                return True
-            if self.proof.holds(self.claims.proof_since_ms()):
-                return True
+            self._take_answers(questions)
+            verdict = self._verdict(claim)
+            if verdict is not None:
+                return verdict
+            if not claim.silent and self._lost_runs_ended(now_ms):
+                # An entry that had no link may be alive and have the job.
+                returned = self._returned(claim)
+                if not returned:
+                    self._note_granted(questions, proved=True)
+                    return NoHolder()
+                for address in returned:
+                    claim.record_return(address)
+                await self._ask(questions, returned)
+                continue
+            self._repeat_questions(questions, now_ms)
             await asyncio.sleep(PROOF_POLL_S)
-        return False
+        return None
 
-    async def _ask_witnesses(self, job_id: str, asked: set[str]) -> Claim:
+    def _lost_runs_ended(self, now_ms: int) -> bool:
+        """Whether the runs of all entries that are lost now have ended."""
+        if self.claims.longest_wait_ms(now_ms) == 0:
+            return True
+        return self.proof.holds(self.claims.proof_since_ms())
+
+    def _returned(self, claim: Claim) -> list[str]:
+        """Return the entries without an answer that have a link again."""
+        return [
+            address
+            for address in sorted(claim.cut_off)
+            if self.owner_requests.heard_ms(address) is not None
+        ]
+
+    async def _ask_witnesses(self, job_id: str, asked: set[str]) -> _Questions:
         """Ask the witnesses of a job, and add them to those that were asked."""
         if self.claims.remaining_start_ms(self.clock.now_ms()) > 0:
             await self.owner_requests.learn_entries()
         known = self.owner_requests.known_addresses()
-        claim = self.claims.prepare(job_id, known, self._silent(), self.clock.now_ms())
+        claim = self.claims.prepare(job_id, known, (), self.clock.now_ms())
+        claim.silent = set(self._silent()) - claim.lost
         claim.asked_ms = self.clock.now_ms()
+        questions = _Questions(job_id, claim, asked)
         while witnesses := claim.next_witnesses():
-            await self.owner_requests.connect_all(witnesses)
-            futures = {}
-            for address in witnesses:
-                claim.record_asked(address)
-                asked.add(address)
-                ask = Ask(0, CLAIM, job_id)
-                future = self.owner_requests.send_request(address, ask)
-                if future is None:
-                    self._record_answer(claim, address, None)
-                else:
-                    futures[address] = future
-            if futures:
-                timeout_s = CLAIM_TIMEOUT_MS / MS_PER_S
-                await asyncio.wait(futures.values(), timeout=timeout_s)
-            for address, future in futures.items():
-                self._record_answer(claim, address, self._answer_of(address, future))
-        return claim
+            await self._ask(questions, witnesses)
+        if claim.silent and isinstance(claim.verdict(), NoHolder):
+            self._note_granted(questions, proved=False)
+        return questions
+
+    async def _ask(self, questions: _Questions, addresses: list[str]) -> None:
+        """Ask entries; wait a short time for those that are not silent already."""
+        claim = questions.claim
+        await self.owner_requests.connect_all(addresses)
+        for address in addresses:
+            claim.record_asked(address)
+            self._send_question(questions, address)
+        awaited = {
+            address: questions.open[address][1]
+            for address in addresses
+            if address in questions.open and address not in claim.silent
+        }
+        if awaited:
+            timeout_s = CLAIM_TIMEOUT_MS / MS_PER_S
+            await asyncio.wait(awaited.values(), timeout=timeout_s)
+        self._take_answers(questions)
+        for address in awaited:
+            if address in questions.open:
+                claim.record_silence(address)
+                self.silent_since_ms[address] = self.clock.now_ms()
+                self.log.note("claim unanswered", entry=address)
+
+    def _send_question(self, questions: _Questions, address: str) -> None:
+        questions.asked.add(address)
+        ask = Ask(0, CLAIM, questions.job_id)
+        future = self.owner_requests.send_request(address, ask)
+        if future is None:
+            questions.open.pop(address, None)
+            self._record_answer(questions.claim, address, None)
+        else:
+            questions.open[address] = self.clock.now_ms(), future
+
+    def _repeat_questions(self, questions: _Questions, now_ms: int) -> None:
+        """Ask silent entries again that were heard since; a new link may be open."""
+        for address, (asked_ms, _) in list(questions.open.items()):
+            heard_ms = self.owner_requests.heard_ms(address)
+            heard = heard_ms is not None and heard_ms > asked_ms
+            if heard and now_ms - asked_ms > CLAIM_TIMEOUT_MS:
+                self._send_question(questions, address)
+
+    def _take_answers(self, questions: _Questions) -> None:
+        """Record the answers that have arrived, late ones included."""
+        for address, (_, future) in list(questions.open.items()):
+            if future.done():
+                del questions.open[address]
+                answer = future.result()
+                self._record_answer(
+                    questions.claim, address, None if answer is LINK_CLOSED else answer
+                )
 
     def _record_answer(self, claim: Claim, address: str, answer: Answer | None) -> None:
         claim.record_answer(address, answer)
         reached = answer is not None
         now_ms = self.clock.now_ms()
         self.claims.record_reached(address, reached=reached, now_ms=now_ms)
+        if reached:
+            self.silent_since_ms.pop(address, None)
 
-    def _answer_of(self, address: str, future: asyncio.Future[Answer]) -> Answer | None:
-        if not future.done():
-            self.silent_since_ms[address] = self.clock.now_ms()
-            self.log.note("claim unanswered", entry=address)
-            return None
-        return None if future.result() is LINK_CLOSED else future.result()
+    def _note_granted(self, questions: _Questions, *, proved: bool) -> None:
+        """Log that a job may begin although not all witnesses have answered."""
+        claim = questions.claim
+        self.log.note(
+            "claim granted in part",
+            job=questions.job_id,
+            answered=sorted(claim.answers),
+            lost=sorted(claim.lost),
+            silent=sorted(claim.silent),
+            proved=proved,
+            age_ms=self.clock.now_ms() - claim.asked_ms,
+        )
 
     def _silent(self) -> list[str]:
         """Return the entries that are silent, and forget those that were heard."""
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -9,6 +9,10 @@
 A witness that has started lately has forgotten the claims before, and one that was
 lost takes them with it. If an entry and all of its witnesses were lost, the runs of its
 jobs must have ended before another entry may begin them.
+
+A witness whose link is open and which gives no answer is silent, not lost: it may be
+slow, and hold the job itself. It is asked like the others, but a job may begin without
+its answer only if a majority of the first entries know of the claim.
 """
 
 from __future__ import annotations
@@ -24,6 +28,9 @@
 # Number of entries that are to know of a claim, the claiming one included. Two of them
 # may be lost at the same time.
 CLAIM_COPIES = 3
+# Number of entries, the first ones in the ranking that are not lost, of which a
+# majority has to know of a claim: any two majorities share an entry.
+CLAIM_POOL = 2 * CLAIM_COPIES - 1
 # Time in which the last start orders of a lost entry arrive, in milliseconds.
 ORDER_MS = 50
 # Outcomes of the answer to a claim.
@@ -45,8 +52,10 @@
     Attributes:
         own_address: Address of the claiming entry, `IP:port`.
         ranking: Addresses of all entries in the order in which they are witnesses.
-        unreachable: Entries that are lost or silent.
-        silent: Those that have not answered, though no link has closed.
+        lost: Entries without a link.
+        silent: Entries that have not answered in time, though their link is open.
+        cut_off: Lost entries that this claim has found without a link; they may be
+            alive behind a cut.
         restarted: Entries that may have lost claims in a restart.
         started_lately: Entries that do not know the claims before their start.
         asked: Entries that were asked.
@@ -56,8 +65,9 @@
 
     own_address: str
     ranking: list[str]
-    unreachable: set[str] = attrs.field(factory=set)
+    lost: set[str] = attrs.field(factory=set)
     silent: set[str] = attrs.field(factory=set)
+    cut_off: set[str] = attrs.field(factory=set)
     restarted: set[str] = attrs.field(factory=set)
     started_lately: set[str] = attrs.field(factory=set)
     asked: set[str] = attrs.field(factory=set)
@@ -65,15 +75,18 @@
     answers: dict[str, Answer] = attrs.field(factory=dict)
 
     def next_witnesses(self) -> list[str]:
-        """Return the entries to ask next; none if the verdict is due."""
+        """Return the entries to ask next; none if the verdict is due.
+
+        Silent entries are asked too, and others in their place.
+        """
         chosen: list[str] = []
         copies = 0
         for address in self.ranking:
             if copies == CLAIM_COPIES:
                 break
-            if address not in self.unreachable:
+            if address not in self.lost:
                 chosen.append(address)
-                copies += address not in self.started_lately
+                copies += address not in self.started_lately | self.silent
         return [
             address
             for address in chosen
@@ -85,26 +98,54 @@
         self.asked.add(address)
 
     def record_answer(self, address: str, answer: Answer | None) -> None:
-        """Record the answer of an entry; None if it gave none."""
+        """Record the answer of an entry; None if it has no link or the link closed."""
+        self.silent.discard(address)
         if answer is None or answer.outcome not in (GRANTED, HELD):
-            self.unreachable.add(address)
-            self.silent.add(address)
+            self.lost.add(address)
+            self.cut_off.add(address)
             return
+        self.lost.discard(address)
+        self.cut_off.discard(address)
         self.answers[address] = answer
         if answer.detail == STARTED_LATELY:
             self.started_lately.add(address)
 
+    def record_silence(self, address: str) -> None:
+        """Record that an entry has not answered in time."""
+        self.silent.add(address)
+
+    def record_return(self, address: str) -> None:
+        """Record that a lost entry has a link again, so that it is to be asked."""
+        self.lost.discard(address)
+        self.cut_off.discard(address)
+        self.asked.discard(address)
+
+    @property
+    def _witnessing(self) -> set[str]:
+        """Entries that know of the claim, and of those before it."""
+        forgetful = self.started_lately & self.restarted
+        return {self.own_address, *self.answers} - forgetful
+
+    @property
+    def may_be_held_by_silent(self) -> bool:
+        """Whether silent entries may know of another claim that no other one knows."""
+        if not self.silent:
+            return False
+        reachable = [address for address in self.ranking if address not in self.lost]
+        pool = reachable[:CLAIM_POOL]
+        return 2 * len(self._witnessing.intersection(pool)) <= len(pool)
+
     @property
     def unwitnessed(self) -> bool:
         """Whether another entry and all of its witnesses may have been lost.
 
         An entry that reaches no other one may be cut off, so that the others may begin
-        the job as well. Of two entries the other one has to be silent for that: if its
-        link has closed it has ended.
+        the job as well. Of two entries the other one has to be cut off for that: if its
+        link has closed before, it has ended.
         """
-        if not self.answers and (len(self.ranking) > 2 or self.silent):
+        if not self.answers and (len(self.ranking) > 2 or self.cut_off or self.silent):
             return True
-        lost = self.unreachable | (self.started_lately & self.restarted)
+        lost = self.lost | (self.started_lately & self.restarted)
         # Entries that are new had no claims before.
         ranking = [
             address
@@ -127,7 +168,8 @@
             if address in self.answers and self.answers[address].outcome == HELD
         ]
         if not held:
-            return None if self.unwitnessed else NoHolder()
+            unknown = self.unwitnessed or self.may_be_held_by_silent
+            return None if unknown else NoHolder()
         first = next(
             address
             for address in self.ranking
@@ -155,8 +197,8 @@
         own_address: Address of this entry, `IP:port`.
         started_ms: When this process started, on its clock in milliseconds.
         claiming: Number of claims of this entry without a verdict, by job ID.
-        unreachable_ms: Since when an entry has not answered claims, by address, on the
-            process's clock in milliseconds; it may be lost.
+        unreachable_ms: Since when an entry has had no link for a claim, by address, on
+            the process's clock in milliseconds; it may be lost.
     """
 
     peer_jobs: PeerVolatileJobs
@@ -166,21 +208,21 @@
     unreachable_ms: dict[str, int] = attrs.field(factory=dict)
 
     def record_reached(self, address: str, *, reached: bool, now_ms: int) -> None:
-        """Record whether an entry has answered a claim."""
+        """Record whether an entry has answered a claim, or had no link for it."""
         if reached:
             self.unreachable_ms.pop(address, None)
         else:
             self.unreachable_ms.setdefault(address, now_ms)
 
     def prepare(
-        self, job_id: str, known: Iterable[str], silent: Iterable[str], now_ms: int
+        self, job_id: str, known: Iterable[str], cut_off: Iterable[str], now_ms: int
     ) -> Claim:
         """Return a claim for which nobody was asked yet.
 
         Args:
             job_id: The job.
             known: Addresses of the other entries.
-            silent: Those among them that have lately given no answer to a claim.
+            cut_off: Those among them that are known to have no link.
             now_ms: Current time on the process's clock, in milliseconds.
         """
         known = set(known)
@@ -189,8 +231,8 @@
         lost = self.peer_jobs.lost_addresses(now_ms)
         addresses = {self.own_address, *known, *lost}
         claim = Claim(self.own_address, rank_by_hash(job_id.encode(), addresses))
-        claim.silent = set(silent) - lost
-        claim.unreachable = lost | claim.silent
+        claim.cut_off = set(cut_off) - lost
+        claim.lost = lost | claim.cut_off
         claim.restarted = self.peer_jobs.restarted_addresses(now_ms)
         if self.remaining_start_ms(now_ms) > 0:
             # Which entries have restarted before is not known here.
