Keep the end of a job's earlier life back while the job is claimed again

The end of a volatile job is announced up to 400 ms later. If the entry claimed the job again meanwhile, the announcement arrived after the claim and removed it at its witnesses, which let another entry begin the job while the first one was late, or lost.

Change: ends of claimed jobs stay in the list of changes until the claim has its verdict; a job that begins replaces its entry there.

--- a/catkincross/daemons/_volatile_requests.py
+++ b/catkincross/daemons/_volatile_requests.py
@@ -286,7 +286,8 @@
             if not (ended_due or self.core.has_begun_volatile_jobs):
                 continue
             waited_s = 0.0
-            changes = self.core.take_volatile_changes()
+            claimed = self.claimer.claims.claiming if self.claimer is not None else ()
+            changes = self.core.take_volatile_changes(claimed)
             if changes != VolatileJobs([], []):
                 self.owner_requests.broadcast(changes)
 
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Any
 
 from ..dispatch import PeerLoad, choose_forwarding, latest_start_ms
@@ -163,15 +163,22 @@
         ]
         return [pair for pair in found if is_wanted(pair[0])]
 
-    def take_volatile_changes(self) -> VolatileJobs:
+    def take_volatile_changes(self, claimed: Container[str] = ()) -> VolatileJobs:
         """Return the volatile jobs that have begun or ended since the last call.
 
         A job that ended and was begun again counts as begun.
+
+        Args:
+            claimed: Jobs that this entry is claiming. Their ends are kept back, since
+                they would remove the claim at the entries that know of it.
         """
         changes, self.state.volatile_changes = self.state.volatile_changes, {}
         jobs = VolatileJobs([], [])
         for job_id, change in changes.items():
-            getattr(jobs, change.value).append(job_id)
+            if job_id in claimed and change is not VolatileChange.BEGUN:
+                self.state.volatile_changes[job_id] = change
+            else:
+                getattr(jobs, change.value).append(job_id)
         return jobs
 
     @property
