Ignore what arrives on a link of an entry that has opened another one

Jobs and claims of other entries are kept by process. A withdrawal that the network had held back on an older link arrived after the claim on the newer one and removed it.

--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -63,6 +63,8 @@
         resumed_ms: When the process went on after its last pause, on the same clock.
         heard_ms: Time of the last message on the link of each entry, on the clock of
             the process.
+        replaced: Open links of entries that have opened another one since. The entry
+            has closed them, so that what still arrives on them is out of date.
         announced: Data centre by address of the entries last announced to the agents.
         announced_to_entries: The same for other entries.
     """
@@ -89,6 +91,7 @@
         self.agents: dict[str, Link] = {}
         self.entries: dict[Link, Greeting] = {}
         self.heard_ms: dict[Link, int] = {}
+        self.replaced: set[Link] = set()
         self.checked_ms = clock.now_ms()
         self.resumed_ms = self.checked_ms - PAUSE_MS
         self.announced: dict[str, str] = {}
@@ -114,6 +117,8 @@
             link.send(message)
 
     def _on_message(self, link: Link, message: Any) -> None:
+        if link in self.replaced:
+            return
         if link in self.heard_ms:
             self.heard_ms[link] = self.clock.now_ms()
         if isinstance(message, Greeting):
@@ -139,6 +144,12 @@
     def _on_greeting(self, link: Link, greeting: Greeting) -> None:
         link.peer = greeting
         if greeting.role == "entry":
+            self.replaced.update(
+                other
+                for other, known in self.entries.items()
+                if (known.name, known.incarnation)
+                == (greeting.name, greeting.incarnation)
+            )
             self.entries[link] = greeting
             self.heard_ms[link] = self.clock.now_ms()
             self.peer_jobs.end_earlier_processes(greeting, self.clock.now_ms())
@@ -161,6 +172,7 @@
         self.schedule_step()
 
     def _on_close(self, link: Link) -> None:
+        self.replaced.discard(link)
         greeting = self.entries.pop(link, None)
         if greeting is not None:
             self.heard_ms.pop(link, None)
