Remember silent entries after their link has closed

An entry that is silent for another one begins jobs with the third entry as its only witness. If that witness restarted, and the link that had been silent closed, the other entry counted both as lost and itself as a witness of all claims, and began the job.

Change: an entry that was silent within the time in which its runs may go on counts as one that may hold the job, until it answers or a majority of the first entries knows of the claim. Otherwise the job waits for the proof, as if all witnesses had been lost.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -253,8 +253,10 @@
         self._take_answers(questions)
         for address in awaited:
             if address in questions.open:
+                now_ms = self.clock.now_ms()
                 claim.record_silence(address)
-                self.silent_since_ms[address] = self.clock.now_ms()
+                self.claims.record_silence(address, now_ms)
+                self.silent_since_ms[address] = now_ms
                 self.log.note("claim unanswered", entry=address)
 
     def _send_question(self, questions: _Questions, address: str) -> None:
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -54,6 +54,8 @@
         ranking: Addresses of all entries in the order in which they are witnesses.
         lost: Entries without a link.
         silent: Entries that have not answered in time, though their link is open.
+        silent_lately: Entries that were silent in earlier claims. If one is lost now,
+            its own claims may not have reached this entry.
         cut_off: Lost entries that this claim has found without a link; they may be
             alive behind a cut.
         restarted: Entries that may have lost claims in a restart.
@@ -67,6 +69,7 @@
     ranking: list[str]
     lost: set[str] = attrs.field(factory=set)
     silent: set[str] = attrs.field(factory=set)
+    silent_lately: set[str] = attrs.field(factory=set)
     cut_off: set[str] = attrs.field(factory=set)
     restarted: set[str] = attrs.field(factory=set)
     started_lately: set[str] = attrs.field(factory=set)
@@ -113,6 +116,7 @@
     def record_silence(self, address: str) -> None:
         """Record that an entry has not answered in time."""
         self.silent.add(address)
+        self.silent_lately.add(address)
 
     def record_return(self, address: str) -> None:
         """Record that a lost entry has a link again, so that it is to be asked."""
@@ -128,11 +132,13 @@
 
     @property
     def may_be_held_by_silent(self) -> bool:
-        """Whether silent entries may know of another claim that no other one knows."""
-        if not self.silent:
+        """Whether entries without an answer may have a claim that nobody else knows."""
+        suspects = self.silent | (self.silent_lately - self.answers.keys())
+        if not suspects:
             return False
-        reachable = [address for address in self.ranking if address not in self.lost]
-        pool = reachable[:CLAIM_POOL]
+        ended = self.lost - suspects
+        pool = [address for address in self.ranking if address not in ended]
+        pool = pool[:CLAIM_POOL]
         return 2 * len(self._witnessing.intersection(pool)) <= len(pool)
 
     @property
@@ -199,6 +205,7 @@
         claiming: Number of claims of this entry without a verdict, by job ID.
         unreachable_ms: Since when an entry has had no link for a claim, by address, on
             the process's clock in milliseconds; it may be lost.
+        silent_ms: When an entry last was silent, by address, on the same clock.
     """
 
     peer_jobs: PeerVolatileJobs
@@ -206,6 +213,7 @@
     started_ms: int
     claiming: dict[str, int] = attrs.field(factory=dict)
     unreachable_ms: dict[str, int] = attrs.field(factory=dict)
+    silent_ms: dict[str, int] = attrs.field(factory=dict)
 
     def record_reached(self, address: str, *, reached: bool, now_ms: int) -> None:
         """Record whether an entry has answered a claim, or had no link for it."""
@@ -214,6 +222,10 @@
         else:
             self.unreachable_ms.setdefault(address, now_ms)
 
+    def record_silence(self, address: str, now_ms: int) -> None:
+        """Record that an entry has not answered a claim in time."""
+        self.silent_ms[address] = now_ms
+
     def prepare(
         self, job_id: str, known: Iterable[str], cut_off: Iterable[str], now_ms: int
     ) -> Claim:
@@ -231,6 +243,10 @@
         lost = self.peer_jobs.lost_addresses(now_ms)
         addresses = {self.own_address, *known, *lost}
         claim = Claim(self.own_address, rank_by_hash(job_id.encode(), addresses))
+        for address, silent_ms in list(self.silent_ms.items()):
+            if now_ms - silent_ms >= self.peer_jobs.run_expiry_ms:
+                del self.silent_ms[address]
+        claim.silent_lately = self.silent_ms.keys() & addresses
         claim.cut_off = set(cut_off) - lost
         claim.lost = lost | claim.cut_off
         claim.restarted = self.peer_jobs.restarted_addresses(now_ms)
