Let the worker's stand-in wait for an end before it answers a renewal

The stand-in ignored `wait_ms` and answered at once, so that an agent of a soak read the lists every 15 ms, where a real worker answers at an end or after the wait. The agents of a soak knew more than real ones, and the soak spent its processor time on renewals.

tests/test_platform_daemons.py passes.

--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -11,6 +11,7 @@
 import time
 from typing import Any
 
+import attrs
 import orjson
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -27,6 +28,8 @@
 # How long a read with `wait_ms` waits before it returns no records. It is not woken by
 # new records, so callers poll at this interval.
 LONG_POLL_WAIT_S = 0.05
+# Interval at which a renewal that waits looks for an end.
+END_POLL_S = 0.005
 APPEND_RESPONSES = {
     AppendOutcome.APPENDED: (200, {}),
     AppendOutcome.NOT_APPENDED: (503, {}),
@@ -209,7 +212,10 @@
         )
 
     async def renew_lease(self, request: Request) -> Response:
-        """Renew the lease; return the running and the unacknowledged ended runs."""
+        """Renew the lease; return the running and the unacknowledged ended runs.
+
+        Without an end the answer waits for one for the time that the call gives.
+        """
         body = await request.json()
         renewal = LeaseRenewal(
             self.worker.instance,
@@ -218,7 +224,12 @@
             body.get("until_ms"),
             0,
         )
+        answer_ms = now_ms() + body.get("wait_ms", 0)
         reply = self.worker.renew_lease(now_ms(), renewal)
+        while reply is not None and not reply.finished and now_ms() < answer_ms:
+            await asyncio.sleep(END_POLL_S)
+            look = attrs.evolve(renewal, fence=self.worker.fence, until_ms=None)
+            reply = self.worker.renew_lease(now_ms(), look)
         if reply is None:
             return json_response({"clock_ms": now_ms(), "reason": "fence"}, 409)
         running = [[r.task, r.run, r.checkpoint, r.percent] for r in reply.running]
