--- a/scenarios/loopback_proxy.py
+++ b/scenarios/loopback_proxy.py
@@ -1,13 +1,18 @@
-"""A TCP proxy on loopback that cuts, refuses or silences connections."""
+"""TCP proxies on loopback that reset, refuse, silence, hold or delay connections."""
 
 from __future__ import annotations
 
 import asyncio
 import enum
+import random
+import socket
+import struct
 
 import attrs
 
 CHUNK_BYTES = 65_536
+# Answer of a gateway once the connection to the target is open.
+CONNECTED = b"+"
 
 
 class Mode(enum.Enum):
@@ -20,6 +25,43 @@
     SILENT = "silent"
 
 
+class Way(enum.Enum):
+    """Direction in which bytes pass."""
+
+    TO_TARGET = "to target"
+    FROM_TARGET = "from target"
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that the other end sees a reset."""
+    if not writer.transport.is_closing():
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+@attrs.define(eq=False)
+class Channel:
+    """One forwarded connection.
+
+    Attributes:
+        target: `IP:port` to which it goes.
+        near: Connection that the proxy has accepted.
+        far: Connection that it has opened.
+        silent: Whether nothing passes any more, neither bytes nor the end.
+    """
+
+    target: str
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter
+    silent: bool = False
+
+    def abort(self) -> None:
+        """Reset both connections."""
+        reset(self.near)
+        reset(self.far)
+
+
 @attrs.define(eq=False)
 class Proxy:
     """Forwards connections to an address on loopback.
@@ -28,12 +70,18 @@
         target: `IP:port` that it forwards to.
         address: `IP:port` on which it listens, once started.
         mode: What it does.
+        channels: Open channels.
+        held: Targets and ways on which bytes wait, in order, until they are released.
+        delay_s: Shortest and longest delay of the bytes of one read, in seconds.
     """
 
     target: str
     address: str = ""
     mode: Mode = Mode.PASS
-    _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    channels: set[Channel] = attrs.field(factory=set)
+    held: set[tuple[str, Way]] = attrs.field(factory=set)
+    delay_s: tuple[float, float] = (0.0, 0.0)
+    _released: asyncio.Event = attrs.field(factory=asyncio.Event)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -52,8 +100,48 @@
         """Change what it does, also for open connections."""
         self.mode = mode
         if mode is Mode.CUT:
-            for writer in self._writers:
-                writer.transport.abort()
+            self.reset()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for channel in self.channels:
+            channel.abort()
+
+    def silence(self) -> None:
+        """Let all open connections be silent for good; new ones work."""
+        for channel in self.channels:
+            channel.silent = True
+
+    def hold(self, ways: set[tuple[str, Way]]) -> None:
+        """Hold back the bytes to or from targets."""
+        self.held |= ways
+
+    def release(self, ways: set[tuple[str, Way]]) -> None:
+        """Let bytes that were held back pass in their order."""
+        self.held -= ways
+        self._released.set()
+        self._released = asyncio.Event()
+
+    async def _wait_until_released(self, *ways: tuple[str, Way]) -> None:
+        while self.held.intersection(ways):
+            await self._released.wait()
+
+    async def _open(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> tuple[str, asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open the connection to the target.
+
+        Raises:
+            OSError: If the target is down.
+        """
+        return self.target, *await self._connect(self.target)
+
+    async def _connect(
+        self, target: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        await self._wait_until_released(*((target, way) for way in Way))
+        host, _, port = target.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -61,31 +149,62 @@
         if self.mode is Mode.CUT:
             writer.transport.abort()
             return
-        host, _, port = self.target.rpartition(":")
         try:
-            far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
+            target, far_reader, far = await self._open(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
             # The target is down; its caller sees a closed connection.
             writer.transport.abort()
             return
-        ends = {writer, far_writer}
-        self._writers |= ends
+        channel = Channel(target, writer, far)
+        self.channels.add(channel)
         await asyncio.gather(
-            self._pump(reader, far_writer), self._pump(far_reader, writer)
+            self._pump(channel, Way.TO_TARGET, reader, far),
+            self._pump(channel, Way.FROM_TARGET, far_reader, writer),
         )
-        self._writers -= ends
+        self.channels.discard(channel)
+        channel.abort()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        channel: Channel,
+        way: Way,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
+        key = channel.target, way
         try:
             while data := await reader.read(CHUNK_BYTES):
+                if self.delay_s[1]:
+                    await asyncio.sleep(random.uniform(*self.delay_s))
+                if key in self.held:
+                    await self._wait_until_released(key)
                 # Bytes that arrive while it is silent are lost with the connection.
-                if self.mode is Mode.PASS:
+                if self.mode is Mode.PASS and not channel.silent:
                     writer.write(data)
                     await writer.drain()
+            await self._wait_until_released(key)
         except OSError:
             # A reset on either side ends both.
-            writer.transport.abort()
+            if not channel.silent:
+                reset(writer)
         finally:
-            writer.close()
+            if not channel.silent:
+                writer.close()
+
+
+@attrs.define(eq=False)
+class Gateway(Proxy):
+    """Forwards all connections that one process opens, each to its own target.
+
+    The process names the target in a first line, and waits for the answer.
+    """
+
+    target: str = ""
+
+    async def _open(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> tuple[str, asyncio.StreamReader, asyncio.StreamWriter]:
+        target = (await reader.readuntil()).decode().strip()
+        far_reader, far = await self._connect(target)
+        writer.write(CONNECTED)
+        return target, far_reader, far
