Play faults of links, processor time and whole sites in the soak

The users' hosts have little processor time, channels that are reset or silent for good on all hosts at once, and hosts that join and leave. The soak had none of these. New faults of single processes: short stalls, turns of processor time (SIGSTOP and SIGCONT at 10 Hz), resets and lasting silence of all connections, slow and held links. New faults of the site: the same on all processes at once, kills of all processes, rolling restarts, and entries and agents that are replaced under new names and addresses. Hosts are now started side by side.

The standard plans draw from the new faults too.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -7,6 +7,7 @@
 
     python -m scenarios.platform_soak --seconds 60 --seed 1
     python -m scenarios.platform_soak --plan dense --seeds 1-8 --keep FOLDER
+    python -m scenarios.platform_soak --plan ops --site-fault reset_all_channels
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -28,11 +31,12 @@
 from catkincross.transport._http_server import HttpServer
 from standins.platform_http import StoreHttp, WorkerHttp, now_ms
 
-from .loopback_proxy import Proxy
+from .loopback_proxy import Gateway, Proxy
 from .soak_callers import Callers, SoakPlan, SoakWorker
 from .soak_faults import FAULTS, Daemon
 from .soak_findings import Fault, describe, overlapping_runs
 from .soak_ports import HOST, free_address
+from .soak_site_faults import SITE_FAULTS
 
 SERVICE = "checks"
 CONFIG = {
@@ -75,8 +79,7 @@
 """
 HEARTBEAT_S = 1.5
 HEARTBEAT_LIMIT_S = 1.0
-# Faults last shorter than the limits after which the platform takes hosts out.
-LONGEST_FAULT_S = 2.0
+PLANS = {"small": SoakPlan.small, "dense": SoakPlan.dense, "ops": SoakPlan.ops}
 # Time in which everything has to end after the last fault, in seconds; far above the
 # 6 s that a new owner needs at the most.
 SETTLE_LIMIT_S = 90.0
@@ -90,6 +93,9 @@
         began_ms: When traffic began, on the stand-ins' clock.
         faults: What was done, and which daemons ended by themselves.
         exits: Daemons that ended by themselves, with their exit codes.
+        store_address: Address of the store.
+        worker_of: Worker of each agent, by its name.
+        beats: Tasks that send the heartbeats of the workers, by the agent's name.
         settle_s: Time from the last fault until all accepted jobs were completed.
     """
 
@@ -105,6 +111,10 @@
     exits: list[tuple[str, int]] = attrs.field(factory=list)
     settle_s: float = 0.0
     servers: list[HttpServer] = attrs.field(factory=list)
+    store_address: str = ""
+    worker_of: dict[str, SoakWorker] = attrs.field(factory=dict)
+    beats: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    _entry_numbers: Iterator[int] = attrs.field(factory=count)
     session: Any = None
     callers: Any = None
 
@@ -125,22 +135,35 @@
         self.session = aiohttp.ClientSession(connector=connector)
         self.callers = Callers(self.entries, self.plan, self.session)
         self.store.declared.append(("config", orjson.dumps(CONFIG)))
-        store_address = self._serve(self.store.app())
-        for number in range(self.plan.entries):
-            self.entries.append(
-                await self._daemon(f"e{number}", "entry", store_address, "")
-            )
-        for number in range(self.plan.agents):
-            worker = SoakWorker(
-                f"w{number}", seed=self.seed, run_range_ms=self.plan.run_ms
-            )
-            self.workers.append(worker)
-            address = self._serve(WorkerHttp(worker).app())
-            self.agents.append(
-                await self._daemon(f"u{number}", "agent", store_address, address)
-            )
-        for daemon in self.daemons:
-            await daemon.start()
+        self.store_address = self._serve(self.store.app())
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self.plan.entries):
+                group.create_task(self.add_entry())
+            for _ in range(self.plan.agents):
+                group.create_task(self.add_agent())
+
+    async def add_entry(self) -> None:
+        """Start an entry under a new name and address."""
+        daemon = await self._daemon(f"e{next(self._entry_numbers)}", "entry", "")
+        self.entries.append(daemon)
+        await daemon.start()
+
+    async def add_agent(self) -> None:
+        """Start a worker, and its agent under a new name and address."""
+        number = len(self.workers)
+        worker = SoakWorker(f"w{number}", seed=self.seed, run_range_ms=self.plan.run_ms)
+        self.workers.append(worker)
+        address = self._serve(WorkerHttp(worker).app())
+        daemon = await self._daemon(f"u{number}", "agent", address)
+        self.worker_of[daemon.name] = worker
+        self.agents.append(daemon)
+        await daemon.start()
+        self.beats[daemon.name] = asyncio.create_task(self.beat(worker, daemon))
+
+    def remove_worker(self, agent: Daemon) -> None:
+        """End the runs and the heartbeats of the worker of an agent that has left."""
+        self.worker_of.pop(agent.name).crash(now_ms())
+        self.beats.pop(agent.name).cancel()
 
     def _serve(self, app: Any) -> str:
         server = HttpServer(app, f"{HOST}:0")
@@ -148,13 +171,15 @@
         self.servers.append(server)
         return server.address
 
-    async def _daemon(self, name: str, role: str, store: str, worker: str) -> Daemon:
-        store_proxy = Proxy(store)
+    async def _daemon(self, name: str, role: str, worker: str) -> Daemon:
+        store_proxy = Proxy(self.store_address)
         worker_proxy = Proxy(worker) if worker else None
-        await store_proxy.start()
-        if worker_proxy is not None:
-            await worker_proxy.start()
         front = free_address()
+        front_proxy = Proxy(front) if role == "entry" else None
+        gateway = Gateway() if self.plan.gateways else None
+        for proxy in (store_proxy, worker_proxy, front_proxy, gateway):
+            if proxy is not None:
+                await proxy.start()
         path = self.folder / f"{name}.toml"
         fields = {
             "name": name,
@@ -169,7 +194,15 @@
         path.with_suffix(".log").unlink(missing_ok=True)
         metrics_port = int(free_address().partition(":")[2])
         return Daemon(
-            role, path, store_proxy, worker_proxy, front, metrics_port, self._on_exit
+            role,
+            path,
+            store_proxy,
+            worker_proxy,
+            front,
+            metrics_port,
+            self._on_exit,
+            gateway,
+            front_proxy,
         )
 
     def _on_exit(self, daemon: Daemon, code: int) -> None:
@@ -186,7 +219,7 @@
                 "service": SERVICE,
                 "zone": "perth",
                 "state": "ready",
-                "capacity": {"cpu": 8_000, "mem_mb": 8_192},
+                "capacity": {"cpu": self.plan.worker_cpu, "mem_mb": 8_192},
                 "labels": ["a", "r1"],
                 "seq": sequence,
                 "born": worker.worker_incarnation,
@@ -200,9 +233,9 @@
         end_ms = now_ms() + self.plan.seconds * 1_000
         while now_ms() < end_ms:
             name = rng.choice(self.plan.faults)
-            count = min(rng.choice(self.plan.at_once), len(self.daemons))
-            daemons = rng.sample(self.daemons, count)
-            length_s = rng.uniform(0.3, LONGEST_FAULT_S)
+            number = min(rng.choice(self.plan.at_once), len(self.daemons))
+            daemons = rng.sample(self.daemons, number)
+            length_s = rng.uniform(0.3, self.plan.longest_fault_s)
             names = " ".join(daemon.name for daemon in daemons)
             fault = Fault(f"{name} {names}", now_ms())
             self.faults.append(fault)
@@ -212,6 +245,19 @@
             fault.end_ms = now_ms()
             await asyncio.sleep(rng.uniform(0.2, 1.0))
 
+    async def disturb_site(self, rng: random.Random) -> None:
+        """Do faults of the whole site at random times."""
+        end_ms = now_ms() + self.plan.seconds * 1_000
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            if now_ms() > end_ms:
+                return
+            name = rng.choice(self.plan.site_faults)
+            fault = Fault(name, now_ms())
+            self.faults.append(fault)
+            await SITE_FAULTS[name](self, rng)
+            fault.end_ms = now_ms()
+
     async def settled(self) -> list[str]:
         """Return the accepted jobs that are not completed within the limit."""
         left = list(self.accepted)
@@ -241,8 +287,9 @@
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
-        for daemon in self.daemons:
-            await daemon.stop()
+        for beat in self.beats.values():
+            beat.cancel()
+        await asyncio.gather(*(daemon.stop() for daemon in self.daemons))
         for server in self.servers:
             await server.stop(0.1)
         await self.session.close()
@@ -255,21 +302,18 @@
     assert this_task is not None
     # A soak that is terminated ends its processes.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
-    beats: list[asyncio.Task[None]] = []
     try:
         await run.start()
-        for worker, agent in zip(run.workers, run.agents, strict=True):
-            beats.append(asyncio.create_task(run.beat(worker, agent)))
         await asyncio.sleep(HEARTBEAT_S)
         run.began_ms = now_ms()
         async with asyncio.TaskGroup() as group:
             group.create_task(run.callers.submit(random.Random(seed)))
             for number in range(1, plan.series + 1):
                 group.create_task(run.disturb(random.Random(seed + number)))
+            if plan.site_faults:
+                group.create_task(run.disturb_site(random.Random(-seed)))
         lost = await run.settled()
     finally:
-        for task in beats:
-            task.cancel()
         await run.stop()
     return run, lost
 
@@ -284,7 +328,8 @@
     lines.append(
         f"seed {seed}: {len(run.accepted)} stored jobs accepted, {len(lost)} not "
         f"completed after {run.settle_s:.1f} s, {len(findings)} times two runs of a "
-        f"task at a time, {len(run.exits)} daemons ended by themselves "
+        f"task at a time, {len(run.callers.sends)} requests ({run.callers.outcomes}), "
+        f"{len(run.exits)} daemons ended by themselves "
         f"{run.exits or ''}"
     )
     click.echo("\n".join(lines + findings))
@@ -302,7 +347,7 @@
 
 
 @click.command()
-@click.option("--plan", "name", type=click.Choice(["small", "dense"]), default="small")
+@click.option("--plan", "name", type=click.Choice(list(PLANS)), default="small")
 @click.option("--seconds", default=60.0, help="How long faults go on, in seconds.")
 @click.option("--seed", default=1, help="Seed of faults and requests.")
 @click.option("--seeds", help="Range of seeds `A-B`, run one after the other.")
@@ -319,6 +364,15 @@
     type=click.Choice(sorted(FAULTS)),
     help="Fault to draw from; all kinds if none is given.",
 )
+@click.option(
+    "--site-fault",
+    "site_faults",
+    multiple=True,
+    type=click.Choice(sorted(SITE_FAULTS)),
+    help="Fault of the whole site to draw from; none by default.",
+)
+@click.option("--longest-fault-s", type=float, help="Longest time of a fault.")
+@click.option("--leave-s", type=float, help="Time after which a caller leaves.")
 @click.option("--resend-s", type=float, help="Delay before a job is sent again.")
 def main(
     name: str,
@@ -329,7 +383,7 @@
     **changes: Any,
 ) -> None:
     """Run one or more soaks and print what was found."""
-    plan = SoakPlan.dense(seconds) if name == "dense" else SoakPlan.small(seconds)
+    plan = PLANS[name](seconds)
     given = {
         field: value for field, value in changes.items() if value not in (None, ())
     }
--- a/scenarios/soak_callers.py
+++ b/scenarios/soak_callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Sequence
 from typing import Any
 
@@ -24,6 +25,21 @@
 UNKNOWN = 504
 
 
+@attrs.frozen
+class JobKind:
+    """A kind of job.
+
+    Attributes:
+        share: Its share of the jobs, as a multiple of that of other kinds.
+        tasks: Number of tasks.
+        run_ms: Run time of each task.
+    """
+
+    share: float
+    tasks: int
+    run_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class SoakPlan:
     """Size and load of a soak.
@@ -39,6 +55,13 @@
         series: Number of series of faults that go on side by side.
         at_once: Numbers of processes that a fault may take.
         faults: Names of the faults to draw from.
+        site_faults: Names of the faults that take the whole site; none by default.
+        longest_fault_s: Longest time that a fault lasts.
+        kinds: Kinds of jobs; if there are none, all jobs have three tasks.
+        deadline_ms: How long the callers say that they wait.
+        worker_cpu: Capacity of a worker in millicores.
+        task_cpu: What each task takes of it.
+        gateways: Whether the links between processes pass through gateways.
     """
 
     entries: int = 2
@@ -53,6 +76,14 @@
     series: int = 1
     at_once: tuple[int, ...] = (1,)
     faults: tuple[str, ...] = tuple(sorted(FAULTS))
+    site_faults: tuple[str, ...] = ()
+    # Shorter than the limits after which the platform takes hosts out.
+    longest_fault_s: float = 2.0
+    kinds: tuple[JobKind, ...] = ()
+    deadline_ms: int = 4_000
+    worker_cpu: int = 8_000
+    task_cpu: int = 1_000
+    gateways: bool = True
 
     @classmethod
     def small(cls, seconds: float = 60.0) -> SoakPlan:
@@ -76,6 +107,25 @@
             at_once=(1, 2, 4),
         )
 
+    @classmethod
+    def ops(cls, seconds: float = 60.0) -> SoakPlan:
+        """Return the load of strathbeag-ops on workers of less than half the size."""
+        return cls(
+            entries=3,
+            agents=11,
+            seconds=seconds,
+            jobs_per_s=28.0,
+            volatile_of_three=3,
+            leave_s=1.6,
+            max_sends=4,
+            series=2,
+            at_once=(1, 2, 4, 14),
+            kinds=(JobKind(17.2, 8, 120), JobKind(3.12, 4, 1_800), JobKind(50, 2, 400)),
+            deadline_ms=1_500,
+            worker_cpu=25_600,
+            task_cpu=6_200,
+        )
+
 
 @attrs.define(kw_only=True)
 class SoakWorker(PlatformWorker):
@@ -85,7 +135,13 @@
     run_range_ms: tuple[int, int]
 
     def start(self, now_ms: int, order: Any) -> Any:
-        """Carry out an order to start a run."""
+        """Carry out an order to start a run.
+
+        The payload of a job of a certain kind is its run time.
+        """
+        if order.payload.isdecimal():
+            self.run_ms = int(order.payload)
+            return super().start(now_ms, order)
         rng = random.Random(f"{self.seed} {order.task}")
         self.run_ms = rng.randint(*self.run_range_ms)
         return super().start(now_ms, order)
@@ -106,6 +162,12 @@
     accepted: list[str] = attrs.field(factory=list)
     sends: list[Send] = attrs.field(factory=list)
 
+    @property
+    def outcomes(self) -> dict[str, int]:
+        """Number of requests by their outcome."""
+        counts = Counter(send.outcome.partition(" {")[0] for send in self.sends)
+        return dict(counts.most_common())
+
     async def submit(self, rng: random.Random) -> None:
         """Hand in jobs for the time of the plan, and wait for the last answers."""
         end_ms = now_ms() + self.plan.seconds * 1_000
@@ -135,15 +197,30 @@
     async def _send(
         self, entry: Daemon, job_id: str, volatile: bool, timeout_s: float
     ) -> int | None:
-        estimate_ms = sum(self.plan.run_ms) // 2
-        step = {"count": TASKS, "cpu": 1_000, "mem_mb": 64, "estimate_ms": estimate_ms}
-        body = {"spec": "x", "steps": [step], "best_effort": volatile}
+        body = {
+            "spec": "x",
+            "steps": [self._step(TASKS, sum(self.plan.run_ms) // 2)],
+            "best_effort": volatile,
+        }
+        if self.plan.kinds:
+            shares = [kind.share for kind in self.plan.kinds]
+            kind = random.Random(job_id).choices(self.plan.kinds, shares)[0]
+            body["spec"] = str(kind.run_ms)
+            body["steps"] = [self._step(kind.tasks, kind.run_ms)]
         at_ms = now_ms()
         status, found = await self.ask(entry, "POST", f"/r/{job_id}", body, timeout_s)
         outcome = f"{status} {found}" if status else str(found)
         self.sends.append(Send(job_id, entry.name, at_ms, now_ms(), outcome))
         return status
 
+    def _step(self, count: int, estimate_ms: int) -> dict[str, int]:
+        return {
+            "count": count,
+            "cpu": self.plan.task_cpu,
+            "mem_mb": 64,
+            "estimate_ms": estimate_ms,
+        }
+
     async def ask(
         self,
         daemon: Daemon,
@@ -153,8 +230,12 @@
         timeout_s: float = PATIENCE_S,
     ) -> tuple[int | None, Any]:
         """Return status and body of an answer; without one, None and the reason."""
-        url = f"http://{daemon.address}{path}"
-        headers = {"Host": "soak.example", "X-Catkincross-Deadline-Ms": "4000"}
+        address = daemon.front.address if daemon.front else daemon.address
+        url = f"http://{address}{path}"
+        headers = {
+            "Host": "soak.example",
+            "X-Catkincross-Deadline-Ms": str(self.plan.deadline_ms),
+        }
         try:
             async with (
                 asyncio.timeout(timeout_s),
--- a/scenarios/soak_faults.py
+++ b/scenarios/soak_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -12,12 +13,24 @@
 
 import attrs
 
-from .loopback_proxy import Mode, Proxy
+from .loopback_proxy import Gateway, Mode, Proxy, Way
+from .soak_process import DIRECT_VARIABLE, GATEWAY_VARIABLE
 
 # Time after which an agent takes a silent worker for lost, in seconds.
 WORKER_LOSS_S = 5.0
 # Time after which a process that has ended by itself is started again, in seconds.
 RESTART_DELAY_S = 0.3
+# Time from SIGTERM to SIGKILL, in seconds.
+GRACE_S = 6.0
+# Period in which a process with little processor time runs once, in seconds.
+PERIOD_S = 0.1
+# Share of the time in which such a process runs.
+RUNNING_SHARES = (0.3, 0.6)
+# Shortest and longest time for which a process that is stalled stands still, in
+# seconds. Other processes do not take it for lost.
+STALL_S = (0.15, 0.9)
+# Ranges of the delays on slow links, in seconds.
+LINK_DELAYS_S = ((0.001, 0.02), (0.01, 0.1), (0.05, 0.4))
 
 
 @attrs.define(eq=False)
@@ -29,6 +42,9 @@
         settings: Its settings file.
         store: Proxy between it and the store.
         worker: Proxy between it and its worker; None for an entry.
+        gateway: Gateway of the connections that it opens to other processes; None for
+            none.
+        front: Proxy between client accounts and an entry; None for none.
         address: Address for client accounts, or for the worker's heartbeats.
         on_exit: Called with the daemon and its exit code when it ends by itself.
         process: The process.
@@ -41,6 +57,8 @@
     address: str
     metrics_port: int
     on_exit: Callable[[Daemon, int], None]
+    gateway: Gateway | None = None
+    front: Proxy | None = None
     process: asyncio.subprocess.Process | None = None
     _ending: bool = False
     _running: asyncio.Task[None] | None = None
@@ -70,19 +88,32 @@
                 await asyncio.sleep(RESTART_DELAY_S)
 
     async def _create_process(self) -> asyncio.subprocess.Process:
+        command = [f"catkincross.daemons.{self.role}"]
+        env = {
+            "CATKINCROSS_NODE_FILE": str(self.settings),
+            "CATKINCROSS_SETTINGS": str(self.settings.with_suffix(".ini")),
+        }
+        if self.gateway is not None:
+            command = ["scenarios.soak_process", self.role]
+            direct = [proxy.address for proxy in (self.store, self.worker) if proxy]
+            env[GATEWAY_VARIABLE] = self.gateway.address
+            env[DIRECT_VARIABLE] = ",".join(direct)
         with self.settings.with_suffix(".log").open("ab") as log:
             return await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                f"catkincross.daemons.{self.role}",
-                env={
-                    "CATKINCROSS_NODE_FILE": str(self.settings),
-                    "CATKINCROSS_SETTINGS": str(self.settings.with_suffix(".ini")),
-                },
+                *command,
+                env=env,
                 cwd=Path(__file__).resolve().parent.parent,
                 stdout=log,
             )
 
+    @property
+    def proxies(self) -> list[Proxy]:
+        """Proxies of all connections of the process."""
+        proxies = (self.store, self.worker, self.gateway, self.front)
+        return [proxy for proxy in proxies if proxy is not None]
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal if the process runs."""
         assert self.process is not None
@@ -99,17 +130,20 @@
         await asyncio.sleep(0)
         await self._started.wait()
 
-    async def stop(self) -> None:
-        """End the process and its proxies."""
+    async def stop(self, number: signal.Signals = signal.SIGKILL) -> None:
+        """End the process by a signal, and end its proxies."""
         if self._running is not None:
             self._running.cancel()
             await asyncio.wait({self._running})
         if self.process is not None:
-            self.send(signal.SIGKILL)
-            await self.process.wait()
-        await self.store.stop()
-        if self.worker is not None:
-            await self.worker.stop()
+            self.send(number)
+            try:
+                await asyncio.wait_for(self.process.wait(), GRACE_S)
+            except TimeoutError:
+                self.send(signal.SIGKILL)
+                await self.process.wait()
+        for proxy in self.proxies:
+            await proxy.stop()
 
 
 FAULTS: dict[str, Callable[[Daemon, float], Awaitable[None]]] = {}
@@ -180,6 +214,82 @@
         await _proxy_fault(daemon.worker, Mode.SILENT, WORKER_LOSS_S + length_s)
 
 
+@fault
+async def stall(daemon: Daemon, length_s: float) -> None:
+    """Let the process stand still for a time too short to be taken for lost."""
+    await freeze(daemon, random.uniform(*STALL_S))
+
+
+@fault
+async def throttle(daemon: Daemon, length_s: float) -> None:
+    """Give the process little processor time, in short turns."""
+    running_s = PERIOD_S * random.uniform(*RUNNING_SHARES)
+    await asyncio.sleep(random.uniform(0, PERIOD_S))
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + length_s
+    while loop.time() < end_s:
+        daemon.send(signal.SIGSTOP)
+        await asyncio.sleep(PERIOD_S - running_s)
+        daemon.send(signal.SIGCONT)
+        await asyncio.sleep(running_s)
+
+
+@fault
+async def reset_channels(daemon: Daemon, length_s: float) -> None:
+    """Reset all open connections of the process; new ones work."""
+    for proxy in daemon.proxies:
+        proxy.reset()
+
+
+@fault
+async def silence_channels(daemon: Daemon, length_s: float) -> None:
+    """Let all open connections of the process be silent for good; new ones work."""
+    for proxy in daemon.proxies:
+        proxy.silence()
+
+
+@fault
+async def silence_links(daemon: Daemon, length_s: float) -> None:
+    """Let the open links that the process has opened be silent for good."""
+    if daemon.gateway is not None:
+        daemon.gateway.silence()
+
+
+@fault
+async def slow_links(daemon: Daemon, length_s: float) -> None:
+    """Delay the links that the process has opened."""
+    if daemon.gateway is not None:
+        await _slow(daemon.gateway, length_s)
+
+
+@fault
+async def slow_worker(daemon: Daemon, length_s: float) -> None:
+    """Delay the connections between an agent and its worker."""
+    if daemon.worker is not None:
+        await _slow(daemon.worker, length_s)
+
+
+async def _slow(proxy: Proxy, length_s: float) -> None:
+    proxy.delay_s = random.choice(LINK_DELAYS_S)
+    await asyncio.sleep(length_s)
+    proxy.delay_s = (0.0, 0.0)
+
+
+@fault
+async def hold_links(daemon: Daemon, length_s: float) -> None:
+    """Hold back what passes on some links of the process, one way or both."""
+    gateway = daemon.gateway
+    if gateway is None or not gateway.channels:
+        return
+    targets = sorted({channel.target for channel in gateway.channels})
+    chosen = random.sample(targets, random.randint(1, len(targets)))
+    ways = random.choice(([Way.TO_TARGET], [Way.FROM_TARGET], list(Way)))
+    held = {(target, way) for target in chosen for way in ways}
+    gateway.hold(held)
+    await asyncio.sleep(length_s)
+    gateway.release(held)
+
+
 async def _proxy_fault(proxy: Proxy, mode: Mode, length_s: float) -> None:
     proxy.set_mode(mode)
     await asyncio.sleep(length_s)
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -9,6 +9,7 @@
 
 from scenarios.platform_soak import FAULTS, soak
 from scenarios.soak_callers import SoakPlan
+from scenarios.soak_site_faults import SITE_FAULTS
 
 FAULTS_S = 8.0
 # Faults that end processes or let them stand still.
@@ -39,5 +40,11 @@
     """The soak draws from the registry, so a fault missing there is never injected."""
     expected = {"kill", "terminate", "freeze", "reload"}
     expected |= {"cut_store", "silence_store", "cut_worker", "silence_worker"}
-    expected |= {"lose_worker"}
+    expected |= {"lose_worker", "stall", "throttle", "reset_channels"}
+    expected |= {"silence_channels", "silence_links", "slow_links", "slow_worker"}
+    expected |= {"hold_links"}
     assert set(FAULTS) == expected
+    expected = {"reset_all_channels", "silence_all_channels", "silence_all_links"}
+    expected |= {"kill_all", "reload_all", "stall_all", "restart_in_turn"}
+    expected |= {"replace_entry", "replace_agent"}
+    assert set(SITE_FAULTS) == expected
