Give all processes of a soak little processor time throughout, on demand

The users' hosts have shares of a core. `--throttled` lets each process run for 30 to 60 % of each 100 ms, each with a phase and a share of its own, also in processes that join later.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import signal
 import sys
@@ -95,7 +96,7 @@
         exits: Daemons that ended by themselves, with their exit codes.
         store_address: Address of the store.
         worker_of: Worker of each agent, by its name.
-        beats: Tasks that send the heartbeats of the workers, by the agent's name.
+        tasks: Background tasks of each process, by its name.
         settle_s: Time from the last fault until all accepted jobs were completed.
     """
 
@@ -113,7 +114,7 @@
     servers: list[HttpServer] = attrs.field(factory=list)
     store_address: str = ""
     worker_of: dict[str, SoakWorker] = attrs.field(factory=dict)
-    beats: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    tasks: dict[str, list[asyncio.Task[None]]] = attrs.field(factory=dict)
     _entry_numbers: Iterator[int] = attrs.field(factory=count)
     session: Any = None
     callers: Any = None
@@ -147,6 +148,7 @@
         daemon = await self._daemon(f"e{next(self._entry_numbers)}", "entry", "")
         self.entries.append(daemon)
         await daemon.start()
+        self.tasks[daemon.name] = self._throttled(daemon)
 
     async def add_agent(self) -> None:
         """Start a worker, and its agent under a new name and address."""
@@ -158,12 +160,22 @@
         self.worker_of[daemon.name] = worker
         self.agents.append(daemon)
         await daemon.start()
-        self.beats[daemon.name] = asyncio.create_task(self.beat(worker, daemon))
-
-    def remove_worker(self, agent: Daemon) -> None:
-        """End the runs and the heartbeats of the worker of an agent that has left."""
-        self.worker_of.pop(agent.name).crash(now_ms())
-        self.beats.pop(agent.name).cancel()
+        beat = asyncio.create_task(self.beat(worker, daemon))
+        self.tasks[daemon.name] = [beat, *self._throttled(daemon)]
+
+    def _throttled(self, daemon: Daemon) -> list[asyncio.Task[None]]:
+        """Begin to give a process little processor time, if the plan says so."""
+        if not self.plan.throttled:
+            return []
+        return [asyncio.create_task(FAULTS["throttle"](daemon, math.inf))]
+
+    def remove(self, daemon: Daemon) -> None:
+        """End what goes on for a process that has left, and the runs of its worker."""
+        for task in self.tasks.pop(daemon.name, []):
+            task.cancel()
+        worker = self.worker_of.pop(daemon.name, None)
+        if worker is not None:
+            worker.crash(now_ms())
 
     def _serve(self, app: Any) -> str:
         server = HttpServer(app, f"{HOST}:0")
@@ -287,8 +299,8 @@
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
-        for beat in self.beats.values():
-            beat.cancel()
+        for daemon in self.daemons:
+            self.remove(daemon)
         await asyncio.gather(*(daemon.stop() for daemon in self.daemons))
         for server in self.servers:
             await server.stop(0.1)
@@ -371,6 +383,7 @@
     type=click.Choice(sorted(SITE_FAULTS)),
     help="Fault of the whole site to draw from; none by default.",
 )
+@click.option("--throttled", is_flag=True, help="Little processor time throughout.")
 @click.option("--longest-fault-s", type=float, help="Longest time of a fault.")
 @click.option("--leave-s", type=float, help="Time after which a caller leaves.")
 @click.option("--resend-s", type=float, help="Delay before a job is sent again.")
@@ -385,7 +398,9 @@
     """Run one or more soaks and print what was found."""
     plan = PLANS[name](seconds)
     given = {
-        field: value for field, value in changes.items() if value not in (None, ())
+        field: value
+        for field, value in changes.items()
+        if value not in (None, (), False)
     }
     plan = attrs.evolve(plan, **given)
     first, _, last = (seeds or str(seed)).partition("-")
--- a/scenarios/soak_callers.py
+++ b/scenarios/soak_callers.py
@@ -56,6 +56,7 @@
         at_once: Numbers of processes that a fault may take.
         faults: Names of the faults to draw from.
         site_faults: Names of the faults that take the whole site; none by default.
+        throttled: Whether all processes have little processor time throughout.
         longest_fault_s: Longest time that a fault lasts.
         kinds: Kinds of jobs; if there are none, all jobs have three tasks.
         deadline_ms: How long the callers say that they wait.
@@ -77,6 +78,7 @@
     at_once: tuple[int, ...] = (1,)
     faults: tuple[str, ...] = tuple(sorted(FAULTS))
     site_faults: tuple[str, ...] = ()
+    throttled: bool = False
     # Shorter than the limits after which the platform takes hosts out.
     longest_fault_s: float = 2.0
     kinds: tuple[JobKind, ...] = ()
--- a/scenarios/soak_site_faults.py
+++ b/scenarios/soak_site_faults.py
@@ -85,7 +85,7 @@
     await run.add_entry()
     if len(run.entries) > FEWEST_ENTRIES:
         run.entries.remove(leaving)
-        await _end(leaving, rng)
+        await _end(run, leaving, rng)
 
 
 @site_fault
@@ -98,9 +98,9 @@
     await run.add_agent()
     if len(run.agents) > FEWEST_AGENTS:
         run.agents.remove(leaving)
-        await _end(leaving, rng)
-        run.remove_worker(leaving)
+        await _end(run, leaving, rng)
 
 
-async def _end(daemon: Daemon, rng: random.Random) -> None:
+async def _end(run: Soak, daemon: Daemon, rng: random.Random) -> None:
     await daemon.stop(rng.choice((signal.SIGTERM, signal.SIGKILL)))
+    run.remove(daemon)
