--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -400,7 +400,7 @@
     given = {
         field: value
         for field, value in changes.items()
-        if value not in (None, (), False)
+        if value is not None and value != () and value is not False
     }
     plan = attrs.evolve(plan, **given)
     first, _, last = (seeds or str(seed)).partition("-")
--- a/scenarios/soak_faults.py
+++ b/scenarios/soak_faults.py
@@ -24,8 +24,9 @@
 GRACE_S = 6.0
 # Period in which a process with little processor time runs once, in seconds.
 PERIOD_S = 0.1
-# Share of the time in which such a process runs.
+# Shares of the time in which such a process runs, and one that cannot do its work.
 RUNNING_SHARES = (0.3, 0.6)
+STARVING_SHARES = (0.06, 0.2)
 # Shortest and longest time for which a process that is stalled stands still, in
 # seconds. Other processes do not take it for lost.
 STALL_S = (0.15, 0.9)
@@ -104,6 +105,8 @@
                 "-m",
                 *command,
                 env=env,
+                # The kernel sends SIGHUP to stopped members of an orphaned group.
+                start_new_session=True,
                 cwd=Path(__file__).resolve().parent.parent,
                 stdout=log,
             )
@@ -223,7 +226,17 @@
 @fault
 async def throttle(daemon: Daemon, length_s: float) -> None:
     """Give the process little processor time, in short turns."""
-    running_s = PERIOD_S * random.uniform(*RUNNING_SHARES)
+    await _run_in_turns(daemon, length_s, random.uniform(*RUNNING_SHARES))
+
+
+@fault
+async def starve(daemon: Daemon, length_s: float) -> None:
+    """Give the process so little processor time that its work waits."""
+    await _run_in_turns(daemon, length_s, random.uniform(*STARVING_SHARES))
+
+
+async def _run_in_turns(daemon: Daemon, length_s: float, share: float) -> None:
+    running_s = PERIOD_S * share
     await asyncio.sleep(random.uniform(0, PERIOD_S))
     loop = asyncio.get_running_loop()
     end_s = loop.time() + length_s
@@ -241,6 +254,13 @@
         proxy.reset()
 
 
+@fault
+async def reset_clients(daemon: Daemon, length_s: float) -> None:
+    """Reset the open connections of client accounts to an entry."""
+    if daemon.front is not None:
+        daemon.front.reset()
+
+
 @fault
 async def silence_channels(daemon: Daemon, length_s: float) -> None:
     """Let all open connections of the process be silent for good; new ones work."""
