Test jobs at entries that answer all claims too late

Four cases that fail on, with the daemons' own claims and no kill or lost message: all three entries handle each message 250 to 600 ms late. No claim is answered within 200 ms, so after 2,250 ms JobClaims.longest_wait_ms is 0 and each job begins at once; the answers that name the holder come later and are dropped. With a lag of 50 ms the same plan holds.

scenarios/claims_fuzz.py plays such plans (slow).

--- a/scenarios/claims_fuzz.py
+++ b/scenarios/claims_fuzz.py
@@ -3,7 +3,8 @@
 Besides the disruptions of `volatile_fuzz`, all channels are reset or fall silent for
 good at once, entries handle messages late, and stand still for short times.
 
-Run `python -m scenarios.claims_fuzz FIRST LAST` to play the seeds of a range.
+Run `python -m scenarios.claims_fuzz FIRST LAST [slow]` to play the seeds of a range;
+`slow` plays entries that answer all claims too late.
 """
 
 from __future__ import annotations
@@ -35,6 +36,10 @@
 # Client accounts send a job again after 1,300 ms; shorter times find more.
 RESENDS_MS = (50, 400, 1_300, 1_300)
 JOBS = 12
+SLOW_LAGS_MS = (250, 400, 600, 900)
+SLOW_MS = 12_000
+SLOW_RUNS_MS = (300, 800, 1_500)
+SLOW_JOBS = 16
 NAMES = [f"e{number}" for number in range(ENTRIES)]
 
 
@@ -165,16 +170,43 @@
     )
 
 
+def slow_plan_of(seed: int) -> Plan:
+    """Return a plan in which all entries handle each message late for 12 s."""
+    draw = random.Random(f"slow/{seed}")
+    slow = (tuple(NAMES), draw.choice(SLOW_LAGS_MS), SLOW_MS)
+    actions = [Action(50, "slow_entries", slow)]
+    for _ in range(SLOW_JOBS):
+        job_id = f"{draw.randrange(1_000, 9_999):016x}"
+        values = job_id, draw.randrange(1, 4), draw.choice(NAMES)
+        actions.append(Action(draw.randrange(100, 7_000), "submit", values))
+    for entry in NAMES:
+        for _ in range(draw.randrange(1, 4)):
+            at_ms = draw.randrange(1_000, 8_000)
+            values = entry, draw.choice(NOTICES_MS)
+            actions.append(Action(at_ms, "cut_clients", values))
+    if draw.random() < 0.4:
+        at_ms = draw.randrange(5_000)
+        stalls = tuple(NAMES), draw.randrange(1_000), draw.randrange(2, 7)
+        actions.append(Action(at_ms, "stall_entries", stalls))
+    return Plan(
+        seed,
+        tuple(draw.choice(SLOW_RUNS_MS) for _ in range(AGENTS)),
+        tuple(actions),
+        draw.choice(RESENDS_MS),
+        draw.choice(TIMEOUTS_MS),
+    )
+
+
 def play_plan(plan: Plan) -> list[str]:
     """Play a plan; return the tasks of which two runs overlapped."""
     return ClaimsPlay(plan).run()
 
 
-def main(first: int, last: int) -> int:
+def main(first: int, last: int, make_plan: Callable[[int], Plan]) -> int:
     """Play a range of seeds, and print the smallest plan of each that fails."""
     failed = 0
     for seed in range(first, last + 1):
-        plan = plan_of(seed)
+        plan = make_plan(seed)
         tasks = play_plan(plan)
         if tasks:
             failed += 1
@@ -189,4 +221,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
+    maker = slow_plan_of if sys.argv[3:] == ["slow"] else plan_of
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2]), maker))
