Keep the newer of two links of an agent when the older greeting is late

The greeting of a link that the agent had closed could be read after that of the next one, for example by an entry that stood still. The entry then closed the link in use and sent start orders on the one that had ended.

Change: an agent numbers its links, and an entry closes a link whose number is below that of the link in use of the same process.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -72,6 +72,7 @@
         core: The decision logic.
         links: Open links to entries, by address.
         connecting: Addresses to which a link is being opened.
+        links_opened: Number of links opened so far.
         leaving: Whether the agent is shutting down.
         worker_reachable: Whether the worker answered the last lease renewal.
         stopped: Event that is set when the process may end.
@@ -103,6 +104,7 @@
         self.worker = WorkerClient(settings.worker)
         self.links: dict[str, Link] = {}
         self.connecting: set[str] = set()
+        self.links_opened = 0
         self.leaving = False
         self.worker_reachable = True
         self.stopped = asyncio.Event()
@@ -298,7 +300,9 @@
         self.connecting.discard(address)
         link.peer = address
         self.links[address] = link
-        link.send(Greeting("agent", self.settings.name, self.incarnation))
+        self.links_opened += 1
+        name, number = self.settings.name, self.links_opened
+        link.send(Greeting("agent", name, self.incarnation, link_number=number))
         self.core.handle_entry_connected(self.clock.now_ms(), address)
         self.log.note("entry connected", entry=address)
         self.core_loop.schedule_step()
--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -161,8 +161,14 @@
 
     def _add_agent(self, link: Link, greeting: Greeting) -> None:
         now_ms = self.clock.now_ms()
-        previous = self.agents.pop(greeting.name, None)
+        previous = self.agents.get(greeting.name)
+        if previous is not None and _is_older(greeting, previous.peer):
+            # The agent has closed this link before it opened the one in use.
+            self.log.note("old link of an agent", agent=greeting.name)
+            link.close()
+            return
         if previous is not None:
+            del self.agents[greeting.name]
             previous.close()
             self.core.handle_agent_lost(now_ms, greeting.name)
         self.agents[greeting.name] = link
@@ -276,3 +282,9 @@
                 if now_ms - heard_ms > LINK_TIMEOUT_MS:
                     self.log.note("agent silent", agent=name, age_ms=now_ms - heard_ms)
                     link.close()
+
+
+def _is_older(greeting: Greeting, other: Greeting) -> bool:
+    """Whether the same process has opened a link before another one."""
+    same_process = greeting.incarnation == other.incarnation
+    return same_process and greeting.link_number < other.link_number
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -72,6 +72,8 @@
         incarnation: Number that differs between any two starts of the process.
         address: Address at which an entry accepts links, `IP:port`; empty for an agent.
         data_centre: Data centre of the process.
+        link_number: Number of the link among those that the process has opened,
+            increasing; 0 where the receiver does not need it.
     """
 
     role: str
@@ -79,6 +81,7 @@
     incarnation: int
     address: str = ""
     data_centre: str = ""
+    link_number: int = 0
 
 
 @register_message
