Let heartbeats end no runs and replace no worker that answers

A worker whose wall clock had been set back was not used at all, since its heartbeats counted as those of an earlier process.

Heartbeats of other processes are now kept as candidates. While the registered worker leaves a renewal unanswered, every other renewal names a candidate, changes nothing and acknowledges no ends; the process that answers with the start that its heartbeat states replaces the worker, and its lists decide on the runs. Runs of a worker that drained are kept until its lease has ended. Incarnations are compared for equality only. The model of strict workers sends each call to the process that the call names, as the daemon does.

It works because a call that names a process is answered by no other one (421), and the answer states the start of the process. No call is added while a worker answers.

--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -19,8 +19,12 @@
 from ._observing import (
     apply_renewal_reply,
     apply_start_outcome,
+    find_candidate,
+    next_probe,
+    note_replacement,
     record_departure,
     record_heartbeat,
+    register_worker,
     watch_silence,
 )
 from ._orders import ENTRY_HANDLERS, order_stop
@@ -187,10 +191,18 @@
 
         The worker registers with a new agent process only at its next heartbeat, but
         runs of the earlier process may still be there. Renewals until then name no
-        worker, so any worker on the host answers them.
+        worker, so any worker on the host answers them. While the worker gives no
+        answer, every other renewal names another process that has sent a heartbeat.
         """
         state = self.state
         state.begin(now_ms)
+        candidate = next_probe(state)
+        state.probed = bool(candidate)
+        if candidate:
+            # The call only shows which process is there; its lists may be of another
+            # process than those before, so it acknowledges no ends.
+            return LeaseRenewal(candidate, state.fence, 0, None, 0)
+        state.unanswered_renewals += 1
         until_ms = state.request_lease() if self._may_renew_lease() else None
         start_pending = any(run.start_unanswered for run in state.runs.values())
         wait_ms = state.limits.renewal_wait_ms
@@ -216,15 +228,24 @@
         """
         state = self.state
         state.now_ms = now_ms
-        applied = state.worker_incarnation, state.reply_clock_ms
-        outdated = (
-            sent_ms < state.reply_received_ms
-            and (reply.worker_incarnation, reply.clock_ms) <= applied
+        # A wall clock may have been set back, so incarnations have no order.
+        outdated = sent_ms < state.reply_received_ms and (
+            reply.worker_incarnation != state.worker_incarnation
+            or reply.clock_ms <= state.reply_clock_ms
         )
-        if renewal.worker in ("", state.worker) and not outdated:
-            state.reply_received_ms = now_ms
-            state.reply_clock_ms = reply.clock_ms
-            apply_renewal_reply(state, sent_ms, renewal.fence, reply)
+        if outdated:
+            return
+        candidate = find_candidate(state, renewal.worker, reply.worker_incarnation)
+        if candidate is None and renewal.worker not in ("", state.worker):
+            return
+        state.reply_received_ms = now_ms
+        state.reply_clock_ms = reply.clock_ms
+        state.unanswered_renewals = 0
+        if candidate is not None:
+            note_replacement(state, candidate)
+        apply_renewal_reply(state, sent_ms, renewal.fence, reply)
+        if candidate is not None:
+            register_worker(state, candidate.registration, candidate.heartbeat_ms)
 
     def handle_renewal_fenced(self, now_ms: int, renewal: LeaseRenewal) -> None:
         """Raise the fencing token after the worker rejected it as too low."""
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -12,7 +12,7 @@
 from ._entry_info import EntryInfo, ShardLease
 from ._limits import WorkerLimits
 from ._run import CrashReport, Run
-from ._worker_messages import Registration
+from ._worker_messages import Candidate, Registration
 
 # A worker counts as shared with an entry for this long after an order from it, in
 # milliseconds. Under load an entry sends several orders a second to each worker.
@@ -36,6 +36,11 @@
         registration: Newest heartbeat of the worker; None if no worker is registered.
         heartbeat_ms: When that heartbeat arrived.
         heartbeat_overdue: Whether it has been reported as too old to start runs by.
+        candidates: Heartbeats of other processes that may be the next worker, by their
+            identity and incarnation.
+        unanswered_renewals: Number of lease renewals for the registered worker since
+            its newest answer.
+        probed: Whether the newest renewal was for a candidate.
         departed: Identity and incarnation of the worker that last announced its
             departure; None before the first, and if a worker of this incarnation has
             answered since.
@@ -51,6 +56,8 @@
         reply_clock_ms: The worker's clock in that answer.
         lease_end_ms: When all leases that were requested for the worker have ended, in
             this and in earlier processes of the agent.
+        drained_lease_end_ms: When the lease of a worker that was replaced while it
+            drained has ended at the latest.
         worker_silent: Whether the worker has given no answer for a while.
         worker_lost: Whether it has been silent for so long that it has no runs.
         lost_runs: Runs that the worker had when it was lost, until its next answer
@@ -99,6 +106,9 @@
     registration: Registration | None = None
     heartbeat_ms: int = -1_000_000
     heartbeat_overdue: bool = False
+    candidates: dict[tuple[str, int], Candidate] = attrs.field(factory=dict)
+    unanswered_renewals: int = 0
+    probed: bool = False
     departed: tuple[str, int] | None = None
     unexpected_departure_ms: int | None = None
     worker_incarnation: int = 0
@@ -109,6 +119,7 @@
     lists_read_ms: int = -1_000_000
     reply_clock_ms: int = 0
     lease_end_ms: int = 0
+    drained_lease_end_ms: int = -1_000_000
     worker_silent: bool = False
     worker_lost: bool = False
     lost_runs: list[Run] = attrs.field(factory=list)
@@ -269,13 +280,13 @@
     def capacity_current(self) -> bool:
         """Whether the newest heartbeat states a capacity by which runs may be started.
 
-        The worker may have shrunk since an old heartbeat, and a new life of the worker
-        may be smaller than the one that sent the heartbeat.
+        The worker may have shrunk since an old heartbeat, and another life of the
+        worker may be smaller than the one that sent the heartbeat.
         """
         registration = self.registration
         if registration is None:
             return False
-        if 0 < registration.worker_incarnation < self.worker_incarnation:
+        if registration.worker_incarnation not in (0, self.worker_incarnation):
             return False
         return self.now_ms - self.heartbeat_ms < self.limits.heartbeat_valid_ms
 
--- a/catkincross/workers/_worker_messages.py
+++ b/catkincross/workers/_worker_messages.py
@@ -38,12 +38,30 @@
     worker_incarnation: int
     sequence: int
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Identity and incarnation of the worker, which name its process."""
+        return self.worker, self.worker_incarnation
+
     @property
     def capacity(self) -> tuple[int, int, int]:
         """Millicores, MB of memory and number of accelerators."""
         return self.cpu, self.memory_mb, self.gpu
 
 
+@attrs.frozen
+class Candidate:
+    """Newest heartbeat of a process that may be the next worker on the host.
+
+    Attributes:
+        registration: The heartbeat.
+        heartbeat_ms: When it arrived.
+    """
+
+    registration: Registration
+    heartbeat_ms: int
+
+
 @attrs.frozen
 class LeaseRenewal:
     """Call that renews the worker's lease and reads its running and finished runs.
--- a/scenarios/strict_model.py
+++ b/scenarios/strict_model.py
@@ -160,7 +160,8 @@
                     "run_id": effect.run,
                     "fencing_token": effect.fence,
                 }
-                self._exchange(host, "/run-stop", body, CALL_LIMIT_MS, lambda _: None)
+                worker = host.core.state.worker
+                self._exchange(host, worker, "/run-stop", body, lambda _: None)
             case _:
                 super()._carry_out(host, effect)
 
@@ -178,14 +179,14 @@
     def _exchange(
         self,
         host: Host,
+        target: str,
         path: str,
         body: dict[str, Any],
-        limit_ms: int,
         receive: Callable[[Answer | None], None],
     ) -> None:
         """Send a call; `receive` gets the answer, or None if there is none in time."""
         machine = self.machines[host.name]
-        target = host.core.state.worker
+        limit_ms = CALL_LIMIT_MS + body.get("wait_ms", 0)
         fate = self._fate(host.name, path)
         is_open = True
 
@@ -262,10 +263,11 @@
             if outcome is StartOutcome.UNANSWERED:
                 self._settle(host, SETTLE_ATTEMPTS)
 
-        if not host.core.state.worker:
+        worker = host.core.state.worker
+        if not worker:
             receive((OTHER_PROCESS_STATUS, {}))
         else:
-            self._exchange(host, "/run-start", body, CALL_LIMIT_MS, receive)
+            self._exchange(host, worker, "/run-start", body, receive)
 
     def _settle(self, host: Host, attempts: int) -> None:
         def done(answered: bool) -> None:
@@ -312,8 +314,7 @@
                 self.step(host)
             done(status == 200)
 
-        limit_ms = CALL_LIMIT_MS + renewal.wait_ms
-        self._exchange(host, "/hold", body, limit_ms, receive)
+        self._exchange(host, renewal.worker, "/hold", body, receive)
 
 
 OTHER_PROCESS_STATUS = 421
