Read heartbeats only with all fields of the protocol

Heartbeats of other writers, with fields missing or of another type, named a worker to use. Only the fields that the agent needs were checked.

All fields that the protocol names are required, and have to be of their type; `clock_ms` and `born` are checked if they are there. The heartbeats of the soak of the platform now have all fields.

Two tests of tests/test_platform_foreign_heartbeats.py failed before and pass, and so do all others of the file, tests/test_platform_errors.py and tests/test_platform_daemons.py.

--- a/catkincross/platform/_worker.py
+++ b/catkincross/platform/_worker.py
@@ -37,20 +37,27 @@
 WORKER_STATES = ("ready", "draining")
 
 
+# Fields of every heartbeat; a heartbeat of another writer may lack them.
+HEARTBEAT_TEXTS = ("service", "address", "zone", "version")
+HEARTBEAT_NUMBERS = ("slots", "cold_left_ms", "seq")
+# Numbers whose type is checked if they are there.
+OPTIONAL_HEARTBEAT_NUMBERS = ("clock_ms", "born")
+
+
 def read_heartbeat(worker: str, body: bytes) -> Registration | None:
     """Parse a heartbeat; None if a field is missing or of the wrong type or value."""
     try:
         fields = orjson.loads(body)
         capacity = fields["capacity"]
         numbers = [
-            fields["seq"],
-            fields.get("born", 0),
+            *(fields[name] for name in HEARTBEAT_NUMBERS),
+            *(fields.get(name, 0) for name in OPTIONAL_HEARTBEAT_NUMBERS),
             capacity["cpu"],
             capacity["mem_mb"],
             capacity.get("gpu", 0),
         ]
         labels = fields.get("labels", [])
-        texts = [fields["service"], fields["zone"], *labels]
+        texts = [fields[name] for name in HEARTBEAT_TEXTS]
         state = fields["state"]
     except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError):
         return None
@@ -60,19 +67,21 @@
         return None
     if min(numbers) < 0:
         return None
-    if not all(isinstance(text, str) for text in texts) or state not in WORKER_STATES:
+    if not all(isinstance(text, str) for text in [*texts, *labels]):
+        return None
+    if state not in WORKER_STATES:
         return None
     return Registration(
-        worker,
-        texts[0],
-        texts[1],
-        tuple(texts[2:]),
-        numbers[2],
-        numbers[3],
-        numbers[4],
-        state == "draining",
-        numbers[1],
-        numbers[0],
+        worker=worker,
+        service=fields["service"],
+        data_centre=fields["zone"],
+        labels=tuple(labels),
+        cpu=capacity["cpu"],
+        memory_mb=capacity["mem_mb"],
+        gpu=capacity.get("gpu", 0),
+        draining=state == "draining",
+        worker_incarnation=fields.get("born", 0),
+        sequence=fields["seq"],
     )
 
 
--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -184,8 +184,12 @@
             sequence += 1
             body = {
                 "service": SERVICE,
+                "address": agent.worker.address if agent.worker else "",
                 "zone": "perth",
+                "version": "v1",
+                "slots": 8,
                 "state": "ready",
+                "cold_left_ms": 0,
                 "capacity": {"cpu": 8_000, "mem_mb": 8_192},
                 "labels": ["a", "r1"],
                 "seq": sequence,
