Tie orders to the worker and the run for which they were made

A start order went to the worker that was registered when the call was made, and its outcome was applied to any run of the same task and number. After a change of the worker, a run that had been reported as lost was started at the next one, and the answer to an earlier order confirmed or discarded the run of another entry.

Orders name the worker for which they were made and carry a number. A start order is not sent once its run has ended, and its outcome applies to its own run only. An unanswered order raises the fencing token although its run has ended, so that the worker rejects it if it arrives late.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -219,17 +219,15 @@
         self.log.note(event, worker=self.core.state.worker)
 
     async def _start_run(self, order: StartRun) -> None:
-        worker = self.core.state.worker
-        outcome = StartOutcome.REFUSED
-        if worker:
-            try:
-                outcome = await self.worker.start(worker, order)
-            except Exception as error:
-                self.log.note_error("start order", error)
-                outcome = StartOutcome.UNANSWERED
-        self.core.handle_start_outcome(
-            self.clock.now_ms(), order.task, order.run, outcome
-        )
+        if not self.core.is_wanted(order):
+            # The entry has been told of the run's end since the order was made.
+            return
+        try:
+            outcome = await self.worker.start(order.worker, order)
+        except Exception as error:
+            self.log.note_error("start order", error)
+            outcome = StartOutcome.UNANSWERED
+        self.core.handle_start_outcome(self.clock.now_ms(), order, outcome)
         self.core_loop.schedule_step()
         if outcome is StartOutcome.UNANSWERED:
             await self._settle_order()
@@ -246,10 +244,8 @@
                     return
 
     async def _stop_run(self, order: StopRun) -> None:
-        # Before the worker has registered, any worker on the host gets the order.
-        worker = self.core.state.worker
         try:
-            await self.worker.stop(worker, order)
+            await self.worker.stop(order.worker, order)
         except Exception as error:
             # The core repeats the order until the run has ended.
             self.log.note_error("stop order", error)
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -6,7 +6,7 @@
 
 from ..peers import STORE_SOURCE, Ends
 from ._crashes import agent_was_paused, crashes_by_owner
-from ._effects import Effect
+from ._effects import Effect, StartRun
 from ._entry_info import EntryInfo
 from ._limits import WorkerLimits
 from ._links import (
@@ -25,6 +25,7 @@
     record_departure,
     record_heartbeat,
     register_worker,
+    run_of_order,
     watch_silence,
 )
 from ._orders import ENTRY_HANDLERS, order_stop
@@ -254,12 +255,16 @@
             self.state.fence = renewal.fence + FENCING_TOKEN_STEP
             self.state.note("token raised", fence=self.state.fence)
 
+    def is_wanted(self, order: StartRun) -> bool:
+        """Whether the run for which a start order was made has not ended yet."""
+        return run_of_order(self.state, order) is not None
+
     def handle_start_outcome(
-        self, now_ms: int, task: str, run: int, outcome: StartOutcome
+        self, now_ms: int, order: StartRun, outcome: StartOutcome
     ) -> None:
         """Apply the outcome of an order to start a run."""
         self.state.now_ms = now_ms
-        apply_start_outcome(self.state, task, run, outcome)
+        apply_start_outcome(self.state, order, outcome)
 
     def _may_renew_lease(self) -> bool:
         state = self.state
--- a/catkincross/workers/_effects.py
+++ b/catkincross/workers/_effects.py
@@ -18,6 +18,8 @@
         checkpoint: Checkpoint to resume from; empty for none.
         until_ms: End of the lease on the worker's clock.
         fence: Fencing token of the call.
+        worker: Identity of the worker for which the order was made.
+        order: Number of the order, which no other order of this agent process has.
     """
 
     task: str
@@ -26,6 +28,8 @@
     checkpoint: str
     until_ms: int
     fence: int
+    worker: str = ""
+    order: int = 0
 
 
 @attrs.frozen
@@ -36,11 +40,14 @@
         task: Name of the task.
         run: Number of the run.
         fence: Fencing token of the call.
+        worker: Identity of the worker that has the run; empty if no worker has
+            registered yet, for whichever is there.
     """
 
     task: str
     run: int
     fence: int
+    worker: str = ""
 
 
 @attrs.frozen
--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -5,6 +5,7 @@
 from ..jobs import VOLATILE_SHARD
 from ..peers import EndedRun, Ends, NotStarted
 from ._crashes import crash_end, record_crash, resolve_lost_runs
+from ._effects import StartRun
 from ._orders import acknowledge_end, report_all_shards
 from ._run import Run
 from ._state import WorkerState
@@ -444,15 +445,27 @@
     state.send(state.owner_of_run(run), notice)
 
 
+def run_of_order(state: WorkerState, order: StartRun) -> Run | None:
+    """Return the run for which a start order was made; None if it has ended.
+
+    Another run of the same task may have the same number: entries number the runs of a
+    volatile job independently of each other.
+    """
+    run = state.runs.get((order.task, order.run))
+    return run if run is not None and run.order == order.order else None
+
+
 def apply_start_outcome(
-    state: WorkerState, task: str, number: int, outcome: StartOutcome
+    state: WorkerState, order: StartRun, outcome: StartOutcome
 ) -> None:
-    """Apply the outcome of a start order.
+    """Apply the outcome of a start order to the run for which it was made.
 
     After an unanswered order the fencing token rises, so that the next call makes the
-    worker reject the order if it arrives late.
+    worker reject the order if it arrives late, also if the run has ended meanwhile.
     """
-    run = state.runs.get((task, number))
+    run = run_of_order(state, order)
+    if outcome is StartOutcome.UNANSWERED and order.fence == state.fence:
+        state.fence += 1
     if run is None:
         return
     match outcome:
@@ -461,10 +474,11 @@
                 run.confirmed_ms = state.now_ms
         case StartOutcome.UNANSWERED:
             run.start_unanswered = True
-            if run.fence == state.fence:
-                state.fence += 1
             state.note(
-                "start unanswered", task=task, run=number, next_fence=state.fence
+                "start unanswered",
+                task=run.task,
+                run=run.number,
+                next_fence=state.fence,
             )
         case _ if run.confirmed_ms is None:
             discard_unstarted_run(state, run, outcome.value)
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -205,8 +205,10 @@
         entry_info.name,
         entry_info.incarnation,
         exclusive=message.exclusive,
+        order=state.last_order + 1,
         ordered_ms=state.now_ms,
     )
+    state.last_order = run.order
     if message.shard == VOLATILE_SHARD:
         run.expires_ms = entry_info.volatile_until_ms
     state.runs[message.task, message.run] = run
@@ -219,6 +221,8 @@
             message.checkpoint,
             state.request_lease(),
             state.fence,
+            state.worker,
+            run.order,
         )
     )
 
@@ -310,7 +314,7 @@
     if run.stop_sent_ms is None:
         state.note("run stopped", task=run.task, run=run.number, reason=reason)
     run.stop_sent_ms = state.now_ms
-    state.effects.append(StopRun(run.task, run.number, state.fence))
+    state.effects.append(StopRun(run.task, run.number, state.fence, state.worker))
 
 
 @entry_handler(Logged)
--- a/catkincross/workers/_run.py
+++ b/catkincross/workers/_run.py
@@ -33,6 +33,7 @@
         checkpoint: Newest checkpoint; empty for none.
         percent: Progress, 0 to 100.
         exclusive: Whether no other run may start on the worker for a while.
+        order: Number of the agent's order to the worker; 0 for a run found there.
         ordered_ms: When the start order was received; 0 for a run found on the worker.
         may_have_lapsed: Whether the agent was paused for so long that the worker's
             lease may have lapsed since the worker last listed the run.
@@ -57,6 +58,7 @@
     checkpoint: str = ""
     percent: int = 0
     exclusive: bool = False
+    order: int = 0
     ordered_ms: int = 0
     may_have_lapsed: bool = False
     crashed_with: int = 0
