Remember stops that find no run

A stop that found no run was answered as `absent`, and a start order for that run was carried out if it arrived afterwards, while the entry started the task elsewhere.

--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -70,6 +70,8 @@
         highest_end: Highest sequence number of the ends received from the worker.
         ack: Sequence number up to which the worker may forget ends.
         crash_reports: Reports of crashes that no owner has acknowledged, by number.
+        stop_marks: When a stop that found no run arrived, by entry, shard, incarnation
+            or epoch, task and run; the oldest first.
         last_order: Number of the newest order to start a run on the worker.
         last_crash_number: Number of the newest report. The numbers begin at the first
             fencing token, so that they differ from those of earlier agent processes.
@@ -131,6 +133,7 @@
     highest_end: int = 0
     ack: int = 0
     crash_reports: dict[int, CrashReport] = attrs.field(factory=dict)
+    stop_marks: dict[tuple[str, int, int, str, int], int] = attrs.field(factory=dict)
     last_order: int = 0
     last_crash_number: int = attrs.field(
         default=attrs.Factory(lambda state: state.fence, takes_self=True)
