Treat a link that was closed while it was opened as a failed attempt

A link that was reset in the iteration of the event loop that opened it was kept by the agent for good, and the entry was never reached again: the end of the link had been reported before the agent knew the link.

`connect` raises ConnectionResetError for such a link, for agents and for the links between entries.

--- a/catkincross/peers/_link.py
+++ b/catkincross/peers/_link.py
@@ -148,7 +148,8 @@
         timeout_s: Time limit in seconds.
 
     Raises:
-        OSError: If the connection fails, or the address is malformed.
+        OSError: If the connection fails or is closed again at once, or the address is
+            malformed.
         TimeoutError: If the connection is not open within the time limit.
     """
     host, _, port = address.rpartition(":")
@@ -160,6 +161,9 @@
         # Addresses come from other processes; a malformed one must cost the attempt
         # only.
         raise OSError(f"invalid address: {address!r}") from error
+    if link.closed:
+        # Its end was reported before the caller could know the link.
+        raise ConnectionResetError(f"connection to {address} was closed at once")
     return link
 
 
