Tell the end of an unclaimed run to the entries that know of it

After a restart of the agent, a job of an entry that had adopted a run waited until its deadline if the run ended before the claim arrived: the agent did not know whom to tell.

The agent keeps to which entries it reported a run that it found, and tells them its end. The message has no sequence number, so that an entry without the job does not acknowledge an end that the owner of a stored job has still to record.

The test of tests/test_platform_late_starts.py failed before and passes, and so do all others of the file.

--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -357,6 +357,8 @@
         entry_info.run_ended = True
     ends = Ends([ended], state.worker_incarnation, run.entry_incarnation)
     state.send(state.owner_of_run(run), ends)
+    if run.orphaned:
+        _announce_orphan_end(state, run, ended)
     state.note(
         "run ended",
         task=run.task,
@@ -370,6 +372,19 @@
     )
 
 
+def _announce_orphan_end(state: WorkerState, run: Run, ended: EndedRun) -> None:
+    """Tell the end of an orphaned run to the entries that were told of the run.
+
+    One of them may have taken it for a run of one of its volatile jobs, while its claim
+    had not arrived yet. The others must not acknowledge the end, so it has no number.
+    """
+    how = "lost" if ended.how == "crashed" else ended.how
+    unnumbered = EndedRun(0, ended.task, ended.run, how, ended.checkpoint, ended.run_ms)
+    for entry, incarnation in sorted(run.reported_to):
+        ends = Ends([unnumbered], state.worker_incarnation, incarnation)
+        state.send(entry, ends)
+
+
 def _record_running(state: WorkerState, reply: LeaseRenewalReply) -> None:
     for listed_run in reply.running:
         run = state.runs.get((listed_run.task, listed_run.run))
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -138,10 +138,12 @@
     if not state.worker_synced and not state.worker_lost:
         return
     entry_info.reported.add((shard, epoch))
+    runs = [run for run in state.runs.values() if _in_report(run, shard, entry_info)]
+    for run in runs:
+        if run.orphaned and shard == VOLATILE_SHARD:
+            run.reported_to.add((entry_info.name, entry_info.incarnation))
     running = [
-        RunningTask(run.task, run.number, run.checkpoint, run.percent)
-        for run in state.runs.values()
-        if _in_report(run, shard, entry_info)
+        RunningTask(run.task, run.number, run.checkpoint, run.percent) for run in runs
     ]
     ended = [
         end for end in state.ends.values() if state.shard_of_task(end.task) == shard
--- a/catkincross/workers/_run.py
+++ b/catkincross/workers/_run.py
@@ -23,6 +23,8 @@
         entry: Entry that ordered the run, or claimed it as one of its volatile jobs;
             empty for other runs that were found on the worker.
         incarnation: Incarnation of that entry's process.
+        reported_to: Entries that were told of the orphaned run, with the incarnation of
+            their process.
         expires_ms: When the agent stops the run unless the time is extended, for runs
             of volatile jobs and orphaned runs; 0 for other runs.
         confirmed_ms: When the worker first confirmed the run; None before that.
@@ -50,6 +52,7 @@
     fence: int = 0
     entry: str = ""
     incarnation: int = 0
+    reported_to: set[tuple[str, int]] = attrs.field(factory=set)
     expires_ms: int = 0
     confirmed_ms: int | None = None
     start_unanswered: bool = False
