Acknowledge ends only while the worker answers each renewal

A worker that was started again under its identity got a renewal that acknowledged ends of its earlier process. A worker that keeps the number forgot ends of its own before the agent had read them, and their tasks ran again.

A renewal acknowledges ends only if the newest answer listed ends and no renewal since has been left without an answer. A worker that ends leaves the renewal in progress unanswered, so the next process sees no number of the earlier one.

The case of tests/test_platform_late_calls.py failed before and passes, and so do all others of the file and tests/test_platform_listed_ends.py.

--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -203,6 +203,7 @@
             # The call only shows which process is there; its lists may be of another
             # process than those before, so it acknowledges no ends.
             return LeaseRenewal(candidate, state.fence, 0, None, 0)
+        ack = self._ends_to_acknowledge()
         state.unanswered_renewals += 1
         until_ms = state.request_lease() if self._may_renew_lease() else None
         start_pending = any(run.start_unanswered for run in state.runs.values())
@@ -211,7 +212,7 @@
             wait_ms = 0
         elif state.worker_silent:
             wait_ms = SILENT_WAIT_MS
-        return LeaseRenewal(state.worker, state.fence, state.ack, until_ms, wait_ms)
+        return LeaseRenewal(state.worker, state.fence, ack, until_ms, wait_ms)
 
     def handle_renewal_reply(
         self, now_ms: int, sent_ms: int, renewal: LeaseRenewal, reply: LeaseRenewalReply
@@ -266,6 +267,18 @@
         self.state.now_ms = now_ms
         apply_start_outcome(self.state, order, outcome)
 
+    def _ends_to_acknowledge(self) -> int:
+        """Return the number up to which the worker may forget the ends that it listed.
+
+        It is 0 if the newest answer listed none, or if a renewal since has got no
+        answer: the next process of the worker may have begun, and it must not forget
+        ends of its own by the numbers of the earlier one.
+        """
+        state = self.state
+        if not state.listed_ends or state.unanswered_renewals:
+            return 0
+        return state.ack
+
     def _may_renew_lease(self) -> bool:
         state = self.state
         if not state.runs or not state.worker_incarnation:
