--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -6,7 +6,7 @@
 
 from ..peers import STORE_SOURCE, Ends
 from ._crashes import agent_was_paused, crashes_by_owner
-from ._effects import Effect
+from ._effects import Effect, StartRun
 from ._entry_info import EntryInfo
 from ._limits import WorkerLimits
 from ._links import (
@@ -19,8 +19,13 @@
 from ._observing import (
     apply_renewal_reply,
     apply_start_outcome,
+    find_candidate,
+    next_probe,
+    note_replacement,
     record_departure,
     record_heartbeat,
+    register_worker,
+    run_of_order,
     watch_silence,
 )
 from ._orders import ENTRY_HANDLERS, order_stop
@@ -187,10 +192,19 @@
 
         The worker registers with a new agent process only at its next heartbeat, but
         runs of the earlier process may still be there. Renewals until then name no
-        worker, so any worker on the host answers them.
+        worker, so any worker on the host answers them. While the worker gives no
+        answer, every other renewal names another process that has sent a heartbeat.
         """
         state = self.state
         state.begin(now_ms)
+        candidate = next_probe(state)
+        state.probed = bool(candidate)
+        if candidate:
+            # The call only shows which process is there; its lists may be of another
+            # process than those before, so it acknowledges no ends.
+            return LeaseRenewal(candidate, state.fence, 0, None, 0)
+        ack = self._ends_to_acknowledge()
+        state.unanswered_renewals += 1
         until_ms = state.request_lease() if self._may_renew_lease() else None
         start_pending = any(run.start_unanswered for run in state.runs.values())
         wait_ms = state.limits.renewal_wait_ms
@@ -198,7 +212,7 @@
             wait_ms = 0
         elif state.worker_silent:
             wait_ms = SILENT_WAIT_MS
-        return LeaseRenewal(state.worker, state.fence, state.ack, until_ms, wait_ms)
+        return LeaseRenewal(state.worker, state.fence, ack, until_ms, wait_ms)
 
     def handle_renewal_reply(
         self, now_ms: int, sent_ms: int, renewal: LeaseRenewal, reply: LeaseRenewalReply
@@ -216,15 +230,24 @@
         """
         state = self.state
         state.now_ms = now_ms
-        applied = state.worker_incarnation, state.reply_clock_ms
-        outdated = (
-            sent_ms < state.reply_received_ms
-            and (reply.worker_incarnation, reply.clock_ms) <= applied
+        # A wall clock may have been set back, so incarnations have no order.
+        outdated = sent_ms < state.reply_received_ms and (
+            reply.worker_incarnation != state.worker_incarnation
+            or reply.clock_ms <= state.reply_clock_ms
         )
-        if renewal.worker in ("", state.worker) and not outdated:
-            state.reply_received_ms = now_ms
-            state.reply_clock_ms = reply.clock_ms
-            apply_renewal_reply(state, sent_ms, renewal.fence, reply)
+        if outdated:
+            return
+        candidate = find_candidate(state, renewal.worker, reply.worker_incarnation)
+        if candidate is None and renewal.worker not in ("", state.worker):
+            return
+        state.reply_received_ms = now_ms
+        state.reply_clock_ms = reply.clock_ms
+        state.unanswered_renewals = 0
+        if candidate is not None:
+            note_replacement(state, candidate)
+        apply_renewal_reply(state, sent_ms, renewal.fence, reply)
+        if candidate is not None:
+            register_worker(state, candidate.registration, candidate.heartbeat_ms)
 
     def handle_renewal_fenced(self, now_ms: int, renewal: LeaseRenewal) -> None:
         """Raise the fencing token after the worker rejected it as too low."""
@@ -233,12 +256,28 @@
             self.state.fence = renewal.fence + FENCING_TOKEN_STEP
             self.state.note("token raised", fence=self.state.fence)
 
+    def is_wanted(self, order: StartRun) -> bool:
+        """Whether the run for which a start order was made has not ended yet."""
+        return run_of_order(self.state, order) is not None
+
     def handle_start_outcome(
-        self, now_ms: int, task: str, run: int, outcome: StartOutcome
+        self, now_ms: int, order: StartRun, outcome: StartOutcome
     ) -> None:
         """Apply the outcome of an order to start a run."""
         self.state.now_ms = now_ms
-        apply_start_outcome(self.state, task, run, outcome)
+        apply_start_outcome(self.state, order, outcome)
+
+    def _ends_to_acknowledge(self) -> int:
+        """Return the number up to which the worker may forget the ends that it listed.
+
+        It is 0 if the newest answer listed none, or if a renewal since has got no
+        answer: the next process of the worker may have begun, and it must not forget
+        ends of its own by the numbers of the earlier one.
+        """
+        state = self.state
+        if not state.listed_ends or state.unanswered_renewals:
+            return 0
+        return state.ack
 
     def _may_renew_lease(self) -> bool:
         state = self.state
--- a/catkincross/workers/_run.py
+++ b/catkincross/workers/_run.py
@@ -23,6 +23,8 @@
         entry: Entry that ordered the run, or claimed it as one of its volatile jobs;
             empty for other runs that were found on the worker.
         incarnation: Incarnation of that entry's process.
+        reported_to: Entries that were told of the orphaned run, with the incarnation of
+            their process.
         expires_ms: When the agent stops the run unless the time is extended, for runs
             of volatile jobs and orphaned runs; 0 for other runs.
         confirmed_ms: When the worker first confirmed the run; None before that.
@@ -33,6 +35,7 @@
         checkpoint: Newest checkpoint; empty for none.
         percent: Progress, 0 to 100.
         exclusive: Whether no other run may start on the worker for a while.
+        order: Number of the agent's order to the worker; 0 for a run found there.
         ordered_ms: When the start order was received; 0 for a run found on the worker.
         may_have_lapsed: Whether the agent was paused for so long that the worker's
             lease may have lapsed since the worker last listed the run.
@@ -49,6 +52,7 @@
     fence: int = 0
     entry: str = ""
     incarnation: int = 0
+    reported_to: set[tuple[str, int]] = attrs.field(factory=set)
     expires_ms: int = 0
     confirmed_ms: int | None = None
     start_unanswered: bool = False
@@ -57,6 +61,7 @@
     checkpoint: str = ""
     percent: int = 0
     exclusive: bool = False
+    order: int = 0
     ordered_ms: int = 0
     may_have_lapsed: bool = False
     crashed_with: int = 0
--- a/scenarios/strict_model.py
+++ b/scenarios/strict_model.py
@@ -160,7 +160,7 @@
                     "run_id": effect.run,
                     "fencing_token": effect.fence,
                 }
-                self._exchange(host, "/run-stop", body, CALL_LIMIT_MS, lambda _: None)
+                self._exchange(host, effect.worker, "/run-stop", body, lambda _: None)
             case _:
                 super()._carry_out(host, effect)
 
@@ -178,14 +178,14 @@
     def _exchange(
         self,
         host: Host,
+        target: str,
         path: str,
         body: dict[str, Any],
-        limit_ms: int,
         receive: Callable[[Answer | None], None],
     ) -> None:
         """Send a call; `receive` gets the answer, or None if there is none in time."""
         machine = self.machines[host.name]
-        target = host.core.state.worker
+        limit_ms = CALL_LIMIT_MS + body.get("wait_ms", 0)
         fate = self._fate(host.name, path)
         is_open = True
 
@@ -257,15 +257,13 @@
 
         def receive(result: Answer | None) -> None:
             outcome = _start_outcome(result)
-            host.core.handle_start_outcome(self.now_ms, order.task, order.run, outcome)
+            host.core.handle_start_outcome(self.now_ms, order, outcome)
             self.step(host)
             if outcome is StartOutcome.UNANSWERED:
                 self._settle(host, SETTLE_ATTEMPTS)
 
-        if not host.core.state.worker:
-            receive((OTHER_PROCESS_STATUS, {}))
-        else:
-            self._exchange(host, "/run-start", body, CALL_LIMIT_MS, receive)
+        if host.core.is_wanted(order):
+            self._exchange(host, order.worker, "/run-start", body, receive)
 
     def _settle(self, host: Host, attempts: int) -> None:
         def done(answered: bool) -> None:
@@ -312,11 +310,7 @@
                 self.step(host)
             done(status == 200)
 
-        limit_ms = CALL_LIMIT_MS + renewal.wait_ms
-        self._exchange(host, "/hold", body, limit_ms, receive)
-
-
-OTHER_PROCESS_STATUS = 421
+        self._exchange(host, renewal.worker, "/hold", body, receive)
 
 
 def _start_outcome(result: Answer | None) -> StartOutcome:
