Test leases that count from the arrival of a late renewal

Cause: an agent bounds the time that runs go on without it by the lease that it has requested last. A renewal without an answer may be carried out 2 to 12 s later, and if its lease counts from then, the runs outlive that bound: nothing makes the worker reject the renewal, as the fencing token rises only after a start order.

--- a/scenarios/soak_workers.py
+++ b/scenarios/soak_workers.py
@@ -50,6 +50,8 @@
 HEARTBEAT_LIMIT_S = 1.0
 # Time after which an unanswered call's channel is closed, in seconds.
 UNANSWERED_S = 15.0
+# How long renewals are carried out late, in seconds.
+GRANTS_S = 5.5
 # Time in which late calls arrive and all runs end, in seconds.
 QUIET_S = 14.0
 # Longest time between the reading of a list and the log line on it, in milliseconds.
@@ -68,6 +70,7 @@
         agent: Its agent.
         rng: Source of its faults.
         late: Share of the calls that are carried out late, without an answer.
+        late_grants: The same for renewals, whose lease counts from their arrival.
         silent: Share of the calls that are carried out, without an answer.
         slow_ms: Longest delay of calls, and of answers.
         beat_delay_ms: Longest delay of heartbeats.
@@ -79,6 +82,7 @@
     session: aiohttp.ClientSession
     agent: Daemon | None = None
     late: float = 0.0
+    late_grants: float = 0.0
     silent: float = 0.0
     slow_ms: int = 0
     beat_delay_ms: int = 0
@@ -97,10 +101,13 @@
         path = request.url.path
         target = request.headers.get("x-catkincross-target-instance", "")
         body = await request.json()
-        if self.rng.random() < self.late:
-            delay_s = self.rng.randint(*LATE_MS) / 1_000
+        moves_grant = path == "/hold" and self.rng.random() < self.late_grants
+        if moves_grant or self.rng.random() < self.late:
+            delay_ms = self.rng.randint(*LATE_MS)
+            if moves_grant and "until_ms" in body:
+                body["until_ms"] += delay_ms
             loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._call, target, path, body)
+            loop.call_later(delay_ms / 1_000, self._call, target, path, body)
             await asyncio.sleep(UNANSWERED_S)
         is_silent = self.rng.random() < self.silent
         await self._delay()
@@ -220,6 +227,13 @@
     await _for_a_while(host, "late", host.rng.choice((0.2, 0.7, 1.0)), length_s)
 
 
+@fault
+async def late_grants(host: WorkerHost, length_s: float) -> None:
+    """Carry out renewals seconds later; their leases count from the arrival."""
+    share = host.rng.choice((0.05, 0.2, 0.5))
+    await _for_a_while(host, "late_grants", share, GRANTS_S)
+
+
 @fault
 async def lost_answers(host: WorkerHost, length_s: float) -> None:
     """Carry out calls at once, and lose their answers."""
@@ -275,6 +289,15 @@
     host.worker.resize(now_ms(), CAPACITY)
 
 
+@fault
+async def foreign_heartbeat(host: WorkerHost, length_s: float) -> None:
+    """Send a heartbeat of a writer that is no worker of the host."""
+    other = TimedWorker(instance=f"foreign{now_ms()}")
+    other.begin_life(now_ms())
+    body = other.heartbeat(now_ms(), host.rng.choice((SERVICE, "unknown")))
+    await host.put(other.instance, body, 0.0)
+
+
 @fault
 async def cut_worker(host: WorkerHost, length_s: float) -> None:
     """Cut a worker from its agent; it runs on, and its heartbeats go on."""
--- a/scenarios/strict_fuzz.py
+++ b/scenarios/strict_fuzz.py
@@ -22,7 +22,7 @@
 from standins.strict_worker import StrictWorker
 
 from .platform_effects import CALL_MS
-from .platform_model import SETTLE_MS, job
+from .platform_model import SERVICE, SETTLE_MS, job
 from .strict_model import PROMPT, Fate, StrictModel
 from .volatile_requests import Request
 
@@ -59,6 +59,7 @@
     Attributes:
         late: Agents whose calls go unanswered and are carried out late, with the share
             of the calls.
+        late_grants: The same for renewals, whose lease counts from their arrival.
         slow: Agents whose calls are delayed and overtake each other, with the longest
             delay in milliseconds.
         silent: Agents that get no answers to a share of the calls.
@@ -71,6 +72,7 @@
     rng: random.Random = attrs.field(init=False)
     model: StrictModel = attrs.field(init=False)
     late: dict[str, float] = attrs.field(factory=dict)
+    late_grants: dict[str, float] = attrs.field(factory=dict)
     slow: dict[str, int] = attrs.field(factory=dict)
     silent: dict[str, float] = attrs.field(factory=dict)
     beats: dict[str, int] = attrs.field(factory=dict)
@@ -187,6 +189,8 @@
         rng = self.rng
         if rng.random() < self.late.get(agent, 0.0):
             return Fate(rng.randint(*LATE_MS), None)
+        if path == "/hold" and rng.random() < self.late_grants.get(agent, 0.0):
+            return Fate(rng.randint(*LATE_MS), None, grant_moves=True)
         if rng.random() < self.silent.get(agent, 0.0):
             return Fate(CALL_MS, None)
         longest_ms = self.slow.get(agent)
@@ -209,7 +213,7 @@
         if model.now_ms >= end_ms:
             return
         agent = f"u{rng.randrange(AGENTS)}"
-        kind = rng.choice(self.kinds or tuple(FAULTS))
+        kind = rng.choice(self.kinds or sorted(FAULTS))
         length_ms = rng.choice((100, 400, 1_000, 2_500, 4_000))
         self.actions.append(f"{model.now_ms} {kind} {agent} {length_ms}")
         FAULTS[kind](self, agent, length_ms)
@@ -224,6 +228,8 @@
 
 
 FAULTS: dict[str, Callable[[Fuzz, str, int], None]] = {}
+# Faults that let an agent take another process for its worker.
+IDENTITY_FAULTS = ("crash", "foreign_heartbeat", "late_heartbeats", "wall_clock")
 
 
 def fault(function: Callable[[Fuzz, str, int], None]) -> Any:
@@ -238,6 +244,13 @@
     fuzz.for_a_while(fuzz.late, agent, fuzz.rng.choice((0.2, 0.7, 1.0)), length_ms)
 
 
+@fault
+def late_grants(fuzz: Fuzz, agent: str, length_ms: int) -> None:
+    """Carry out renewals seconds later; their leases count from the arrival."""
+    share = fuzz.rng.choice((0.05, 0.2, 0.5))
+    fuzz.for_a_while(fuzz.late_grants, agent, share, 5_500)
+
+
 @fault
 def lost_answers(fuzz: Fuzz, agent: str, length_ms: int) -> None:
     """Carry out calls at once, and lose their answers."""
@@ -286,6 +299,24 @@
     model.at(rng.randint(500, 4_000), leave)
 
 
+@fault
+def wall_clock(fuzz: Fuzz, agent: str, length_ms: int) -> None:
+    """Set the wall clock of a worker's host, by which the next process is born."""
+    error_ms = fuzz.rng.choice((0, 3_000, 20_000))
+    fuzz.model.machines[agent].wall_clock_error_ms = error_ms
+
+
+@fault
+def foreign_heartbeat(fuzz: Fuzz, agent: str, length_ms: int) -> None:
+    """Send a heartbeat of a writer that is no worker of the host."""
+    model = fuzz.model
+    other = StrictWorker(instance=f"foreign-{model.now_ms}")
+    other.begin_life(model.now_ms - fuzz.rng.choice((0, 0, 60_000)))
+    service = fuzz.rng.choice((SERVICE, "unknown"))
+    body = other.heartbeat(model.now_ms, service)
+    model.put_heartbeat(agent, other.instance, body)
+
+
 @fault
 def cut_worker(fuzz: Fuzz, agent: str, length_ms: int) -> None:
     """Cut a worker from its agent; its runs go on until the lease ends."""
--- a/scenarios/strict_model.py
+++ b/scenarios/strict_model.py
@@ -39,11 +39,13 @@
         delay_ms: Time until the worker carries it out; None if it never does.
         answer_ms: Further time until the answer arrives; None if it is lost.
         lists_first: Whether the lists of a renewal are read before its wait.
+        grant_moves: Whether the time of a lease counts from the arrival of the call.
     """
 
     delay_ms: int | None = CALL_MS
     answer_ms: int | None = CALL_MS
     lists_first: bool = False
+    grant_moves: bool = False
 
 
 PROMPT = Fate()
@@ -206,6 +208,8 @@
             if machine.is_down(self.now_ms):
                 answer_later(None)
                 return
+            if fate.grant_moves and "until_ms" in body:
+                body["until_ms"] += fate.delay_ms
             status, fields = machine.call(self.now_ms, target, path, body)
             wait_ms = body.get("wait_ms", 0)
             if status == 200 and wait_ms and not fields["finished"]:
