Keep the order of held messages in the fuzz of strict workers

Cause: a freeze that was drawn during another one moved the end of the first, and the model then delivered messages on one link out of their order: a stop before its start.

Change: a process that stands still already is not frozen again.

--- a/scenarios/strict_fuzz.py
+++ b/scenarios/strict_fuzz.py
@@ -21,7 +21,7 @@
 from catkincross.peers import Answer
 from standins.strict_worker import StrictWorker
 
-from .platform_effects import CALL_MS
+from .platform_effects import CALL_MS, Host
 from .platform_model import SERVICE, SETTLE_MS, job
 from .strict_model import PROMPT, Fate, StrictModel
 from .volatile_requests import Request
@@ -219,6 +219,15 @@
         FAULTS[kind](self, agent, length_ms)
         model.at(rng.randint(50, 1_200), lambda: self._disturb_repeatedly(end_ms))
 
+    def freeze(self, host: Host, length_ms: int) -> None:
+        """Let a process stand still, unless it does already.
+
+        The messages that it holds would be overtaken by later ones if the end of the
+        freeze were moved.
+        """
+        if self.model.awake(host):
+            host.frozen_until_ms = self.model.now_ms + length_ms
+
     def for_a_while(
         self, table: dict[str, Any], agent: str, value: Any, ms: int
     ) -> None:
@@ -360,7 +369,7 @@
     """Let an agent stand still."""
     host = fuzz.model.workers.get(agent)
     if host is not None:
-        host.frozen_until_ms = fuzz.model.now_ms + length_ms
+        fuzz.freeze(host, length_ms)
 
 
 @fault
@@ -369,7 +378,7 @@
     name = f"e{fuzz.rng.randrange(ENTRIES)}"
     node = fuzz.model.nodes.get(name)
     if node is not None:
-        node.host.frozen_until_ms = fuzz.model.now_ms + min(length_ms, 2_500)
+        fuzz.freeze(node.host, min(length_ms, 2_500))
 
 
 @fault
