Raise the fencing token after a renewal without an answer

Late renewals of an agent that stood still kept its runs going after its entry had given them up.

Change: the next call after an unanswered renewal carries a higher token, as for start orders, so the worker rejects the late renewal. The model of strict workers reports unanswered renewals as the daemon does.

Result: test_runs_of_an_agent_that_stands_still_end_before_they_are_given_up failed before and passes.

--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -207,6 +207,7 @@
             raise
         self._set_worker_reachable(reply is not None)
         if reply is None:
+            self.core.handle_renewal_unanswered(renewal)
             return False
         self.core.handle_renewal_reply(self.clock.now_ms(), sent_ms, renewal, reply)
         self.core_loop.schedule_step()
--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -249,6 +249,15 @@
         if candidate is not None:
             register_worker(state, candidate.registration, candidate.heartbeat_ms)
 
+    def handle_renewal_unanswered(self, renewal: LeaseRenewal) -> None:
+        """Raise the fencing token after a renewal without an answer.
+
+        The worker may carry it out seconds later, and count the lease from then on. It
+        rejects the renewal once it has got a call with the higher token.
+        """
+        if renewal.until_ms is not None and self.state.fence == renewal.fence:
+            self.state.fence += 1
+
     def handle_renewal_fenced(self, now_ms: int, renewal: LeaseRenewal) -> None:
         """Raise the fencing token after the worker rejected it as too low."""
         self.state.now_ms = now_ms
--- a/scenarios/strict_model.py
+++ b/scenarios/strict_model.py
@@ -312,6 +312,8 @@
                 reply = _read_renewal_reply(fields)
                 host.core.handle_renewal_reply(self.now_ms, sent_ms, renewal, reply)
                 self.step(host)
+            else:
+                host.core.handle_renewal_unanswered(renewal)
             done(status == 200)
 
         self._exchange(host, renewal.worker, "/hold", body, receive)
