Stop runs that their entry has forgotten or superseded

Cause: an entry ignored runs in reports and progress that it had forgotten (the job) or replaced (a higher run number). Their agent kept them for as long as the entry gave leases, to their end, beside the next run. Progress of a run of the entry's earlier process counted for the present run of the same number at another agent, which was stopped as stalled.

Change: `RunningTask.owned` tells whether a run is of a volatile job and was ordered or claimed by the receiving process. Owned runs that are not the newest ones of a task are stopped when a report or progress names them, progress only after the report on the same link. Progress counts only from the agent that has the run, and agents leave out runs of an earlier process. Runs that no entry has claimed, and runs of stored jobs, are treated as before. The lines in workers/ fill the new field.

The test of an earlier process's progress takes a step after each message now: without steps for 2,250 ms the entry gives up all jobs, so that the test failed with any code. It fails without the change for its own reason.

Why it works: an agent repeats what it has with each progress, so a run that no task names is found and stopped within one interval.

--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -16,7 +16,7 @@
 from ._agents import AgentInfo
 from ._effects import ClaimShard
 from ._requests import stop_run
-from ._runs import handle_ends
+from ._runs import handle_ends, stop_unknown_run
 from ._shard import Shard, ShardPhase
 from ._state import OwnerState, agent_handler
 
@@ -275,8 +275,10 @@
         runs_on_worker.add((running.task, running.run))
         found = state.find_task(running.task)
         if found is None:
-            # The run may belong to a volatile job of another entry; the agent stops it
-            # if no entry knows it.
+            if running.owned and shard is state.volatile:
+                stop_unknown_run(state, agent_info, running)
+            # Other runs may belong to a volatile job of another entry; the agent stops
+            # them if no entry knows them.
             continue
         if _adopt_run(state, agent_info, running):
             step_spec = found[1].step_spec
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -3,7 +3,16 @@
 from __future__ import annotations
 
 from ..jobs import Task, TaskEnd, TasksEnded, TaskState
-from ..peers import ANOTHER_RUN, EndedRun, Ends, Logged, NotStarted, Progress
+from ..peers import (
+    ANOTHER_RUN,
+    EndedRun,
+    Ends,
+    Logged,
+    NotStarted,
+    Progress,
+    RunningTask,
+    Stop,
+)
 from ._agents import AgentInfo
 from ._crashes import handle_crash, requeue_ended_run
 from ._requests import job_ended, stop_run
@@ -296,14 +305,18 @@
 ) -> None:
     """Record the progress of runs, and stop those that have stalled.
 
-    A stop is repeated for runs that were already told to stop.
+    A stop is repeated for runs that were already told to stop. Only the agent that has
+    the newest run counts; runs that are forgotten or superseded are stopped.
     """
     for running in message.running:
         found = state.find_task(running.task)
-        if found is None:
+        if found is None or found[1].run != running.run:
+            _stop_if_unknown(state, agent_info, running)
             continue
         shard, task = found
-        if task.state is not TaskState.ASSIGNED or task.run != running.run:
+        if task.state is TaskState.WAITING:
+            _stop_if_unknown(state, agent_info, running)
+        if task.state is not TaskState.ASSIGNED or task.agent != agent_info.name:
             continue
         if task.stopping:
             stop_run(state, shard, task)
@@ -316,6 +329,40 @@
             _stop_if_stalled(state, shard, agent_info, task)
 
 
+def _stop_if_unknown(
+    state: OwnerState, agent_info: AgentInfo, running: RunningTask
+) -> None:
+    """Stop a run that is not the newest one of a task, if this process ordered it.
+
+    The agent's report comes first: it may have a run of which the owner has given up
+    to hear, and which the owner then adopts.
+    """
+    if running.owned and state.volatile.number in agent_info.reported_shards:
+        stop_unknown_run(state, agent_info, running)
+
+
+def stop_unknown_run(
+    state: OwnerState, agent_info: AgentInfo, running: RunningTask
+) -> None:
+    """Stop a run of this process that its job, forgotten or not, no longer has.
+
+    The agent would keep it for as long as this entry gives leases.
+    """
+    found = state.find_task(running.task)
+    if found is not None and found[0] is not state.volatile:
+        return
+    stop = Stop(state.volatile.number, state.volatile.epoch, running.task, running.run)
+    state.send_to_agent(agent_info.name, stop)
+    state.note(
+        "unknown run stopped",
+        task=running.task,
+        run=running.run,
+        newest_run=found[1].run if found is not None else 0,
+        agent=agent_info.name,
+        holder=found[1].agent if found is not None else "",
+    )
+
+
 def _stop_if_stalled(
     state: OwnerState, shard: Shard, agent_info: AgentInfo, task: Task
 ) -> None:
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -24,12 +24,15 @@
         run: Number of the run.
         checkpoint: Newest checkpoint of the run; empty for none.
         percent: Progress of the run, 0 to 100.
+        owned: Whether the run is of a volatile job, and was ordered or claimed by the
+            receiving entry's process.
     """
 
     task: str
     run: int
     checkpoint: str = ""
     percent: int = 0
+    owned: bool = True
 
 
 @attrs.frozen
@@ -276,7 +279,10 @@
 @register_message
 @attrs.frozen
 class Progress:
-    """Progress of the receiving entry's runs on an agent's worker."""
+    """Progress of the receiving entry's runs on an agent's worker.
+
+    Runs of volatile jobs that an earlier process of the entry ordered are left out.
+    """
 
     running: list[RunningTask]
 
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -17,7 +17,6 @@
     NotStarted,
     Report,
     ReportTo,
-    RunningTask,
     Sizes,
     Start,
     Stop,
@@ -27,7 +26,7 @@
 from ._entry_info import EntryInfo, ShardLease
 from ._exclusive_runs import exclusivity_refusal
 from ._links import REPORT_LINK_MS, clear_suspicion, update_offered
-from ._run import Run
+from ._run import Run, running_task
 from ._state import WorkerState
 
 ENTRY_HANDLERS: dict[type[Any], Callable[[WorkerState, EntryInfo, Any], None]] = {}
@@ -132,7 +131,7 @@
         return
     entry_info.reported.add((shard, epoch))
     running = [
-        RunningTask(run.task, run.number, run.checkpoint, run.percent)
+        running_task(run)
         for run in state.runs.values()
         if _in_report(run, shard, entry_info)
     ]
--- a/catkincross/workers/_reporting.py
+++ b/catkincross/workers/_reporting.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from ..peers import AgentState, Progress, RunningTask, WorkerProfile
+from ..peers import AgentState, Progress, WorkerProfile
 from ._entry_info import EntryInfo
 from ._exclusive_runs import offered_capacity
+from ._run import running_task
 from ._state import WorkerState
 
 
@@ -119,9 +120,11 @@
 
 def _send_progress(state: WorkerState, entry_info: EntryInfo) -> None:
     running = [
-        RunningTask(run.task, run.number, run.checkpoint, run.percent)
+        running_task(run)
         for run in state.runs.values()
-        if run.confirmed_ms is not None and state.owner_of_run(run) == entry_info.name
+        if run.confirmed_ms is not None
+        and state.owner_of_run(run) == entry_info.name
+        and run.entry_incarnation in (0, entry_info.incarnation)
     ]
     if running:
         state.send(entry_info.name, Progress(running))
--- a/catkincross/workers/_run.py
+++ b/catkincross/workers/_run.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ..jobs import VOLATILE_SHARD
-from ..peers import EndedRun
+from ..peers import EndedRun, RunningTask
 
 
 @attrs.define(eq=False)
@@ -82,6 +82,12 @@
         return self.expires_ms or None
 
 
+def running_task(run: Run) -> RunningTask:
+    """Return what the entry of a run is told of it."""
+    owned = run.shard == VOLATILE_SHARD and bool(run.entry)
+    return RunningTask(run.task, run.number, run.checkpoint, run.percent, owned)
+
+
 @attrs.frozen
 class CrashReport:
     """A run that was lost in a crash of the worker, until the owner has recorded it.
--- a/tests/test_platform_forgotten_runs.py
+++ b/tests/test_platform_forgotten_runs.py
@@ -12,6 +12,7 @@
     AgentState,
     EndedRun,
     Ends,
+    Lease,
     NotStarted,
     Progress,
     Report,
@@ -20,7 +21,14 @@
     Stop,
     WorkerProfile,
 )
+from catkincross.workers import SendToEntry
 from scenarios.platform_model import SERVICE, job
+from tests.test_platform_unanswered import (
+    TASK as TASK_OF_AGENT,
+    order_run,
+    ready_core,
+    reply,
+)
 
 JOB = "5c0e7a21d94b36f8"
 TASK = f"{JOB}.0.0.0"
@@ -116,6 +124,16 @@
     )
 
 
+def progress_in(effects: list[Any]) -> list[RunningTask]:
+    """Return the runs of which an agent tells the progress."""
+    return [
+        run
+        for effect in effects
+        if isinstance(effect, SendToEntry) and isinstance(effect.message, Progress)
+        for run in effect.message.running
+    ]
+
+
 @pytest.mark.parametrize("message", ["progress", "report"])
 def test_a_run_of_a_forgotten_job_is_stopped(message: str) -> None:
     """Its agent keeps it for as long as this entry gives leases.
@@ -202,16 +220,19 @@
     """
     entry, agent, start = started("u1", "u2")
     other = {"u1": "u2", "u2": "u1"}[agent]
+    sent: list[tuple[str, Any]] = []
     for percent in range(0, 60, 2):
         entry.now_ms += 50
         running = RunningTask(TASK, start.run, "", percent)
         entry.receive(agent, Progress([running]))
         # The present run makes progress, the earlier one does not.
         entry.receive(other, Progress([RunningTask(TASK, start.run, "", 10)]))
+        # An entry without steps for 2,250 ms gives up its jobs.
+        sent += entry.step()
     assert entry.core.state.find_task(TASK)[1].percent == 58
     entry.now_ms += 800
     entry.receive(other, Progress([RunningTask(TASK, start.run, "", 10)]))
-    assert stops_in(entry.step()) == []
+    assert stops_in(sent + entry.step()) == []
 
 
 def test_a_report_of_another_host_of_the_same_name_ends_no_runs() -> None:
@@ -230,3 +251,27 @@
     entry.receive(agent, other_worker)
     entry.receive(agent, Report(VOLATILE, INCARNATION, [], [], 99, 0))
     assert starts_in(entry.step()) == []
+
+
+def test_a_run_that_no_entry_has_claimed_is_not_stopped() -> None:
+    """It may be one of another entry's job, which learns of it at the same time."""
+    entry = Entry("u1")
+    orphan = RunningTask(TASK, 1, "", 40, owned=False)
+    entry.receive("u1", report(orphan, acked_order=0))
+    entry.receive("u1", Progress([orphan]))
+    assert stops_in(entry.step()) == []
+
+
+def test_an_agent_tells_no_progress_of_runs_of_an_earlier_process() -> None:
+    """The entry's present process would take them for its own."""
+    core = ready_core()
+    order_run(core)
+    running = RunningTask(TASK_OF_AGENT, 1, "", 30)
+    core.handle_renewal_reply(5, 1, core.next_renewal(1), reply(5, (running,)))
+    assert progress_in(core.step(300)) == [running]
+    core.handle_entry_lost(310, "e1")
+    core.handle_entry_connected(320, "e1")
+    core.handle_entry_message(330, "e1", Lease(330, 2_000, [], INCARNATION + 3, 800))
+    core.handle_renewal_reply(340, 335, core.next_renewal(335), reply(340, (running,)))
+    assert progress_in(core.step(600)) == []
+    assert (TASK_OF_AGENT, 1) in core.state.runs
