Count ends of runs only from the agent that has the run

Cause: an end with a higher number than the task's run was taken for that of the newest run, whoever told it, and the comparison of agents was left out for crashes. An end of an earlier life of the job started the task again beside its present run, and raised its number, so that the end of the present run counted as superseded.

Change: while an agent has a task, only the end of its run, by number, ends the task. `done` of a newer run of a stored job still completes it, since an owner may have adopted an earlier run after a takeover. A crash that another agent reports is counted, and changes nothing else. Whether a crash ends the present run is decided when it is durable, since another run may have been adopted meanwhile.

Why it works: a task returns to the queue only by an end of the run that keeps it out of the queue.

--- a/catkincross/owner/_crashes.py
+++ b/catkincross/owner/_crashes.py
@@ -21,20 +21,21 @@
     """Append a crash to the log, and count it once it is durable.
 
     The task is not started again before that. A crash under an earlier run than the
-    newest one is counted too; a crash that was reported before is not.
+    newest one is counted too, and so is one of an agent that does not have the task; a
+    crash that was reported before is not.
 
     Returns:
         Whether the agent may forget the report now.
     """
     if task.state is TaskState.DONE or ended_run.run in task.crashes:
-        requeue_ended_run(state, task, ended_run.run)
+        requeue_ended_run(state, agent_info, task, ended_run.run)
         return True
     key = (task.name, ended_run.run)
     shard.pending_ends.add(key)
-    holds_task = task.state is TaskState.WAITING or task.run <= ended_run.run
+    held_run = ended_run.run
     if task.state is TaskState.WAITING:
-        state.assign(task, agent_info, max(task.run, ended_run.run))
-    task.run = max(task.run, ended_run.run)
+        held_run = max(task.run, ended_run.run)
+        state.assign(task, agent_info, held_run)
     job = task.job
     task_end = TaskEnd(
         job.spec.id,
@@ -51,10 +52,15 @@
     def count_crash(now_ms: int) -> None:
         shard.pending_ends.discard(key)
         open_before = job.final_state is None
+        present_run = task.run
+        ends_present_run = holds_run(agent_info, task, held_run)
         job.apply_end(task_end, now_ms)
+        if task.state is TaskState.ASSIGNED and not ends_present_run:
+            # The crash may be of an earlier life of the job, with a higher number.
+            task.run = present_run
         _note_crash(state, agent_info, task, ended_run)
         state.health.record_no_start(agent_info.name)
-        if holds_task:
+        if ends_present_run:
             state.requeue(task)
         state.send_to_agent(
             agent_info.name, Logged([], worker_incarnation, [ended_run.crash_number])
@@ -72,9 +78,20 @@
     return False
 
 
-def requeue_ended_run(state: OwnerState, task: Task, run: int) -> None:
-    """Queue a task again if its newest run is one whose end is already counted."""
-    if task.state is TaskState.ASSIGNED and task.run == run:
+def holds_run(agent_info: AgentInfo, task: Task, run: int) -> bool:
+    """Whether an agent has the newest run of a task, and this is its number."""
+    return (
+        task.state is TaskState.ASSIGNED
+        and task.agent == agent_info.name
+        and task.run == run
+    )
+
+
+def requeue_ended_run(
+    state: OwnerState, agent_info: AgentInfo, task: Task, run: int
+) -> None:
+    """Queue a task again if the newest run is one whose end is already counted."""
+    if holds_run(agent_info, task, run):
         state.requeue(task)
 
 
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -14,7 +14,7 @@
     Stop,
 )
 from ._agents import AgentInfo
-from ._crashes import handle_crash, requeue_ended_run
+from ._crashes import handle_crash, holds_run, requeue_ended_run
 from ._requests import job_ended, stop_run
 from ._shard import END_BATCH_DELAY_MS, Shard
 from ._state import OwnerState, agent_handler
@@ -104,14 +104,9 @@
         )
     if ended_run.how == "failed" and ended_run.run in task.failed_runs:
         # The worker lists the end until it knows that it is durable.
-        requeue_ended_run(state, task, ended_run.run)
+        requeue_ended_run(state, agent_info, task, ended_run.run)
         return True
-    elsewhere = (
-        task.state is TaskState.ASSIGNED
-        and task.run == ended_run.run
-        and task.agent != agent_info.name
-    )
-    if task.state is TaskState.DONE or ended_run.run < task.run or elsewhere:
+    if _is_superseded(agent_info, task, ended_run):
         state.note(
             "end of a superseded run",
             task=ended_run.task,
@@ -142,6 +137,21 @@
     return False
 
 
+def _is_superseded(agent_info: AgentInfo, task: Task, ended_run: EndedRun) -> bool:
+    """Whether an end is not of the newest run of a task that is not done.
+
+    While an agent has the task, only the end of its run counts. An owner that has taken
+    over a stored job may have adopted an earlier run than the newest one, which
+    completes the task if it is `done`.
+    """
+    if task.state is TaskState.DONE or ended_run.run < task.run:
+        return True
+    if task.state is TaskState.WAITING or holds_run(agent_info, task, ended_run.run):
+        return False
+    completes = ended_run.how == "done" and not task.job.spec.volatile
+    return ended_run.run == task.run or not completes
+
+
 def _append_end(
     state: OwnerState,
     shard: Shard,
