Remember volatile jobs and their run numbers while runs may go on

Cause: a job that had failed or completed was forgotten after 4 s although agents had runs of its other tasks. Submitted again, it began anew beside them, and numbered its runs from 1, so that ends and stops of earlier runs were taken for those of the present ones.

Change: a job is forgotten only without assigned tasks. The highest run number of each forgotten job is kept for 30 s (RUN_NUMBERS_MEMORY_MS), and that of an unknown run which is stopped too; further runs are numbered above it. Numbers are dropped in the order in which they were recorded.

Why it works: within one process of an entry no run of a job gets the number of an earlier one while messages about that one may still arrive.

--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -361,6 +361,10 @@
     found = state.find_task(running.task)
     if found is not None and found[0] is not state.volatile:
         return
+    if found is None:
+        # The answer must not be taken for the end of a later run of the job.
+        job_id = running.task.partition(".")[0]
+        state.volatile.remember_runs(job_id, running.run, state.now_ms)
     stop = Stop(state.volatile.number, state.volatile.epoch, running.task, running.run)
     state.send_to_agent(agent_info.name, stop)
     state.note(
--- a/catkincross/owner/_shard.py
+++ b/catkincross/owner/_shard.py
@@ -35,6 +35,11 @@
 # acceptances in the same append are not delayed by the records of many jobs.
 MAX_REWRITE_BYTES = 262_144
 
+# The run numbers of a forgotten job are remembered for this long, in milliseconds.
+# Agents report crashes for 10 s after they have noticed them; a worker that is lost
+# shows its crash when it is back, which takes some seconds.
+RUN_NUMBERS_MEMORY_MS = 30_000
+
 
 class ShardPhase(enum.Enum):
     """Whether an owner has read the records of a shard."""
@@ -333,8 +338,9 @@
         resubmissions: Repeated submissions of a job that was given up, by job ID; each
             is carried out once no worker has a run of the job.
         given_up_ms: Time at which each job was given up that may have run, by job ID.
-        highest_runs: Highest run number of each of these jobs that is forgotten, by job
-            ID. If the job begins anew, its runs are numbered above it.
+        highest_runs: Highest run number of each job that was forgotten lately, by job
+            ID, with the time at which it was recorded; the oldest comes first. If the
+            job begins anew, its runs are numbered above it.
         crash_ends: Crashes under the tasks of jobs that were forgotten, by job ID, with
             the time at which the job was forgotten.
     """
@@ -342,7 +348,7 @@
     requests: dict[str, list[Any]] = attrs.field(factory=dict)
     resubmissions: dict[str, list[Resubmission]] = attrs.field(factory=dict)
     given_up_ms: dict[str, int] = attrs.field(factory=dict)
-    highest_runs: dict[str, int] = attrs.field(factory=dict)
+    highest_runs: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     crash_ends: dict[str, tuple[int, tuple[TaskEnd, ...]]] = attrs.field(factory=dict)
 
     @classmethod
@@ -350,6 +356,24 @@
         """Return the shard of the entry's process with this incarnation."""
         return cls(VOLATILE_SHARD, incarnation, ShardPhase.OPEN)
 
+    def remember_runs(self, job_id: str, run: int, now_ms: int) -> None:
+        """Keep the number of a run of a forgotten job, which it must not use again."""
+        _, highest_run = self.highest_runs.pop(job_id, (0, 0))
+        if run or highest_run:
+            self.highest_runs[job_id] = now_ms, max(run, highest_run)
+
+    def remembered_run(self, job_id: str) -> int:
+        """Return the highest number of the earlier runs of a job; 0 for none."""
+        return self.highest_runs.get(job_id, (0, 0))[1]
+
+    def forget_run_numbers(self, now_ms: int) -> None:
+        """Drop the run numbers of jobs whose late ends have all arrived."""
+        while self.highest_runs:
+            job_id, (recorded_ms, _) = next(iter(self.highest_runs.items()))
+            if now_ms - recorded_ms <= RUN_NUMBERS_MEMORY_MS:
+                break
+            del self.highest_runs[job_id]
+
     def remember_crashes(self, job: Job, now_ms: int) -> None:
         """Keep the crashes under a job that is forgotten, for a repeated submission."""
         ends = job.crash_ends()
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -304,8 +304,7 @@
         self.volatile_changes[job.spec.id] = (
             VolatileChange.GIVEN_UP if may_have_run else VolatileChange.DROPPED
         )
-        if may_have_run:
-            self.volatile.highest_runs[job.spec.id] = job.highest_run
+        self.volatile.remember_runs(job.spec.id, job.highest_run, self.now_ms)
         self.volatile.remember_crashes(job, self.now_ms)
         self.volatile.forget(job.spec.id)
         for resubmission in self.volatile.resubmissions.pop(job.spec.id, []):
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -69,8 +69,9 @@
     if job.final_state is not None:
         reply(state, request, "state", job.state)
         return
-    if spec.id in shard.highest_runs:
-        job.number_runs_above(shard.highest_runs[spec.id])
+    earlier_run = shard.remembered_run(spec.id)
+    if earlier_run:
+        job.number_runs_above(earlier_run)
     rejection = check_admission(state, shard, job)
     if rejection is not None:
         _reject(state, request, spec.id, rejection.reason, rejection.retry_after_ms)
@@ -177,12 +178,16 @@
 
 
 def _forget_old_jobs(state: OwnerState) -> None:
-    """Forget jobs that ended or were given up too long ago to be asked for."""
+    """Forget jobs that ended or were given up too long ago to be asked for.
+
+    A job is remembered while an agent may have a run of it: another submission would
+    begin it anew beside that run.
+    """
     shard = state.volatile
     for job_id, given_up_ms in list(shard.given_up_ms.items()):
         if state.now_ms - given_up_ms > GIVEN_UP_MEMORY_MS:
             del shard.given_up_ms[job_id]
-            shard.highest_runs.pop(job_id, None)
+    shard.forget_run_numbers(state.now_ms)
     for job_id, (forgotten_ms, _) in list(shard.crash_ends.items()):
         if state.now_ms - forgotten_ms > GIVEN_UP_MEMORY_MS:
             del shard.crash_ends[job_id]
@@ -191,9 +196,15 @@
             job.final_state is not None
             and state.now_ms - job.ended_ms > ENDED_JOB_RETENTION_MS
         ):
-            if job.final_state is not JobState.CANCELLED:
-                shard.remember_crashes(job, state.now_ms)
-                shard.forget(job_id)
+            if job.final_state is JobState.CANCELLED or _has_assigned_tasks(job):
+                continue
+            shard.remember_runs(job_id, job.highest_run, state.now_ms)
+            shard.remember_crashes(job, state.now_ms)
+            shard.forget(job_id)
+
+
+def _has_assigned_tasks(job: Job) -> bool:
+    return any(task.state is TaskState.ASSIGNED for task in job.all_tasks())
 
 
 def _starts_too_late(state: OwnerState, job: Job) -> bool:
@@ -273,7 +284,7 @@
         late = state.now_ms > latest_start_ms(job, state.estimates)
     else:
         late = state.now_ms > job.arrived_ms + objective_ms(job, state.estimates)
-    if not late or any(task.state is TaskState.ASSIGNED for task in job.all_tasks()):
+    if not late or _has_assigned_tasks(job):
         return
     service = job.spec.policy.service
     if all(
