Keep runs of a replaced host until its leases have ended

Cause: an entry took the report of any agent for that of the host with the same name that had the tasks. The report of another host, without their runs, started the tasks elsewhere while the first host was cut off and ran on.

Change: an entry remembers the incarnations of the agent and of the worker that reported last. If both differ in the next report, the assigned tasks move to an entry of its own for the first host, and are started again once the leases that it may have got have ended. An agent that was restarted beside its worker is reconciled at once, as before, and so is one whose worker was restarted. Tasks of a host of which both were restarted wait for the end of the leases too.

Why it works: the end of leases does not depend on who has the name now.

--- a/catkincross/owner/_agents.py
+++ b/catkincross/owner/_agents.py
@@ -38,6 +38,8 @@
         drained: Whether the agent has told that it shuts down without runs.
         lease_sent_ms: Time at which the newest lease was sent; the time until the runs
             of a lost agent must have been stopped counts from it.
+        former_lease_ms: Time at which the newest lease was sent to an earlier process
+            of the agent.
         lease_echo_ms: Reading of the agent's clock to which the newest lease answers.
         last_order: Number of the last start order on the link.
         unacknowledged_orders: Steps of the start orders that `state` does not account
@@ -46,6 +48,9 @@
             run; 0 for none.
         reported_shards: Numbers of the shards that the agent has reported on the link.
         assigned_tasks: Tasks whose newest run the agent has, or may have.
+        reported_host: Incarnation of the agent and start of its worker, in milliseconds
+            since 1970, in the newest report; None before the first one.
+        replaced: Whether another host has the name now, so that nothing can be sent.
     """
 
     name: str
@@ -60,18 +65,23 @@
     lost_ms: int = 0
     drained: bool = False
     lease_sent_ms: int = 0
+    former_lease_ms: int = 0
     lease_echo_ms: int = 0
     last_order: int = 0
     unacknowledged_orders: dict[int, Step] = attrs.field(factory=dict)
     exclusive_order: int = 0
     reported_shards: set[int] = attrs.field(factory=set)
     assigned_tasks: set[Task] = attrs.field(factory=set)
+    reported_host: tuple[int, int] | None = None
+    replaced: bool = False
 
     def link_opened(self, incarnation: int, now_ms: int) -> None:
         """Record a new link, and reset the state that belongs to the previous one.
 
         Assigned tasks are kept: the agent reports whether it still has their runs.
         """
+        if incarnation != self.incarnation:
+            self.former_lease_ms = self.lease_sent_ms
         self.incarnation = incarnation
         self.connected = True
         self.drained = False
@@ -84,6 +94,41 @@
         for task in self.assigned_tasks:
             task.order_number = 0
 
+    def record_host(self, worker_incarnation: int) -> AgentInfo | None:
+        """Record which host reports, by the incarnations of its agent and its worker.
+
+        An agent that was only restarted has the same worker, and one whose worker was
+        restarted has the same incarnation. If both differ, the host may be another one
+        of the same name, and the worker of the first one may go on.
+
+        Args:
+            worker_incarnation: Start of the worker process, in milliseconds since 1970;
+                0 if it is not known.
+
+        Returns:
+            The first host, lost and with all assigned tasks, if it may be another one;
+            None otherwise.
+        """
+        host = self.incarnation, worker_incarnation
+        earlier, self.reported_host = self.reported_host, host
+        if earlier is None or earlier[0] == host[0] or not self.assigned_tasks:
+            return None
+        if earlier[1] == host[1] and worker_incarnation:
+            return None
+        former = AgentInfo(
+            f"{self.name}@{earlier[0]}",
+            earlier[0],
+            connected_ms=self.connected_ms,
+            lost_ms=self.connected_ms,
+            lease_sent_ms=self.former_lease_ms,
+            reported_host=earlier,
+            replaced=True,
+        )
+        former.assigned_tasks, self.assigned_tasks = self.assigned_tasks, set()
+        for task in former.assigned_tasks:
+            task.agent = former.name
+        return former
+
     def link_closed(self, now_ms: int) -> None:
         """Record that the link has closed, and forget what was reported on it."""
         self.connected = False
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -242,6 +242,7 @@
         return
     if shard.phase is not ShardPhase.OPEN:
         return
+    _separate_hosts(state, agent_info, message.worker_incarnation)
     agent_info.reported_shards.add(shard.number)
     state.retry_placement = True
     # The ends in a report of volatile jobs are of runs that this process has ordered.
@@ -263,6 +264,31 @@
         agents_resolved(state, shard)
 
 
+def _separate_hosts(
+    state: OwnerState, agent_info: AgentInfo, worker_incarnation: int
+) -> None:
+    """Keep the tasks of an earlier host of the same name until its leases have ended.
+
+    A host may be replaced while it is cut off, and its worker keeps its runs until the
+    leases have ended.
+    """
+    former = agent_info.record_host(worker_incarnation)
+    if former is None:
+        return
+    earlier = state.agents.get(former.name)
+    if earlier is not None:
+        former.assigned_tasks |= earlier.assigned_tasks
+    state.agents[former.name] = former
+    state.note(
+        "another host of the same name",
+        agent=agent_info.name,
+        former=former.name,
+        hosts=[former.reported_host, agent_info.reported_host],
+        tasks=len(former.assigned_tasks),
+        lease_age_ms=state.now_ms - former.lease_sent_ms,
+    )
+
+
 def _reconcile_runs(
     state: OwnerState, shard: Shard, agent_info: AgentInfo, message: Report
 ) -> None:
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -278,5 +278,9 @@
 def stop_run(state: OwnerState, shard: Shard, task: Any) -> None:
     """Send the order to stop a task's run."""
     task.stopping = True
+    holder = state.agents.get(task.agent)
+    if holder is not None and holder.replaced:
+        # The host is cut off, and its lease ends.
+        return
     stop = Stop(shard.number, shard.epoch, task.name, task.run)
     state.send_to_agent(task.agent, stop)
--- a/tests/test_platform_forgotten_runs.py
+++ b/tests/test_platform_forgotten_runs.py
@@ -275,3 +275,25 @@
     core.handle_renewal_reply(340, 335, core.next_renewal(335), reply(340, (running,)))
     assert progress_in(core.step(600)) == []
     assert (TASK_OF_AGENT, 1) in core.state.runs
+
+
+def test_an_agent_that_was_restarted_beside_its_worker_ends_missing_runs() -> None:
+    """A task would wait for the end of leases although its run is known to be over."""
+    entry, agent, start = started("u1", "u2")
+    entry.receive(agent, report(RunningTask(TASK, start.run), acked_order=start.order))
+    entry.core.handle_agent_lost(entry.now_ms, agent)
+    entry.now_ms += 300
+    entry.connect(agent, incarnation=2)
+    assert len(starts_in(entry.step())) == 1
+
+
+def test_runs_of_a_replaced_host_start_elsewhere_once_its_leases_have_ended() -> None:
+    """A task would wait for a host that never comes back."""
+    entry, agent, start = started("u1", "u2")
+    entry.receive(agent, report(RunningTask(TASK, start.run), acked_order=start.order))
+    entry.core.handle_agent_lost(entry.now_ms, agent)
+    entry.now_ms += 300
+    entry.connect(agent, incarnation=2, report_now=False)
+    entry.receive(agent, Report(VOLATILE, INCARNATION, [], [], 99, 0))
+    assert starts_in(entry.run(1_900)) == []
+    assert len(starts_in(entry.run(100))) == 1
