Compare the answer to a stop with the order of the run

Cause: an agent answers the stop of a run that it does not have with `absent`. An entry took the answer for the end of a run of the same number whose start order the agent had not read yet.

Change: the answer tells the last start order that the agent had read on the link. An answer that is older than the order of the task's run is ignored. The lines in workers/ fill the field.

Why it works: order numbers count per link, messages of a replaced link are dropped, and the number of a task's order is 0 after its link has closed.

--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -50,6 +50,14 @@
                 entry_incarnation=message.entry_incarnation,
             )
             processed.append(ended_run)
+        elif _answers_earlier_stop(state, message, ended_run):
+            state.note(
+                "answer to an earlier stop",
+                task=ended_run.task,
+                run=ended_run.run,
+                agent=agent_info.name,
+                acked_order=message.acked_order,
+            )
         elif _handle_end(state, agent_info, ended_run, incarnation):
             processed.append(ended_run)
     sequences = [end.sequence for end in processed if end.sequence]
@@ -72,6 +80,20 @@
     return job_id in volatile.jobs and entry_incarnation != volatile.epoch
 
 
+def _answers_earlier_stop(
+    state: OwnerState, message: Ends, ended_run: EndedRun
+) -> bool:
+    """Whether an agent did not have a run when it had not read its start order yet.
+
+    The stop was that of an earlier run with the same number. Order numbers of another
+    link are not compared: the number of a task's order is 0 once its link has closed.
+    """
+    if message.acked_order < 0:
+        return False
+    found = state.find_task(ended_run.task)
+    return found is not None and found[1].order_number > message.acked_order
+
+
 def _handle_end(
     state: OwnerState,
     agent_info: AgentInfo,
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -269,11 +269,15 @@
         worker_incarnation: Incarnation of the worker in which the ends are numbered.
         entry_incarnation: Incarnation of the entry that ordered the runs, for runs of
             volatile jobs; 0 for others. Each incarnation numbers such runs from 1.
+        acked_order: Number of the receiving entry's last start order that was read
+            before the stop of a run that the agent does not have; -1 for ends that do
+            not answer a stop.
     """
 
     ended: list[EndedRun]
     worker_incarnation: int
     entry_incarnation: int = 0
+    acked_order: int = -1
 
 
 @register_message
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -290,7 +290,12 @@
         if not end_pending:
             ended = EndedRun(0, message.task, message.run, "absent")
             entry_incarnation = message.epoch if volatile else 0
-            ends = Ends([ended], state.worker_incarnation, entry_incarnation)
+            ends = Ends(
+                [ended],
+                state.worker_incarnation,
+                entry_incarnation,
+                entry_info.acked_order,
+            )
             state.send(entry_info.name, ends)
             state.note(
                 "run to stop is absent",
--- a/tests/test_platform_forgotten_runs.py
+++ b/tests/test_platform_forgotten_runs.py
@@ -297,3 +297,15 @@
     entry.receive(agent, Report(VOLATILE, INCARNATION, [], [], 99, 0))
     assert starts_in(entry.run(1_900)) == []
     assert len(starts_in(entry.run(100))) == 1
+
+
+def test_the_answer_to_an_earlier_stop_does_not_end_the_present_run() -> None:
+    """An agent without the run answered a stop before it read the start order."""
+    entry, agent, start = started("u1", "u2")
+    answer = EndedRun(0, TASK, start.run, "absent")
+    entry.receive(
+        agent, Ends([answer], WORKER_INCARNATION, INCARNATION, start.order - 1)
+    )
+    assert starts_in(entry.run(500)) == []
+    entry.receive(agent, Ends([answer], WORKER_INCARNATION, INCARNATION, start.order))
+    assert len(starts_in(entry.run(500))) == 1
