--- a/catkincross/daemons/_agent.py
+++ b/catkincross/daemons/_agent.py
@@ -72,6 +72,7 @@
         core: The decision logic.
         links: Open links to entries, by address.
         connecting: Addresses to which a link is being opened.
+        links_opened: Number of links opened so far.
         leaving: Whether the agent is shutting down.
         worker_reachable: Whether the worker answered the last lease renewal.
         stopped: Event that is set when the process may end.
@@ -103,6 +104,7 @@
         self.worker = WorkerClient(settings.worker)
         self.links: dict[str, Link] = {}
         self.connecting: set[str] = set()
+        self.links_opened = 0
         self.leaving = False
         self.worker_reachable = True
         self.stopped = asyncio.Event()
@@ -219,17 +221,15 @@
         self.log.note(event, worker=self.core.state.worker)
 
     async def _start_run(self, order: StartRun) -> None:
-        worker = self.core.state.worker
-        outcome = StartOutcome.REFUSED
-        if worker:
-            try:
-                outcome = await self.worker.start(worker, order)
-            except Exception as error:
-                self.log.note_error("start order", error)
-                outcome = StartOutcome.UNANSWERED
-        self.core.handle_start_outcome(
-            self.clock.now_ms(), order.task, order.run, outcome
-        )
+        if not self.core.is_wanted(order):
+            # The entry has been told of the run's end since the order was made.
+            return
+        try:
+            outcome = await self.worker.start(order.worker, order)
+        except Exception as error:
+            self.log.note_error("start order", error)
+            outcome = StartOutcome.UNANSWERED
+        self.core.handle_start_outcome(self.clock.now_ms(), order, outcome)
         self.core_loop.schedule_step()
         if outcome is StartOutcome.UNANSWERED:
             await self._settle_order()
@@ -246,10 +246,8 @@
                     return
 
     async def _stop_run(self, order: StopRun) -> None:
-        # Before the worker has registered, any worker on the host gets the order.
-        worker = self.core.state.worker
         try:
-            await self.worker.stop(worker, order)
+            await self.worker.stop(order.worker, order)
         except Exception as error:
             # The core repeats the order until the run has ended.
             self.log.note_error("stop order", error)
@@ -298,7 +296,9 @@
         self.connecting.discard(address)
         link.peer = address
         self.links[address] = link
-        link.send(Greeting("agent", self.settings.name, self.incarnation))
+        self.links_opened += 1
+        name, number = self.settings.name, self.links_opened
+        link.send(Greeting("agent", name, self.incarnation, link_number=number))
         self.core.handle_entry_connected(self.clock.now_ms(), address)
         self.log.note("entry connected", entry=address)
         self.core_loop.schedule_step()
