--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -16,7 +16,7 @@
 from ._agents import AgentInfo
 from ._effects import ClaimShard
 from ._requests import stop_run
-from ._runs import handle_ends
+from ._runs import handle_ends, stop_unknown_run
 from ._shard import Shard, ShardPhase
 from ._state import OwnerState, agent_handler
 
@@ -242,6 +242,7 @@
         return
     if shard.phase is not ShardPhase.OPEN:
         return
+    _separate_hosts(state, agent_info, message.worker_incarnation)
     agent_info.reported_shards.add(shard.number)
     state.retry_placement = True
     # The ends in a report of volatile jobs are of runs that this process has ordered.
@@ -263,6 +264,31 @@
         agents_resolved(state, shard)
 
 
+def _separate_hosts(
+    state: OwnerState, agent_info: AgentInfo, worker_incarnation: int
+) -> None:
+    """Keep the tasks of an earlier host of the same name until its leases have ended.
+
+    A host may be replaced while it is cut off, and its worker keeps its runs until the
+    leases have ended.
+    """
+    former = agent_info.record_host(worker_incarnation)
+    if former is None:
+        return
+    earlier = state.agents.get(former.name)
+    if earlier is not None:
+        former.assigned_tasks |= earlier.assigned_tasks
+    state.agents[former.name] = former
+    state.note(
+        "another host of the same name",
+        agent=agent_info.name,
+        former=former.name,
+        hosts=[former.reported_host, agent_info.reported_host],
+        tasks=len(former.assigned_tasks),
+        lease_age_ms=state.now_ms - former.lease_sent_ms,
+    )
+
+
 def _reconcile_runs(
     state: OwnerState, shard: Shard, agent_info: AgentInfo, message: Report
 ) -> None:
@@ -275,8 +301,10 @@
         runs_on_worker.add((running.task, running.run))
         found = state.find_task(running.task)
         if found is None:
-            # The run may belong to a volatile job of another entry; the agent stops it
-            # if no entry knows it.
+            if running.owned and shard is state.volatile:
+                stop_unknown_run(state, agent_info, running)
+            # Other runs may belong to a volatile job of another entry; the agent stops
+            # them if no entry knows them.
             continue
         if _adopt_run(state, agent_info, running):
             step_spec = found[1].step_spec
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -3,9 +3,18 @@
 from __future__ import annotations
 
 from ..jobs import Task, TaskEnd, TasksEnded, TaskState
-from ..peers import ANOTHER_RUN, EndedRun, Ends, Logged, NotStarted, Progress
+from ..peers import (
+    ANOTHER_RUN,
+    EndedRun,
+    Ends,
+    Logged,
+    NotStarted,
+    Progress,
+    RunningTask,
+    Stop,
+)
 from ._agents import AgentInfo
-from ._crashes import handle_crash, requeue_ended_run
+from ._crashes import handle_crash, holds_run, requeue_ended_run
 from ._requests import job_ended, stop_run
 from ._shard import END_BATCH_DELAY_MS, Shard
 from ._state import OwnerState, agent_handler
@@ -41,6 +50,14 @@
                 entry_incarnation=message.entry_incarnation,
             )
             processed.append(ended_run)
+        elif _answers_earlier_stop(state, message, ended_run):
+            state.note(
+                "answer to an earlier stop",
+                task=ended_run.task,
+                run=ended_run.run,
+                agent=agent_info.name,
+                acked_order=message.acked_order,
+            )
         elif _handle_end(state, agent_info, ended_run, incarnation):
             processed.append(ended_run)
     sequences = [end.sequence for end in processed if end.sequence]
@@ -63,6 +80,20 @@
     return job_id in volatile.jobs and entry_incarnation != volatile.epoch
 
 
+def _answers_earlier_stop(
+    state: OwnerState, message: Ends, ended_run: EndedRun
+) -> bool:
+    """Whether an agent did not have a run when it had not read its start order yet.
+
+    The stop was that of an earlier run with the same number. Order numbers of another
+    link are not compared: the number of a task's order is 0 once its link has closed.
+    """
+    if message.acked_order < 0:
+        return False
+    found = state.find_task(ended_run.task)
+    return found is not None and found[1].order_number > message.acked_order
+
+
 def _handle_end(
     state: OwnerState,
     agent_info: AgentInfo,
@@ -95,14 +126,9 @@
         )
     if ended_run.how == "failed" and ended_run.run in task.failed_runs:
         # The worker lists the end until it knows that it is durable.
-        requeue_ended_run(state, task, ended_run.run)
+        requeue_ended_run(state, agent_info, task, ended_run.run)
         return True
-    elsewhere = (
-        task.state is TaskState.ASSIGNED
-        and task.run == ended_run.run
-        and task.agent != agent_info.name
-    )
-    if task.state is TaskState.DONE or ended_run.run < task.run or elsewhere:
+    if _is_superseded(agent_info, task, ended_run):
         state.note(
             "end of a superseded run",
             task=ended_run.task,
@@ -133,6 +159,21 @@
     return False
 
 
+def _is_superseded(agent_info: AgentInfo, task: Task, ended_run: EndedRun) -> bool:
+    """Whether an end is not of the newest run of a task that is not done.
+
+    While an agent has the task, only the end of its run counts. An owner that has taken
+    over a stored job may have adopted an earlier run than the newest one, which
+    completes the task if it is `done`.
+    """
+    if task.state is TaskState.DONE or ended_run.run < task.run:
+        return True
+    if task.state is TaskState.WAITING or holds_run(agent_info, task, ended_run.run):
+        return False
+    completes = ended_run.how == "done" and not task.job.spec.volatile
+    return ended_run.run == task.run or not completes
+
+
 def _append_end(
     state: OwnerState,
     shard: Shard,
@@ -296,14 +337,18 @@
 ) -> None:
     """Record the progress of runs, and stop those that have stalled.
 
-    A stop is repeated for runs that were already told to stop.
+    A stop is repeated for runs that were already told to stop. Only the agent that has
+    the newest run counts; runs that are forgotten or superseded are stopped.
     """
     for running in message.running:
         found = state.find_task(running.task)
-        if found is None:
+        if found is None or found[1].run != running.run:
+            _stop_if_unknown(state, agent_info, running)
             continue
         shard, task = found
-        if task.state is not TaskState.ASSIGNED or task.run != running.run:
+        if task.state is TaskState.WAITING:
+            _stop_if_unknown(state, agent_info, running)
+        if task.state is not TaskState.ASSIGNED or task.agent != agent_info.name:
             continue
         if task.stopping:
             stop_run(state, shard, task)
@@ -316,6 +361,44 @@
             _stop_if_stalled(state, shard, agent_info, task)
 
 
+def _stop_if_unknown(
+    state: OwnerState, agent_info: AgentInfo, running: RunningTask
+) -> None:
+    """Stop a run that is not the newest one of a task, if this process ordered it.
+
+    The agent's report comes first: it may have a run of which the owner has given up
+    to hear, and which the owner then adopts.
+    """
+    if running.owned and state.volatile.number in agent_info.reported_shards:
+        stop_unknown_run(state, agent_info, running)
+
+
+def stop_unknown_run(
+    state: OwnerState, agent_info: AgentInfo, running: RunningTask
+) -> None:
+    """Stop a run of this process that its job, forgotten or not, no longer has.
+
+    The agent would keep it for as long as this entry gives leases.
+    """
+    found = state.find_task(running.task)
+    if found is not None and found[0] is not state.volatile:
+        return
+    if found is None:
+        # The answer must not be taken for the end of a later run of the job.
+        job_id = running.task.partition(".")[0]
+        state.volatile.remember_runs(job_id, running.run, state.now_ms)
+    stop = Stop(state.volatile.number, state.volatile.epoch, running.task, running.run)
+    state.send_to_agent(agent_info.name, stop)
+    state.note(
+        "unknown run stopped",
+        task=running.task,
+        run=running.run,
+        newest_run=found[1].run if found is not None else 0,
+        agent=agent_info.name,
+        holder=found[1].agent if found is not None else "",
+    )
+
+
 def _stop_if_stalled(
     state: OwnerState, shard: Shard, agent_info: AgentInfo, task: Task
 ) -> None:
--- a/catkincross/peers/_agent_messages.py
+++ b/catkincross/peers/_agent_messages.py
@@ -24,12 +24,15 @@
         run: Number of the run.
         checkpoint: Newest checkpoint of the run; empty for none.
         percent: Progress of the run, 0 to 100.
+        owned: Whether the run is of a volatile job, and was ordered or claimed by the
+            receiving entry's process.
     """
 
     task: str
     run: int
     checkpoint: str = ""
     percent: int = 0
+    owned: bool = True
 
 
 @attrs.frozen
@@ -269,17 +272,24 @@
         worker_incarnation: Incarnation of the worker in which the ends are numbered.
         entry_incarnation: Incarnation of the entry that ordered the runs, for runs of
             volatile jobs; 0 for others. Each incarnation numbers such runs from 1.
+        acked_order: Number of the receiving entry's last start order that was read
+            before the stop of a run that the agent does not have; -1 for ends that do
+            not answer a stop.
     """
 
     ended: list[EndedRun]
     worker_incarnation: int
     entry_incarnation: int = 0
+    acked_order: int = -1
 
 
 @register_message
 @attrs.frozen
 class Progress:
-    """Progress of the receiving entry's runs on an agent's worker."""
+    """Progress of the receiving entry's runs on an agent's worker.
+
+    Runs of volatile jobs that an earlier process of the entry ordered are left out.
+    """
 
     running: list[RunningTask]
 
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -17,7 +17,6 @@
     NotStarted,
     Report,
     ReportTo,
-    RunningTask,
     Sizes,
     Start,
     Stop,
@@ -27,7 +26,7 @@
 from ._entry_info import EntryInfo, ShardLease
 from ._exclusive_runs import exclusivity_refusal
 from ._links import REPORT_LINK_MS, clear_suspicion, update_offered
-from ._run import Run
+from ._run import Run, running_task
 from ._state import WorkerState
 
 # A start order may arrive this long after a stop of its run, in milliseconds: a link
@@ -142,9 +141,7 @@
     for run in runs:
         if run.orphaned and shard == VOLATILE_SHARD:
             run.reported_to.add((entry_info.name, entry_info.incarnation))
-    running = [
-        RunningTask(run.task, run.number, run.checkpoint, run.percent) for run in runs
-    ]
+    running = [running_task(run) for run in runs]
     ended = [
         end for end in state.ends.values() if state.shard_of_task(end.task) == shard
     ]
@@ -308,7 +305,12 @@
         if not end_pending:
             ended = EndedRun(0, message.task, message.run, "absent")
             entry_incarnation = message.epoch if volatile else 0
-            ends = Ends([ended], state.worker_incarnation, entry_incarnation)
+            ends = Ends(
+                [ended],
+                state.worker_incarnation,
+                entry_incarnation,
+                entry_info.acked_order,
+            )
             state.send(entry_info.name, ends)
             state.note(
                 "run to stop is absent",
