Play entries that answer late in the test that the model finds faults

The test switches claims off and expects that the model of claims finds a task that runs twice. Its seed showed none since links between entries and agents are played by another model. The plans with slow entries show it (four tasks with seed 1), so the test plays one of them; what it demands is the same.

--- a/tests/test_platform_claims_fuzz.py
+++ b/tests/test_platform_claims_fuzz.py
@@ -6,11 +6,11 @@
 
 from catkincross.daemons._job_claimer import JobClaimer
 from catkincross.dispatch import NoHolder
-from scenarios.claims_fuzz import plan_of, play_plan
+from scenarios.claims_fuzz import plan_of, play_plan, slow_plan_of
 
 SEEDS = range(6)
 # Seed that fails if entries begin jobs without a claim.
-UNCLAIMED_SEED = 8
+UNCLAIMED_SEED = 1
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -31,4 +31,4 @@
         return NoHolder()
 
     monkeypatch.setattr(JobClaimer, "claim", claim)
-    assert play_plan(plan_of(UNCLAIMED_SEED)) != []
+    assert play_plan(slow_plan_of(UNCLAIMED_SEED)) != []
