Use late answers of entries that are heard, and ask entries whose link has closed

Cause: a silent entry that was heard meanwhile was asked again, and the answer to the first question was dropped. An entry whose own link had closed counted as ended, although its process may be alive, and was not asked.

Change: each question keeps its answer until the link closes. A claim that lacks a majority of the first entries in the ranking connects to the lost ones and asks those that are there, also while it waits. Entries that have started lately may have forgotten claims and count on neither side of the majority.

The fake of test_entries_are_asked_again_when_they_are_heard_before_a_job_begins now ends the questions on the old link, as the links of the daemons do.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -54,14 +54,14 @@
         job_id: The job.
         claim: The decisions.
         asked: All entries that were asked for the job, also by other claims.
-        open: Time and answer of the newest question without an answer, by address; the
-            time is on the process's clock in milliseconds.
+        open: Answers that have not come yet, by address. A link that closes answers its
+            questions by `LINK_CLOSED`.
     """
 
     job_id: str
     claim: Claim
     asked: set[str]
-    open: dict[str, tuple[int, asyncio.Future[Answer]]] = attrs.field(factory=dict)
+    open: dict[str, asyncio.Future[Answer]] = attrs.field(factory=dict)
 
 
 class JobClaimer:
@@ -192,17 +192,12 @@
             verdict = self._verdict(claim)
             if verdict is not None:
                 return verdict
-            if not claim.silent and self._lost_runs_ended(now_ms):
-                # An entry that had no link may be alive and have the job.
-                returned = self._returned(claim)
-                if not returned:
-                    self._note_granted(questions, proved=True)
-                    return NoHolder()
-                for address in returned:
-                    claim.record_return(address)
-                await self._ask(questions, returned)
+            if returned := self._returned(claim):
+                await self._ask_returned(questions, returned)
                 continue
-            self._repeat_questions(questions, now_ms)
+            if not claim.silent and self._lost_runs_ended(now_ms):
+                self._note_granted(questions, proved=True)
+                return NoHolder()
             await asyncio.sleep(PROOF_POLL_S)
         return None
 
@@ -213,13 +208,18 @@
         return self.proof.holds(self.claims.proof_since_ms())
 
     def _returned(self, claim: Claim) -> list[str]:
-        """Return the entries without an answer that have a link again."""
+        """Return the lost entries that have a link again, so that they are alive."""
         return [
             address
-            for address in sorted(claim.cut_off)
+            for address in sorted(claim.lost)
             if self.owner_requests.heard_ms(address) is not None
         ]
 
+    async def _ask_returned(self, questions: _Questions, addresses: list[str]) -> None:
+        for address in addresses:
+            questions.claim.record_return(address)
+        await self._ask(questions, addresses)
+
     async def _ask_witnesses(self, job_id: str, asked: set[str]) -> _Questions:
         """Ask the witnesses of a job, and add them to those that were asked."""
         if self.claims.remaining_start_ms(self.clock.now_ms()) > 0:
@@ -231,6 +231,9 @@
         questions = _Questions(job_id, claim, asked)
         while witnesses := claim.next_witnesses():
             await self._ask(questions, witnesses)
+        if lost := claim.lost_to_ask():
+            await self.owner_requests.connect_all(lost)
+            await self._ask_returned(questions, self._returned(claim))
         if claim.silent and isinstance(claim.verdict(), NoHolder):
             self._note_granted(questions, proved=False)
         return questions
@@ -243,7 +246,7 @@
             claim.record_asked(address)
             self._send_question(questions, address)
         awaited = {
-            address: questions.open[address][1]
+            address: questions.open[address]
             for address in addresses
             if address in questions.open and address not in claim.silent
         }
@@ -264,22 +267,13 @@
         ask = Ask(0, CLAIM, questions.job_id)
         future = self.owner_requests.send_request(address, ask)
         if future is None:
-            questions.open.pop(address, None)
             self._record_answer(questions.claim, address, None)
         else:
-            questions.open[address] = self.clock.now_ms(), future
-
-    def _repeat_questions(self, questions: _Questions, now_ms: int) -> None:
-        """Ask silent entries again that were heard since; a new link may be open."""
-        for address, (asked_ms, _) in list(questions.open.items()):
-            heard_ms = self.owner_requests.heard_ms(address)
-            heard = heard_ms is not None and heard_ms > asked_ms
-            if heard and now_ms - asked_ms > CLAIM_TIMEOUT_MS:
-                self._send_question(questions, address)
+            questions.open[address] = future
 
     def _take_answers(self, questions: _Questions) -> None:
         """Record the answers that have arrived, late ones included."""
-        for address, (_, future) in list(questions.open.items()):
+        for address, future in list(questions.open.items()):
             if future.done():
                 del questions.open[address]
                 answer = future.result()
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -12,7 +12,8 @@
 
 A witness whose link is open and which gives no answer is silent, not lost: it may be
 slow, and hold the job itself. It is asked like the others, but a job may begin without
-its answer only if a majority of the first entries know of the claim.
+its answer only if a majority of the first entries know of the claim. A closed link is
+no proof either that its entry has ended: it may have been reset.
 """
 
 from __future__ import annotations
@@ -28,8 +29,8 @@
 # Number of entries that are to know of a claim, the claiming one included. Two of them
 # may be lost at the same time.
 CLAIM_COPIES = 3
-# Number of entries, the first ones in the ranking that are not lost, of which a
-# majority has to know of a claim: any two majorities share an entry.
+# Number of entries, the first ones in the ranking, of which a majority has to know of a
+# claim while others are silent: any two majorities share an entry.
 CLAIM_POOL = 2 * CLAIM_COPIES - 1
 # Time in which the last start orders of a lost entry arrive, in milliseconds.
 ORDER_MS = 50
@@ -125,21 +126,30 @@
         self.asked.discard(address)
 
     @property
-    def _witnessing(self) -> set[str]:
-        """Entries that know of the claim, and of those before it."""
-        forgetful = self.started_lately & self.restarted
-        return {self.own_address, *self.answers} - forgetful
+    def _lacks_majority(self) -> bool:
+        """Whether another claim may have a majority that shares no entry with this one.
+
+        New entries had no claims before, and count on neither side. Entries that have
+        started lately may have forgotten claims, so they count as not asked.
+        """
+        new = self.started_lately - self.restarted
+        pool = [address for address in self.ranking if address not in new]
+        pool = pool[:CLAIM_POOL]
+        witnesses = {self.own_address, *self.answers} - self.started_lately
+        return 2 * len(witnesses.intersection(pool)) <= len(pool)
 
     @property
     def may_be_held_by_silent(self) -> bool:
         """Whether entries without an answer may have a claim that nobody else knows."""
         suspects = self.silent | (self.silent_lately - self.answers.keys())
-        if not suspects:
-            return False
-        ended = self.lost - suspects
-        pool = [address for address in self.ranking if address not in ended]
-        pool = pool[:CLAIM_POOL]
-        return 2 * len(self._witnessing.intersection(pool)) <= len(pool)
+        return bool(suspects) and self._lacks_majority
+
+    def lost_to_ask(self) -> list[str]:
+        """Return the lost entries without which this claim lacks a majority.
+
+        Their links have closed, but they may be alive and have links again.
+        """
+        return sorted(self.lost - self.asked) if self._lacks_majority else []
 
     @property
     def unwitnessed(self) -> bool:
--- a/tests/test_platform_silent_claims.py
+++ b/tests/test_platform_silent_claims.py
@@ -8,6 +8,7 @@
 
 from catkincross.daemons._entry_links import EntryLinks
 from catkincross.daemons._job_claimer import CLAIM, WITHDRAW, JobClaimer
+from catkincross.daemons._owner_requests import LINK_CLOSED
 from catkincross.daemons._volatile_requests import VolatileRequests
 from catkincross.dispatch import JobClaims, LiveHolder, NoHolder, PeerVolatileJobs
 from catkincross.operations import Declarations
@@ -104,11 +105,14 @@
                 future.set_result(E1_HOLDS)
             else:
                 self.sent.append((address, ask.verb))
-                asyncio.get_running_loop().call_later(LATE_S, self.reopen, address)
+                asyncio.get_running_loop().call_later(
+                    LATE_S, self.reopen, address, future
+                )
             return future
 
-        def reopen(self, address: str) -> None:
+        def reopen(self, address: str, future: asyncio.Future[Answer]) -> None:
             self.heard[address] = clock.now_ms()
+            future.set_result(LINK_CLOSED)
 
     entries = ReopenedEntries({"e1:1": None, "e2:1": None}, clock)
     claimer = claimer_of(entries, clock, 0, lambda: False)
