--- /dev/null
+++ b/tests/test_review_claims.py
@@ -0,0 +1,144 @@
+"""Claims of volatile jobs: links that closed, and majorities of changed entries."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from catkincross.dispatch import JobClaims, NoHolder, PeerVolatileJobs
+from catkincross.peers import Answer, Greeting
+from scenarios.claims_model import ClaimsModel
+from scenarios.platform_model import job
+from scenarios.volatile_requests import Request
+
+from .test_platform_claim_requests import (
+    EXPIRY_MS,
+    GRANTED,
+    JOB,
+    LATELY,
+    Clock,
+    Entries,
+    add_lost,
+    claimer_of,
+)
+
+LATER_MS = 100_000
+
+
+def named(count: int, *, first: int = 0) -> list[str]:
+    """Return the addresses of entries."""
+    return [f"10.0.0.{number}:1" for number in range(first, first + count)]
+
+
+def claims_of(address: str) -> JobClaims:
+    """Return the claims of an entry that started long ago."""
+    return JobClaims(PeerVolatileJobs(EXPIRY_MS), address, 0)
+
+
+def ranking_of(names: list[str], job_id: str = JOB) -> list[str]:
+    """Return the entries in the order in which they are witnesses."""
+    return claims_of(names[0]).prepare(job_id, names, (), LATER_MS).ranking
+
+
+def play(
+    claims: JobClaims, names: list[str], silent: set[str], lately: set[str]
+) -> Any:
+    """Return the claim of an entry after the answers of those that are not silent."""
+    claim = claims.prepare(JOB, set(names) - {claims.own_address}, (), LATER_MS)
+    while witnesses := claim.next_witnesses():
+        for address in witnesses:
+            claim.record_asked(address)
+            if address in silent:
+                claim.record_silence(address)
+            else:
+                answer = LATELY if address in lately else GRANTED
+                claim.record_answer(address, answer)
+    return claim
+
+
+def test_a_lost_entry_and_two_silent_ones_leave_no_job_without_a_witness() -> None:
+    """The holder and its two witnesses do not answer, and others are the majority."""
+    names = named(6)
+    ranking = ranking_of(names)
+    holder = claims_of(ranking[0])
+    told = play(holder, names, set(), set())
+    assert isinstance(told.verdict(), NoHolder)
+    next_one = claims_of(ranking[4])
+    add_lost(next_one.peer_jobs, ranking[1], LATER_MS - 100)
+    claim = play(next_one, names, {ranking[0], ranking[2]}, set())
+    knowing = {ranking[0], *told.asked} & claim.answers.keys()
+    assert knowing or claim.verdict() is None
+
+
+def test_entries_that_are_added_do_not_outvote_silent_ones() -> None:
+    """They know none of the claims before their start."""
+    old, new = named(3), named(2, first=10)
+    others = old[:2]
+    third = old[2]
+    # The third entry stands still while the first one claims the job.
+    told = play(claims_of(others[0]), old, {third}, set())
+    assert isinstance(told.verdict(), NoHolder)
+    claim = play(claims_of(third), [*old, *new], set(others), set(new))
+    assert claim.verdict() is None
+
+
+def test_a_silent_holder_is_not_outvoted_by_a_witness_without_memory() -> None:
+    """Its host was restarted; this entry knows only that it has started lately."""
+    names = named(3)
+    told = play(claims_of(names[0]), names, {names[2]}, set())
+    assert isinstance(told.verdict(), NoHolder)
+    claim = play(claims_of(names[2]), names, {names[0]}, {names[1]})
+    assert claim.verdict() is None
+
+
+HELD_BY_E1 = Answer(0, "held", "e1:1")
+
+
+def test_the_only_other_entry_is_asked_although_its_link_has_closed() -> None:
+    """Its channel was reset, it is alive, and the link to it is open."""
+    clock = Clock()
+    entries = Entries({"e1:1": HELD_BY_E1})
+    claimer = claimer_of(entries, clock, 0, lambda: False)
+    add_lost(claimer.claims.peer_jobs, "e1:1", clock.ms - 5)
+    assert not isinstance(asyncio.run(claimer.claim(JOB)), NoHolder)
+
+
+def test_entries_are_asked_although_all_their_links_have_closed() -> None:
+    """All channels of a site were reset; the proof is about lost entries only."""
+    clock = Clock()
+    entries = Entries({"e1:1": HELD_BY_E1, "e2:1": GRANTED})
+    claimer = claimer_of(entries, clock, 0, lambda: True)
+    for address in entries.answers:
+        add_lost(claimer.claims.peer_jobs, address, clock.ms - 5)
+    assert not isinstance(asyncio.run(claimer.claim(JOB)), NoHolder)
+
+
+def test_two_entries_do_not_both_begin_a_job_after_their_links_were_reset() -> None:
+    """Each took the other one for ended, although it had a link to it."""
+    greetings = {n: Greeting("entry", n, 7, f"{n}:1") for n in ("e0", "e1")}
+    began = []
+    for own, other in (("e0", "e1"), ("e1", "e0")):
+        claims = claims_of(f"{own}:1")
+        claims.peer_jobs.add_entry(greetings[other])
+        claims.peer_jobs.mark_entry_lost(greetings[other], now_ms=LATER_MS - 5)
+        claim = claims.prepare(JOB, [f"{other}:1"], (), LATER_MS)
+        assert claim.next_witnesses() or not isinstance(claim.verdict(), NoHolder), own
+        began.append(own)
+
+
+def test_a_job_that_is_sent_to_both_of_two_entries_after_a_reset_runs_once() -> None:
+    """Two entries that have reset links to each other begin it within 500 ms."""
+    model = ClaimsModel(entries=2, agents=4)
+    for machine in model.machines.values():
+        machine.run_ms = 800
+    model.run(1_630)
+    for entry in list(model.nodes):
+        model.reset_channels(entry, silent=False, agents=False)
+    for entry, pause_ms in (("e0", 20), ("e1", 50)):
+        model.run(pause_ms)
+        deadline_ms = model.now_ms + 1_500
+        spec = job(JOB, count=2, volatile=True)
+        model.receive(entry, Request(entry, spec, deadline_ms, lambda _: None))
+    model.run(4_000)
+    model.close()
+    assert model.overlapping() == []
