--- a/tests/test_review_claims.py
+++ b/tests/test_review_claims.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from types import SimpleNamespace
 from typing import Any
 
-from catkincross.dispatch import JobClaims, NoHolder, PeerVolatileJobs
+from catkincross.dispatch import JobClaims, LiveHolder, NoHolder, PeerVolatileJobs
 from catkincross.peers import Answer, Greeting
 from scenarios.claims_model import ClaimsModel
 from scenarios.platform_model import job
@@ -142,3 +144,42 @@
     model.run(4_000)
     model.close()
     assert model.overlapping() == []
+
+
+class BusyLinks(Entries):
+    """Entries that are heard all the time, and answer each claim late."""
+
+    late_s = 0.3
+
+    def heard_ms(self, _: str) -> int | None:
+        """Return that a message has just arrived, such as an answer for another job."""
+        return now_ms()
+
+    def send_request(self, address: str, ask: Any) -> asyncio.Future[Answer]:
+        """Answer a request late."""
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        self.sent.append((address, ask.verb))
+        loop.call_later(self.late_s, future.set_result, self.answers[address])
+        return future
+
+
+def now_ms() -> int:
+    """Return the time of the machine, which the pauses of a claim follow."""
+    return LATER_MS + time.monotonic_ns() // 1_000_000
+
+
+def test_a_late_answer_counts_although_the_entry_is_heard_meanwhile() -> None:
+    """Each new question replaced the one whose answer was on its way."""
+    entries = BusyLinks({"e1:1": GRANTED, "e2:1": GRANTED})
+    clock = SimpleNamespace(now_ms=now_ms)
+    claimer = claimer_of(entries, clock, 0, lambda: False)  # type: ignore[arg-type]
+    assert isinstance(asyncio.run(claimer.claim(JOB)), NoHolder)
+
+
+def test_a_late_answer_of_the_holder_counts_although_it_is_heard_meanwhile() -> None:
+    """The request would wait for nobody, and not be passed to the holder."""
+    entries = BusyLinks({"e1:1": HELD_BY_E1, "e2:1": HELD_BY_E1})
+    clock = SimpleNamespace(now_ms=now_ms)
+    claimer = claimer_of(entries, clock, 0, lambda: False)  # type: ignore[arg-type]
+    assert asyncio.run(claimer.claim(JOB)) == LiveHolder("e1:1")
