Test how the next worker replaces one that drains or has crashed

While the registered worker answers, no call names another process; runs of a worker that drained end with its lease at the earliest; those of a crashed worker end at the first answer of the next one.

--- a/tests/test_platform_foreign_heartbeats.py
+++ b/tests/test_platform_foreign_heartbeats.py
@@ -4,13 +4,17 @@
 
 from typing import Any
 
+import attrs
 import orjson
 import pytest
 
+from catkincross.peers import Ends, Lease, RunningTask
 from catkincross.platform import read_heartbeat
+from catkincross.workers import LeaseRenewalReply, SendToEntry, StartOutcome, WorkerCore
 from scenarios.platform_model import SERVICE, SETTLE_MS, job
 from scenarios.strict_model import StrictModel
 from standins.strict_worker import StrictWorker
+from tests.test_platform_unanswered import TASK, order_run, ready_core, reply
 
 JOB = "5c0e7a21d94b36f8"
 RUN_MS = 400
@@ -170,3 +174,72 @@
     model.run(3_000)
     assert model.overlapping() == []
     assert ends_told(model) == ["done", "done"]
+
+
+NEXT_BORN = 9
+
+
+def heartbeat_of_next(core: WorkerCore, now_ms: int) -> None:
+    """Let a heartbeat of the next worker arrive."""
+    registration = core.state.registration
+    assert registration is not None
+    next_worker = attrs.evolve(
+        registration, worker="w-next", worker_incarnation=NEXT_BORN, draining=False
+    )
+    assert not core.handle_heartbeat(now_ms, next_worker)
+
+
+def answer_as_next(core: WorkerCore, now_ms: int) -> list[str]:
+    """Let only the next worker answer two renewals; return the ends that are told."""
+    answer = LeaseRenewalReply(NEXT_BORN, now_ms, (), ())
+    for _ in range(2):
+        renewal = core.next_renewal(now_ms)
+        if renewal.worker == "w-next":
+            core.handle_renewal_reply(now_ms, now_ms, renewal, answer)
+    assert core.state.worker == "w-next"
+    sent = [e.message for e in core.step(now_ms) if isinstance(e, SendToEntry)]
+    return [end.how for m in sent if isinstance(m, Ends) for end in m.ended]
+
+
+def test_another_worker_is_not_called_while_the_worker_answers() -> None:
+    """A call that another process answers renews no lease of the worker with runs."""
+    core = ready_core()
+    core.handle_start_outcome(0, order_run(core), StartOutcome.STARTED)
+    running = RunningTask(TASK, 1, "", 10)
+    for now_ms in range(10, 2_000, 50):
+        heartbeat_of_next(core, now_ms)
+        renewal = core.next_renewal(now_ms)
+        assert (renewal.worker, renewal.until_ms is None) == ("w", False)
+        core.handle_renewal_reply(now_ms, now_ms, renewal, reply(now_ms, (running,)))
+        core.step(now_ms)
+        core.handle_entry_message(now_ms, "e1", Lease(now_ms, 2_000, [], 9, 800))
+    assert core.state.worker == "w"
+    assert (TASK, 1) in core.state.runs
+
+
+def test_runs_of_a_worker_that_drains_end_with_its_lease_at_the_earliest() -> None:
+    """It may go on with its runs for seconds after the next worker has started."""
+    core = ready_core()
+    core.handle_start_outcome(0, order_run(core), StartOutcome.STARTED)
+    registration = core.state.registration
+    assert registration is not None
+    draining = attrs.evolve(registration, draining=True, sequence=2)
+    assert core.handle_heartbeat(5, draining)
+    heartbeat_of_next(core, 10)
+    core.next_renewal(10)
+    lease_end_ms = core.state.lease_end_ms
+    told = {}
+    for now_ms in range(50, 2_000, 50):
+        for how in answer_as_next(core, now_ms):
+            told[how] = now_ms
+    assert list(told) == ["absent"]
+    assert told["absent"] >= lease_end_ms
+
+
+def test_a_worker_that_has_crashed_is_replaced_at_the_first_answer() -> None:
+    """The tasks of a worker that is gone must not wait for more than one call."""
+    core = ready_core()
+    core.handle_start_outcome(0, order_run(core), StartOutcome.STARTED)
+    core.next_renewal(5)
+    heartbeat_of_next(core, 10)
+    assert set(answer_as_next(core, 20)) == {"crashed"}
