Play heartbeats of other writers and wrong clocks in the fuzz of strict workers

The fuzz and the soak of real processes had no heartbeats of processes that are not there, and no worker whose wall clock had been set back.

--- a/scenarios/soak_workers.py
+++ b/scenarios/soak_workers.py
@@ -31,7 +31,7 @@
 from starlette.routing import Route
 
 from standins.platform_http import json_response, now_ms
-from standins.strict_worker import Answer
+from standins.strict_worker import Answer, StrictWorker
 
 from .loopback_proxy import Mode
 from .platform_soak import CONFIG, HEARTBEAT_S, SERVICE, Soak
@@ -238,6 +238,15 @@
     await _for_a_while(host, "beat_delay_ms", 6_000, length_s)
 
 
+@fault
+async def foreign_heartbeat(host: WorkerHost, length_s: float) -> None:
+    """Send a heartbeat of a process that is not there, with any time of its start."""
+    other = StrictWorker(instance=host.rng.choice((host.worker.instance, "w-other")))
+    other.wall_clock_error_ms = host.rng.choice((-20_000, 0, 20_000))
+    other.begin_life(now_ms())
+    await host.put(other.instance, other.heartbeat(now_ms(), SERVICE), 0.0)
+
+
 @fault
 async def crash(host: WorkerHost, length_s: float) -> None:
     """End the worker; it comes back under the same or another identity."""
--- a/scenarios/strict_fuzz.py
+++ b/scenarios/strict_fuzz.py
@@ -22,7 +22,7 @@
 from standins.strict_worker import StrictWorker
 
 from .platform_effects import CALL_MS
-from .platform_model import SETTLE_MS, job
+from .platform_model import SERVICE, SETTLE_MS, job
 from .strict_model import PROMPT, Fate, StrictModel
 from .volatile_requests import Request
 
@@ -256,6 +256,29 @@
     fuzz.for_a_while(fuzz.beats, agent, 6_000, length_ms)
 
 
+@fault
+def foreign_heartbeats(fuzz: Fuzz, agent: str, length_ms: int) -> None:
+    """Send heartbeats of a process that is not there, with any time of its start."""
+    model, rng = fuzz.model, fuzz.rng
+    other = StrictWorker(instance=rng.choice((f"w-{agent}", "w-other")))
+    other.wall_clock_error_ms = rng.choice((-20_000, 0, 20_000))
+    other.begin_life(model.now_ms)
+    other.draining = rng.random() < 0.2
+    for after_ms in range(0, length_ms, 1_000):
+        body = other.heartbeat(model.now_ms + after_ms, SERVICE)
+        model.at(
+            after_ms,
+            lambda body=body: model.put_heartbeat(agent, other.instance, body),
+        )
+
+
+@fault
+def wrong_clock(fuzz: Fuzz, agent: str, length_ms: int) -> None:
+    """Set the wall clock of the worker's host, for its next processes."""
+    machine = fuzz.model.machines[agent]
+    machine.wall_clock_error_ms = fuzz.rng.choice((-20_000, 0, 20_000))
+
+
 @fault
 def crash(fuzz: Fuzz, agent: str, length_ms: int) -> None:
     """End the worker; it comes back under the same or another identity."""
