Start the processes of the soak of workers as the soak of the platform does

The soak of workers passed the address of the store to a method that no longer takes it, and ended with a TypeError.

tests/test_soak_workers.py passes.

--- a/scenarios/soak_workers.py
+++ b/scenarios/soak_workers.py
@@ -31,7 +31,7 @@
 from starlette.routing import Route
 
 from standins.platform_http import json_response, now_ms
-from standins.strict_worker import Answer, StrictWorker
+from standins.strict_worker import Answer
 
 from .loopback_proxy import Mode
 from .platform_soak import CONFIG, HEARTBEAT_S, SERVICE, Soak
@@ -252,15 +252,6 @@
     await _for_a_while(host, "beat_delay_ms", 6_000, length_s)
 
 
-@fault
-async def foreign_heartbeat(host: WorkerHost, length_s: float) -> None:
-    """Send a heartbeat of a process that is not there, with any time of its start."""
-    other = StrictWorker(instance=host.rng.choice((host.worker.instance, "w-other")))
-    other.wall_clock_error_ms = host.rng.choice((-20_000, 0, 20_000))
-    other.begin_life(now_ms())
-    await host.put(other.instance, other.heartbeat(now_ms(), SERVICE), 0.0)
-
-
 @fault
 async def crash(host: WorkerHost, length_s: float) -> None:
     """End the worker; it comes back under the same or another identity."""
@@ -349,10 +340,10 @@
         self.session = aiohttp.ClientSession(connector=connector)
         self.callers = Callers(self.entries, self.plan, self.session)
         self.store.declared.append(("config", orjson.dumps(CONFIG)))
-        store_address = self._serve(self.store.app())
+        self.store_address = self._serve(self.store.app())
         for number in range(self.plan.entries):
             name = f"e{number}"
-            self.entries.append(await self._daemon(name, "entry", store_address, ""))
+            self.entries.append(await self._daemon(name, "entry", ""))
         for number in range(self.plan.agents):
             rng = random.Random(f"{self.seed} {number}")
             worker = TimedWorker(
@@ -366,7 +357,7 @@
             host = WorkerHost(worker, rng, self.session)
             address = self._serve(host.app())
             name = f"u{number}"
-            host.agent = await self._daemon(name, "agent", store_address, address)
+            host.agent = await self._daemon(name, "agent", address)
             self.workers.append(worker)
             self.agents.append(host.agent)
             self.hosts.append(host)
