Draw the delay of slow entries' links from three ranges

Delays of 150 to 500 ms show lives of a job that overlap for 100 to 180 ms with requests that are sent again after 50 to 400 ms. Client accounts wait 1,300 ms, so longer delays are played too, and shorter ones as on busy hosts.

--- a/scenarios/soak_site_faults.py
+++ b/scenarios/soak_site_faults.py
@@ -20,8 +20,8 @@
 ROLLING_RESTARTS = 3
 # How long entries have too little processor time, or slow links, in seconds.
 STARVING_S = 8.0
-# Shortest and longest delay on such links, in seconds.
-SLOW_LINK_S = (0.15, 0.5)
+# Ranges of the delays on such links, in seconds.
+SLOW_LINKS_S = ((0.1, 0.3), (0.15, 0.5), (0.4, 1.0))
 # Pause between two restarts of a rolling restart, in seconds.
 ROLLING_PAUSE_S = 0.3
 
@@ -88,9 +88,10 @@
 @site_fault
 async def slow_entries(run: Soak, rng: random.Random) -> None:
     """Delay all links that entries have opened, and reset their client accounts."""
+    delay_s = rng.choice(SLOW_LINKS_S)
     for entry in run.entries:
         if entry.gateway is not None:
-            entry.gateway.delay_s = SLOW_LINK_S
+            entry.gateway.delay_s = delay_s
     await _reset_clients(run, rng)
     for entry in run.entries:
         if entry.gateway is not None:
