Log that a job may begin although no witness can tell who has it

`claim unanswered` names an entry, not the jobs that began without its answer. Whether a job began since the agents had proved that nothing runs, or only since longer than 2,250 ms had passed after the first late answer, could not be told from the log. `claim without witnesses` names the job, the number of entries asked and of answers, and whether there was a proof. No decision changes.

test_platform_claim_requests.py, test_platform_job_claims.py and test_platform_daemons.py pass.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -123,6 +123,7 @@
                 verdict = None
             if verdict is None and await self._wait_for_proof():
                 verdict = NoHolder()
+                self._note_unwitnessed(job_id, claim)
             if self.clock.now_ms() - claim.asked_ms > CLAIM_VALID_MS:
                 # The answers may be out of date, for example after a pause.
                 verdict = None
@@ -141,6 +142,20 @@
             return self.claims.peer_jobs.find_holder(job_id, now_ms)
         return verdict
 
+    def _note_unwitnessed(self, job_id: str, claim: Claim) -> None:
+        """Log that a job may begin though its witnesses cannot tell who has it."""
+        now_ms = self.clock.now_ms()
+        self.log.note(
+            "claim without witnesses",
+            job=job_id,
+            known=len(claim.ranking) - 1,
+            asked=len(claim.asked),
+            answers=len(claim.answers),
+            silent=sorted(claim.silent),
+            age_ms=now_ms - claim.asked_ms,
+            proved=self.claims.longest_wait_ms(now_ms) > 0,
+        )
+
     def _knows_entries(self) -> bool:
         """Whether this process has learned from another one which entries there are."""
         if self.claims.remaining_start_ms(self.clock.now_ms()) == 0:
