Let restarts of a soak's daemons end that leave for good meanwhile

That this was their cause was read in the code, not traced. The new test fails without the change in three of three runs and passes with it in three of three.

--- a/scenarios/soak_faults.py
+++ b/scenarios/soak_faults.py
@@ -125,13 +125,20 @@
             self.process.send_signal(number)
 
     async def restart(self, number: signal.Signals) -> None:
-        """End the process by a signal, and wait until it has been started again."""
-        assert self.process is not None
+        """End the process by a signal, and wait until it has been started again.
+
+        A process that leaves for good meanwhile is not waited for.
+        """
+        assert self.process is not None and self._running is not None
         self._ending = True
         self.send(number)
         await self.process.wait()
         await asyncio.sleep(0)
-        await self._started.wait()
+        started = asyncio.create_task(self._started.wait())
+        await asyncio.wait(
+            {started, self._running}, return_when=asyncio.FIRST_COMPLETED
+        )
+        started.cancel()
 
     async def stop(self, number: signal.Signals = signal.SIGKILL) -> None:
         """End the process by a signal, and end its proxies."""
--- a/tests/test_soak_daemons.py
+++ b/tests/test_soak_daemons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from pathlib import Path
 
 from scenarios.loopback_proxy import Proxy
@@ -41,3 +42,22 @@
 
     asyncio.run(run())
     assert exits[0] != 0
+
+
+def test_a_restart_of_a_daemon_that_leaves_for_good_ends(tmp_path: Path) -> None:
+    """A soak waited for ever for the restart of a daemon that had been replaced."""
+
+    async def run() -> None:
+        entry = daemon("e0", tmp_path, [])
+        await entry.start()
+        first = entry.process
+        assert first is not None
+        restart = asyncio.create_task(entry.restart(signal.SIGKILL))
+        await first.wait()
+        # The next process is being created.
+        await asyncio.sleep(0)
+        await entry.stop()
+        async with asyncio.timeout(5):
+            await restart
+
+    asyncio.run(run())
