--- a/tests/test_platform_late_starts.py
+++ b/tests/test_platform_late_starts.py
@@ -239,7 +239,7 @@
             clock.advance(500)
         if agent.core_loop._timer is not None:
             agent.core_loop._timer.cancel()
-        for link in agent.links.values():
+        for link in list(agent.links.values()):
             link.close()
 
     asyncio.run(run())
