Show that a report of an earlier link starts all tasks of an agent again

The greeting of a link that its agent has closed may come after that of a newer one, together with a report of shards that was written before the entry sent tasks. The entry takes the old link for the newest, and starts the agent's stored tasks elsewhere while their runs go on. The model holds the messages of a link until they arrive together, as TCP delivers them after lost packets.

--- a/scenarios/agent_links.py
+++ b/scenarios/agent_links.py
@@ -280,17 +280,33 @@
 
         self.at(for_ms, heal)
 
-    def replace_link(self, entry: str, agent: str, delay_ms: int) -> None:
+    def hold_link(self, entry: str, agent: str, way: str, for_ms: int) -> None:
+        """Hold the messages on the link that an agent uses, in one or both ways.
+
+        As after lost packets, what is sent meanwhile arrives together.
+        """
+        link = self.agent_links.get((entry, agent))
+        if link is None:
+            return
+        if way != "from":
+            self._hold(link.to_agent, for_ms)
+        if way != "to":
+            self._hold(link.to_entry, for_ms)
+
+    def _hold(self, way: Way, for_ms: int) -> None:
+        end_ms = self.now_ms + for_ms
+        way.arrives_ms = max(way.arrives_ms, end_ms)
+        way.queue = deque((max(due_ms, end_ms), call) for due_ms, call in way.queue)
+
+    def replace_link(self, entry: str, agent: str, hold_ms: int) -> None:
         """Let an agent close its link and open another one.
 
-        What either side has sent on the old link, its end included, arrives late, also
-        after messages on the new one.
+        What either side has sent on the old link, its end included, is held, and may
+        arrive after messages on the new one.
         """
         link = self.agent_links.get((entry, agent))
         if link is None:
             return
         for way in link.ways:
-            way.delay_ms += delay_ms
-            way.arrives_ms = max(way.arrives_ms, self.now_ms + delay_ms)
-            way.queue = deque((at_ms + delay_ms, call) for at_ms, call in way.queue)
+            self._hold(way, hold_ms)
         self._close(link, by_agent=True)
--- a/scenarios/volatile_fuzz.py
+++ b/scenarios/volatile_fuzz.py
@@ -382,23 +382,37 @@
     play.model.delay_link(entry, agent, way, delay_ms, for_ms)
 
 
+@action(
+    lambda draw: (
+        _entry(draw),
+        _agent(draw),
+        draw.choice(("to", "from", "both")),
+        draw.choice(DELAYS_MS),
+    ),
+    of_link=True,
+)
+def hold_link(play: Play, entry: str, agent: str, way: str, for_ms: int) -> None:
+    """Hold the messages of one link, which then arrive together."""
+    play.model.hold_link(entry, agent, way, for_ms)
+
+
 @action(lambda draw: (_entry(draw), _agent(draw), draw.choice(DELAYS_MS)), of_link=True)
-def replace_link(play: Play, entry: str, agent: str, delay_ms: int) -> None:
+def replace_link(play: Play, entry: str, agent: str, hold_ms: int) -> None:
     """Let an agent open a link anew; messages of the old one arrive late."""
-    play.model.replace_link(entry, agent, delay_ms)
+    play.model.replace_link(entry, agent, hold_ms)
 
 
 @action(
     lambda draw: (_entry(draw), draw.choice(DELAYS_MS), draw.choice((1, 2, 3))),
     of_link=True,
 )
-def replace_links(play: Play, entry: str, delay_ms: int, times: int) -> None:
+def replace_links(play: Play, entry: str, hold_ms: int, times: int) -> None:
     """Let all agents open their links to an entry anew, once or more often."""
     for number in range(times):
         for agent in list(play.model.workers):
             play.model.at(
                 30 * number,
-                lambda agent=agent: play.model.replace_link(entry, agent, delay_ms),
+                lambda agent=agent: play.model.replace_link(entry, agent, hold_ms),
             )
 
 
--- a/tests/test_platform_replaced_links.py
+++ b/tests/test_platform_replaced_links.py
@@ -15,7 +15,9 @@
 from catkincross.daemons._entry import EntryDaemon
 from catkincross.daemons._log import DecisionLog
 from catkincross.peers import Link
+from scenarios.platform_model import SETTLE_MS, job
 from scenarios.volatile_fuzz import link_plan_of, play_plan
+from scenarios.volatile_model import VolatileModel
 from tests.test_platform_daemons import free_port, settings_for
 from tests.test_platform_lost_requesters import EndlessTransport
 
@@ -32,6 +34,39 @@
     assert play_plan(plan) == [], "\n".join(map(str, plan.actions))
 
 
+def test_a_report_of_an_earlier_link_does_not_start_the_tasks_of_its_agent_again() -> (
+    None
+):
+    """The report came with the late greeting of a link that the agent had closed.
+
+    It was written before the tasks were sent, on a newer link, and the entry started
+    all tasks of the agent elsewhere while their runs went on.
+    """
+    model = VolatileModel(entries=1, agents=3)
+    model.run(SETTLE_MS)
+    for machine in model.machines.values():
+        machine.run_ms = 3_000
+    link = "e0", "u0"
+    model.replace_link(*link, 1)
+    while link not in model.agent_links:
+        model.run(1)
+    model.hold_link(*link, "from", 900)
+    # The agent reports the shards of which it has leases, once it has read the lists.
+    model.workers["u0"].core.handle_worker_left(model.now_ms, "w-u0")
+    model.run(60)
+    model.send_heartbeat("u0")
+    model.run(40)
+    model.replace_link(*link, 800)
+    model.run(650)
+    spec = job("b" * 16, count=8)
+    model.submit("post", spec, "e0")
+    model.run(100)
+    assert model.machines["u0"].running
+    model.run(4_000)
+    assert model.overlapping() == []
+    assert model.count("done") == 8
+
+
 async def _open_links(monkeypatch: pytest.MonkeyPatch, count: int) -> list[bytes]:
     """Let an agent open links one after the other; return what it sends on each."""
     transports: list[EndlessTransport] = []
