Ask entries whose link has closed while a claim lacks a majority

What callers saw: a task ran twice for 750 ms in the model of two entries whose links were reset. A closed link was taken for the end of its entry, which was not asked although it was alive.

Change: while a claim has no majority of the first entries it also asks those that are known and whose link has closed. Entries that refuse the connection stay lost. The line on claims that are granted in part is written only when the job begins.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -56,12 +56,14 @@
         asked: All entries that were asked for the job, also by other claims.
         open: Answers that have not come yet, by address. A link that closes answers its
             questions by `LINK_CLOSED`.
+        proved: Whether the runs of all lost entries have ended.
     """
 
     job_id: str
     claim: Claim
     asked: set[str]
     open: dict[str, asyncio.Future[Answer]] = attrs.field(factory=dict)
+    proved: bool = False
 
 
 class JobClaimer:
@@ -158,7 +160,9 @@
             return LostHolder(self.claims.longest_wait_ms(now_ms))
         if isinstance(verdict, NoHolder):
             # Another entry may have announced the job meanwhile.
-            return self.claims.peer_jobs.find_holder(job_id, now_ms)
+            verdict = self.claims.peer_jobs.find_holder(job_id, now_ms)
+            if isinstance(verdict, NoHolder) and (claim.silent or questions.proved):
+                self._note_granted(questions)
         return verdict
 
     def _verdict(
@@ -196,7 +200,7 @@
                 await self._ask_returned(questions, returned)
                 continue
             if not claim.silent and self._lost_runs_ended(now_ms):
-                self._note_granted(questions, proved=True)
+                questions.proved = True
                 return NoHolder()
             await asyncio.sleep(PROOF_POLL_S)
         return None
@@ -231,11 +235,6 @@
         questions = _Questions(job_id, claim, asked)
         while witnesses := claim.next_witnesses():
             await self._ask(questions, witnesses)
-        if lost := claim.lost_to_ask():
-            await self.owner_requests.connect_all(lost)
-            await self._ask_returned(questions, self._returned(claim))
-        if claim.silent and isinstance(claim.verdict(), NoHolder):
-            self._note_granted(questions, proved=False)
         return questions
 
     async def _ask(self, questions: _Questions, addresses: list[str]) -> None:
@@ -289,8 +288,8 @@
         if reached:
             self.silent_since_ms.pop(address, None)
 
-    def _note_granted(self, questions: _Questions, *, proved: bool) -> None:
-        """Log that a job may begin although not all witnesses have answered."""
+    def _note_granted(self, questions: _Questions) -> None:
+        """Log that a job begins although not all witnesses have answered."""
         claim = questions.claim
         self.log.note(
             "claim granted in part",
@@ -298,7 +297,7 @@
             answered=sorted(claim.answers),
             lost=sorted(claim.lost),
             silent=sorted(claim.silent),
-            proved=proved,
+            proved=questions.proved,
             age_ms=self.clock.now_ms() - claim.asked_ms,
         )
 
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -53,6 +53,7 @@
     Attributes:
         own_address: Address of the claiming entry, `IP:port`.
         ranking: Addresses of all entries in the order in which they are witnesses.
+        known: Other entries that the store or an entry names now.
         lost: Entries without a link.
         silent: Entries that have not answered in time, though their link is open.
         silent_lately: Entries that were silent in earlier claims. If one is lost now,
@@ -68,6 +69,7 @@
 
     own_address: str
     ranking: list[str]
+    known: set[str] = attrs.field(factory=set)
     lost: set[str] = attrs.field(factory=set)
     silent: set[str] = attrs.field(factory=set)
     silent_lately: set[str] = attrs.field(factory=set)
@@ -81,7 +83,8 @@
     def next_witnesses(self) -> list[str]:
         """Return the entries to ask next; none if the verdict is due.
 
-        Silent entries are asked too, and others in their place.
+        Silent entries are asked too, and others in their place. Entries whose link has
+        closed are asked if the claim lacks a majority without them: they may be alive.
         """
         chosen: list[str] = []
         copies = 0
@@ -91,11 +94,14 @@
             if address not in self.lost:
                 chosen.append(address)
                 copies += address not in self.started_lately | self.silent
-        return [
+        to_ask = [
             address
             for address in chosen
             if address != self.own_address and address not in self.asked
         ]
+        if not to_ask and self._lacks_majority:
+            to_ask = sorted(self.lost & self.known - self.cut_off - self.asked)
+        return to_ask
 
     def record_asked(self, address: str) -> None:
         """Record that an entry is being asked."""
@@ -105,8 +111,9 @@
         """Record the answer of an entry; None if it has no link or the link closed."""
         self.silent.discard(address)
         if answer is None or answer.outcome not in (GRANTED, HELD):
+            if address not in self.lost:
+                self.cut_off.add(address)
             self.lost.add(address)
-            self.cut_off.add(address)
             return
         self.lost.discard(address)
         self.cut_off.discard(address)
@@ -144,13 +151,6 @@
         suspects = self.silent | (self.silent_lately - self.answers.keys())
         return bool(suspects) and self._lacks_majority
 
-    def lost_to_ask(self) -> list[str]:
-        """Return the lost entries without which this claim lacks a majority.
-
-        Their links have closed, but they may be alive and have links again.
-        """
-        return sorted(self.lost - self.asked) if self._lacks_majority else []
-
     @property
     def unwitnessed(self) -> bool:
         """Whether another entry and all of its witnesses may have been lost.
@@ -257,6 +257,7 @@
             if now_ms - silent_ms >= self.peer_jobs.run_expiry_ms:
                 del self.silent_ms[address]
         claim.silent_lately = self.silent_ms.keys() & addresses
+        claim.known = known
         claim.cut_off = set(cut_off) - lost
         claim.lost = lost | claim.cut_off
         claim.restarted = self.peer_jobs.restarted_addresses(now_ms)
