Keep the runs of an agent that is restarted after its worker was

An entry compared agent and worker of two reports, and took the agent for another host when both had been restarted one after the other.

Change: a host that reports one of the assigned runs is the host that was ordered it.

Result: test_a_run_is_kept_when_its_agent_is_restarted_after_the_worker_was failed before and passes.

--- a/catkincross/owner/_agents.py
+++ b/catkincross/owner/_agents.py
@@ -94,7 +94,9 @@
         for task in self.assigned_tasks:
             task.order_number = 0
 
-    def record_host(self, worker_incarnation: int) -> AgentInfo | None:
+    def record_host(
+        self, worker_incarnation: int, *, is_same: bool
+    ) -> AgentInfo | None:
         """Record which host reports, by the incarnations of its agent and its worker.
 
         An agent that was only restarted has the same worker, and one whose worker was
@@ -104,6 +106,7 @@
         Args:
             worker_incarnation: Start of the worker process, in milliseconds since 1970;
                 0 if it is not known.
+            is_same: Whether the host is known to be the same.
 
         Returns:
             The first host, lost and with all assigned tasks, if it may be another one;
@@ -111,7 +114,9 @@
         """
         host = self.incarnation, worker_incarnation
         earlier, self.reported_host = self.reported_host, host
-        if earlier is None or earlier[0] == host[0] or not self.assigned_tasks:
+        if is_same or earlier is None or earlier[0] == host[0]:
+            return None
+        if not self.assigned_tasks:
             return None
         if earlier[1] == host[1] and worker_incarnation:
             return None
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -242,7 +242,7 @@
         return
     if shard.phase is not ShardPhase.OPEN:
         return
-    _separate_hosts(state, agent_info, message.worker_incarnation)
+    _separate_hosts(state, agent_info, message)
     agent_info.reported_shards.add(shard.number)
     state.retry_placement = True
     # The ends in a report of volatile jobs are of runs that this process has ordered.
@@ -264,15 +264,15 @@
         agents_resolved(state, shard)
 
 
-def _separate_hosts(
-    state: OwnerState, agent_info: AgentInfo, worker_incarnation: int
-) -> None:
+def _separate_hosts(state: OwnerState, agent_info: AgentInfo, message: Report) -> None:
     """Keep the tasks of an earlier host of the same name until its leases have ended.
 
     A host may be replaced while it is cut off, and its worker keeps its runs until the
-    leases have ended.
+    leases have ended. A host that has one of the runs is the one that was ordered it.
     """
-    former = agent_info.record_host(worker_incarnation)
+    reported = {(running.task, running.run) for running in message.running}
+    has_runs = any((t.name, t.run) in reported for t in agent_info.assigned_tasks)
+    former = agent_info.record_host(message.worker_incarnation, is_same=has_runs)
     if former is None:
         return
     earlier = state.agents.get(former.name)
