Report the runs to the entries when the worker has begun another life

Entries compare the worker of two reports, and got none for a new life. test_an_agent_reports_its_runs_when_its_worker_has_begun_another_life failed before and passes.

--- a/catkincross/workers/_observing.py
+++ b/catkincross/workers/_observing.py
@@ -288,6 +288,7 @@
         # The runs are kept: those ordered since the restart are in the new lists, and
         # the others are absent there and end below.
         reset_ends(state, reply.worker_incarnation)
+        was_synced = False
     # The worker read its clock before the answer arrived, so the offset may be too low
     # but not too high, and a lease never ends later than intended.
     state.clock_offset_ms = reply.clock_ms - state.now_ms
