Number the links of agents in the model as the daemons do

The model let an older link replace a newer one, which excludes for the daemons. test_a_report_of_an_earlier_link_does_not_start_the_tasks_of_its_ agent_again failed with the model before and passes; it also fails without the check of the number.

--- a/scenarios/agent_links.py
+++ b/scenarios/agent_links.py
@@ -50,10 +50,12 @@
         agent: Process of the agent.
         to_agent: Direction to the agent.
         to_entry: Direction to the entry.
+        number: Number of the link among those of the agent's process to the entry.
     """
 
     entry: Host
     agent: Host
+    number: int = 0
     to_agent: Way = attrs.field(init=False)
     to_entry: Way = attrs.field(init=False)
 
@@ -62,6 +64,10 @@
         self.to_agent = Way(self.entry, self.agent)
         self.to_entry = Way(self.agent, self.entry)
 
+    def opened_after(self, other: AgentLink) -> bool:
+        """Whether the same process of the agent has opened this link later."""
+        return self.agent is other.agent and self.number > other.number
+
     @property
     def key(self) -> tuple[str, str]:
         """Names of the entry and of the agent."""
@@ -156,7 +162,8 @@
         if not self.is_connected(entry, agent):
             worker.core.handle_connect_failed(self.now_ms, entry)
             return
-        link = AgentLink(self.owners[entry], worker)
+        self.links_made += 1
+        link = AgentLink(self.owners[entry], worker, self.links_made)
         self.agent_links[link.key] = link
         worker.core.handle_entry_connected(self.now_ms, entry)
         self._transmit(link.to_entry, lambda: self._greet(link))
@@ -164,6 +171,9 @@
     def _greet(self, link: AgentLink) -> None:
         """Let an entry take a link for its newest one to an agent."""
         previous = self.entry_links.get(link.key)
+        if previous is not None and previous.opened_after(link):
+            self._close(link, by_agent=False)
+            return
         if previous is not None:
             self._close(previous, by_agent=False)
         self.entry_links[link.key] = link
--- a/scenarios/volatile_model.py
+++ b/scenarios/volatile_model.py
@@ -49,6 +49,7 @@
         lost_stops: Number of stop orders that get lost next.
         agent_links: Link that an agent uses, by entry and agent.
         entry_links: Link that an entry uses, by entry and agent.
+        links_made: Number of links opened so far.
     """
 
     nodes: dict[str, Node] = attrs.field(factory=dict)
@@ -63,6 +64,7 @@
     lost_stops: int = 0
     agent_links: dict[tuple[str, str], AgentLink] = attrs.field(factory=dict)
     entry_links: dict[tuple[str, str], AgentLink] = attrs.field(factory=dict)
+    links_made: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Start all processes, and let the workers send heartbeats."""
