--- a/tests/test_review_claims.py
+++ b/tests/test_review_claims.py
@@ -7,6 +7,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+from hypothesis import given, settings, strategies as st
+
 from catkincross.dispatch import JobClaims, LiveHolder, NoHolder, PeerVolatileJobs
 from catkincross.peers import Answer, Greeting
 from scenarios.claims_model import ClaimsModel
@@ -44,9 +46,20 @@
 
 def play(
     claims: JobClaims, names: list[str], silent: set[str], lately: set[str]
+) -> Any:
+    """Return the claim of an entry on the job after all answers."""
+    return claim_with(JOB, claims, names, silent, lately)
+
+
+def claim_with(
+    job_id: str,
+    claims: JobClaims,
+    names: list[str],
+    silent: set[str],
+    lately: set[str] = frozenset(),  # type: ignore[assignment]
 ) -> Any:
     """Return the claim of an entry after the answers of those that are not silent."""
-    claim = claims.prepare(JOB, set(names) - {claims.own_address}, (), LATER_MS)
+    claim = claims.prepare(job_id, set(names) - {claims.own_address}, (), LATER_MS)
     while witnesses := claim.next_witnesses():
         for address in witnesses:
             claim.record_asked(address)
@@ -183,3 +196,42 @@
     clock = SimpleNamespace(now_ms=now_ms)
     claimer = claimer_of(entries, clock, 0, lambda: False)  # type: ignore[arg-type]
     assert asyncio.run(claimer.claim(JOB)) == LiveHolder("e1:1")
+
+
+@settings(max_examples=600, deadline=None)
+@given(
+    count=st.sampled_from([2, 3, 4, 5, 6, 7, 9, 35]),
+    lost_count=st.integers(0, 2),
+    silent_first=st.integers(0, 3),
+    silent_second=st.integers(0, 4),
+    draw=st.randoms(use_true_random=False),
+)
+def test_of_two_claims_with_silent_and_lost_entries_one_learns_of_the_other(
+    count: int, lost_count: int, silent_first: int, silent_second: int, draw: Any
+) -> None:
+    """Up to two entries are lost after the first claim, and any may be silent."""
+    names = named(count)
+    job_id = f"{draw.getrandbits(64):016x}"
+    first, second = draw.sample(names, 2)
+    others = [name for name in names if name != first]
+    told = claim_with(
+        job_id,
+        claims_of(first),
+        names,
+        set(draw.sample(others, min(silent_first, count - 1))),
+    )
+    if not isinstance(told.verdict(), NoHolder):
+        return
+    knowing = {first, *told.answers}
+    rest = [name for name in names if name != second]
+    lost = set(draw.sample(rest, min(lost_count, count - 1)))
+    claims = claims_of(second)
+    for address in lost:
+        add_lost(claims.peer_jobs, address, LATER_MS - 100)
+    silent = set(draw.sample(rest, min(silent_second, count - 1))) - lost
+    claim = claim_with(job_id, claims, names, silent)
+    learns = knowing & {second, *claim.answers}
+    assert learns or not isinstance(claim.verdict(), NoHolder), (
+        f"ranking {claim.ranking}, holder {first}, knowing {sorted(knowing)}, "
+        f"claimant {second}, lost {sorted(lost)}, silent {sorted(silent)}"
+    )
