--- a/scenarios/soak_workers.py
+++ b/scenarios/soak_workers.py
@@ -340,10 +340,10 @@
         self.session = aiohttp.ClientSession(connector=connector)
         self.callers = Callers(self.entries, self.plan, self.session)
         self.store.declared.append(("config", orjson.dumps(CONFIG)))
-        store_address = self._serve(self.store.app())
+        self.store_address = self._serve(self.store.app())
         for number in range(self.plan.entries):
             name = f"e{number}"
-            self.entries.append(await self._daemon(name, "entry", store_address, ""))
+            self.entries.append(await self._daemon(name, "entry", ""))
         for number in range(self.plan.agents):
             rng = random.Random(f"{self.seed} {number}")
             worker = TimedWorker(
@@ -357,7 +357,7 @@
             host = WorkerHost(worker, rng, self.session)
             address = self._serve(host.app())
             name = f"u{number}"
-            host.agent = await self._daemon(name, "agent", store_address, address)
+            host.agent = await self._daemon(name, "agent", address)
             self.workers.append(worker)
             self.agents.append(host.agent)
             self.hosts.append(host)
