--- a/tests/test_review_claims.py
+++ b/tests/test_review_claims.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings, strategies as st
 
 from catkincross.dispatch import JobClaims, LiveHolder, NoHolder, PeerVolatileJobs
-from catkincross.peers import Answer, Greeting
+from catkincross.peers import Answer
 from scenarios.claims_model import ClaimsModel
 from scenarios.platform_model import job
 from scenarios.volatile_requests import Request
@@ -230,3 +230,12 @@
         f"ranking {claim.ranking}, holder {first}, knowing {sorted(knowing)}, "
         f"claimant {second}, lost {sorted(lost)}, silent {sorted(silent)}"
     )
+
+
+def test_two_entries_do_not_both_begin_a_job_after_their_links_were_reset() -> None:
+    """Each took the other one for ended, although it had a link to it."""
+    for own, other in (("e0", "e1"), ("e1", "e0")):
+        claims = claims_of(f"{own}:1")
+        add_lost(claims.peer_jobs, f"{other}:1", LATER_MS - 5)
+        claim = claims.prepare(JOB, [f"{other}:1"], (), LATER_MS)
+        assert claim.next_witnesses() or claim.lost_to_ask() == [f"{other}:1"]
