--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -19,16 +19,18 @@
 from ._observing import (
     apply_renewal_reply,
     apply_start_outcome,
+    run_of_order,
+    watch_silence,
+)
+from ._orders import ENTRY_HANDLERS, order_stop
+from ._registration import (
     find_candidate,
     next_probe,
     note_replacement,
     record_departure,
     record_heartbeat,
     register_worker,
-    run_of_order,
-    watch_silence,
 )
-from ._orders import ENTRY_HANDLERS, order_stop
 from ._reporting import next_state_ms, send_states
 from ._state import WorkerState
 from ._worker_messages import (
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -28,13 +28,7 @@
 from ._links import REPORT_LINK_MS, clear_suspicion, update_offered
 from ._run import Run, running_task
 from ._state import WorkerState
-
-# A start order may arrive this long after a stop of its run, in milliseconds: a link
-# without a message is closed after 1,600 ms, and an entry's lease lasts 800 ms.
-STOP_MARK_MS = 2_400
-# Largest number of stops without a run that are remembered. An entry that queues its
-# tasks again stops at most the runs that it had ordered here.
-MAX_STOP_MARKS = 4_096
+from ._stop_marks import mark_stop, was_stopped
 
 ENTRY_HANDLERS: dict[type[Any], Callable[[WorkerState, EntryInfo, Any], None]] = {}
 
@@ -262,7 +256,7 @@
     reason = _lease_refusal(state, entry_info, message)
     if reason:
         return reason
-    if _was_stopped(state, entry_info, message):
+    if was_stopped(state, entry_info, message):
         return "stopped"
     if not state.ready:
         return "not ready"
@@ -296,7 +290,7 @@
             # Each entry numbers the runs of the same volatile job from 1.
             run = None
     if run is None:
-        _mark_stop(state, entry_info, message)
+        mark_stop(state, entry_info, message)
         ends = [] if volatile else list(state.ends.values())
         ends += (report.ended for report in state.crash_reports.values())
         end_pending = any(
@@ -324,45 +318,6 @@
     order_stop(state, run, "ordered")
 
 
-def _mark_stop(state: WorkerState, entry_info: EntryInfo, message: Stop) -> None:
-    """Remember a stop that found no run, so that the run is not started later.
-
-    The entry takes the run for ended, whatever the order in which messages arrive.
-    """
-    _expire_stop_marks(state)
-    key = _stop_mark_key(entry_info, message)
-    state.stop_marks.pop(key, None)
-    if len(state.stop_marks) >= MAX_STOP_MARKS:
-        del state.stop_marks[next(iter(state.stop_marks))]
-    state.stop_marks[key] = state.now_ms
-
-
-def _was_stopped(state: WorkerState, entry_info: EntryInfo, message: Start) -> bool:
-    """Whether a stop of the run arrived before the order to start it."""
-    _expire_stop_marks(state)
-    return _stop_mark_key(entry_info, message) in state.stop_marks
-
-
-def _expire_stop_marks(state: WorkerState) -> None:
-    while state.stop_marks:
-        key, stopped_ms = next(iter(state.stop_marks.items()))
-        if state.now_ms - stopped_ms < STOP_MARK_MS:
-            break
-        del state.stop_marks[key]
-
-
-def _stop_mark_key(
-    entry_info: EntryInfo, message: Start | Stop
-) -> tuple[str, int, int, str, int]:
-    return (
-        entry_info.name,
-        message.shard,
-        message.epoch,
-        message.task,
-        message.run,
-    )
-
-
 def order_stop(state: WorkerState, run: Run, reason: str) -> None:
     """Order the worker to stop a run; the order is repeated until the run has ended."""
     if run.stop_sent_ms is None:
