--- a/tests/test_review_claims.py
+++ b/tests/test_review_claims.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from catkincross.dispatch import JobClaims, LiveHolder, NoHolder, PeerVolatileJobs
@@ -239,3 +240,27 @@
         add_lost(claims.peer_jobs, f"{other}:1", LATER_MS - 5)
         claim = claims.prepare(JOB, [f"{other}:1"], (), LATER_MS)
         assert claim.next_witnesses() or claim.lost_to_ask() == [f"{other}:1"]
+
+
+@pytest.mark.parametrize("entries", [2, 3, 4])
+def test_entries_on_both_sides_of_a_cut_do_not_both_begin_a_job(entries: int) -> None:
+    """The lapse of time ends the runs of entries that have ended, not of live ones."""
+    model = ClaimsModel(entries=entries, agents=4)
+    for machine in model.machines.values():
+        machine.run_ms = 800
+    model.run(2_000)
+    names = list(model.nodes)
+    sides = names[: entries // 2], names[entries // 2 :]
+    for one in sides[0]:
+        for other in sides[1]:
+            model.block(one, other, 9_000)
+            model.block(other, one, 9_000)
+    model.run(3_000)
+    for side in sides:
+        spec = job(JOB, count=2, volatile=True)
+        deadline_ms = model.now_ms + 1_500
+        model.receive(side[0], Request(side[0], spec, deadline_ms, lambda _: None))
+        model.run(50)
+    model.run(4_000)
+    model.close()
+    assert model.overlapping() == []
