--- a/tests/test_platform_slow_entries.py
+++ b/tests/test_platform_slow_entries.py
@@ -4,8 +4,12 @@
 
 import pytest
 
+from catkincross.peers import Answer
 from scenarios.claims_fuzz import NAMES, play_plan
+from scenarios.claims_model import ClaimsModel
+from scenarios.platform_model import SETTLE_MS, job
 from scenarios.volatile_fuzz import Action, Plan
+from scenarios.volatile_requests import Request
 
 JOB = "5c0e7a21d94b36f8"
 ALL = tuple(NAMES)
@@ -29,6 +33,10 @@
     assert play_plan(Plan(157, (300,) * 4, actions)) == []
 
 
+# How long a client account waits, in milliseconds.
+LIMIT_MS = 1_500
+
+
 @pytest.mark.parametrize("lag_ms", [50, 250, 400, 600])
 def test_a_job_that_is_sent_again_at_once_does_not_run_twice_at_entries_that_are_late(
     lag_ms: int,
@@ -46,3 +54,24 @@
     for seed in range(4):
         plan = Plan(seed, (800,) * 4, actions, resend_ms=50, timeout_ms=1_500)
         assert play_plan(plan) == []
+
+
+@pytest.mark.parametrize("lag_ms", [120, 250])
+def test_jobs_complete_although_all_entries_answer_claims_late(lag_ms: int) -> None:
+    """Answers were dropped since the entries were heard, and each job got 504."""
+    model = ClaimsModel(entries=3, agents=6)
+    for machine in model.machines.values():
+        machine.run_ms = 20
+    model.run(SETTLE_MS)
+    for daemon in model.nodes.values():
+        daemon.lag_ms = lag_ms
+    answers: list[Answer] = []
+    for number in range(20):
+        spec = job(f"{number:016x}", count=1, volatile=True)
+        deadline_ms = model.now_ms + LIMIT_MS
+        request = Request(spec.id, spec, deadline_ms, answers.append)
+        model.receive(f"e{number % 2}", request)
+        model.run(50)
+    model.run(2 * LIMIT_MS)
+    model.close()
+    assert [answer.outcome for answer in answers] == ["state"] * 20
