Number the links between entries as those of agents

What callers saw: nothing; found by reading after. The late greeting of an older link between two entries marked the newer one as replaced, so that claims on it got no answer until it was closed as silent.

Change: entries number the links that they open, and a link whose number is below that of the link in use of the same process is closed.

Result: test_the_late_greeting_of_an_older_link_does_not_replace_the_newer_one failed before (the claim was ignored) and passes.

--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -144,11 +144,20 @@
     def _on_greeting(self, link: Link, greeting: Greeting) -> None:
         link.peer = greeting
         if greeting.role == "entry":
+            earlier = {
+                other: known
+                for other, known in self.entries.items()
+                if known.name == greeting.name
+            }
+            if any(_is_older(greeting, known) for known in earlier.values()):
+                # The entry has closed this link before it opened the one in use.
+                self.log.note("old link of an entry", entry=greeting.name)
+                link.close()
+                return
             self.replaced.update(
                 other
-                for other, known in self.entries.items()
-                if (known.name, known.incarnation)
-                == (greeting.name, greeting.incarnation)
+                for other, known in earlier.items()
+                if known.incarnation == greeting.incarnation
             )
             self.entries[link] = greeting
             self.heard_ms[link] = self.clock.now_ms()
--- a/catkincross/daemons/_owner_requests.py
+++ b/catkincross/daemons/_owner_requests.py
@@ -73,6 +73,7 @@
 
     Attributes:
         links: Links to other entries, by address.
+        links_opened: Number of links opened so far.
         connecting: Tasks that open a link, by address.
         on_connected: Called with each link when it is open; None for no callback.
         on_backlogs: Called with the backlogs of all connected entries when one has
@@ -97,6 +98,7 @@
         self.ask_local = ask_local
         self.on_error = on_error
         self.links: dict[str, PeerLink] = {}
+        self.links_opened = 0
         self.on_connected: Callable[[Link], None] | None = None
         self.on_backlogs: Callable[[list[Backlog]], None] | None = None
         self._update_scheduled = False
@@ -280,7 +282,8 @@
         peer = PeerLink(address, link, self.clock.now_ms())
         link.peer = peer
         self.links[address] = peer
-        link.send(self.greeting)
+        self.links_opened += 1
+        link.send(attrs.evolve(self.greeting, link_number=self.links_opened))
         if self.on_connected is not None:
             self.on_connected(link)
         return peer
--- a/tests/test_platform_silent_claims.py
+++ b/tests/test_platform_silent_claims.py
@@ -6,6 +6,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+import attrs
+
 from catkincross.daemons._entry_links import EntryLinks
 from catkincross.daemons._job_claimer import CLAIM, WITHDRAW, JobClaimer
 from catkincross.daemons._owner_requests import LINK_CLOSED
@@ -199,9 +201,13 @@
     def send(self, _: Any) -> None:
         """Drop a message."""
 
+    def close(self) -> None:
+        """End the link."""
+        self.closed = True
 
-def test_a_message_of_a_replaced_link_does_not_withdraw_a_newer_claim() -> None:
-    """It was held by the network until the link before it had been replaced."""
+
+def witness_with_links() -> tuple[EntryLinks, PeerVolatileJobs, Clock]:
+    """Return the links of the entry e1, which answers claims, and what it knows."""
     clock = Clock()
     peer_jobs = PeerVolatileJobs(EXPIRY_MS)
     claims = JobClaims(peer_jobs, "e1:1", 0)
@@ -220,6 +226,12 @@
         peer_jobs,
         lambda request, ask: claimer.answer(request[0], ask),
     )
+    return links, peer_jobs, clock
+
+
+def test_a_message_of_a_replaced_link_does_not_withdraw_a_newer_claim() -> None:
+    """It was held by the network until the link before it had been replaced."""
+    links, peer_jobs, clock = witness_with_links()
     old, new = PeerEnd(), PeerEnd()
     links._on_message(old, E0)
     links._on_message(old, Ask(1, CLAIM, JOB))
@@ -228,3 +240,14 @@
     links._on_message(new, Ask(1, CLAIM, JOB))
     links._on_message(old, Ask(0, WITHDRAW, JOB))
     assert peer_jobs.find_holder(JOB, clock.ms) == LiveHolder("e0:1")
+
+
+def test_the_late_greeting_of_an_older_link_does_not_replace_the_newer_one() -> None:
+    """The claims of an entry on its newer link were ignored, and got no answer."""
+    links, peer_jobs, clock = witness_with_links()
+    old, new = PeerEnd(), PeerEnd()
+    links._on_message(new, attrs.evolve(E0, link_number=2))
+    links._on_message(old, attrs.evolve(E0, link_number=1))
+    links._on_message(new, Ask(1, CLAIM, JOB))
+    assert old.closed
+    assert peer_jobs.find_holder(JOB, clock.ms) == LiveHolder("e0:1")
