Pause between questions of a claim that waits, and name what its line tells

An entry whose answers cannot be read would have been asked without a pause for up to a second. The line on claims that are granted in part said that runs were proved to have ended also when only the time for that had passed.

--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -56,14 +56,15 @@
         asked: All entries that were asked for the job, also by other claims.
         open: Answers that have not come yet, by address. A link that closes answers its
             questions by `LINK_CLOSED`.
-        proved: Whether the runs of all lost entries have ended.
+        lost_runs_ended: Whether the claim was granted since the runs of all lost
+            entries have ended, by the agents' proof or by time.
     """
 
     job_id: str
     claim: Claim
     asked: set[str]
     open: dict[str, asyncio.Future[Answer]] = attrs.field(factory=dict)
-    proved: bool = False
+    lost_runs_ended: bool = False
 
 
 class JobClaimer:
@@ -161,7 +162,9 @@
         if isinstance(verdict, NoHolder):
             # Another entry may have announced the job meanwhile.
             verdict = self.claims.peer_jobs.find_holder(job_id, now_ms)
-            if isinstance(verdict, NoHolder) and (claim.silent or questions.proved):
+            if isinstance(verdict, NoHolder) and (
+                claim.silent or questions.lost_runs_ended
+            ):
                 self._note_granted(questions)
         return verdict
 
@@ -198,9 +201,8 @@
                 return verdict
             if returned := self._returned(claim):
                 await self._ask_returned(questions, returned)
-                continue
-            if not claim.silent and self._lost_runs_ended(now_ms):
-                questions.proved = True
+            elif not claim.silent and self._lost_runs_ended(now_ms):
+                questions.lost_runs_ended = True
                 return NoHolder()
             await asyncio.sleep(PROOF_POLL_S)
         return None
@@ -297,7 +299,7 @@
             answered=sorted(claim.answers),
             lost=sorted(claim.lost),
             silent=sorted(claim.silent),
-            proved=questions.proved,
+            lost_runs_ended=questions.lost_runs_ended,
             age_ms=self.clock.now_ms() - claim.asked_ms,
         )
 
