Change the declarations during a soak, and check how old answers are

The soak, like the model and the fuzz, kept one version of the declarations from start to end, so it could not fail by rule CONFIG. Each version now adds a queue and drops an older one; all entries are asked for both every 50 ms. An answer by an outdated version counts unless a fault touched the entry in the last 3 s. The new fault turn_away lets the store refuse or ignore one process for 3 to 11 s; it stretches the bound by 5 s, as the platform's rules say.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -27,36 +27,18 @@
 import aiohttp
 import attrs
 import click
-import orjson
 
 from catkincross.transport._http_server import HttpServer
 from standins.platform_http import StoreHttp, WorkerHttp, now_ms
 
 from .loopback_proxy import Gateway, Proxy
 from .soak_callers import Callers, SoakPlan, SoakWorker
+from .soak_declarations import SERVICE, DeclarationChanges
 from .soak_faults import FAULTS, Daemon
 from .soak_findings import Fault, describe, overlapping_runs
 from .soak_ports import HOST, free_address
 from .soak_site_faults import SITE_FAULTS
 
-SERVICE = "checks"
-CONFIG = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "r",
-            "host": "soak.example",
-            "path_prefix": "/r/",
-            "timeout_ms": 1_500,
-            "service": SERVICE,
-            "max_attempts": 3,
-            "stretch": 1.6,
-            "slo_ms": 60,
-        }
-    ],
-    "services": [{"name": SERVICE}],
-    "limits": {"max_body_bytes": 262_144},
-}
 NODE = """
 node_id = "{name}"
 ip = "127.0.0.1"
@@ -118,6 +100,7 @@
     _entry_numbers: Iterator[int] = attrs.field(factory=count)
     session: Any = None
     callers: Any = None
+    changes: Any = None
 
     @property
     def daemons(self) -> list[Daemon]:
@@ -135,7 +118,8 @@
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
         self.session = aiohttp.ClientSession(connector=connector)
         self.callers = Callers(self.entries, self.plan, self.session)
-        self.store.declared.append(("config", orjson.dumps(CONFIG)))
+        self.changes = DeclarationChanges(self)
+        self.changes.declare_next()
         self.store_address = self._serve(self.store.app())
         async with asyncio.TaskGroup() as group:
             for _ in range(self.plan.entries):
@@ -318,18 +302,24 @@
     assert this_task is not None
     # A soak that is terminated ends its processes.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
+    probing = None
     try:
         await run.start()
         await asyncio.sleep(HEARTBEAT_S)
         run.began_ms = now_ms()
+        probing = asyncio.create_task(run.changes.ask_entries())
         async with asyncio.TaskGroup() as group:
             group.create_task(run.callers.submit(random.Random(seed)))
+            group.create_task(run.changes.change(random.Random(-seed - 1)))
             for number in range(1, plan.series + 1):
                 group.create_task(run.disturb(random.Random(seed + number)))
             if plan.site_faults:
                 group.create_task(run.disturb_site(random.Random(-seed)))
         lost = await run.settled()
     finally:
+        if probing is not None:
+            probing.cancel()
+            await asyncio.wait({probing})
         await run.stop()
     return run, lost
 
@@ -338,13 +328,16 @@
     """Run a soak, print what was found, and return whether all promises held."""
     folder.mkdir(parents=True, exist_ok=True)
     run, lost = asyncio.run(soak(folder, seed, plan))
-    findings = run.overlapping()
+    outdated = run.changes.findings()
+    findings = run.overlapping() + outdated
     faults = [f"{(f.at_ms - run.began_ms) / 1e3:.1f} s {f.what}" for f in run.faults]
     lines = faults if verbose else []
     lines.append(
         f"seed {seed}: {len(run.accepted)} stored jobs accepted, {len(lost)} not "
-        f"completed after {run.settle_s:.1f} s, {len(findings)} times two runs of a "
-        f"task at a time, {len(run.callers.sends)} requests ({run.callers.outcomes}), "
+        f"completed after {run.settle_s:.1f} s, {len(findings) - len(outdated)} times "
+        f"two runs of a task at a time, {len(outdated)} answers by outdated "
+        f"declarations ({len(run.changes.acked_ms)} versions), "
+        f"{len(run.callers.sends)} requests ({run.callers.outcomes}), "
         f"{len(run.exits)} daemons ended by themselves "
         f"{run.exits or ''}"
     )
--- a/scenarios/soak_faults.py
+++ b/scenarios/soak_faults.py
@@ -30,6 +30,8 @@
 # Shortest and longest time for which a process that is stalled stands still, in
 # seconds. Other processes do not take it for lost.
 STALL_S = (0.15, 0.9)
+# Shortest and longest time for which the store turns a process away, in seconds.
+TURNED_AWAY_S = (3.0, 11.0)
 # Ranges of the delays on slow links, in seconds.
 LINK_DELAYS_S = ((0.001, 0.02), (0.01, 0.1), (0.05, 0.4))
 
@@ -203,6 +205,13 @@
     await _proxy_fault(daemon.store, Mode.SILENT, length_s)
 
 
+@fault
+async def turn_away(daemon: Daemon, length_s: float) -> None:
+    """Let the store refuse or ignore the process, while it serves all others."""
+    mode = random.choice((Mode.CUT, Mode.SILENT))
+    await _proxy_fault(daemon.store, mode, random.uniform(*TURNED_AWAY_S))
+
+
 @fault
 async def cut_worker(daemon: Daemon, length_s: float) -> None:
     """Reset the connections between an agent and its worker."""
--- a/scenarios/soak_workers.py
+++ b/scenarios/soak_workers.py
@@ -34,8 +34,9 @@
 from standins.strict_worker import Answer
 
 from .loopback_proxy import Mode
-from .platform_soak import CONFIG, HEARTBEAT_S, SERVICE, Soak
+from .platform_soak import HEARTBEAT_S, SERVICE, Soak
 from .soak_callers import Callers, SoakPlan
+from .soak_declarations import declarations
 from .soak_faults import FAULTS as DAEMON_FAULTS, Daemon
 from .soak_findings import Fault, Send, describe, overlapping_runs, runs_of
 from .strict_fuzz import INFERRED_ENDS, KINDS, LATE_MS, TimedWorker
@@ -339,7 +340,7 @@
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
         self.session = aiohttp.ClientSession(connector=connector)
         self.callers = Callers(self.entries, self.plan, self.session)
-        self.store.declared.append(("config", orjson.dumps(CONFIG)))
+        self.store.declared.append(("config", orjson.dumps(declarations(1))))
         self.store_address = self._serve(self.store.app())
         for number in range(self.plan.entries):
             name = f"e{number}"
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -24,6 +24,7 @@
     assert run.faults
     assert lost == []
     assert run.overlapping() == []
+    assert run.changes.findings() == []
 
 
 def test_overlapping_faults_let_no_runs_overlap(tmp_path: Path) -> None:
@@ -34,6 +35,7 @@
     assert run.faults
     assert lost == []
     assert run.overlapping() == []
+    assert run.changes.findings() == []
 
 
 def test_every_kind_of_fault_is_registered() -> None:
@@ -42,7 +44,7 @@
     expected |= {"cut_store", "silence_store", "cut_worker", "silence_worker"}
     expected |= {"lose_worker", "stall", "throttle", "reset_channels"}
     expected |= {"silence_channels", "silence_links", "slow_links", "slow_worker"}
-    expected |= {"hold_links", "starve", "reset_clients"}
+    expected |= {"hold_links", "starve", "reset_clients", "turn_away"}
     assert set(FAULTS) == expected
     expected = {"reset_all_channels", "silence_all_channels", "silence_all_links"}
     expected |= {"kill_all", "reload_all", "stall_all", "restart_in_turn"}
