Log what the declarations of an entry are based on

A 404 of an undeclared queue left no line, and 'declarations' told neither where nor when they were read, so a silent connection, a store that turns the entry away and a read without effect looked the same.

'declarations' now has offset, call and age; 'declarations not confirmed' and 'confirmed again' frame failing reads; 'queue not declared' is the 404, with version and age; 'store call failed' names path and reason of each call without an answer or turned away. No decision changes.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -56,6 +56,8 @@
 # Interval at which the wall clock is compared with the clock of the process, in
 # seconds.
 WALL_CLOCK_INTERVAL_S = 0.4
+# Number of characters of a path in the log.
+LOGGED_PATH_LENGTH = 80
 MS_PER_S = 1_000
 
 
@@ -92,7 +94,8 @@
         self.core = OwnerCore(settings.name, limits, self.incarnation)
         self.store = StoreClient(settings.store)
         self.store.on_invalid = log.note_invalid_answer
-        self.feed = DeclarationFeed(self.store, settings.config_ms)
+        self.store.on_failure = log.note_failed_call
+        self.feed = DeclarationFeed(self.store, settings.config_ms, clock)
         self.owners = ShardOwners(self.store)
         self.owners.on_change = self._on_entries_changed
         self._update_wall_clock()
@@ -312,6 +315,18 @@
             took_ms=took_ms,
         )
 
+    def log_unknown_queue(self, verb: str, host: str, path: str) -> None:
+        """Log the rejection of a request whose queue is not declared."""
+        self.log.note(
+            "queue not declared",
+            verb=verb,
+            host=host,
+            path=path[:LOGGED_PATH_LENGTH],
+            version=self.declarations.version,
+            offset=self.feed.offset,
+            age_ms=self.feed.age_ms(),
+        )
+
     def _ask_local(self, ask: Ask) -> asyncio.Future[Answer]:
         future = asyncio.get_running_loop().create_future()
         self._ask_core(future, ask)
--- a/catkincross/daemons/_log.py
+++ b/catkincross/daemons/_log.py
@@ -118,6 +118,10 @@
         """Log an answer of the store that cannot be read and counts as none."""
         self.note("store answer invalid", path=path, error=error)
 
+    def note_failed_call(self, path: str, reason: str) -> None:
+        """Log a call to the store that got no answer or was turned away."""
+        self.note("store call failed", path=path, reason=reason)
+
     def _write(self, line: dict[str, Any]) -> None:
         try:
             data = orjson.dumps(line, default=str)
--- a/catkincross/daemons/_store_effects.py
+++ b/catkincross/daemons/_store_effects.py
@@ -134,7 +134,9 @@
         on_change: Called after each change of the declarations in force.
     """
     while True:
+        failing_since_ms = feed.failing_since_ms
         changed = await feed.poll()
+        _note_failing(feed, log, failing_since_ms)
         for error in feed.decode_errors:
             log.note("declaration not read", error=error)
         feed.decode_errors.clear()
@@ -147,5 +149,33 @@
                 version=declarations.version,
                 queues=len(declarations.queues),
                 evacuated=sorted(declarations.evacuated),
+                offset=feed.offset,
+                source=feed.source,
+                age_ms=feed.age_ms(),
             )
             on_change()
+
+
+def _note_failing(
+    feed: DeclarationFeed, log: DecisionLog, failing_since_ms: int | None
+) -> None:
+    """Log the first read of the declarations that fails, and the end of the failures.
+
+    Args:
+        feed: The declarations in the store.
+        log: Log of the process.
+        failing_since_ms: Since when reads had failed before the newest one; None if
+            they had not.
+    """
+    if failing_since_ms is None and feed.failing_since_ms is not None:
+        log.note(
+            "declarations not confirmed",
+            version=feed.declarations.version,
+            age_ms=feed.age_ms(),
+        )
+    elif failing_since_ms is not None and feed.failing_since_ms is None:
+        log.note(
+            "declarations confirmed again",
+            version=feed.declarations.version,
+            failed_ms=feed.clock.now_ms() - failing_since_ms,
+        )
--- a/catkincross/platform/_declared.py
+++ b/catkincross/platform/_declared.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from ..clock import Clock
 from ..jobs import QueuePolicy
 from ..operations import Declarations, Queue, Service
 from ._store import RecordsExpired, StoreClient, Topic
@@ -23,19 +24,30 @@
     Args:
         store: Client of the platform's store.
         apply_limit_ms: Time within which a change has to be in force, in milliseconds.
+        clock: Clock of the process.
 
     Attributes:
         declarations: Declarations in force, as of the last read.
+        offset: Offset in the topic up to which it was read; None before the first read.
+        confirmed_ms: When the newest read that was answered was sent, on the clock of
+            the process; None before the first.
+        failing_since_ms: When the first read without an answer after that was sent;
+            None if the newest read was answered.
+        source: Call that gave the newest answer.
         decode_errors: Errors of invalid records; the caller logs and clears them.
         long_poll_ms: How long the store may hold a read, in milliseconds.
     """
 
-    def __init__(self, store: StoreClient, apply_limit_ms: int) -> None:
+    def __init__(self, store: StoreClient, apply_limit_ms: int, clock: Clock) -> None:
         self.store = store
+        self.clock = clock
         self.set_apply_limit(apply_limit_ms)
         self.declarations = Declarations()
         self.decode_errors: list[str] = []
-        self._offset: int | None = None
+        self.offset: int | None = None
+        self.confirmed_ms: int | None = None
+        self.failing_since_ms: int | None = None
+        self.source = ""
 
     def set_apply_limit(self, apply_limit_ms: int) -> None:
         """Set the time within which a change has to be in force, in milliseconds."""
@@ -50,17 +62,34 @@
         Returns:
             Whether the declarations changed; None if the store did not answer.
         """
-        if self._offset is None:
+        sent_ms = self.clock.now_ms()
+        changed = await self._read()
+        if changed is not None:
+            self.confirmed_ms = sent_ms
+            self.failing_since_ms = None
+        elif self.failing_since_ms is None:
+            self.failing_since_ms = sent_ms
+        return changed
+
+    def age_ms(self) -> int | None:
+        """Return the time since a read that was answered; None before the first."""
+        if self.confirmed_ms is None:
+            return None
+        return self.clock.now_ms() - self.confirmed_ms
+
+    async def _read(self) -> bool | None:
+        if self.offset is None:
             return await self._read_latest()
         result = await self.store.read(
-            Topic.DECLARATIONS, 0, self._offset, wait_ms=self.long_poll_ms
+            Topic.DECLARATIONS, 0, self.offset, wait_ms=self.long_poll_ms
         )
         if result is None:
             return None
         if isinstance(result, RecordsExpired):
-            self._offset = None
+            self.offset = None
             return await self._read_latest()
-        self._offset += len(result.records)
+        self.source = "read"
+        self.offset += len(result.records)
         changed = False
         decoded_keys: set[str] = set()
         # From the newest record on: an older value of a key is not decoded, since it
@@ -80,7 +109,8 @@
         result = await self.store.read_latest(Topic.DECLARATIONS)
         if result is None:
             return None
-        values, self._offset = result
+        self.source = "newest"
+        values, self.offset = result
         self.declarations.evacuated = frozenset()
         changed = [self._apply(key, value) for key, value in values.items()]
         return any(changed)
--- a/catkincross/platform/_front.py
+++ b/catkincross/platform/_front.py
@@ -68,6 +68,9 @@
     ) -> None:
         """Log the answer to a request."""
 
+    def log_unknown_queue(self, verb: str, host: str, path: str) -> None:
+        """Log the rejection of a request whose queue is not declared."""
+
 
 class JobApiApp:
     """ASGI application for requests of client accounts and the readiness probe.
@@ -109,6 +112,7 @@
         host = read_header(scope, b"host").partition(":")[0]
         queue = declarations.queue_for(host, path)
         if queue is None:
+            self.backend.log_unknown_queue(scope["method"], host, path)
             return _json_response({"error": "no such queue"}, 404)
         job_id = read_route(path, queue.path_prefix)
         response = await self._handle_queue_request(
--- a/catkincross/platform/_store.py
+++ b/catkincross/platform/_store.py
@@ -23,6 +23,8 @@
 # transfer takes longer.
 SILENCE_S = 0.8
 MAX_READ_KB = 1_024
+# Status codes of calls that the store has not carried out.
+TURNED_AWAY_STATUSES = (429, 503)
 # Longer than the few seconds between two calls, so that connections are reused.
 KEEPALIVE_S = 30.0
 
@@ -84,12 +86,15 @@
         calls: Number of calls made so far.
         on_invalid: Called with the path of the call and the error for each answer that
             cannot be read and counts as none; None for no callback.
+        on_failure: Called with the path of the call and the reason for each call that
+            got no answer or was turned away; None for no callback.
     """
 
     def __init__(self, address: str) -> None:
         super().__init__(address, keepalive_s=KEEPALIVE_S)
         self.calls = 0
         self.on_invalid: Callable[[str, str], None] | None = None
+        self.on_failure: Callable[[str, str], None] | None = None
 
     async def fence(self, shard: int, epoch: int) -> AppendOutcome:
         """Fence a shard: the store rejects later appends of a lower epoch.
@@ -258,9 +263,20 @@
             target += "?" + "&".join(
                 f"{name}={_quote(value)}" for name, value in query.items()
             )
-        return await self.request(
-            method, target, body=body or b"", headers=headers, silence_s=silence_s
-        )
+        try:
+            status, answer = await self.request(
+                method, target, body=body or b"", headers=headers, silence_s=silence_s
+            )
+        except NO_RESPONSE_ERRORS as error:
+            self._report_failure(path, repr(error))
+            raise
+        if status in TURNED_AWAY_STATUSES:
+            self._report_failure(path, f"status {status}")
+        return status, answer
+
+    def _report_failure(self, path: str, reason: str) -> None:
+        if self.on_failure is not None:
+            self.on_failure(path, reason)
 
 
 def _quote(value: Any) -> str:
--- a/tests/test_platform_declared.py
+++ b/tests/test_platform_declared.py
@@ -8,6 +8,7 @@
 import orjson
 import pytest
 
+from catkincross.clock import SystemClock
 from catkincross.jobs import QueuePolicy
 from catkincross.operations import Declarations, Queue
 from catkincross.platform import DeclarationFeed, _declared
@@ -41,7 +42,7 @@
 
 def feed_after_reading(records: list[tuple[str, bytes]]) -> DeclarationFeed:
     """Return a feed that has read the records."""
-    feed = DeclarationFeed(FakeStore(records), 2_000)
+    feed = DeclarationFeed(FakeStore(records), 2_000, SystemClock())
 
     async def run() -> None:
         await feed.poll()
