--- a/tests/test_http11.py
+++ b/tests/test_http11.py
@@ -23,6 +23,8 @@
 SILENCE_S = 0.3
 
 
+# Number of connections that a client holds open.
+CONCURRENT = 4
 # Largest body that the test application reads, in bytes.
 MAX_BODY_BYTES = 1_000
 
@@ -215,6 +217,45 @@
     assert seen == [b"GET", b"GET", b"GET", b"GET", b"POST"]
 
 
+def test_a_silent_connection_ends_the_use_of_those_opened_before_it() -> None:
+    """When all open connections fell silent, each one cost a time limit of its own."""
+    connections: list[int] = []
+
+    async def run() -> list[int]:
+        silent = asyncio.Event()
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            number = len(connections)
+            connections.append(number)
+            while await reader.readline():
+                await reader.readuntil(b"\r\n\r\n")
+                if silent.is_set() and number < CONCURRENT:
+                    continue
+                await asyncio.sleep(SILENCE_S / 3)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        server, address = await serve_raw(answer)
+        client = HttpClient(address, keepalive_s=5.0)
+
+        async def ask() -> int:
+            return (await client.request("GET", "/", silence_s=SILENCE_S))[0]
+
+        await asyncio.gather(*(ask() for _ in range(CONCURRENT)))
+        silent.set()
+        with pytest.raises(TimeoutError):
+            await ask()
+        statuses = [await ask() for _ in range(CONCURRENT)]
+        await client.close()
+        server.close()
+        return statuses
+
+    assert asyncio.run(run()) == [200] * CONCURRENT
+    assert len(connections) == CONCURRENT + 1
+
+
 @pytest.mark.parametrize(
     "body", [b"", b"[]", b"{}", b'{"items": 3, "end": 1}', b"\xff", b'{"parts": [1]}']
 )
@@ -241,3 +282,21 @@
 
     answers = asyncio.run(run())
     assert not any(answers)
+
+
+def test_a_list_of_newest_records_that_is_cut_off_counts_as_none() -> None:
+    """A page without records that said so ended the list, as if it were whole."""
+
+    async def run() -> Any:
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            page = b'{"items": [], "truncated": true, "end": 9}'
+            await HttpResponse(200, page).send(send)
+
+        server = serve_app(app)
+        store = StoreClient(server.address)
+        answer = await store.read_latest(Topic.DECLARATIONS)
+        await store.close()
+        await server.stop(0.1)
+        return answer
+
+    assert asyncio.run(run()) is None
--- a/tests/test_platform_late_declarations.py
+++ b/tests/test_platform_late_declarations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -12,10 +13,14 @@
 import aiohttp
 import attrs
 import orjson
+import pytest
 
 from catkincross.clock import SystemClock
 from catkincross.daemons._entry import EntryDaemon
 from catkincross.daemons._log import DecisionLog
+from catkincross.daemons._store_effects import follow_declarations
+from catkincross.foundation._background import spawn_repeated
+from catkincross.platform import DeclarationFeed, StoreClient
 from catkincross.transport._http_server import HttpServer
 from scenarios.loopback_proxy import Mode, Proxy
 from scenarios.soak_declarations import declarations
@@ -152,3 +157,79 @@
                 await asyncio.sleep(POLL_S)
 
     play(tmp_path, 1, scenario)
+
+
+@pytest.mark.parametrize("mode", [Mode.CUT, Mode.SILENT])
+def test_an_entry_that_the_store_turns_away_learns_a_change_from_others(
+    tmp_path: Path, mode: Mode
+) -> None:
+    """It refused added queues, and used evacuated hosts, until the store answered."""
+
+    async def scenario(store: StoreHttp, entries: list[EntryUnderTest]) -> None:
+        turned_away = entries[1]
+        turned_away.store.set_mode(mode)
+        declare(store, 2)
+        store.declared.append(("evacuate/perth", b"{}"))
+        await turned_away.answers("/v2/", 200)
+        async with asyncio.timeout(LIMIT_S):
+            while not turned_away.daemon.declarations.evacuated:
+                await asyncio.sleep(POLL_S)
+        store.declared.append(("evacuate/perth", b""))
+        async with asyncio.timeout(LIMIT_S):
+            while turned_away.daemon.declarations.evacuated:
+                await asyncio.sleep(POLL_S)
+
+    play(tmp_path, 2, scenario)
+
+
+def test_an_entry_that_cannot_know_of_a_queue_does_not_deny_it(tmp_path: Path) -> None:
+    """It answered 404 for added queues by declarations that nobody had confirmed."""
+
+    async def scenario(store: StoreHttp, entries: list[EntryUnderTest]) -> None:
+        entry = entries[0]
+        assert await entry.ask("/v2/") == 404
+        entry.store.set_mode(Mode.CUT)
+        await entry.answers("/v2/", 503)
+        # Queues that it knows are served on, as in an outage of the store.
+        assert await entry.ask("/v1/") == 200
+        entry.store.set_mode(Mode.PASS)
+        await entry.answers("/v2/", 404)
+
+    play(tmp_path, 1, scenario)
+
+
+def test_declarations_reach_the_core_after_an_error(tmp_path: Path) -> None:
+    """After an error on a change, the core kept the version before it for good."""
+
+    async def run() -> list[int]:
+        store = StoreHttp()
+        declare(store, 1)
+        server = HttpServer(store.app(), "127.0.0.1:0")
+        server.start()
+        clock = SystemClock()
+        client = StoreClient(server.address)
+        feed = DeclarationFeed(client, APPLY_MS, clock)
+        log = DecisionLog(
+            "e0", clock, os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
+        )
+        seen: list[int] = []
+
+        def on_change() -> None:
+            seen.append(feed.declarations.version)
+            if len(seen) == 1:
+                raise RuntimeError("failed on purpose")
+
+        async def follow() -> None:
+            await follow_declarations(feed, log, on_change)
+
+        task = spawn_repeated(follow, log.note_error)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(2.0):
+                while len(seen) < 2:
+                    await asyncio.sleep(POLL_S)
+        task.cancel()
+        await client.close()
+        await server.stop(0.1)
+        return seen
+
+    assert asyncio.run(run()) == [1, 1]
