Count a cut-off page of the newest records as no answer

A page that says that more follows, but has no record after which to go on, ended the list as if it were whole: declarations and evacuations of the rest were missing until they changed again. Such a page now counts as an answer that cannot be read, which is logged and asked for again.

--- a/catkincross/platform/_store.py
+++ b/catkincross/platform/_store.py
@@ -309,7 +309,9 @@
     page = orjson.loads(body)
     items = page["items"]
     values = {item["key"]: base64.b64decode(item["value"]) for item in items}
-    more = page.get("truncated") and items
+    more = page.get("truncated")
+    if more and not items:
+        raise ValueError("page without records is not the last one")
     return _LatestPage(values, int(page["end"]), items[-1]["key"] if more else None)
 
 
