Refuse declarations whose fields have the wrong type

Validity followed from what read_config touched: a field that it only copies was taken as it came, and failed when a request used it.

Each field is checked for its type now; a missing or null one has its default, and a number may be written as a fraction. The version in force stays, and the error is logged, as for other versions that cannot be read.

--- a/catkincross/platform/_declared.py
+++ b/catkincross/platform/_declared.py
@@ -142,31 +142,62 @@
     fields = orjson.loads(value)
     queues = [_read_queue(route) for route in fields["routes"]]
     services = [
-        Service(row["name"], row.get("rejects_overload", False), row.get("standby"))
+        Service(
+            _typed(row["name"], str),
+            _optional(row, "rejects_overload", False),
+            _optional(row, "standby", False),
+        )
         for row in fields["services"]
     ]
+    limits = _optional(fields, "limits", {})
     return Declarations(
-        fields["version"],
+        _typed(fields["version"], int),
         queues,
         {service.name: service for service in services},
-        max_body_bytes=fields.get("limits", {}).get("max_body_bytes", 262_144),
+        max_body_bytes=_optional(limits, "max_body_bytes", 262_144),
     )
 
 
+def _typed(value: Any, kind: type | tuple[type, ...]) -> Any:
+    """Return a value of the expected type; truth values are no numbers.
+
+    Raises:
+        TypeError: If it is of another type.
+    """
+    if not isinstance(value, kind) or isinstance(value, bool) and kind is not bool:
+        raise TypeError(f"{value!r} is not of type {kind}")
+    return value
+
+
+def _optional(fields: dict[str, Any], name: str, default: Any) -> Any:
+    """Return a field that may be missing or null, of the type of its default.
+
+    Raises:
+        TypeError: If it is of another type; a number may be written as a fraction.
+    """
+    value = fields.get(name)
+    if value is None:
+        return default
+    kind = type(default)
+    if kind in (int, float):
+        return kind(_typed(value, (int, float)))
+    return _typed(value, kind)
+
+
 def _read_queue(route: dict[str, Any]) -> Queue:
     # The platform calls a queue a route.
     policy = QueuePolicy(
-        queue=route["name"],
-        service=route["service"],
-        priority=route.get("priority", 0),
-        max_attempts=route.get("max_attempts", 1),
-        stretch=float(route.get("stretch", 1.0)),
-        slo_ms=route.get("slo_ms", 0),
+        queue=_typed(route["name"], str),
+        service=_typed(route["service"], str),
+        priority=_optional(route, "priority", 0),
+        max_attempts=_optional(route, "max_attempts", 1),
+        stretch=_optional(route, "stretch", 1.0),
+        slo_ms=_optional(route, "slo_ms", 0),
     )
     return Queue(
-        route["host"],
-        route["path_prefix"],
+        _typed(route["host"], str),
+        _typed(route["path_prefix"], str),
         policy,
-        route.get("timeout_ms", 0),
+        _optional(route, "timeout_ms", 0),
         bool(route.get("advice")),
     )
--- a/tests/test_platform_declared.py
+++ b/tests/test_platform_declared.py
@@ -27,17 +27,21 @@
 
     def __init__(self, records: list[tuple[str, bytes]]) -> None:
         self.records = records
+        # Number of records, from the first on, that `read_latest` covers, and of those
+        # that a read returns.
+        self.latest = 0
+        self.page = 1_000
 
     async def read_latest(self, topic: str) -> tuple[dict[str, bytes], int]:
-        """Return no values, so that all records come from `read`."""
-        return {}, 0
+        """Return no values at first, so that all records come from `read`."""
+        return dict(self.records[: self.latest]), self.latest
 
     async def read(
         self, topic: str, partition: int, offset: int, *, wait_ms: int
     ) -> Any:
         """Return the records from an offset on."""
         encoded = [bytes([len(k)]) + k.encode() + v for k, v in self.records]
-        return ReadResult(len(encoded), 0, encoded[offset:])
+        return ReadResult(len(encoded), 0, encoded[offset : offset + self.page])
 
 
 def feed_after_reading(records: list[tuple[str, bytes]]) -> DeclarationFeed:
@@ -89,6 +93,46 @@
     assert len(feed.decode_errors) == 1
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": True},
+        {"version": "9"},
+        {"version": 9.5},
+        *(
+            {"routes": [VALID_CONFIG["routes"][0] | {field: value}]}
+            for field, value in {
+                "name": 1,
+                "host": None,
+                "path_prefix": 7,
+                "service": ["s"],
+                "priority": "high",
+                "max_attempts": "3",
+                "stretch": "1.6",
+                "slo_ms": "60",
+                "timeout_ms": "1500",
+            }.items()
+        ),
+        {"services": [{"name": 4}]},
+        {"services": [{"name": "s", "rejects_overload": "no"}]},
+        {"services": [{"name": "s", "standby": 1}]},
+        {"limits": {"max_body_bytes": "many"}},
+    ],
+)
+def test_a_field_of_the_wrong_type_leaves_the_configuration_in_force(
+    change: dict[str, Any],
+) -> None:
+    """Fields that were only copied were taken as they came, and failed when used."""
+    changed = VALID_CONFIG | {"version": 9} | change
+    records = [
+        ("config", orjson.dumps(VALID_CONFIG)),
+        ("config", orjson.dumps(changed)),
+    ]
+    feed = feed_after_reading(records)
+    assert feed.declarations.version == 3
+    assert len(feed.decode_errors) == 1
+
+
 def test_records_with_unknown_keys_are_ignored() -> None:
     """Operators may declare keys that the dispatcher does not know; others apply."""
     records = [("wave/1", b"{}"), ("evacuate/perth", b"{}")]
