Use no idle connection after another one has fallen silent

A read that timed out after 1.5 s was followed by one on the next idle connection, opened before the silence as well, so the delay grew with the number of idle connections. The class: a timeout was taken for a fault of one connection, although those that pass the same network fall silent together.

HttpClient closes all idle connections when a request times out, so that the next request opens a new one. This holds for the store's other calls and for the agent's calls to its worker too. The feed of the declarations reads on at once after a read that took longer than its retry delay of 200 ms.

--- a/catkincross/daemons/_store_effects.py
+++ b/catkincross/daemons/_store_effects.py
@@ -13,8 +13,9 @@
 
 # Delay before a failed step of a claim is retried, in seconds.
 CLAIM_RETRY_S = 0.1
-# Delay before a failed read of the declarations is retried, in seconds.
-FOLLOW_RETRY_S = 0.2
+# Shortest time from the begin of a failed read of the declarations to the next read, in
+# milliseconds. After a read that a silent connection has held up, the next one is due.
+FOLLOW_RETRY_MS = 200
 MS_PER_S = 1_000
 
 
@@ -135,13 +136,15 @@
     """
     while True:
         failing_since_ms = feed.failing_since_ms
+        began_ms = feed.clock.now_ms()
         changed = await feed.poll()
         _note_failing(feed, log, failing_since_ms)
         for error in feed.decode_errors:
             log.note("declaration not read", error=error)
         feed.decode_errors.clear()
         if changed is None:
-            await asyncio.sleep(FOLLOW_RETRY_S)
+            wait_ms = began_ms + FOLLOW_RETRY_MS - feed.clock.now_ms()
+            await asyncio.sleep(max(0, wait_ms) / MS_PER_S)
         elif changed:
             declarations = feed.declarations
             log.note(
--- a/catkincross/http11/_client.py
+++ b/catkincross/http11/_client.py
@@ -127,6 +127,8 @@
 class HttpClient:
     """Client of one service, with a pool of persistent connections.
 
+    If a connection falls silent during a request, no idle one is used any more.
+
     Args:
         address: `IP:port` of the service.
         keepalive_s: How long an idle connection is kept open, in seconds.
@@ -186,6 +188,11 @@
         self._busy.add(connection)
         try:
             result = await connection.send(data, silence_s)
+        except TimeoutError:
+            # Connections fall silent together, and only a timeout shows it: idle ones
+            # would cost one timeout after the other.
+            self._close_idle()
+            raise
         except BaseException:
             connection.abort(ConnectionAbortedError("request abandoned"))
             raise
