Tell the core of new declarations again after an error

An error in the callback ended the task that follows the declarations. It was started again, but its feed had read the change already, so the core kept the version before it until the next change.

--- a/catkincross/daemons/_store_effects.py
+++ b/catkincross/daemons/_store_effects.py
@@ -132,8 +132,11 @@
     Args:
         feed: The declarations in the store.
         log: Log of the process.
-        on_change: Called after each change of the declarations in force.
+        on_change: Called after each change of the declarations in force, and after the
+            next read if it fails.
     """
+    # Whether the caller has not been told of the newest change yet.
+    pending = False
     while True:
         failing_since_ms = feed.failing_since_ms
         began_ms = feed.clock.now_ms()
@@ -142,21 +145,36 @@
         for error in feed.decode_errors:
             log.note("declaration not read", error=error)
         feed.decode_errors.clear()
+        if changed:
+            _note_change(feed, log)
+        if changed or pending:
+            pending = not _report_change(log, on_change)
         if changed is None:
             wait_ms = began_ms + FOLLOW_RETRY_MS - feed.clock.now_ms()
             await asyncio.sleep(max(0, wait_ms) / MS_PER_S)
-        elif changed:
-            declarations = feed.declarations
-            log.note(
-                "declarations",
-                version=declarations.version,
-                queues=len(declarations.queues),
-                evacuated=sorted(declarations.evacuated),
-                offset=feed.offset,
-                source=feed.source,
-                age_ms=feed.age_ms(),
-            )
-            on_change()
+
+
+def _note_change(feed: DeclarationFeed, log: DecisionLog) -> None:
+    declarations = feed.declarations
+    log.note(
+        "declarations",
+        version=declarations.version,
+        queues=len(declarations.queues),
+        evacuated=sorted(declarations.evacuated),
+        offset=feed.offset,
+        source=feed.source,
+        age_ms=feed.age_ms(),
+    )
+
+
+def _report_change(log: DecisionLog, on_change: Callable[[], None]) -> bool:
+    """Report a change of the declarations; return whether that went without error."""
+    try:
+        on_change()
+    except Exception as error:
+        log.note_error("declarations", error)
+        return False
+    return True
 
 
 def _note_failing(
