Do not deny a queue by declarations that nobody has confirmed

An entry that could read the declarations nowhere answered 404 for each queue that it did not know, also for those that had been added since its newest read. A 404 tells callers that there is no such queue, so they give up; what was known is only that there was none some time ago.

If neither the store nor another entry has confirmed the declarations for longer than a change may take to be in force, such a request is rejected at once with 503 and Retry-After: it has not run, and may come again. Queues that the entry knows are served on, since in an outage of the store no change can be acknowledged either.

--- a/catkincross/platform/_front.py
+++ b/catkincross/platform/_front.py
@@ -41,6 +41,7 @@
     """Interface of the entry daemon that carries out requests."""
 
     declarations: Declarations
+    declarations_confirmed: bool
     ready: bool
 
     async def wait_for_declarations(self, timeout_ms: int) -> None:
@@ -113,6 +114,9 @@
         queue = declarations.queue_for(host, path)
         if queue is None:
             self.backend.log_unknown_queue(scope["method"], host, path)
+            if not self.backend.declarations_confirmed:
+                # The queue may have been added meanwhile.
+                return _rejection("declarations_not_confirmed", MS_PER_S)
             return _json_response({"error": "no such queue"}, 404)
         job_id = read_route(path, queue.path_prefix)
         response = await self._handle_queue_request(
