--- a/scenarios/claims_fuzz.py
+++ b/scenarios/claims_fuzz.py
@@ -3,8 +3,9 @@
 Besides the disruptions of `volatile_fuzz`, all channels are reset or fall silent for
 good at once, entries handle messages late, and stand still for short times.
 
-Run `python -m scenarios.claims_fuzz FIRST LAST [slow]` to play the seeds of a range;
-`slow` plays entries that answer all claims too late.
+Run `python -m scenarios.claims_fuzz FIRST LAST [slow|declared]` to play the seeds of a
+range; `slow` plays entries that answer all claims too late, `declared` a store that
+fails single entries while the declarations change.
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 import attrs
 
 from .claims_model import ClaimsModel
+from .declared_model import IGNORE, REFUSE
+from .soak_findings import Fault
 from .volatile_fuzz import (
     ACTIONS,
     AGENTS,
@@ -43,6 +46,14 @@
 SLOW_RUNS_MS = (300, 800, 1_500)
 SLOW_JOBS = 16
 NAMES = [f"e{number}" for number in range(ENTRIES)]
+# Actions after which entries are still bound to the time limit of declarations.
+UNDISTURBING = {"submit", "change_declarations", "cut_clients", "cut_agent"}
+UNDISTURBING |= {"kill_agent", "freeze_agent", "cut_worker", "lose_stops", "crash"}
+# Longest time for which `stall_entries` goes on.
+LONGEST_STALLS_MS = 7_800
+CHANGES = 8
+# Time after the last other action in which declarations still change.
+CHANGES_MS = 14_000
 
 
 class ClaimsPlay(Play):
@@ -54,13 +65,39 @@
     settle_ms = 1_500
 
     def run(self) -> list[str]:
-        """Play all actions; return the tasks of which two runs overlapped."""
+        """Play all actions.
+
+        Returns:
+            The tasks of which two runs overlapped, and answers by outdated
+            declarations.
+        """
+        start_ms = self.model.now_ms
+        self.model.declared.faults += [
+            fault
+            for step in self.plan.actions
+            if (fault := _fault_of(step, start_ms)) is not None
+        ]
         try:
             found = super().run()
         finally:
             self.model.close()
         assert not self.model.errors, self.model.errors
-        return found
+        return found + self.model.declared.findings()
+
+
+def _fault_of(step: Action, start_ms: int) -> Fault | None:
+    """Return the disruption of entries that an action is; None if it is none."""
+    if step.kind in UNDISTURBING:
+        return None
+    names: list[str] = []
+    for value in step.values:
+        names += value if isinstance(value, tuple) else [value]
+    entries = [name for name in names if name in NAMES]
+    lengths_ms = [v for v in names if isinstance(v, int) and not isinstance(v, bool)]
+    for_ms = LONGEST_STALLS_MS if step.kind == "stall_entries" else 0
+    at_ms = start_ms + step.at_ms
+    what = " ".join([step.kind, *entries])
+    return Fault(what, at_ms, at_ms + max([for_ms, *lengths_ms]))
 
 
 def action(draw: Callable[[random.Random], tuple[Any, ...]]) -> Any:
@@ -74,6 +111,45 @@
     return add
 
 
+@action(lambda draw: ())
+def change_declarations(play: Play) -> None:
+    """Write a new version of the declarations."""
+    play.model.declared.declare_next(play.model.now_ms)
+
+
+@action(
+    lambda draw: (
+        draw.choice(NAMES),
+        draw.choice((REFUSE, IGNORE)),
+        draw.choice((3_000, 8_000, 12_000)),
+    )
+)
+def turn_away(play: Play, entry: str, mode: str, for_ms: int) -> None:
+    """Let the store refuse or ignore one entry for a while."""
+    declared = play.model.declared
+    declared.turned_away[entry] = mode
+    play.model.at(for_ms, lambda: declared.turned_away.pop(entry, None))
+
+
+@action(lambda draw: (_some_entries(draw),))
+def silence_store(play: Play, entries: tuple[str, ...]) -> None:
+    """Let the open connections of entries to the store fall silent for good."""
+    for entry in entries:
+        play.model.declared.silenced_ms[entry] = play.model.now_ms
+
+
+@action(lambda draw: (draw.choice((500, 2_000, 5_000)),))
+def store_down(play: Play, for_ms: int) -> None:
+    """Let the store refuse all calls for a while."""
+    model = play.model
+    model.store.down = True
+
+    def recover() -> None:
+        model.store.down = False
+
+    model.at(for_ms, recover)
+
+
 def _break_clients(play: Play, entry: str, notice_ms: int | None) -> None:
     if notice_ms is not None:
         play.reset_all(entry, notice_ms)
@@ -163,7 +239,7 @@
     """Return the plan of a seed: jobs, and disruptions around them."""
     draw = random.Random(f"claims/{seed}")
     run_ms = tuple(draw.choice(RUNS_MS) for _ in range(AGENTS))
-    disruptions = sorted(set(ClaimsPlay.actions) - {"submit"})
+    disruptions = sorted(set(ClaimsPlay.actions) - {"submit", "change_declarations"})
     # Faults of the entries come more often than those of agents and workers.
     disruptions += ["reset_channels", "slow_entries", "stall_entries"] * 4
     disruptions += ["cut_clients"] * 4
@@ -175,10 +251,18 @@
         kind = draw.choice(disruptions)
         at_ms = draw.randrange(0, EPISODE_MS)
         actions.append(Action(at_ms, kind, ClaimsPlay.draws[kind](draw)))
+    actions += _changes(draw)
     times_ms = draw.choice(RESENDS_MS), draw.choice(TIMEOUTS_MS)
     return _with_distinct_jobs(Plan(seed, run_ms, tuple(actions), *times_ms))
 
 
+def _changes(draw: random.Random) -> list[Action]:
+    """Return changes of the declarations during the disruptions and after them."""
+    times_ms = [draw.randrange(0, EPISODE_MS) for _ in range(CHANGES)]
+    times_ms += [draw.randrange(EPISODE_MS, CHANGES_MS) for _ in range(CHANGES)]
+    return [Action(at_ms, "change_declarations") for at_ms in times_ms]
+
+
 def slow_plan_of(seed: int) -> Plan:
     """Return a plan in which all entries handle each message late for 12 s."""
     draw = random.Random(f"slow/{seed}")
@@ -202,8 +286,21 @@
     return _with_distinct_jobs(Plan(seed, run_ms, tuple(actions), *times_ms))
 
 
+def declared_plan_of(seed: int) -> Plan:
+    """Return a plan in which the store fails single entries or all of them."""
+    draw = random.Random(f"declared/{seed}")
+    kinds = ["turn_away"] * 3 + ["silence_store"] * 2
+    kinds += ["store_down", "kill_entry", "freeze_entry", "reset_channels"]
+    actions = _changes(draw)
+    for _ in range(draw.randrange(1, 4)):
+        kind = draw.choice(kinds)
+        at_ms = draw.randrange(0, EPISODE_MS)
+        actions.append(Action(at_ms, kind, ClaimsPlay.draws[kind](draw)))
+    return Plan(seed, SLOW_RUNS_MS + RUNS_MS[:1], tuple(actions))
+
+
 def play_plan(plan: Plan) -> list[str]:
-    """Play a plan; return the tasks of which two runs overlapped."""
+    """Play a plan; return what was found, as `ClaimsPlay.run`."""
     return ClaimsPlay(plan).run()
 
 
@@ -226,5 +323,6 @@
 
 
 if __name__ == "__main__":
-    maker = slow_plan_of if sys.argv[3:] == ["slow"] else plan_of
+    makers = {"slow": slow_plan_of, "declared": declared_plan_of}
+    maker = makers[sys.argv[3]] if sys.argv[3:] else plan_of
     sys.exit(main(int(sys.argv[1]), int(sys.argv[2]), maker))
--- a/scenarios/claims_model.py
+++ b/scenarios/claims_model.py
@@ -18,6 +18,7 @@
 
 from catkincross.daemons import _owner_requests
 from catkincross.daemons._core_requests import pass_request, send_reply
+from catkincross.daemons._declarations import DeclarationFollower
 from catkincross.daemons._entry_links import REQUEST_RELEASE_MS, EntryLinks
 from catkincross.daemons._job_claimer import JobClaimer
 from catkincross.daemons._lost_runs_proof import LostRunsProof
@@ -29,6 +30,7 @@
 from catkincross.owner import BroadcastToEntries, Reply
 from catkincross.peers import STORE_SOURCE, Answer, Ask, Greeting, Link
 
+from .declared_model import PROBE_MS, DeclaredLog, follow_declarations
 from .platform_effects import LINK_MS, Host
 from .platform_model import SHARDS, Model
 from .volatile_model import START_MS, VolatileModel
@@ -143,12 +145,14 @@
         lag_ms: Time after which it handles each message.
         inbox: Messages that it has not handled, with the time at which it does.
         ends: Its ends of connections to other entries.
+        follower: Its declarations.
     """
 
     loop: VirtualLoop
     lag_ms: int
     inbox: deque[tuple[int, Callable[[], Any]]]
     ends: list[ChannelEnd]
+    follower: DeclarationFollower
 
     def call(self, function: Callable[..., Any], *args: Any) -> None:
         """Run something on the loop of the process."""
@@ -224,10 +228,13 @@
         core, core_loop, peer_jobs, requests, clock, log, claimer
     )
     requests.on_connected = volatile.announce_all
+    follower = follow_declarations(model, daemon, links, requests, clock, log)
+    daemon.follower = follower
     daemon.links, daemon.owners, daemon.volatile = links, owners, volatile
 
     def start() -> None:
-        spawn_repeated(lambda: requests.maintain_links(core.backlog), log.note_error)
+        spawn_repeated(lambda: requests.maintain_links(links.backlog), log.note_error)
+        spawn_repeated(follower.follow, log.note_error)
         spawn_repeated(links.close_silent_links, log.note_error)
         spawn_repeated(volatile.announce_jobs, log.note_error)
 
@@ -242,13 +249,27 @@
     Attributes:
         errors: Unexpected errors by entry, with what failed.
         tasks: Requests of client accounts in progress, by key.
+        declared: The operators' declarations.
     """
 
+    declared: DeclaredLog = attrs.field(factory=DeclaredLog)
     errors: list[tuple[str, str, Exception]] = attrs.field(factory=list)
     tasks: dict[str, asyncio.Task[Answer]] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Declare the first version, and start all processes."""
+        self.declared.declare_next(self.now_ms)
+        super().__attrs_post_init__()
+        self.at(PROBE_MS, self._probe)
+
     # Time.
 
+    def _probe(self) -> None:
+        for daemon in self.nodes.values():
+            if self.awake(daemon.host):
+                self.declared.probe(daemon, self.now_ms)
+        self.at(PROBE_MS, self._probe)
+
     def run(self, for_ms: int) -> None:
         """Let time pass, and the entries' loops run in each millisecond."""
         end_ms = self.now_ms + for_ms
--- a/scenarios/soak_declarations.py
+++ b/scenarios/soak_declarations.py
@@ -83,6 +83,17 @@
     }
 
 
+def queues_to_ask(newest: int, served: int) -> set[int]:
+    """Return the queues for which an entry is asked.
+
+    Args:
+        newest: Newest version.
+        served: Newest queue that the entry has served; 0 for none. An entry that does
+            not learn of changes serves it long after it was dropped.
+    """
+    return {queue for queue in (newest, newest - KEPT_QUEUES, served) if queue > 0}
+
+
 @attrs.define(eq=False)
 class DeclarationChanges:
     """Changes declarations, and asks all entries for the queues that come and go.
@@ -90,11 +101,13 @@
     Attributes:
         acked_ms: When the store acknowledged each version, oldest first.
         probes: Answers of entries.
+        served: Newest queue that each entry has served.
     """
 
     run: Soak
     acked_ms: list[int] = attrs.field(factory=list)
     probes: list[Probe] = attrs.field(factory=list)
+    served: dict[str, int] = attrs.field(factory=dict)
 
     def declare_next(self) -> None:
         """Write the next version to the store."""
@@ -115,9 +128,8 @@
             while True:
                 newest = len(self.acked_ms)
                 for entry in list(self.run.entries):
-                    for queue in (newest, newest - KEPT_QUEUES):
-                        if queue > 0:
-                            group.create_task(self._ask(entry, queue))
+                    for queue in queues_to_ask(newest, self.served.get(entry.name, 0)):
+                        group.create_task(self._ask(entry, queue))
                 await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def _ask(self, entry: Any, queue: int) -> None:
@@ -126,6 +138,8 @@
         status, _ = await self.run.callers.ask(
             entry, "GET", f"/v{queue}/", None, PROBE_TIMEOUT_S
         )
+        if status == SERVED:
+            self.served[entry.name] = max(queue, self.served.get(entry.name, 0))
         self.probes.append(Probe(entry.name, process, queue, sent_ms, now_ms(), status))
 
     def findings(self) -> list[str]:
