Count declarations that were asked for as a confirmation

Since an entry without confirmation denies no queue, all requests for unknown queues would have been rejected with 503.

The question carries the asking entry's time, and the answer returns it with the age that the other entry knows. The answer confirms the copy as of the question, less that age.

--- a/catkincross/daemons/_declarations.py
+++ b/catkincross/daemons/_declarations.py
@@ -22,6 +22,8 @@
 QUESTION_DELAY_S = 0.1
 # Number of characters of a path in the log.
 LOGGED_PATH_LENGTH = 80
+# Age that is told before the first read.
+UNKNOWN_AGE_MS = -1
 MS_PER_S = 1_000
 
 
@@ -104,17 +106,25 @@
 
     def stamp(self, backlog: Backlog) -> Backlog:
         """Return a backlog that tells up to where the declarations were read here."""
-        freshness = self.feed.freshness
-        age_ms = freshness.age_ms(self.clock.now_ms())
         return attrs.evolve(
             backlog,
-            declared_offset=freshness.offset,
-            declared_age_ms=-1 if age_ms is None else age_ms,
+            declared_offset=self.feed.freshness.offset,
+            declared_age_ms=self._told_age_ms(),
         )
 
-    def held(self) -> DeclarationsHeld:
+    def answer_question(self, question: DeclarationsWanted) -> DeclarationsHeld:
         """Return the answer to an entry that asks for the declarations."""
-        return DeclarationsHeld(self.feed.freshness.offset, self.feed.values)
+        return DeclarationsHeld(
+            self.feed.freshness.offset,
+            self._told_age_ms(),
+            question.asked_ms,
+            self.feed.values,
+        )
+
+    def _told_age_ms(self) -> int:
+        """Return the age as other entries are told it."""
+        age_ms = self.feed.freshness.age_ms(self.clock.now_ms())
+        return UNKNOWN_AGE_MS if age_ms is None else age_ms
 
     def _on_backlog(self, entry: str, backlog: Backlog, sent_ms: int) -> None:
         """Record what another entry has read.
@@ -124,13 +134,19 @@
             backlog: Its backlog.
             sent_ms: When it was asked, on the clock of the process.
         """
-        if backlog.declared_offset < 0:
-            return
-        # The answer may have been on its way for any part of the time since then.
-        age_ms = backlog.declared_age_ms
-        as_of_ms = sent_ms - age_ms if age_ms >= 0 else None
-        self.feed.freshness.record_other(entry, backlog.declared_offset, as_of_ms)
-        self._schedule_question()
+        if backlog.declared_offset >= 0:
+            self._record_other(
+                entry, backlog.declared_offset, sent_ms, backlog.declared_age_ms
+            )
+            self._schedule_question()
+
+    def _record_other(
+        self, entry: str, offset: int, asked_ms: int, age_ms: int
+    ) -> None:
+        # The answer may have been on its way for any part of the time since the
+        # question, so its age counts from there.
+        as_of_ms = None if age_ms == UNKNOWN_AGE_MS else asked_ms - age_ms
+        self.feed.freshness.record_other(entry, offset, as_of_ms)
 
     def _schedule_question(self) -> None:
         if self.feed.freshness.ahead and self._question_timer is None:
@@ -152,12 +168,15 @@
                 age_ms=freshness.age_ms(now_ms),
                 store_failing=freshness.failing_since_ms is not None,
             )
-            self.requests.notify(entry, DeclarationsWanted(freshness.offset))
+            question = DeclarationsWanted(freshness.offset, now_ms)
+            self.requests.notify(entry, question)
         self._schedule_question()
 
     def _on_declarations(self, entry: str, message: DeclarationsHeld) -> None:
         self.feed.freshness.record_answer_of(entry)
-        self._handle_read(self.feed.take_copy(message.offset, message.values))
+        changed = self.feed.take_copy(message.offset, message.values)
+        self._record_other(entry, message.offset, message.asked_ms, message.age_ms)
+        self._handle_read(changed)
 
     # What was read.
 
--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -138,7 +138,7 @@
             self._ask_core,
         )
         self.entry_links.backlog = self._backlog
-        self.entry_links.held_declarations = self.follower.held
+        self.entry_links.answer_question = self.follower.answer_question
         claims = JobClaims(self.peer_jobs, self.address, clock.now_ms())
         proof = LostRunsProof(self.core, self.owner_requests, clock, log)
         self.claimer = JobClaimer(
--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -70,8 +70,8 @@
         announced: Data centre by address of the entries last announced to the agents.
         announced_to_entries: The same for other entries.
         backlog: Returns the answer to the backlog of another entry.
-        held_declarations: Returns the answer to an entry that asks for declarations;
-            None for no answer.
+        answer_question: Returns the answer to an entry that asks for declarations; None
+            for no answer.
     """
 
     def __init__(
@@ -102,7 +102,9 @@
         self.announced: dict[str, str] = {}
         self.announced_to_entries: dict[str, str] = {}
         self.backlog: Callable[[], Backlog] = core.backlog
-        self.held_declarations: Callable[[], DeclarationsHeld] | None = None
+        self.answer_question: (
+            Callable[[DeclarationsWanted], DeclarationsHeld] | None
+        ) = None
 
     async def serve(self, address: str) -> None:
         """Accept links.
@@ -149,8 +151,8 @@
             case Backlog():
                 link.send(self.backlog())
             case DeclarationsWanted():
-                if self.held_declarations is not None:
-                    link.send(self.held_declarations())
+                if self.answer_question is not None:
+                    link.send(self.answer_question(message))
             case VolatileJobs():
                 self.peer_jobs.update(link.peer, message, self.clock.now_ms())
             case LostVolatileJobs():
--- a/catkincross/peers/_entry_messages.py
+++ b/catkincross/peers/_entry_messages.py
@@ -160,9 +160,11 @@
     Attributes:
         offset: Offset in their log up to which they are in force at the sender; -1 for
             none.
+        asked_ms: Time of the question, on the clock of the sender.
     """
 
     offset: int
+    asked_ms: int
 
 
 @register_message
@@ -172,8 +174,13 @@
 
     Attributes:
         offset: Offset in the log up to which they are in force.
+        age_ms: Time since no later declaration is known to have existed, in
+            milliseconds; -1 if that is not known.
+        asked_ms: Time in the question, on the clock of the entry that asked.
         values: Newest value of each key in the log, as the operators have written it.
     """
 
     offset: int
+    age_ms: int
+    asked_ms: int
     values: dict[str, bytes]
--- a/scenarios/declared_model.py
+++ b/scenarios/declared_model.py
@@ -152,5 +152,5 @@
 
     follower = DeclarationFollower(feed, requests, clock, log, on_change)
     links.backlog = lambda: follower.stamp(core.backlog())
-    links.held_declarations = follower.held
+    links.answer_question = follower.answer_question
     return follower
