Let entries that are behind ask different entries for declarations

All entries that the store turns away asked the entry with the greatest name among those that had read most. At 35 entries, with 1,400 queues in 300 KB of declarations, it would have sent them to all others for each change. Each one now chooses by the hash of its own name, among those that have read most and have not left its last question unanswered.

test_entries_that_are_behind_do_not_all_ask_the_same_one is new.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -113,7 +113,7 @@
             log.note_error,
         )
         self.owner_requests.on_backlogs = self.core.update_peer_backlogs
-        self.feed = DeclarationFeed(self.store, settings.config_ms, clock)
+        self.feed = DeclarationFeed(self.store, settings.config_ms, clock, self.address)
         self.follower = DeclarationFollower(
             self.feed, self.owner_requests, clock, log, self._on_declarations_changed
         )
--- a/catkincross/operations/_freshness.py
+++ b/catkincross/operations/_freshness.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..foundation._rendezvous import choose_by_hash
+
 # Age of the declarations from which an entry asks another one that has newer ones, in
 # milliseconds. A read of the store ends within 700 ms, so a younger age means that the
 # store is about to return the same.
@@ -20,6 +22,7 @@
     all states of them. All times are on the clock of the process, in milliseconds.
 
     Attributes:
+        name: Name of this entry, so that entries choose different ones to ask.
         offset: Offset after the last record in force; -1 before the first read.
         confirmed_ms: Latest time at which no later record is known to have existed;
             None before the first read.
@@ -28,6 +31,7 @@
         ahead: Offset of each entry that has read more, by address.
     """
 
+    name: str = ""
     offset: int = -1
     confirmed_ms: int | None = None
     failing_since_ms: int | None = None
@@ -117,8 +121,10 @@
         if self._asked_ms is not None and now_ms - self._asked_ms < QUESTION_LIMIT_MS:
             return None
         # The entry that was asked last comes last, since it has not answered.
-        entry = max(
-            self.ahead, key=lambda name: (name != self._asked, self.ahead[name], name)
+        others = [name for name in self.ahead if name != self._asked] or self.ahead
+        newest = max(self.ahead[name] for name in others)
+        entry = choose_by_hash(
+            self.name.encode(), [name for name in others if self.ahead[name] == newest]
         )
         self._asked, self._asked_ms = entry, now_ms
         return entry
--- a/catkincross/platform/_declared.py
+++ b/catkincross/platform/_declared.py
@@ -26,6 +26,7 @@
         store: Client of the platform's store.
         apply_limit_ms: Time within which a change has to be in force, in milliseconds.
         clock: Clock of the process.
+        name: Name of this entry, see `DeclarationFreshness`.
 
     Attributes:
         declarations: Declarations in force.
@@ -36,12 +37,14 @@
         source: Call that gave the newest answer.
     """
 
-    def __init__(self, store: StoreClient, apply_limit_ms: int, clock: Clock) -> None:
+    def __init__(
+        self, store: StoreClient, apply_limit_ms: int, clock: Clock, name: str = ""
+    ) -> None:
         self.store = store
         self.clock = clock
         self.set_apply_limit(apply_limit_ms)
         self.declarations = Declarations()
-        self.freshness = DeclarationFreshness()
+        self.freshness = DeclarationFreshness(name)
         self.values: dict[str, bytes] = {}
         self.decode_errors: list[str] = []
         self.source = ""
--- a/tests/test_declaration_freshness.py
+++ b/tests/test_declaration_freshness.py
@@ -84,3 +84,17 @@
     assert freshness.choose_entry(1_710) == "e2"
     freshness.record_answer_of("e2")
     assert freshness.choose_entry(1_720) == "e2"
+
+
+def test_entries_that_are_behind_do_not_all_ask_the_same_one() -> None:
+    """One entry sent the declarations to all that the store had turned away."""
+    asked = set()
+    for number in range(30):
+        freshness = read_up_to(5, 1_000)
+        freshness.name = f"e{number}"
+        freshness.record_failure(1_050)
+        for other in range(30, 36):
+            freshness.record_other(f"e{other}", 8, None)
+        freshness.record_other("e36", 7, None)
+        asked.add(freshness.choose_entry(1_100))
+    assert asked == {f"e{other}" for other in range(30, 36)}
