Look up the backlog of an entry's core when it is asked for

EntryLinks took the core's method when it was made, so that cores without backlogs, as in the tests of silent claims, could not be used: two tests of test_platform_silent_claims failed since the exchange of declarations and pass again.

--- a/catkincross/daemons/_entry_links.py
+++ b/catkincross/daemons/_entry_links.py
@@ -101,7 +101,7 @@
         self.resumed_ms = self.checked_ms - PAUSE_MS
         self.announced: dict[str, str] = {}
         self.announced_to_entries: dict[str, str] = {}
-        self.backlog: Callable[[], Backlog] = core.backlog
+        self.backlog: Callable[[], Backlog] = lambda: core.backlog()
         self.answer_question: (
             Callable[[DeclarationsWanted], DeclarationsHeld] | None
         ) = None
