Use new connections to the log service after one has fallen silent

HttpLogClient uses a new session after a timeout; calls in flight keep the old one for one more time limit.

test_a_silent_connection_ends_the_use_of_those_opened_before_it failed before (the second read timed out as well) and passes.

--- a/catkincross/transport/_log_client.py
+++ b/catkincross/transport/_log_client.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Protocol
 
 import aiohttp
 import attrs
 
+from ..foundation._background import spawn
 from ..protocol._messages import LogRecord
 from ..settings._settings import LogSettings
 
@@ -108,11 +110,14 @@
         self.url = settings.url.rstrip("/")
         self.timeout_s = settings.timeout_ms / 1_000
         self._session = aiohttp.ClientSession()
+        # Sessions with calls in flight whose connections are not used any more.
+        self._retired: set[aiohttp.ClientSession] = set()
 
     async def append(self, stream: str, record: bytes) -> AppendOutcome:
         """Append a record."""
+        session = self._session
         try:
-            async with self._session.post(
+            async with session.post(
                 f"{self.url}/streams/{stream}/records",
                 data=record,
                 headers={"Content-Type": "application/json"},
@@ -123,6 +128,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Refused(f"log_unreachable: {type(error).__name__}")
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            self._retire_if_silent(session, error, 0)
             return Unknown(type(error).__name__)
 
     async def read(
@@ -130,8 +136,9 @@
     ) -> ReadOutcome:
         """Read records from an offset on."""
         query = {"from": from_offset, "limit": limit, "wait_ms": wait_ms}
+        session = self._session
         try:
-            async with self._session.get(
+            async with session.get(
                 f"{self.url}/streams/{stream}/records",
                 params=query,
                 timeout=self._timeout(wait_ms),
@@ -139,8 +146,34 @@
             ) as response:
                 return await _read_outcome(response)
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            self._retire_if_silent(session, error, wait_ms)
             return Unreachable(type(error).__name__)
 
+    def _retire_if_silent(
+        self, session: aiohttp.ClientSession, error: Exception, wait_ms: int
+    ) -> None:
+        """Use new connections from now on if a call has timed out.
+
+        Connections fall silent together, and only a timeout shows it: idle ones would
+        cost one timeout after the other. Calls in flight keep theirs for a time limit.
+
+        Args:
+            session: Session of the call.
+            error: Its error.
+            wait_ms: How long the call let the service wait, in milliseconds.
+        """
+        if isinstance(error, TimeoutError) and session is self._session:
+            self._session = aiohttp.ClientSession()
+            self._retired.add(session)
+            spawn(self._close_later(session, self.timeout_s + wait_ms / 1_000))
+
+    async def _close_later(
+        self, session: aiohttp.ClientSession, delay_s: float
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        self._retired.discard(session)
+        await session.close()
+
     def _timeout(self, wait_ms: int) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(
             total=self.timeout_s + wait_ms / 1_000, connect=CONNECT_TIMEOUT_S
@@ -148,7 +181,8 @@
 
     async def close(self) -> None:
         """Release the connections."""
-        await self._session.close()
+        for session in (self._session, *self._retired):
+            await session.close()
 
 
 async def _append_outcome(response: aiohttp.ClientResponse) -> AppendOutcome:
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -22,6 +22,7 @@
     Unreachable,
 )
 from catkincross.transport._log_feed import LogFeed
+from scenarios.loopback_proxy import Proxy
 from standins.log_service import Faults, LogService
 
 TIMEOUT_S = 20.0
@@ -75,6 +76,32 @@
     assert isinstance(read, Unreachable)
 
 
+def test_a_silent_connection_ends_the_use_of_those_opened_before_it() -> None:
+    """When all open connections fell silent, each one cost a time limit of its own."""
+
+    async def run() -> list[Any]:
+        service = LogService()
+        server = HttpServer(service.app(), "127.0.0.1:0")
+        server.start()
+        proxy = Proxy(server.address)
+        await proxy.start()
+        settings = LogSettings(url=f"http://{proxy.address}", timeout_ms=300)
+        client = HttpLogClient(settings)
+        service.faults = Faults(delay_ms=50)
+        await asyncio.gather(*(client.append("control", b"one") for _ in range(4)))
+        assert len(proxy.channels) == 4
+        proxy.silence()
+        read = [await client.read("control", 1, limit=10, wait_ms=0) for _ in range(4)]
+        await client.close()
+        await proxy.stop()
+        await server.stop(1.0)
+        return read
+
+    first, *others = asyncio.run(run())
+    assert isinstance(first, Unreachable)
+    assert [type(read) for read in others] == [Records] * 3
+
+
 def test_a_refused_connection_means_not_appended() -> None:
     """A record that was never sent must be reported as safe to append again."""
 
