Let answers that show less than is known confirm nothing

A read that was in flight while another entry handed over later records, or an entry that is behind, confirmed the newer declarations as of its own time. What it shows is an earlier state. Only an answer with the same offset confirms now.

test_an_answer_that_shows_less_than_is_known_confirms_nothing failed before (confirmed as of 2,000 ms).

--- a/catkincross/operations/_freshness.py
+++ b/catkincross/operations/_freshness.py
@@ -61,11 +61,14 @@
     def confirm(self, end: int, as_of_ms: int) -> None:
         """Record up to where the log went.
 
+        An answer that shows less than what is known was given before, and confirms
+        nothing.
+
         Args:
             end: Offset after the last record.
             as_of_ms: When that was so.
         """
-        if end > self.offset:
+        if end != self.offset:
             return
         if self.confirmed_ms is None or as_of_ms > self.confirmed_ms:
             self.confirmed_ms = as_of_ms
--- a/tests/test_declaration_freshness.py
+++ b/tests/test_declaration_freshness.py
@@ -40,6 +40,15 @@
     assert freshness.confirmed_ms == 3_000
 
 
+def test_an_answer_that_shows_less_than_is_known_confirms_nothing() -> None:
+    """A read that was in flight while a newer copy came counted as the newest one."""
+    freshness = read_up_to(5, 1_000)
+    freshness.record_answer(4, 4, 2_000)
+    freshness.record_other("e1", 4, 2_000)
+    assert freshness.confirmed_ms == 1_000
+    assert freshness.offset == 5
+
+
 def test_an_entry_that_has_read_more_confirms_nothing() -> None:
     """Its newest read shows that the declarations here are outdated."""
     freshness = read_up_to(5, 1_000)
