Begin no job while an entry that the store names is cut off

Class: the lapse of time is taken for proof that another process has stopped.

The store names the entries that are members. One that is named and has no link is alive behind a cut: a job begins only if a majority of the first five entries in its ranking know of the claim; of two halves, the one with the first entry counts as the majority. A job that is known to be at an entry that is cut off is not begun elsewhere, however long ago its link has closed. Entries that have ended leave the store's list within 1.5 s, before their runs count as ended. While the store gives no answer, the time decides as before.

Two properties with 600 examples each hold for two to 35 entries and any cut: at most one side begins a job, and a claim learns of a job from before.

--- a/catkincross/daemons/_entry.py
+++ b/catkincross/daemons/_entry.py
@@ -122,6 +122,7 @@
             REQUEST_RELEASE_MS,
             (settings.name, self.incarnation),
         )
+        self.peer_jobs.named = self.owners.named_entries
         self.leaving = False
         self.store_reachable = True
         self.open_requests = 0
--- a/catkincross/daemons/_job_claimer.py
+++ b/catkincross/daemons/_job_claimer.py
@@ -158,7 +158,7 @@
             return holder_in(next(a for a in answers if a and a.outcome == HELD))
         now_ms = self.clock.now_ms()
         if verdict is None:
-            return LostHolder(self.claims.longest_wait_ms(now_ms))
+            return LostHolder(self.claims.wait_behind_cut_ms(claim, now_ms))
         if isinstance(verdict, NoHolder):
             # Another entry may have announced the job meanwhile.
             verdict = self.claims.peer_jobs.find_holder(job_id, now_ms)
@@ -196,11 +196,16 @@
         end_ms = self.clock.now_ms() + PROOF_WAIT_MS
         while (now_ms := self.clock.now_ms()) < end_ms:
             self._take_answers(questions)
+            # The store drops an entry that has ended after a while.
+            claim.named.intersection_update(self.claims.peer_jobs.named())
             verdict = self._verdict(claim)
             if verdict is not None:
                 return verdict
             if returned := self._returned(claim):
                 await self._ask_returned(questions, returned)
+            elif claim.may_be_held_behind_cut:
+                if self.claims.wait_behind_cut_ms(claim, now_ms) > PROOF_WAIT_MS:
+                    return None
             elif not claim.silent and self._lost_runs_ended(now_ms):
                 questions.lost_runs_ended = True
                 return NoHolder()
--- a/catkincross/daemons/_membership.py
+++ b/catkincross/daemons/_membership.py
@@ -56,6 +56,7 @@
         changed: Event that is set at the next change of the owners or entries, and
             then replaced by a new one.
         on_change: Called after each change; None for no callback.
+        answered: Whether the store has answered the newest read.
     """
 
     store: StoreClient
@@ -63,10 +64,12 @@
     directory: EntryDirectory = attrs.field(factory=EntryDirectory)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     on_change: Callable[[], None] | None = None
+    answered: bool = True
 
     async def refresh(self) -> bool:
         """Read the owners from the store; return whether it answered."""
         new_owners = await self.store.shard_owners()
+        self.answered = new_owners is not None
         if new_owners is None:
             return False
         owners_changed = new_owners != self.by_shard
@@ -126,6 +129,16 @@
         except TimeoutError:
             return
 
+    def named_entries(self) -> set[str]:
+        """Return the addresses of the entries that the store names as members now.
+
+        None while it gives no answer, since it would not have dropped those that have
+        ended.
+        """
+        if not self.answered:
+            return set()
+        return set(self.directory.views.get(STORE_SOURCE, ()))
+
     @property
     def has_peer_views(self) -> bool:
         """Whether another entry has announced which entries it knows."""
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -24,7 +24,13 @@
 
 from ..foundation._rendezvous import rank_by_hash
 from ..peers import Answer, Greeting, VolatileJobs
-from ._peer_jobs import LiveHolder, LostHolder, NoHolder, PeerVolatileJobs
+from ._peer_jobs import (
+    CUT_OFF_RETRY_MS,
+    LiveHolder,
+    LostHolder,
+    NoHolder,
+    PeerVolatileJobs,
+)
 
 # Number of entries that are to know of a claim, the claiming one included. Two of them
 # may be lost at the same time.
@@ -34,6 +40,11 @@
 CLAIM_POOL = 2 * CLAIM_COPIES - 1
 # Time in which the last start orders of a lost entry arrive, in milliseconds.
 ORDER_MS = 50
+# Time after which the store no longer names an entry that has ended, in milliseconds:
+# its membership ends after 1,000 ms, and the owners are read every 500 ms.
+CUT_CERTAIN_MS = 3_000
+# Longest time for which a cut may go on, in milliseconds; no request waits for its end.
+CUT_OFF_MS = 10_000
 # Outcomes of the answer to a claim.
 GRANTED = "granted"
 HELD = "held"
@@ -55,6 +66,8 @@
         ranking: Addresses of all entries in the order in which they are witnesses.
         known: Other entries that the store or an entry names now.
         lost: Entries without a link.
+        named: Entries that the store names as members now. Those of them that are lost
+            are alive behind a cut, and may begin jobs there.
         silent: Entries that have not answered in time, though their link is open.
         silent_lately: Entries that were silent in earlier claims. If one is lost now,
             its own claims may not have reached this entry.
@@ -71,6 +84,7 @@
     ranking: list[str]
     known: set[str] = attrs.field(factory=set)
     lost: set[str] = attrs.field(factory=set)
+    named: set[str] = attrs.field(factory=set)
     silent: set[str] = attrs.field(factory=set)
     silent_lately: set[str] = attrs.field(factory=set)
     cut_off: set[str] = attrs.field(factory=set)
@@ -145,6 +159,21 @@
         witnesses = {self.own_address, *self.answers} - self.started_lately
         return 2 * len(witnesses.intersection(pool)) <= len(pool)
 
+    @property
+    def may_be_held_behind_cut(self) -> bool:
+        """Whether entries that are cut off may begin the job as well.
+
+        They do with a majority. Of two halves, the one with the first entry in the
+        ranking counts as the majority.
+        """
+        if not self.lost & self.named or not self._lacks_majority:
+            return False
+        if self.started_lately:
+            return True
+        pool = self.ranking[:CLAIM_POOL]
+        witnesses = {self.own_address, *self.answers}.intersection(pool)
+        return 2 * len(witnesses) < len(pool) or pool[0] not in witnesses
+
     @property
     def may_be_held_by_silent(self) -> bool:
         """Whether entries without an answer may have a claim that nobody else knows."""
@@ -184,7 +213,11 @@
             if address in self.answers and self.answers[address].outcome == HELD
         ]
         if not held:
-            unknown = self.unwitnessed or self.may_be_held_by_silent
+            unknown = (
+                self.unwitnessed
+                or self.may_be_held_by_silent
+                or self.may_be_held_behind_cut
+            )
             return None if unknown else NoHolder()
         first = next(
             address
@@ -258,6 +291,7 @@
                 del self.silent_ms[address]
         claim.silent_lately = self.silent_ms.keys() & addresses
         claim.known = known
+        claim.named = addresses.intersection(self.peer_jobs.named())
         claim.cut_off = set(cut_off) - lost
         claim.lost = lost | claim.cut_off
         claim.restarted = self.peer_jobs.restarted_addresses(now_ms)
@@ -293,6 +327,18 @@
         """
         return self._newest_loss_ms() + ORDER_MS
 
+    def wait_behind_cut_ms(self, claim: Claim, now_ms: int) -> int:
+        """Return after which time a job may be claimed again, in milliseconds.
+
+        That is long once the store would have dropped an entry that has ended: a
+        request for the job is answered at once then, not at its time limit.
+        """
+        if not claim.may_be_held_behind_cut:
+            return self.longest_wait_ms(now_ms)
+        if now_ms - self._newest_loss_ms() > CUT_CERTAIN_MS:
+            return CUT_OFF_MS
+        return CUT_OFF_RETRY_MS
+
     def longest_wait_ms(self, now_ms: int) -> int:
         """Return when a job without a witness may begin, in milliseconds from now.
 
--- a/catkincross/dispatch/_peer_jobs.py
+++ b/catkincross/dispatch/_peer_jobs.py
@@ -15,6 +15,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Collection
+
 import attrs
 
 from ..peers import Greeting, LostVolatileJobs, VolatileJobs
@@ -28,6 +30,9 @@
 # milliseconds. Client accounts send a request again 1,300 ms after an answer that
 # leaves its end open.
 GIVEN_UP_MEMORY_MS = 10_000
+# Pause before it is looked again whether an entry that is cut off has come back, in
+# milliseconds.
+CUT_OFF_RETRY_MS = 250
 
 
 @attrs.frozen
@@ -100,12 +105,15 @@
             another one after it was last reached, in milliseconds.
         own_process: Name and incarnation of this entry.
         entries: Other entries by name and incarnation.
+        named: Returns the addresses of the entries that the store names as members now.
+            If one of them is lost, it is alive behind a cut, and its runs go on.
     """
 
     run_expiry_ms: int
     release_ms: int = 0
     own_process: tuple[str, int] = ("", 0)
     entries: dict[tuple[str, int], _PeerEntry] = attrs.field(factory=dict)
+    named: Callable[[], Collection[str]] = tuple
 
     def add_entry(self, greeting: Greeting) -> None:
         """Record that an entry has opened a link."""
@@ -261,9 +269,12 @@
             now_ms: Current time on the process's clock, in milliseconds.
             other_than: Name and incarnation of an entry that is left out.
         """
+        named = self.named()
         for key, entry in list(self.entries.items()):
             lost_ms = entry.lost_ms
-            if lost_ms is not None and now_ms - lost_ms > LOST_ENTRY_RETENTION_MS:
+            alive = not entry.replaced and entry.address in named
+            expired = lost_ms is not None and now_ms - lost_ms > LOST_ENTRY_RETENTION_MS
+            if expired and not alive:
                 del self.entries[key]
             elif key == other_than:
                 continue
@@ -271,6 +282,8 @@
                 if lost_ms is None:
                     return LiveHolder(entry.address)
                 remaining_ms = self._release_ms(entry, job_id, lost_ms) - now_ms
+                if alive:
+                    remaining_ms = max(remaining_ms, CUT_OFF_RETRY_MS)
                 if remaining_ms > 0:
                     return LostHolder(remaining_ms)
             elif lost_ms is None and _ended_lately(entry, job_id, now_ms):
--- a/scenarios/claims_model.py
+++ b/scenarios/claims_model.py
@@ -206,6 +206,7 @@
     daemon.ends, daemon.inbox = [], deque()
     owners = ShardOwners(SimpleNamespace())
     member = f"{name}|{name}|{greeting.incarnation}|perth"
+    peer_jobs.named = owners.named_entries
     requests = OwnerRequests(
         owners, clock, greeting, member, SHARDS, lambda _: None, log.note_error
     )
--- a/tests/test_platform_claim_majorities.py
+++ b/tests/test_platform_claim_majorities.py
@@ -10,8 +10,14 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from catkincross.dispatch import JobClaims, LiveHolder, NoHolder, PeerVolatileJobs
-from catkincross.peers import Answer
+from catkincross.dispatch import (
+    JobClaims,
+    LiveHolder,
+    LostHolder,
+    NoHolder,
+    PeerVolatileJobs,
+)
+from catkincross.peers import Answer, Greeting, VolatileJobs
 from scenarios.claims_model import ClaimsModel
 from scenarios.platform_model import job
 from scenarios.volatile_requests import Request
@@ -233,6 +239,94 @@
     )
 
 
+def claim_behind_cut(
+    job_id: str, own: str, names: list[str], far_side: set[str]
+) -> Any:
+    """Return the claim of an entry that has no link to those on the far side of a cut.
+
+    The store names all entries.
+    """
+    claims = claims_of(own)
+    claims.peer_jobs.named = lambda: names
+    claim = claims.prepare(job_id, set(names) - {own}, (), LATER_MS)
+    while witnesses := claim.next_witnesses():
+        for address in witnesses:
+            claim.record_asked(address)
+            claim.record_answer(address, None if address in far_side else GRANTED)
+    return claim
+
+
+CUT_SITES = given(
+    count=st.sampled_from([2, 3, 4, 5, 6, 7, 9, 35]),
+    share=st.floats(0, 1),
+    draw=st.randoms(use_true_random=False),
+)
+
+
+def draw_cut(count: int, share: float, draw: Any) -> tuple[list[str], set[str]]:
+    """Return all entries, and those on one side of a cut."""
+    names = named(count)
+    size = min(max(1, round(share * count)), count - 1)
+    return names, set(draw.sample(names, size))
+
+
+@settings(max_examples=600, deadline=None)
+@CUT_SITES
+def test_of_two_claims_on_both_sides_of_a_cut_at_most_one_is_granted(
+    count: int, share: float, draw: Any
+) -> None:
+    """Each side counted the entries of the other one as ended after 2,250 ms."""
+    names, one_side = draw_cut(count, share, draw)
+    other_side = set(names) - one_side
+    job_id = f"{draw.getrandbits(64):016x}"
+    claims = [
+        claim_behind_cut(job_id, draw.choice(sorted(near)), names, far)
+        for near, far in ((one_side, other_side), (other_side, one_side))
+    ]
+    assert any(claim.may_be_held_behind_cut for claim in claims), claims
+
+
+@settings(max_examples=600, deadline=None)
+@CUT_SITES
+def test_a_claim_behind_a_cut_learns_of_a_job_from_before(
+    count: int, share: float, draw: Any
+) -> None:
+    """The entry that has the job is on the other side, and its runs go on."""
+    names, near = draw_cut(count, share, draw)
+    far = set(names) - near
+    job_id = f"{draw.getrandbits(64):016x}"
+    holder = draw.choice(sorted(far))
+    told = claim_with(job_id, claims_of(holder), names, set())
+    own = draw.choice(sorted(near))
+    claim = claim_behind_cut(job_id, own, names, far)
+    knowing = {holder, *told.answers}
+    learns = knowing & {own, *claim.answers}
+    assert learns or claim.may_be_held_behind_cut, (claim, holder)
+
+
+def test_a_job_of_an_entry_that_is_cut_off_is_not_begun_elsewhere() -> None:
+    """Its runs counted as ended after 2,250 ms, although it was alive."""
+    peer_jobs = PeerVolatileJobs(EXPIRY_MS)
+    greeting = Greeting("entry", "e1", 7, "e1:1")
+    peer_jobs.add_entry(greeting)
+    peer_jobs.update(greeting, VolatileJobs([JOB], []), 1_000)
+    peer_jobs.mark_entry_lost(greeting, now_ms=1_000)
+    peer_jobs.named = lambda: {"e1:1"}
+    assert isinstance(peer_jobs.find_holder(JOB, 60_000), LostHolder)
+    peer_jobs.named = lambda: set()
+    assert peer_jobs.find_holder(JOB, 60_000) == NoHolder()
+
+
+def test_a_request_that_a_cut_keeps_from_being_claimed_is_answered_at_once() -> None:
+    """It was held until its time limit, though no answer could come."""
+    claims = claims_of("e0:1")
+    claims.peer_jobs.named = lambda: {"e0:1", "e1:1", "e2:1"}
+    claims.record_reached("e1:1", reached=False, now_ms=LATER_MS - 4_000)
+    claim = claim_behind_cut(JOB, "e0:1", ["e0:1", "e1:1", "e2:1"], {"e1:1", "e2:1"})
+    assert claim.verdict() is None
+    assert claims.wait_behind_cut_ms(claim, LATER_MS) > 5_000
+
+
 def test_two_entries_do_not_both_begin_a_job_after_their_links_were_reset() -> None:
     """Each took the other one for ended, although it had a link to it."""
     for own, other in (("e0", "e1"), ("e1", "e0")):
