Judge nine rules of the platform in the soak

The soak judged TWICE, CONFIG and jobs that do not end; no run of real processes could fail by another rule. scenarios/judge.py has a registry of checkers, one a rule, fed with what callers, workers and the store saw: TWICE, LIMIT, BUDGET, REFUSED, UNASKED, MIXED, LOST, RECOVER and CONFIG. A record in which no job ran or nothing changed is an error. The checks that the soak had are the checkers of TWICE, LOST and CONFIG; its tests check all nine.

--- a/scenarios/declared_model.py
+++ b/scenarios/declared_model.py
@@ -19,9 +19,8 @@
     SERVED,
     Probe,
     declarations,
-    overdue_ms,
+    outdated_answers,
     queues_to_ask,
-    went_back,
 )
 from .soak_findings import Fault
 
@@ -80,13 +79,7 @@
 
     def findings(self) -> list[str]:
         """Return a description of each answer by outdated declarations."""
-        late = [
-            f"{probe.entry} answered {probe.status} for queue v{probe.queue} at "
-            f"{probe.sent_ms} ms, {overdue} ms too late"
-            for probe in self.probes
-            if (overdue := overdue_ms(probe, self.acked_ms, self.faults))
-        ]
-        return late + went_back(self.probes, self.acked_ms)
+        return outdated_answers(self.probes, self.acked_ms, self.faults, 0)
 
 
 @attrs.define(eq=False)
--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -2,8 +2,7 @@
 
 Entries and agents run as processes against the stand-ins of store and workers, which
 run here. Faults come at random times from a fixed seed. At the end everything heals,
-and the promises are checked on what the workers have seen: no task ran twice at a time,
-and each accepted job is completed.
+and the platform's rules are judged on what workers and callers have seen.
 
     python -m scenarios.platform_soak --seconds 60 --seed 1
     python -m scenarios.platform_soak --plan dense --seeds 1-8 --keep FOLDER
@@ -19,6 +18,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Iterator
 from itertools import count
 from pathlib import Path
@@ -31,35 +31,16 @@
 from catkincross.transport._http_server import HttpServer
 from standins.platform_http import StoreHttp, WorkerHttp, now_ms
 
+from .judge import Finding, Record, judge
 from .loopback_proxy import Gateway, Proxy
-from .soak_callers import Callers, SoakPlan, SoakWorker
-from .soak_declarations import SERVICE, DeclarationChanges
+from .soak_callers import COMPLETED, Callers, SoakPlan, SoakWorker
+from .soak_declarations import MAX_ATTEMPTS, SERVICE, DeclarationChanges
 from .soak_faults import FAULTS, Daemon
-from .soak_findings import Fault, describe, overlapping_runs
+from .soak_findings import Fault
+from .soak_node import NODE
 from .soak_ports import HOST, free_address
 from .soak_site_faults import SITE_FAULTS
 
-NODE = """
-node_id = "{name}"
-ip = "127.0.0.1"
-zone = "perth"
-port_range = [{port}, {port}]
-app = "{worker}"
-[listen_addrs]
-front = "{front}"
-ready = "{ready}"
-control = "{control}"
-[platform]
-address = "{store}"
-parts = 16
-keep_s = 300
-ttl_min_ms = 1000
-[bounds]
-hold_max_ms = 1000
-stop_ms = 50
-status_s = 120
-grace_s = 6
-"""
 HEARTBEAT_S = 1.5
 HEARTBEAT_LIMIT_S = 1.0
 PLANS = {"small": SoakPlan.small, "dense": SoakPlan.dense, "ops": SoakPlan.ops}
@@ -265,25 +246,39 @@
         while left and self.settle_s < SETTLE_LIMIT_S:
             entry = self.entries[len(left) % len(self.entries)]
             _, found = await self.callers.ask(entry, "GET", f"/r/{left[0]}", None)
-            if found == {"state": "completed"}:
-                left.pop(0)
+            if found == COMPLETED:
+                self.callers.completed.add(left.pop(0))
             else:
                 await asyncio.sleep(0.05)
             self.settle_s = time.monotonic() - began
         return left
 
-    def overlapping(self) -> list[str]:
-        """Return a description of each two runs of a task at the same time.
+    def findings(self, unfinished: list[str]) -> list[Finding]:
+        """Return the broken rules.
 
         Workers learn of the end of their lease at the next call only, and their agent
         may make no call any more.
+
+        Args:
+            unfinished: Accepted jobs that are not completed within the limit.
         """
         for worker in self.workers:
             worker.advance(now_ms())
-        return [
-            describe(pair, self.callers.sends, self.faults, self.began_ms)
-            for pair in overlapping_runs(self.workers)
-        ]
+        record = Record(
+            began_ms=self.began_ms,
+            workers=self.workers,
+            sends=self.callers.sends,
+            sizes=self.callers.sizes,
+            faults=self.faults,
+            worker_cpu=self.plan.worker_cpu,
+            task_cpu=self.plan.task_cpu,
+            max_attempts=MAX_ATTEMPTS,
+            completed=self.callers.completed,
+            unfinished=unfinished,
+            acked_ms=self.changes.acked_ms,
+            probes=self.changes.probes,
+        )
+        return judge(record)
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
@@ -328,17 +323,16 @@
     """Run a soak, print what was found, and return whether all promises held."""
     folder.mkdir(parents=True, exist_ok=True)
     run, lost = asyncio.run(soak(folder, seed, plan))
-    outdated = run.changes.findings()
-    findings = run.overlapping() + outdated
+    found = run.findings(lost)
+    broken = dict(Counter(finding.rule for finding in found))
+    findings = [f"{finding.rule}: {finding.text}" for finding in found]
     faults = [f"{(f.at_ms - run.began_ms) / 1e3:.1f} s {f.what}" for f in run.faults]
     lines = faults if verbose else []
     lines.append(
         f"seed {seed}: {len(run.accepted)} stored jobs accepted, {len(lost)} not "
-        f"completed after {run.settle_s:.1f} s, {len(findings) - len(outdated)} times "
-        f"two runs of a task at a time, {len(outdated)} answers by outdated "
-        f"declarations ({len(run.changes.acked_ms)} versions), "
-        f"{len(run.callers.sends)} requests ({run.callers.outcomes}), "
-        f"{len(run.exits)} daemons ended by themselves "
+        f"completed after {run.settle_s:.1f} s, rules broken: {broken or 'none'}, "
+        f"{len(run.changes.acked_ms)} versions, {len(run.callers.sends)} requests "
+        f"({run.callers.outcomes}), {len(run.exits)} daemons ended by themselves "
         f"{run.exits or ''}"
     )
     click.echo("\n".join(lines + findings))
@@ -352,7 +346,7 @@
         ]
     )
     (folder / "report.txt").write_text(report + "\n", encoding="utf-8")
-    return not lost and not findings
+    return not findings
 
 
 @click.command()
--- a/scenarios/soak_callers.py
+++ b/scenarios/soak_callers.py
@@ -21,6 +21,8 @@
 TASKS = 3
 # Time after which a caller of a stored job leaves, in seconds.
 PATIENCE_S = 8.0
+# Body of an answer that shows a job as completed.
+COMPLETED = {"state": "completed"}
 # Answer that leaves open whether a job has run.
 UNKNOWN = 504
 
@@ -156,6 +158,8 @@
     Attributes:
         accepted: Stored jobs that were answered with 200.
         sends: All requests for jobs.
+        sizes: Number of tasks of each job, by its ID.
+        completed: Jobs that were shown as completed.
     """
 
     entries: Sequence[Daemon]
@@ -163,6 +167,8 @@
     session: aiohttp.ClientSession
     accepted: list[str] = attrs.field(factory=list)
     sends: list[Send] = attrs.field(factory=list)
+    sizes: dict[str, int] = attrs.field(factory=dict)
+    completed: set[str] = attrs.field(factory=set)
 
     @property
     def outcomes(self) -> dict[str, int]:
@@ -209,8 +215,11 @@
             kind = random.Random(job_id).choices(self.plan.kinds, shares)[0]
             body["spec"] = str(kind.run_ms)
             body["steps"] = [self._step(kind.tasks, kind.run_ms)]
+        self.sizes[job_id] = body["steps"][0]["count"]
         at_ms = now_ms()
         status, found = await self.ask(entry, "POST", f"/r/{job_id}", body, timeout_s)
+        if found == COMPLETED:
+            self.completed.add(job_id)
         outcome = f"{status} {found}" if status else str(found)
         self.sends.append(Send(job_id, entry.name, at_ms, now_ms(), outcome))
         return status
--- a/scenarios/soak_declarations.py
+++ b/scenarios/soak_declarations.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -24,6 +25,7 @@
 # Queue of the jobs, which all versions have.
 JOBS_QUEUE = "r"
 KEPT_QUEUES = 3
+MAX_ATTEMPTS = 3
 # Pauses between two changes, in seconds.
 PAUSES_S = (0.05, 0.3, 1.0, 3.0)
 # Interval at which each entry is asked, in seconds.
@@ -72,7 +74,7 @@
                 "path_prefix": f"/{name}/",
                 "timeout_ms": 1_500,
                 "service": SERVICE,
-                "max_attempts": 3,
+                "max_attempts": MAX_ATTEMPTS,
                 "stretch": 1.6,
                 "slo_ms": 60,
             }
@@ -142,25 +144,33 @@
             self.served[entry.name] = max(queue, self.served.get(entry.name, 0))
         self.probes.append(Probe(entry.name, process, queue, sent_ms, now_ms(), status))
 
-    def findings(self) -> list[str]:
-        """Return a description of each entry that served outdated declarations."""
-        faults = self.run.faults
-        late = [
-            (probe, age_ms)
-            for probe in self.probes
-            if (age_ms := overdue_ms(probe, self.acked_ms, faults)) > 0
-        ]
-        first: dict[tuple[str, int], tuple[Probe, int]] = {}
-        for probe, age_ms in late:
-            first.setdefault((probe.entry, probe.queue), (probe, age_ms))
-        return [
-            f"{probe.entry} answered {probe.status} for queue v{probe.queue} at "
-            f"{(probe.sent_ms - self.run.began_ms) / 1e3:.2f} s, {age_ms} ms too late"
-            for probe, age_ms in first.values()
-        ] + went_back(self.probes, self.acked_ms)
-
-
-def versions_shown(probe: Probe, acked_ms: list[int]) -> tuple[int, int]:
+
+def outdated_answers(
+    probes: Sequence[Probe],
+    acked_ms: Sequence[int],
+    faults: Sequence[Fault],
+    began_ms: int,
+) -> list[str]:
+    """Return a description of each answer by outdated declarations.
+
+    Args:
+        probes: Answers of entries.
+        acked_ms: When each version was acknowledged, oldest first.
+        faults: What was done to the processes.
+        began_ms: When the load began.
+    """
+    late: dict[tuple[str, int], str] = {}
+    for probe in probes:
+        late_ms = overdue_ms(probe, acked_ms, faults)
+        if late_ms and (probe.entry, probe.queue) not in late:
+            late[probe.entry, probe.queue] = (
+                f"{probe.entry} answered {probe.status} for queue v{probe.queue} at "
+                f"{(probe.sent_ms - began_ms) / 1e3:.2f} s, {late_ms} ms too late"
+            )
+    return [*late.values(), *went_back(probes, acked_ms)]
+
+
+def versions_shown(probe: Probe, acked_ms: Sequence[int]) -> tuple[int, int]:
     """Return the oldest and the newest version by which an answer can have been given.
 
     Args:
@@ -177,7 +187,7 @@
     return 0, newest
 
 
-def overdue_ms(probe: Probe, acked_ms: list[int], faults: list[Fault]) -> int:
+def overdue_ms(probe: Probe, acked_ms: Sequence[int], faults: Sequence[Fault]) -> int:
     """Return by how much an answer was too late for its version; 0 if it was not.
 
     Args:
@@ -209,7 +219,7 @@
     )
 
 
-def went_back(probes: list[Probe], acked_ms: list[int]) -> list[str]:
+def went_back(probes: Sequence[Probe], acked_ms: Sequence[int]) -> list[str]:
     """Return the answers by older declarations than the same process has shown."""
     found = []
     by_process: dict[tuple[str, int], list[Probe]] = {}
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -22,9 +22,7 @@
     run, lost = asyncio.run(soak(tmp_path, SEED, SoakPlan.small(FAULTS_S)))
     assert run.accepted
     assert run.faults
-    assert lost == []
-    assert run.overlapping() == []
-    assert run.changes.findings() == []
+    assert run.findings(lost) == []
 
 
 def test_overlapping_faults_let_no_runs_overlap(tmp_path: Path) -> None:
@@ -33,9 +31,7 @@
     run, lost = asyncio.run(soak(tmp_path, SEED, plan))
     assert run.accepted
     assert run.faults
-    assert lost == []
-    assert run.overlapping() == []
-    assert run.changes.findings() == []
+    assert run.findings(lost) == []
 
 
 def test_every_kind_of_fault_is_registered() -> None:
