Let the soak's store answer 503, delete old declarations and wake reads

The stand-in store held a read for 50 ms whatever it was asked, never deleted a record and could not turn a caller away with a status code.

test_an_entry_that_the_store_turns_away_learns_a_change_from_others has a third case, 503, and passes.

--- a/scenarios/loopback_proxy.py
+++ b/scenarios/loopback_proxy.py
@@ -13,6 +13,7 @@
 CHUNK_BYTES = 65_536
 # Answer of a gateway once the connection to the target is open.
 CONNECTED = b"+"
+BUSY_ANSWER = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 
 class Mode(enum.Enum):
@@ -23,6 +24,8 @@
     CUT = "cut"
     # Connections stay open, and nothing passes.
     SILENT = "silent"
+    # HTTP requests are answered with 503 and do not reach the target.
+    BUSY = "busy"
 
 
 class Way(enum.Enum):
@@ -179,7 +182,11 @@
                 if key in self.held:
                     await self._wait_until_released(key)
                 # Bytes that arrive while it is silent are lost with the connection.
-                if self.mode is Mode.PASS and not channel.silent:
+                if self.mode is Mode.SILENT or channel.silent:
+                    continue
+                if self.mode is Mode.BUSY and way is Way.TO_TARGET:
+                    channel.near.write(BUSY_ANSWER)
+                else:
                     writer.write(data)
                     await writer.drain()
             await self._wait_until_released(key)
--- a/scenarios/soak_faults.py
+++ b/scenarios/soak_faults.py
@@ -207,8 +207,8 @@
 
 @fault
 async def turn_away(daemon: Daemon, length_s: float) -> None:
-    """Let the store refuse or ignore the process, while it serves all others."""
-    mode = random.choice((Mode.CUT, Mode.SILENT))
+    """Let the store refuse, ignore or turn away a process; it serves all others."""
+    mode = random.choice((Mode.CUT, Mode.SILENT, Mode.BUSY))
     await _proxy_fault(daemon.store, mode, random.uniform(*TURNED_AWAY_S))
 
 
--- a/scenarios/soak_site_faults.py
+++ b/scenarios/soak_site_faults.py
@@ -56,6 +56,12 @@
     await _all(run, "silence_links")
 
 
+@site_fault
+async def expire_declarations(run: Soak, rng: random.Random) -> None:
+    """Let the store delete the records of the declarations, but for the newest ones."""
+    run.store.declared_first = len(run.store.declared)
+
+
 @site_fault
 async def kill_all(run: Soak, rng: random.Random) -> None:
     """Kill all processes at once; they are started again."""
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -25,9 +25,8 @@
 from .platform_worker import PlatformWorker
 
 PARTITIONS = 16
-# How long a read with `wait_ms` waits before it returns no records. It is not woken by
-# new records, so callers poll at this interval.
-LONG_POLL_WAIT_S = 0.05
+# Interval at which a read that waits looks for records.
+LONG_POLL_LOOK_S = 0.01
 # Interval at which a renewal that waits looks for an end.
 END_POLL_S = 0.005
 APPEND_RESPONSES = {
@@ -60,6 +59,8 @@
         store: Partitions of the topic of jobs.
         declared: Keys and values in the topic of the operators' declarations, oldest
             first.
+        declared_first: Offset of the oldest declaration that is kept; the newest value
+            of each key is kept apart from that.
         members: Expiry time of each member of the group of owners, on the clock of
             `now_ms`; in the order of joining.
         generation: Generation of the group; rises when a member joins, leaves or
@@ -69,6 +70,7 @@
     def __init__(self) -> None:
         self.store = PlatformStore()
         self.declared: list[tuple[str, bytes]] = []
+        self.declared_first = 0
         self.members: dict[str, int] = {}
         self.generation = 0
 
@@ -99,26 +101,40 @@
         return json_response(fields, status)
 
     async def read(self, request: Request) -> Response:
-        """Return records from an offset on; a long poll ends after a short wait."""
+        """Return records from an offset on, as soon as there are any."""
         query = request.query_params
-        if query["topic"] == "keyed.op":
-            records = [
-                bytes([len(key)]) + key.encode() + value for key, value in self.declared
-            ]
-        else:
-            records = self.store.read(int(query["part"]))
-        header = len(records).to_bytes(8, "big") + (0).to_bytes(8, "big")
-        selected = records[int(query["from"]) :]
-        if not selected and "wait_ms" in query:
-            await asyncio.sleep(LONG_POLL_WAIT_S)
-        body = b"".join(len(r).to_bytes(4, "big") + r for r in selected)
+        start = int(query["from"])
+        end_ms = now_ms() + int(query.get("wait_ms", 0))
+        while True:
+            records, first = self._records(query["topic"], int(query["part"]))
+            if start < first:
+                return json_response({"first": first}, 410)
+            if start < len(records) or now_ms() >= end_ms:
+                break
+            await asyncio.sleep(LONG_POLL_LOOK_S)
+        header = len(records).to_bytes(8, "big") + first.to_bytes(8, "big")
+        body = b"".join(len(r).to_bytes(4, "big") + r for r in records[start:])
         return Response(header + body, media_type="application/octet-stream")
 
+    def _records(self, topic: str, partition: int) -> tuple[list[bytes], int]:
+        """Return all records of a partition, and the offset of the first one kept."""
+        if topic != "keyed.op":
+            return self.store.read(partition), 0
+        records = [
+            bytes([len(key)]) + key.encode() + value for key, value in self.declared
+        ]
+        return records, self.declared_first
+
     async def newest(self, request: Request) -> Response:
-        """Return all declarations, from which the client keeps the last of each key."""
-        items = [
-            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+        """Return the newest declaration of each key that has a value."""
+        newest = {
+            key: {"key": key, "value": base64.b64encode(value), "offset": offset}
             for offset, (key, value) in enumerate(self.declared)
+        }
+        items = [
+            {**item, "value": item["value"].decode()}
+            for item in newest.values()
+            if item["value"]
         ]
         end = len(self.declared)
         return json_response({"items": items, "truncated": False, "end": end})
--- a/tests/test_platform_late_declarations.py
+++ b/tests/test_platform_late_declarations.py
@@ -160,7 +160,7 @@
     play(tmp_path, 1, scenario)
 
 
-@pytest.mark.parametrize("mode", [Mode.CUT, Mode.SILENT])
+@pytest.mark.parametrize("mode", [Mode.CUT, Mode.SILENT, Mode.BUSY])
 def test_an_entry_that_the_store_turns_away_learns_a_change_from_others(
     tmp_path: Path, mode: Mode
 ) -> None:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -44,5 +44,11 @@
     assert set(FAULTS) == expected
     expected = {"reset_all_channels", "silence_all_channels", "silence_all_links"}
     expected |= {"kill_all", "reload_all", "stall_all", "restart_in_turn"}
-    expected |= {"replace_entry", "replace_agent", "starve_entries", "slow_entries"}
+    expected |= {
+        "expire_declarations",
+        "replace_entry",
+        "replace_agent",
+        "starve_entries",
+        "slow_entries",
+    }
     assert set(SITE_FAULTS) == expected
