Keep idle connections while the service gives other signs of life

Since each call that timed out closed all idle connections.

Idle connections are closed only if none that was open when the request was sent has given a sign of life since; for workers, only after two silent ones in a row.

test_an_unanswered_request_does_not_cost_the_other_connections and test_a_single_unanswered_request_does_not_count_against_all_connections are new. The stand-in store no longer prints an error for each read that waits when it stops.

--- a/catkincross/http11/_client.py
+++ b/catkincross/http11/_client.py
@@ -17,6 +17,8 @@
 
     Attributes:
         closed: Whether the connection was closed by either side.
+        opened_s: Loop time at which it was opened.
+        data_s: Loop time at which bytes last arrived; 0 for never.
         idle_since_s: Loop time at which the last response was complete.
         received_s: Loop time at which the last bytes arrived, or, before the first ones
             of a response, at which the request was written.
@@ -27,7 +29,8 @@
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
         self.closed = False
-        self.idle_since_s = self.received_s = self.loop.time()
+        self.idle_since_s = self.received_s = self.opened_s = self.loop.time()
+        self.data_s = 0.0
         self.silence_s = 0.0
         self.response_started = False
         self._silence_timer: asyncio.TimerHandle | None = None
@@ -46,7 +49,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of a response; abort the connection if they are not valid."""
-        self.received_s = self.loop.time()
+        self.received_s = self.data_s = self.loop.time()
         self.response_started = True
         if self._response is None:
             # Nothing was asked, so nothing that follows can be attributed.
@@ -127,16 +130,23 @@
 class HttpClient:
     """Client of one service, with a pool of persistent connections.
 
-    If a connection falls silent during a request, no idle one is used any more.
+    If connections fall silent during requests, and none that was open before gives a
+    sign of life meanwhile, no idle one is used any more.
 
     Args:
         address: `IP:port` of the service.
         keepalive_s: How long an idle connection is kept open, in seconds.
+        silent_limit: Number of connections in a row that have to fall silent before the
+            idle ones count as silent too.
     """
 
-    def __init__(self, address: str, *, keepalive_s: float) -> None:
+    def __init__(
+        self, address: str, *, keepalive_s: float, silent_limit: int = 1
+    ) -> None:
         self.address = address
         self.keepalive_s = keepalive_s
+        self.silent_limit = silent_limit
+        self._silent_in_a_row = 0
         self._idle: list[ClientConnection] = []
         self._busy: set[ClientConnection] = set()
 
@@ -186,22 +196,37 @@
         self, connection: ClientConnection, data: bytes, silence_s: float
     ) -> tuple[int, bytes]:
         self._busy.add(connection)
+        sent_s = connection.loop.time()
         try:
             result = await connection.send(data, silence_s)
         except TimeoutError:
             # Connections fall silent together, and only a timeout shows it: idle ones
             # would cost one timeout after the other.
-            self._close_idle()
+            if not self._heard_since(sent_s):
+                self._silent_in_a_row += 1
+                if self._silent_in_a_row >= self.silent_limit:
+                    self._close_idle()
             raise
         except BaseException:
             connection.abort(ConnectionAbortedError("request abandoned"))
             raise
         finally:
             self._busy.discard(connection)
+        self._silent_in_a_row = 0
         if not connection.closed:
             self._idle.append(connection)
         return result
 
+    def _heard_since(self, sent_s: float) -> bool:
+        """Whether a connection that was open at a time has given a sign of life since.
+
+        The service then leaves a single request unanswered.
+        """
+        return any(
+            connection.opened_s < sent_s < connection.data_s
+            for connection in (*self._idle, *self._busy)
+        )
+
     async def _connect(self) -> ClientConnection:
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
--- a/catkincross/platform/_worker.py
+++ b/catkincross/platform/_worker.py
@@ -26,6 +26,9 @@
 SILENCE_S = 0.1
 # The platform prices new connections to workers, so idle ones are kept between bursts.
 KEEPALIVE_S = 60.0
+# A worker may leave single orders unanswered, so one silent connection says nothing
+# about the others. Calls end after 100 ms, so that the second one shows it soon.
+SILENT_CONNECTIONS = 2
 INSTANCE_HEADER = "X-Catkincross-Target-Instance"
 # Outcomes of a rejected start order by the reason that the worker gives.
 START_REJECTIONS = {
@@ -97,7 +100,9 @@
     """
 
     def __init__(self, address: str) -> None:
-        super().__init__(address, keepalive_s=KEEPALIVE_S)
+        super().__init__(
+            address, keepalive_s=KEEPALIVE_S, silent_limit=SILENT_CONNECTIONS
+        )
 
     async def start(self, worker: str, order: StartRun) -> StartOutcome:
         """Order the worker to start a run.
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -111,7 +111,11 @@
                 return json_response({"first": first}, 410)
             if start < len(records) or now_ms() >= end_ms:
                 break
-            await asyncio.sleep(LONG_POLL_LOOK_S)
+            try:
+                await asyncio.sleep(LONG_POLL_LOOK_S)
+            except asyncio.CancelledError:
+                # The stand-in stops.
+                return json_response({}, 503)
         header = len(records).to_bytes(8, "big") + first.to_bytes(8, "big")
         body = b"".join(len(r).to_bytes(4, "big") + r for r in records[start:])
         return Response(header + body, media_type="application/octet-stream")
--- a/tests/test_http11.py
+++ b/tests/test_http11.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -256,6 +257,81 @@
     assert len(connections) == CONCURRENT + 1
 
 
+def test_an_unanswered_request_does_not_cost_the_other_connections() -> None:
+    """A worker that left orders unanswered got a new connection for each call."""
+    connections: list[int] = []
+
+    async def run() -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            connections.append(len(connections))
+            while line := await reader.readline():
+                await reader.readuntil(b"\r\n\r\n")
+                if b"/lost" in line:
+                    continue
+                await asyncio.sleep(SILENCE_S / 10)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        server, address = await serve_raw(answer)
+        client = HttpClient(address, keepalive_s=5.0)
+
+        async def ask(path: str) -> int:
+            return (await client.request("POST", path, silence_s=SILENCE_S))[0]
+
+        await asyncio.gather(*(ask("/") for _ in range(CONCURRENT)))
+        lost = asyncio.create_task(ask("/lost"))
+        await asyncio.sleep(SILENCE_S / 10)
+        await ask("/")
+        with pytest.raises(TimeoutError):
+            await lost
+        await asyncio.gather(*(ask("/") for _ in range(CONCURRENT - 1)))
+        await client.close()
+        server.close()
+
+    asyncio.run(run())
+    assert len(connections) == CONCURRENT
+
+
+def test_a_single_unanswered_request_does_not_count_against_all_connections() -> None:
+    """A worker that leaves an order unanswered may give no other sign of life."""
+    connections: list[int] = []
+
+    async def run() -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            connections.append(len(connections))
+            while line := await reader.readline():
+                await reader.readuntil(b"\r\n\r\n")
+                if b"/lost" in line:
+                    continue
+                await asyncio.sleep(SILENCE_S / 10)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        server, address = await serve_raw(answer)
+        client = HttpClient(address, keepalive_s=5.0, silent_limit=2)
+
+        async def ask(path: str) -> None:
+            await client.request("POST", path, silence_s=SILENCE_S)
+
+        await asyncio.gather(*(ask("/") for _ in range(CONCURRENT)))
+        for path in ("/lost", "/", "/lost"):
+            with contextlib.suppress(TimeoutError):
+                await ask(path)
+        assert len(connections) == CONCURRENT
+        with pytest.raises(TimeoutError):
+            await ask("/lost")
+        await ask("/")
+        await client.close()
+        server.close()
+
+    asyncio.run(run())
+    assert len(connections) == CONCURRENT + 1
+
+
 @pytest.mark.parametrize(
     "body", [b"", b"[]", b"{}", b'{"items": 3, "end": 1}', b"\xff", b'{"parts": [1]}']
 )
