Do not count ended tasks under anti_affinity

A job whose step has a limit of one task a worker was never completed if a worker was lost for good: its task found all other workers taken by tasks that were done. The limit counted every task of the step that has an agent, and a task keeps the name of its agent when it is done.

Only assigned tasks count now.

--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -44,8 +44,8 @@
         index: Number of the task within the step.
         state: State of the task.
         run: Number of the newest run; 0 for none.
-        agent: Agent that has the newest run while the task is assigned; empty
-            otherwise.
+        agent: Agent that has the newest run while the task is assigned, and that had it
+            once the task is done; empty otherwise.
         failed_runs: Numbers of the runs that ended `failed`.
         crashes: Crashes of workers that had a run of the task, by number of the run.
         checkpoint: Newest checkpoint; empty for none.
--- a/catkincross/owner/_placement_candidates.py
+++ b/catkincross/owner/_placement_candidates.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..dispatch import AgentResources, fits_idle_workers, size_key
-from ..jobs import Step, Task
+from ..jobs import Step, Task, TaskState
 from ._agents import AgentInfo
 from ._shard import Shard
 from ._state import OwnerState
@@ -110,7 +110,12 @@
         limit = task.step_spec.anti_affinity
         if not limit:
             return found
-        counts = Counter(t.agent for t in task.job.tasks[task.step] if t.agent)
+        # A task that has ended keeps its agent, but not its place.
+        counts = Counter(
+            neighbour.agent
+            for neighbour in task.job.tasks[task.step]
+            if neighbour.state is TaskState.ASSIGNED
+        )
         return [candidate for candidate in found if counts[candidate.name] < limit]
 
     def _eligible(self, shard: Shard, task: Task) -> list[AgentResources]:
--- a/tests/test_platform_lost_workers.py
+++ b/tests/test_platform_lost_workers.py
@@ -118,3 +118,37 @@
     assert found is not None
     assert [crash.agent for crash in found[1].crashes.values()] == ["u0"]
     assert model.count("done") == 6
+
+
+@pytest.mark.parametrize("volatile", [False, True])
+def test_a_task_of_a_lost_worker_may_run_where_its_neighbours_have_ended(
+    volatile: bool,
+) -> None:
+    """Tasks that were done kept their place under `anti_affinity`, so it never ran."""
+    model = ready_model()
+    spec = job(JOB, count=3, volatile=volatile, anti_affinity=1)
+    entry = "e0" if volatile else model.owner_of(spec)
+    for machine in model.machines.values():
+        machine.run_ms = 1_500
+    model.submit("post", spec, entry, timeout_ms=20_000)
+    model.run(300)
+    assert all(len(machine.running) == 1 for machine in model.machines.values())
+    lose_worker(model, "u0")
+    model.run(RESTART_MS + 3_000)
+    assert model.count("done") == 3
+    assert model.overlapping() == []
+
+
+def test_neighbours_that_run_keep_their_place() -> None:
+    """No two tasks of a step with a limit of one may run on one worker at a time."""
+    model = ready_model()
+    spec = job(JOB, count=6, anti_affinity=1)
+    model.submit("post", spec, model.owner_of(spec), timeout_ms=20_000)
+    model.run(6_000)
+    assert model.count("done") == 6
+    for name in model.machines:
+        active = 0
+        for _, what, _, _, agent in model.runs():
+            if agent == name:
+                active += 1 if what == "start" else -1
+                assert active <= 1
