--- a/catkincross/daemons/_membership.py
+++ b/catkincross/daemons/_membership.py
@@ -132,8 +132,8 @@
     def named_entries(self) -> set[str]:
         """Return the addresses of the entries that the store names as members now.
 
-        None while it gives no answer, since it would not have dropped those that have
-        ended.
+        The set is empty while the store gives no answer, since it would hold those that
+        have ended meanwhile.
         """
         if not self.answered:
             return set()
--- a/catkincross/dispatch/_job_claims.py
+++ b/catkincross/dispatch/_job_claims.py
@@ -43,7 +43,8 @@
 # Time after which the store no longer names an entry that has ended, in milliseconds:
 # its membership ends after 1,000 ms, and the owners are read every 500 ms.
 CUT_CERTAIN_MS = 3_000
-# Longest time for which a cut may go on, in milliseconds; no request waits for its end.
+# Wait that is told for a job behind a cut, in milliseconds. No request has so much time
+# left, so that it is answered at once.
 CUT_OFF_MS = 10_000
 # Outcomes of the answer to a claim.
 GRANTED = "granted"
