Keep the soak's questions from slowing down its own store

The soak asks each entry for queues 20 times a second, each time on a new connection.

The questions use connections that stay open, as callers do.

--- a/scenarios/platform_soak.py
+++ b/scenarios/platform_soak.py
@@ -297,12 +297,13 @@
     assert this_task is not None
     # A soak that is terminated ends its processes.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
-    probing = None
+    watching: list[asyncio.Task[None]] = []
     try:
         await run.start()
         await asyncio.sleep(HEARTBEAT_S)
         run.began_ms = now_ms()
-        probing = asyncio.create_task(run.changes.ask_entries())
+        watches = (run.changes.ask_entries, run.changes.watch_store)
+        watching = [asyncio.create_task(watch()) for watch in watches]
         async with asyncio.TaskGroup() as group:
             group.create_task(run.callers.submit(random.Random(seed)))
             group.create_task(run.changes.change(random.Random(-seed - 1)))
@@ -312,9 +313,9 @@
                 group.create_task(run.disturb_site(random.Random(-seed)))
         lost = await run.settled()
     finally:
-        if probing is not None:
-            probing.cancel()
-            await asyncio.wait({probing})
+        for task in watching:
+            task.cancel()
+        await asyncio.gather(*watching, return_exceptions=True)
         await run.stop()
     return run, lost
 
--- a/scenarios/soak_callers.py
+++ b/scenarios/soak_callers.py
@@ -239,8 +239,13 @@
         path: str,
         body: Any,
         timeout_s: float = PATIENCE_S,
+        session: aiohttp.ClientSession | None = None,
     ) -> tuple[int | None, Any]:
-        """Return status and body of an answer; without one, None and the reason."""
+        """Return status and body of an answer; without one, None and the reason.
+
+        A session of its own keeps connections open between two requests.
+        """
+        session = session or self.session
         address = daemon.front.address if daemon.front else daemon.address
         url = f"http://{address}{path}"
         headers = {
@@ -250,7 +255,7 @@
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self.session.request(
+                session.request(
                     method, url, data=orjson.dumps(body), headers=headers
                 ) as response,
             ):
