Keep a cancellation that meets the end of connecting

An entry that leaves the group could have joined it again that way.

HttpClient uses asyncio.timeout, which keeps the cancellation. test_a_request_that_is_cancelled_while_it_is_refused_ends failed in three of eight cases before and passes.

--- a/catkincross/http11/_client.py
+++ b/catkincross/http11/_client.py
@@ -230,8 +230,11 @@
     async def _connect(self) -> ClientConnection:
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        connecting = loop.create_connection(ClientConnection, host, int(port))
-        _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        # `wait_for` of Python 3.11 may lose a cancellation when the connecting ends.
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                ClientConnection, host, int(port)
+            )
         return connection
 
     def _take_idle(self) -> ClientConnection | None:
--- a/tests/test_http11.py
+++ b/tests/test_http11.py
@@ -332,6 +332,29 @@
     assert len(connections) == CONCURRENT + 1
 
 
+@pytest.mark.parametrize("turns", range(8))
+def test_a_request_that_is_cancelled_while_it_is_refused_ends(
+    turns: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The refusal replaced the cancellation, and an endless task went on."""
+
+    async def run() -> bool:
+        async def refuse(*_: Any) -> Any:
+            await asyncio.sleep(0)
+            raise ConnectionRefusedError
+
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", refuse)
+        client = HttpClient("127.0.0.1:1", keepalive_s=5.0)
+        task = asyncio.create_task(client.request("GET", "/", silence_s=SILENCE_S))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        requested = task.cancel()
+        await asyncio.wait({task})
+        return task.cancelled() or not requested
+
+    assert asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     "body", [b"", b"[]", b"{}", b'{"items": 3, "end": 1}', b"\xff", b'{"parts": [1]}']
 )
