--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -178,21 +178,9 @@
         self, entries: int, workers: int, routes: list[Any], cpu: int = 32_000
     ) -> None:
         """Start everything, and wait until the entries are ready."""
-        limits = {"max_header_bytes": 16384, "max_body_bytes": 262144}
-        services = [{"name": SERVICE, "rejects_overload": False, "standby": False}]
-        config = {
-            "version": 7,
-            "routes": routes,
-            "services": services,
-            "limits": limits,
-        }
-        self.store.declare("config", config)
+        self._declare(routes)
         await self.store.server.start(f"{self.net}.1:8169")
-        for number in range(entries):
-            ip, name = f"{self.net}.{10 + number}", f"edge-{number}"
-            listen = f'front = "{ip}:8161"\nready = "{ip}:8167"'
-            path = self._write_node(name, "entry", "edge", ip, number, "", listen)
-            self.entries.append(Daemon("entry", path, self.note))
+        self._make_entries(entries)
         for number in range(workers):
             ip, name = f"{self.net}.{100 + number}", f"side-{number}"
             app, listen = f'app = "{ip}:8165"', f'control = "{ip}:8166"'
@@ -218,6 +206,33 @@
         await asyncio.sleep(2.0)
         self.note("ready")
 
+    def _declare(self, routes: list[Any]) -> None:
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 262144}
+        services = [{"name": SERVICE, "rejects_overload": False, "standby": False}]
+        config = {
+            "version": 7,
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+        self.store.declare("config", config)
+
+    def _make_entries(self, count: int) -> list[Daemon]:
+        first = len(self.entries)
+        for number in range(first, first + count):
+            ip, name = f"{self.net}.{10 + number}", f"edge-{number}"
+            listen = f'front = "{ip}:8161"\nready = "{ip}:8167"'
+            path = self._write_node(name, "entry", "edge", ip, number, "", listen)
+            self.entries.append(Daemon("entry", path, self.note))
+        return self.entries[first:]
+
+    async def add_entries(self, count: int) -> None:
+        """Add entries, and wait until they are ready."""
+        self.note(f"{count} entries are added")
+        for daemon in self._make_entries(count):
+            daemon.start()
+        await self.wait(self._ready, 20.0)
+
     def _write_node(
         self,
         name: str,
@@ -298,6 +313,14 @@
         found = answer.get("state", "") if isinstance(answer, dict) else ""
         return found if status == 200 else f"status {status}"
 
+    def owner_of(self, job_id: str) -> int:
+        """Return the entry that has recorded a job, as the store can tell."""
+        for number, part in enumerate(self.store.parts):
+            if any(job_id.encode() in record for record in part.records):
+                name = self.store.owner[number].partition("|")[0]
+                return int(name.removeprefix("edge-"))
+        raise RuntimeError("the job is not recorded")
+
     # The end.
 
     async def stop(self) -> None:
--- a/review/second/store.py
+++ b/review/second/store.py
@@ -54,6 +54,8 @@
 
     def set_busy(self, busy: bool) -> None:
         """Begin or end an outage; the members' times go on where they stopped."""
+        if busy == self.busy:
+            return
         now = time.monotonic()
         for member in self.members.values():
             if busy:
--- a/review/second/worker.py
+++ b/review/second/worker.py
@@ -1,13 +1,15 @@
 """Stand-in of the platform's minion, after PROTOCOL.md.
 
 The text `spec` of a job is JSON here: `ms` is how long a run works (0: until it is
-stopped), `how` how it ends (`done` or `failed`).
+stopped), `spread` by which share of that its tasks differ at most, and `how` how a run
+ends (`done` or `failed`).
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import random
 import time
 from typing import Any
 
@@ -23,16 +25,19 @@
 class Run:
     """A run at work."""
 
-    def __init__(self, number: int, spec: dict[str, Any], now: float) -> None:
+    def __init__(
+        self, task: str, number: int, spec: dict[str, Any], now: float
+    ) -> None:
         self.number = number
-        self.spec = spec
+        self.how: str = spec["how"]
+        share = random.Random(task).uniform(-1, 1) * spec.get("spread", 0.0)
+        self.length_s: float = spec["ms"] * (1 + share) / 1_000
         self.began = now
         self.stop_at: float | None = None
 
     def percent(self, now: float) -> int:
         """Return the progress; a run that lasts is at work after 100 ms."""
-        length_s = self.spec["ms"] / 1_000 or 0.1
-        return min(100, int(100 * (now - self.began) / length_s))
+        return min(100, int(100 * (now - self.began) / (self.length_s or 0.1)))
 
 
 class Worker:
@@ -65,6 +70,7 @@
         self.up = False
         self.server = Server(self._handle)
         self.tasks: list[asyncio.Task[None]] = []
+        self.stop_s = STOP_S
         # Rows of time, what, task and number of the run; `what` is `start`, `stop`, how
         # a run ended, `acked` with that behind it, `lapse` or `crash`.
         self.events: list[tuple[float, str, str, int]] = []
@@ -139,9 +145,8 @@
             for task in list(self.runs):
                 self._end(task, "lapsed")
         for task, run in list(self.runs.items()):
-            length_s = run.spec["ms"] / 1_000
-            if length_s and now >= run.began + length_s:
-                self._end(task, run.spec["how"])
+            if run.length_s and now >= run.began + run.length_s:
+                self._end(task, run.how)
             elif run.stop_at is not None and now >= run.stop_at:
                 self._end(task, "stopped")
 
@@ -194,7 +199,8 @@
             return 200, {}
         if number <= self.highest.get(task, 0):
             return 409, {"reason": "old"}
-        self.runs[task] = Run(number, json.loads(body["spec"]), time.monotonic())
+        spec = json.loads(body["spec"])
+        self.runs[task] = Run(task, number, spec, time.monotonic())
         self._event("start", task, number)
         self.note(f"{self.name}: start {task} run {number}")
         return 200, {}
@@ -203,7 +209,7 @@
         task, number = body["task"], body["run_id"]
         run = self.runs.get(task)
         if run is not None and run.number == number and run.stop_at is None:
-            run.stop_at = time.monotonic() + STOP_S
+            run.stop_at = time.monotonic() + self.stop_s
             self._event("stop", task, number)
             self.note(f"{self.name}: stop {task} run {number}")
         elif run is None:
