--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,9 +15,10 @@
 
 PREFIX = "/lohu930/"
 # The owner records a job again after a third of `keep_s`, 100 s.
-OCCURRENCES, INTERVAL_MS = 72, 1_400
-WIDTH = 80
-SMALL_WIDTH = 20
+OCCURRENCES, INTERVAL_MS = 132, 800
+# The widest jobs of the site have 32 tasks.
+WIDTH = 32
+SMALL_WIDTH = 8
 JOBS = 48
 JOBS_AT_S, JUDGED_AT_S = 96.0, 109.5
 IDLE_S = 3.0
