--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -194,6 +194,7 @@
                 service=SERVICE,
                 zone=ZONES[number % len(ZONES)],
                 cpu=cpu,
+                kind="b" if number % 3 == 2 else "a",
                 rack=f"r1-{number // 3}",
             )
             self.workers.append(worker)
--- a/review/second/worker.py
+++ b/review/second/worker.py
@@ -53,6 +53,7 @@
         service: str,
         zone: str,
         cpu: int,
+        kind: str,
         rack: str,
     ) -> None:
         self.name, self.address, self.control = name, address, control
@@ -65,7 +66,7 @@
             "slots": 8,
             "cold_left_ms": 0,
             "capacity": {"cpu": cpu, "mem_mb": 131_072},
-            "labels": ["a", rack],
+            "labels": [kind, rack],
         }
         self.up = False
         self.server = Server(self._handle)
