--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Lasting tasks wait for ever beside idle minions, once there are over five entries."""
+"""Jobs wait for ever beside idle minions, after others have failed and were cancelled."""
 
 from __future__ import annotations
 
@@ -14,68 +14,59 @@
 from review.second.rig import Rig, route, run  # noqa: E402
 
 PREFIX = "/lohu930/"
-WORKERS, CPU, TASK_CPU = 11, 32_000, 1_000
-ENTRIES, ADDED = 4, 4
-JOBS = 4
-WAIT_S, CALM_S = 10.0, 8.0
+WORKERS = 11
+KIND = "b"
+HOPELESS, CANCELLED, JOBS = 12, 12, 16
+CANCEL_AFTER_S = 8.0
+FINISH_S, IDLE_S = 14.0, 3.0
+
+
+def job(ms: int, how: str, count: int) -> dict[str, object]:
+    """Return a job for minions of one kind."""
+    step = {"count": count, "cpu": 1_000, "mem_mb": 64, "estimate_ms": ms}
+    return {
+        "spec": json.dumps({"ms": ms, "how": how}),
+        "steps": [step | {"requires": KIND}],
+    }
+
+
+async def hand_in(rig: Rig, count: int, body: dict[str, object]) -> list[str]:
+    """Hand jobs in; return those that are accepted."""
+    ids = [rig.job_id() for _ in range(count)]
+    return [job_id for job_id in ids if await rig.submit(PREFIX, job_id, body)]
 
 
 async def body(rig: Rig) -> list[str]:
-    """Add entries, then hand jobs in that need one task on each minion."""
-    await rig.start(ENTRIES, WORKERS, [route(PREFIX)], CPU)
+    """Hand in hopeless jobs, then jobs that are cancelled, then ordinary ones."""
+    await rig.start(entries=2, workers=WORKERS, routes=[route(PREFIX, stretch=10.0)])
     if rig.trouble:
-        await rig.add_entries(ADDED)
-    await asyncio.sleep(WAIT_S)
-    step = {
-        "count": WORKERS,
-        "cpu": TASK_CPU,
-        "mem_mb": 64,
-        "estimate_ms": 1_000,
-        "anti_affinity": 1,
-        "long_running": True,
-    }
-    request = {
-        "spec": json.dumps({"ms": 0, "how": "done"}),
-        "long_running": True,
-        "steps": [step],
-    }
-    accepted = []
-    for _ in range(JOBS):
-        job = rig.job_id()
-        if await rig.submit(PREFIX, job, request):
-            accepted.append(job)
+        await hand_in(rig, HOPELESS, job(300, "failed", 2))
+        await asyncio.sleep(12.0)
+        cancelled = await hand_in(rig, CANCELLED, job(20_000, "done", 2))
+        await asyncio.sleep(CANCEL_AFTER_S)
+        for job_id in cancelled:
+            await rig.ask("DELETE", PREFIX + job_id)
+    await asyncio.sleep(3.0)
+    accepted = await hand_in(rig, JOBS, job(300, "done", 2))
+    rig.note(f"{len(accepted)} of {JOBS} jobs accepted")
     if not accepted:
         raise RuntimeError("no job was accepted")
-    await asyncio.sleep(WAIT_S)
-    return await judge(rig, accepted)
-
-
-async def judge(rig: Rig, accepted: list[str]) -> list[str]:
-    """Return the tasks that have not run for `CALM_S`, with minions that have room."""
-    began = time.monotonic()
-    await asyncio.sleep(CALM_S)
-    in_use = sum(len(worker.runs) for worker in rig.workers) * TASK_CPU
-    rig.note(f"{in_use} of {WORKERS * CPU} millicores are in use")
-    started = {
-        task
+    await asyncio.sleep(FINISH_S)
+    since = time.monotonic()
+    await asyncio.sleep(IDLE_S)
+    rig.note(f"{sum(len(worker.runs) for worker in rig.workers)} runs go on")
+    touched = {
+        task.partition(".")[0]
         for worker in rig.workers
         for at, what, task, _ in worker.events
-        if what == "start" or at >= began
+        if what == "start" or at >= since
     }
     broken = []
-    for job in accepted:
-        missing = [
-            index for index in range(WORKERS) if f"{job}.0.0.{index}" not in started
-        ]
-        idle = sum(
-            not any(task.startswith(job) for task in worker.runs)
-            for worker in rig.workers
-        )
-        if missing and idle >= 2:
-            broken.append(
-                f"LOST: {len(missing)} of {WORKERS} tasks of job {job} have never "
-                f"begun; {idle} minions have no task of it, and room"
-            )
+    for job_id in accepted:
+        state = await rig.state(PREFIX, job_id)
+        if state not in ("completed", "failed") and job_id not in touched:
+            broken.append(f"LOST: job {job_id} is {state}, and no task of it has begun")
+    rig.note(f"{len(broken)} of {len(accepted)} jobs have not begun")
     return broken
 
 
