--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -360,8 +360,11 @@
             code = 1 if broken else 0
         except Exception as error:
             rig.note(f"the case could not run: {error!r}")
-        finally:
+        try:
             await rig.stop()
+        except OSError as error:
+            print(f"the case did not end cleanly: {error!r}", file=sys.stderr)
+            code = 2
         return code
 
     code = asyncio.run(main())
