--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Jobs wait for ever beside idle minions, after others have failed and were cancelled."""
+"""Jobs wait for ever beside idle minions, after others were cancelled there."""
 
 from __future__ import annotations
 
@@ -15,19 +15,30 @@
 
 PREFIX = "/lohu930/"
 WORKERS = 11
-KIND = "b"
-HOPELESS, CANCELLED, JOBS = 12, 12, 16
+USUAL, USUAL_GAP_S = 110, 0.2
+HOPELESS, CANCELLED, JOBS = 5, 12, 16
 CANCEL_AFTER_S = 8.0
 FINISH_S, IDLE_S = 14.0, 3.0
 
 
-def job(ms: int, how: str, count: int) -> dict[str, object]:
-    """Return a job for minions of one kind."""
-    step = {"count": count, "cpu": 1_000, "mem_mb": 64, "estimate_ms": ms}
-    return {
-        "spec": json.dumps({"ms": ms, "how": how}),
-        "steps": [step | {"requires": KIND}],
+def job(ms: int, how: str = "done", *, kind: str = "b") -> dict[str, object]:
+    """Return a job with a task on each of three minions of a kind."""
+    step = {
+        "count": 3,
+        "cpu": 1_000,
+        "mem_mb": 64,
+        "estimate_ms": ms,
+        "anti_affinity": 1,
+        "requires": kind,
     }
+    return {"spec": json.dumps({"ms": ms, "how": how}), "steps": [step]}
+
+
+async def usual(rig: Rig) -> None:
+    """Hand in sound jobs for the other kind of minions."""
+    for _ in range(USUAL):
+        await hand_in(rig, 1, job(200, kind="a"))
+        await asyncio.sleep(USUAL_GAP_S)
 
 
 async def hand_in(rig: Rig, count: int, body: dict[str, object]) -> list[str]:
@@ -39,15 +50,16 @@
 async def body(rig: Rig) -> list[str]:
     """Hand in hopeless jobs, then jobs that are cancelled, then ordinary ones."""
     await rig.start(entries=2, workers=WORKERS, routes=[route(PREFIX, stretch=10.0)])
+    others = asyncio.create_task(usual(rig))
     if rig.trouble:
-        await hand_in(rig, HOPELESS, job(300, "failed", 2))
+        await hand_in(rig, HOPELESS, job(300, "failed"))
         await asyncio.sleep(12.0)
-        cancelled = await hand_in(rig, CANCELLED, job(20_000, "done", 2))
+        cancelled = await hand_in(rig, CANCELLED, job(20_000))
         await asyncio.sleep(CANCEL_AFTER_S)
         for job_id in cancelled:
             await rig.ask("DELETE", PREFIX + job_id)
-    await asyncio.sleep(3.0)
-    accepted = await hand_in(rig, JOBS, job(300, "done", 2))
+    await others
+    accepted = await hand_in(rig, JOBS, job(300))
     rig.note(f"{len(accepted)} of {JOBS} jobs accepted")
     if not accepted:
         raise RuntimeError("no job was accepted")
