--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,12 +15,12 @@
 
 PREFIX = "/lohu930/"
 # The owner records a job again after a third of `keep_s`, 100 s.
-OCCURRENCES, INTERVAL_MS = 132, 800
+OCCURRENCES, INTERVAL_MS = 128, 800
 # The widest jobs of the site have 32 tasks.
 WIDTH = 32
 SMALL_WIDTH = 8
 JOBS = 48
-JOBS_AT_S, JUDGED_AT_S = 96.0, 109.5
+JOBS_AT_S, JUDGED_AT_S = 96.0, 105.0
 IDLE_S = 3.0
 
 
@@ -41,9 +41,9 @@
     if not await rig.submit(PREFIX, timed, request):
         raise RuntimeError("the job with times was not accepted")
     await asyncio.sleep(began + JOBS_AT_S - time.monotonic())
-    step = {"cpu": 100, "mem_mb": 16, "estimate_ms": 5_500}
+    step = {"cpu": 100, "mem_mb": 16, "estimate_ms": 6_000}
     request = {
-        "spec": json.dumps({"ms": 5_500, "how": "done"}),
+        "spec": json.dumps({"ms": 6_000, "how": "done"}),
         "steps": [{"count": 1} | step, {"count": 1, "after": [0]} | step],
     }
     accepted = []
