Let the lease lapse for every end that no owner can record

Cause: an owner gives up the runs of a lost agent after a fixed time and has ends that arrive later acknowledged as superseded. It relies on the agent to let the lease of the worker lapse for them. The agent did so once, when the owner's lease ended, for the ends `done` that it knew then. Ends that came during a stop, ends `failed`, ends of runs whose stop was lost, and ends found by a restarted agent let no lease lapse.

Change: the lease is not renewed while an end `done` or `failed` is unacknowledged, no owner holds a lease on its shard, and the worker's lease has not lapsed since. It is a condition on the state in place of a pause that began with the owner's lease. The log tells when ends begin and cease to block the lease. The stand-ins of workers record which ends count as noted, and the model judges starts by them.

--- a/catkincross/workers/_core.py
+++ b/catkincross/workers/_core.py
@@ -101,6 +101,7 @@
         self._note_overdue_heartbeat()
         watch_silence(state)
         self._expire_shard_leases()
+        self._watch_ends_without_owner()
         self._resend_stops()
         self._resend_ends()
         send_states(state)
@@ -294,8 +295,6 @@
         state = self.state
         if not state.runs or not state.worker_incarnation:
             return False
-        if state.now_ms < state.renewal_blocked_until_ms:
-            return False
         return not state.worker_silent and not state.awaits_lapse
 
     def _note_overdue_heartbeat(self) -> None:
@@ -310,12 +309,7 @@
             state.mark_states_outdated()
 
     def _expire_shard_leases(self) -> None:
-        """Stop the runs of shards whose owner's lease has expired.
-
-        If an unacknowledged end of such a shard is `done`, or may be, renewal pauses
-        until the worker's lease has lapsed, so that the next owner is free to run the
-        task again.
-        """
+        """Stop the runs of shards whose owner's lease has expired."""
         state = self.state
         self._stop_expired_runs()
         for shard, lease in state.shard_leases.items():
@@ -341,10 +335,21 @@
             for run in runs:
                 run.stop_deadline_ms = lease.valid_until_ms + state.limits.stop_grace_ms
                 order_stop(state, run, "lease of owner ended")
-            if not state.ends_complete or any(end.how == "done" for end in ends):
-                pause_ms = state.limits.longest_lease_ms
-                state.renewal_blocked_until_ms = state.now_ms + pause_ms
-                state.mark_states_outdated()
+
+    def _watch_ends_without_owner(self) -> None:
+        """Tell the entries, and log, when ends begin or cease to block renewals."""
+        state = self.state
+        blocks = state.end_awaits_lapse
+        if blocks == state.ends_block_renewal:
+            return
+        state.ends_block_renewal = blocks
+        state.mark_states_outdated()
+        state.note(
+            "lease not renewed for ends" if blocks else "ends no longer block lease",
+            ends=len(state.ends),
+            complete=state.ends_complete,
+            lapsed=state.now_ms >= state.lease_end_ms,
+        )
 
     def _stop_expired_runs(self) -> None:
         """Stop runs of volatile jobs and orphaned runs whose time has expired.
--- a/catkincross/workers/_orders.py
+++ b/catkincross/workers/_orders.py
@@ -346,6 +346,7 @@
     The worker forgets the ends up to `ack`.
     """
     state.ends.pop(sequence, None)
+    state.lapsed_ends.discard(sequence)
     # The worker lists ends in order, so all up to `highest_end` have been received.
     state.ack = max(state.ack, min(state.ends, default=state.highest_end + 1) - 1)
 
--- a/catkincross/workers/_registration.py
+++ b/catkincross/workers/_registration.py
@@ -211,5 +211,5 @@
     state.ack = state.highest_end = 0
     state.worker_incarnation = worker_incarnation
     state.lists_complete = False
-    state.renewal_blocked_until_ms = 0
+    state.lapsed_ends.clear()
     state.mark_states_outdated()
--- a/catkincross/workers/_state.py
+++ b/catkincross/workers/_state.py
@@ -17,6 +17,8 @@
 # A worker counts as shared with an entry for this long after an order from it, in
 # milliseconds. Under load an entry sends several orders a second to each worker.
 SHARED_MS = 1_000
+# Ends after which an owner may have to refrain from a further run of the task.
+COUNTED_ENDS = ("done", "failed")
 
 
 @attrs.define(eq=False)
@@ -89,8 +91,10 @@
             with the time before which no further link is opened.
         sought_until_ms: Entries that have asked for a report, by address, with the
             time until which a link to them is wanted.
-        renewal_blocked_until_ms: Time before which the worker's lease must not be
-            renewed.
+        lapsed_ends: Sequence numbers of unacknowledged ends since which the worker's
+            lease has lapsed.
+        ends_block_renewal: Whether ends that no owner can record kept the worker's
+            lease from being renewed at the newest step.
         next_turn_ms: When the next entry with waiting tasks may get a state.
         resend_ends_ms: When unacknowledged ends are next sent again.
         leaving: Whether the agent is shutting down and takes no new runs.
@@ -147,7 +151,8 @@
     store_owners: dict[int, str] = attrs.field(factory=dict)
     suspects: dict[str, int] = attrs.field(factory=dict)
     sought_until_ms: dict[str, int] = attrs.field(factory=dict)
-    renewal_blocked_until_ms: int = 0
+    lapsed_ends: set[int] = attrs.field(factory=set)
+    ends_block_renewal: bool = False
     next_turn_ms: int = 0
     resend_ends_ms: int = 0
     leaving: bool = False
@@ -222,8 +227,8 @@
         """Whether the worker may be given new runs.
 
         Orphaned runs of unknown size make the free capacity unknown, so the worker is
-        not ready while it has any. Nor is it while a run has to end with the worker's
-        lease, since each start order renews that lease.
+        not ready while it has any. Nor is it while the worker's lease has to lapse,
+        since each start order renews that lease.
         """
         registration = self.registration
         return (
@@ -233,7 +238,6 @@
             and not registration.draining
             and self.capacity_current
             and not self.leaving
-            and self.now_ms >= self.renewal_blocked_until_ms
             and not self.has_orphaned_runs
             and not self.awaits_lapse
             and not self.worker_silent
@@ -275,12 +279,54 @@
 
     @property
     def awaits_lapse(self) -> bool:
-        """Whether a run goes on for which the worker's lease must not be renewed."""
+        """Whether the worker's lease must not be renewed, for a run or for an end."""
+        return self.run_awaits_lapse or self.end_awaits_lapse
+
+    @property
+    def run_awaits_lapse(self) -> bool:
+        """Whether a run goes on although its time, or its owner's lease, is over."""
+        for run in self.runs.values():
+            if run.renewal_end_ms is not None and self.now_ms >= run.renewal_end_ms:
+                return True
+            lease = self.shard_leases.get(run.shard)
+            if lease is not None and not run.orphaned:
+                stops_end_ms = lease.valid_until_ms + self.limits.stop_grace_ms
+                if self.now_ms >= stops_end_ms:
+                    return True
+        return False
+
+    @property
+    def end_awaits_lapse(self) -> bool:
+        """Whether the worker's lease has to lapse because of an end.
+
+        An owner that is lost to this agent, or the next one, may start the task again
+        without knowing the end. Once the lease has lapsed the end no longer counts, and
+        may be acknowledged whether it was recorded or not. Nothing is known of ends
+        that the worker does not list yet.
+        """
+        if self.now_ms >= self.lease_end_ms:
+            return False
+        if not self.ends_complete and any(
+            self.now_ms >= lease.valid_until_ms for lease in self.shard_leases.values()
+        ):
+            return True
+        return not self.seeks_owners and self.has_end_without_owner
+
+    @property
+    def has_end_without_owner(self) -> bool:
+        """Whether a counted end is unacknowledged, and no owner can record it now."""
         return any(
-            run.renewal_end_ms is not None and self.now_ms >= run.renewal_end_ms
-            for run in self.runs.values()
+            ended.how in COUNTED_ENDS
+            and sequence not in self.lapsed_ends
+            and not self.owner_of_shard(self.shard_of_task(ended.task))
+            for sequence, ended in self.ends.items()
         )
 
+    @property
+    def seeks_owners(self) -> bool:
+        """Whether this process is so new that it may not know the owners yet."""
+        return self.now_ms < (self.started_ms or 0) + self.limits.orphan_run_ms
+
     @property
     def capacity_current(self) -> bool:
         """Whether the newest heartbeat states a capacity by which runs may be started.
@@ -330,13 +376,18 @@
     def request_lease(self) -> int:
         """Return the end of a lease from now, on the worker's clock.
 
-        It is a full lease, unless the worker has an orphaned run: its entry may be lost
-        for longer than this process knows.
+        It is a full lease, unless the worker has an orphaned run or a new process has
+        found an end: the entry may be lost for longer than this process knows.
         """
+        if self.now_ms >= self.lease_end_ms:
+            self.lapsed_ends.update(self.ends)
         end_ms = self.now_ms + self.limits.longest_lease_ms
         self.lease_end_ms = max(self.lease_end_ms, end_ms)
         until_ms = self.now_ms + self.limits.lease_ms
         for run in self.runs.values():
             if run.orphaned:
                 until_ms = min(until_ms, run.expires_ms + self.limits.stop_grace_ms)
+        if self.seeks_owners and self.has_end_without_owner:
+            adopted_ms = (self.started_ms or 0) + self.limits.longest_adoption_ms
+            until_ms = min(until_ms, adopted_ms)
         return until_ms + self.clock_offset_ms
--- a/scenarios/platform_effects.py
+++ b/scenarios/platform_effects.py
@@ -98,8 +98,12 @@
     def _pass(self, entry: str, agent: str, content: Any, *, to_agent: bool) -> None:
         owner, worker = self.owners.get(entry), self.workers.get(agent)
         self.sent[agent, type(content).__name__] += 1
+        link = self.links_opened[entry, agent]
 
         def arrive() -> None:
+            if self.links_opened[entry, agent] != link:
+                # It was sent on an earlier link, which has closed.
+                return
             if (entry, agent) in self.cut or owner is None or worker is None:
                 return
             if self.owners.get(entry) is not owner:
--- a/scenarios/platform_model.py
+++ b/scenarios/platform_model.py
@@ -43,11 +43,15 @@
 # Time in which all processes of the model come to know each other.
 SETTLE_MS = 600
 SERVICE = "checks"
+# Number of failed runs after which a task is not started again.
+MAX_ATTEMPTS = 3
 
 
 def job(job_id: str, *, count: int = 4, volatile: bool = False, **step: Any) -> JobSpec:
     """Return a job of one step."""
-    policy = QueuePolicy("q", SERVICE, max_attempts=3, stretch=1.6, slo_ms=60)
+    policy = QueuePolicy(
+        "q", SERVICE, max_attempts=MAX_ATTEMPTS, stretch=1.6, slo_ms=60
+    )
     step.setdefault("estimate_ms", 100)
     step_spec = Step(count, cpu=1_000, memory_mb=64, **step)
     return JobSpec(job_id, "text", (step_spec,), policy, volatile)
@@ -65,6 +69,8 @@
         silent_workers: Agents whose worker's heartbeats are lost.
         notes: Log lines of all cores.
         sent: Number of messages by agent and class.
+        volatile_jobs: IDs of the volatile jobs that were handed in.
+        links_opened: Number of links opened between an entry and an agent.
     """
 
     entries: int = 2
@@ -83,6 +89,8 @@
     late_ms: int = 3_000
     notes: list[tuple[int, str, str, dict[str, Any]]] = attrs.field(factory=list)
     sent: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    volatile_jobs: set[str] = attrs.field(factory=set)
+    links_opened: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     generation: int = 0
     assignment: dict[str, list[int]] = attrs.field(factory=dict)
     _queue: list[tuple[int, int, Callable[[], None]]] = attrs.field(factory=list)
@@ -251,6 +259,7 @@
     def connect(self, entry: str, agent: str) -> None:
         """Open a link."""
         if entry in self.owners and agent in self.workers:
+            self.links_opened[entry, agent] += 1
             core = self.workers[agent].core
             core.handle_entry_connected(self.now_ms, entry)
             self.owners[entry].core.handle_agent_connected(
@@ -301,6 +310,8 @@
 
     def submit(self, name: str, spec: JobSpec, entry: str, timeout_ms: int = 0) -> None:
         """Hand in a job at an entry."""
+        if spec.volatile:
+            self.volatile_jobs.add(spec.id)
         core = self.owners[entry].core
         core.submit(self.now_ms, name, spec, accepted_ms=0, timeout_ms=timeout_ms)
         self.step(self.owners[entry])
@@ -333,6 +344,26 @@
                 found.append(task)
         return found
 
+    def starts_after_noted_ends(self) -> list[str]:
+        """Return the starts of tasks of stored jobs that noted ends rule out.
+
+        These are starts after a run has ended `done`, and those after `MAX_ATTEMPTS`
+        runs have ended `failed`. An end that was noted later counts from its own time.
+        """
+        noted_ends = [end for m in self.machines.values() for end in m.ends.noted]
+        found = []
+        for at_ms, what, task, run, agent in self.runs():
+            before = Counter(
+                end.how
+                for end in noted_ends
+                if end.task == task and end.ended_ms < at_ms
+            )
+            if task.partition(".")[0] in self.volatile_jobs or what != "start":
+                continue
+            if before["done"] or before["failed"] >= MAX_ATTEMPTS:
+                found.append(f"{task} run {run} starts on {agent} after {dict(before)}")
+        return found
+
     def count(self, what: str, task: str = "") -> int:
         """Return how often something happened, of one task or of all."""
         return sum(1 for row in self.runs() if row[1] == what and task in row[2])
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -18,6 +18,8 @@
     StopRun,
 )
 
+from .noted_ends import NotedEnd, NotedEnds
+
 # Millicores, MB of memory and number of accelerators.
 Capacity = tuple[int, int, int]
 DEFAULT_CAPACITY: Capacity = (4_000, 8_192, 0)
@@ -52,6 +54,11 @@
         total_ms = max(self.ends_ms - self.started_ms, 1)
         return min(100, (now_ms - self.started_ms) * 100 // total_ms)
 
+    def stop(self, stopped_ms: int) -> None:
+        """Let the run end as `stopped` at a time, unless it ends before."""
+        if stopped_ms < self.ends_ms:
+            self.ends_ms, self.how = stopped_ms, "stopped"
+
 
 @attrs.define
 class PlatformWorker:
@@ -65,7 +72,9 @@
             in heartbeats, and orders beyond it are carried out.
         draining: Whether the worker is about to leave.
         run_ms: Duration of each run.
+        end_as: How runs end after that time, `done` or `failed`.
         fail_all: Whether every run fails, 5 ms after its start.
+        stop_takes_ms: Time that a stop takes; a run may end before it is over.
         loses_stops: Whether orders to stop a run get lost.
         deadly: Names of tasks that crash the worker 30 ms after their start.
         down_until_ms: When the worker is back after the crash by a deadly task.
@@ -79,6 +88,7 @@
         run_events: Events as rows of time, event, task and run.
         capacities: Times at which the capacity has changed, with the new one.
         announced: Times at which an agent read a heartbeat, with its capacity.
+        ends: Which ends count as noted.
     """
 
     instance: str = "w-1"
@@ -87,7 +97,9 @@
     capacity: Capacity = DEFAULT_CAPACITY
     draining: bool = False
     run_ms: int = 100
+    end_as: str = "done"
     fail_all: bool = False
+    stop_takes_ms: int = 0
     loses_stops: bool = False
     deadly: frozenset[str] = frozenset()
     down_until_ms: int = 0
@@ -101,6 +113,7 @@
     run_events: list[tuple[int, str, str, int]] = attrs.field(factory=list)
     capacities: list[tuple[int, Capacity]] = attrs.field(factory=list)
     announced: list[tuple[int, Capacity]] = attrs.field(factory=list)
+    ends: NotedEnds = attrs.field(factory=NotedEnds)
 
     def resize(self, now_ms: int, capacity: Capacity) -> None:
         """Change the capacity; runs go on, and the next heartbeat shows it."""
@@ -117,7 +130,11 @@
         self.finished.append(
             EndedRun(self.last_end_number, active_run.task, active_run.run, how)
         )
-        self.run_events.append((now_ms, how, active_run.task, active_run.run))
+        self._record_end(now_ms, how, active_run.task, active_run.run)
+
+    def _record_end(self, at_ms: int, how: str, task: str, run: int) -> None:
+        self.run_events.append((at_ms, how, task, run))
+        self.ends.add(self.last_end_number, NotedEnd(task, run, how, at_ms))
 
     def advance(self, now_ms: int) -> None:
         """End the runs that by `now_ms` are over or have outlived the lease."""
@@ -133,6 +150,11 @@
                 self._end_run(self.lease_end_ms, active_run, "lapsed")
             elif active_run.ends_ms <= now_ms:
                 self._end_run(active_run.ends_ms, active_run, active_run.how)
+        self._note_lapse(now_ms)
+
+    def _note_lapse(self, now_ms: int) -> None:
+        if self.lease_end_ms <= now_ms:
+            self.ends.lapse()
 
     def start(self, now_ms: int, order: StartRun) -> StartOutcome:
         """Carry out an order to start a run."""
@@ -145,7 +167,7 @@
             return StartOutcome.LATE
         if order.run <= self.highest_run.get(order.task, 0):
             return StartOutcome.OLD
-        how = "failed" if self.fail_all else "done"
+        how = "failed" if self.fail_all else self.end_as
         ends_ms = now_ms + (5 if self.fail_all else self.run_ms)
         self.running[order.task] = ActiveRun(
             order.task, order.run, now_ms, ends_ms, how
@@ -160,7 +182,8 @@
             return
         active_run = self.running.get(order.task)
         if active_run is not None and active_run.run == order.run:
-            self._end_run(now_ms, active_run, "stopped")
+            active_run.stop(now_ms + self.stop_takes_ms)
+            self.advance(now_ms)
         self.highest_run[order.task] = max(
             self.highest_run.get(order.task, 0), order.run
         )
@@ -176,6 +199,7 @@
         if renewal.until_ms is not None:
             self._extend_lease(now_ms, renewal.until_ms)
         self.acknowledged = max(self.acknowledged, renewal.ack)
+        self.ends.acknowledge(renewal.ack)
         self.finished = [end for end in self.finished if end.sequence > renewal.ack]
         running = tuple(
             RunningTask(
@@ -209,6 +233,7 @@
             self.run_events.append((now_ms, "crashed", active_run.task, active_run.run))
         self.running.clear()
         self.finished.clear()
+        self.ends.lapse()
         self.highest_run.clear()
         self.last_end_number = self.acknowledged = self.fence = self.lease_end_ms = 0
         self.worker_incarnation += 1
--- a/standins/strict_worker.py
+++ b/standins/strict_worker.py
@@ -29,7 +29,6 @@
     Attributes:
         clock_rate: Speed of its steady clock, 0.98 to 1.
         wall_clock_error_ms: What its wall clock is ahead at the next start.
-        stop_takes_ms: Time that a stop takes.
         unhealthy: Whether it answers start orders with 503.
         stalled: Whether its runs make no progress.
         keeps_ack: Whether an acknowledgement also applies to later ends with a number
@@ -42,7 +41,6 @@
 
     clock_rate: float = 1.0
     wall_clock_error_ms: int = 0
-    stop_takes_ms: int = 0
     unhealthy: bool = False
     stalled: bool = False
     keeps_ack: bool = False
@@ -69,6 +67,7 @@
         self.active.clear()
         self.running.clear()
         self.finished.clear()
+        self.ends.lapse()
         self.highest_run.clear()
         self.last_end_number = self.acknowledged = self.fence = self.lease_end_ms = 0
         self.down_until_ms = now_ms + back_ms
@@ -108,6 +107,7 @@
                 at_ms, how = self.lease_end_ms, "lapsed"
             if at_ms <= now_ms:
                 self._end_active(key, at_ms, how)
+        self._note_lapse(now_ms)
 
     def _end_active(self, key: tuple[str, int], at_ms: int, how: str) -> None:
         task, number = key
@@ -119,7 +119,7 @@
         self.last_end_number += 1
         if not self.keeps_ack or self.last_end_number > self.acknowledged:
             self.finished.append(EndedRun(self.last_end_number, task, number, how))
-        self.run_events.append((at_ms, how, task, number))
+        self._record_end(at_ms, how, task, number)
 
     def _extend(self, now_ms: int, until_ms: int) -> None:
         """Extend the lease to a time on the worker's clock."""
@@ -160,6 +160,7 @@
             self._extend(now_ms, body["until_ms"])
         ack = body["ack_cursor"]
         self.acknowledged = max(self.acknowledged, ack)
+        self.ends.acknowledge(ack)
         self.finished = [end for end in self.finished if end.sequence > ack]
         return 200, {**fields, **self.lists(now_ms)}
 
@@ -188,7 +189,7 @@
             return "old"
         if late:
             return "late"
-        how = "failed" if self.fail_all else "done"
+        how = "failed" if self.fail_all else self.end_as
         ends_ms = now_ms + (5 if self.fail_all else self.run_ms)
         run = ActiveRun(task, number, now_ms, ends_ms, how)
         self.active[task, number] = self.running[task] = run
@@ -199,7 +200,5 @@
         self.highest_run[task] = max(self.highest_run.get(task, 0), number)
         run = self.active.get((task, number))
         if run is not None and not self.loses_stops:
-            stopped_ms = now_ms + self.stop_takes_ms
-            if stopped_ms < run.ends_ms:
-                run.ends_ms, run.how = stopped_ms, "stopped"
+            run.stop(now_ms + self.stop_takes_ms)
             self.advance(now_ms)
