Let a paused owner hear its agents before it gives up their runs

Callers waited for tasks to run a second time that had ended long before.

Cause: an owner that wakes up looks at its clock before it reads what its agents say, and takes its own pause for their silence.

Change: for 800 ms after a pause of its own an owner gives up neither runs of stored jobs nor agents of earlier owners. Pauses within that time do not extend it, so a slow host still gives up lost agents. Volatile jobs are given up as before.

--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -28,7 +28,7 @@
 )
 from ._requests import cancel, job_state, submit
 from ._shard import ShardPhase, VolatileChange, VolatileShard
-from ._state import AGENT_HANDLERS, OWNER_SYSTEMS, OwnerState
+from ._state import AGENT_CONNECT_MS, AGENT_HANDLERS, OWNER_SYSTEMS, OwnerState
 from ._volatile import abandon, give_up_all, submit_volatile
 from ._wall_clock import WallClock
 
@@ -77,6 +77,8 @@
         self._stepped_ms = self.state.now_ms = now_ms
         if paused_ms > PAUSE_MS:
             self.state.note("resumed", paused_ms=paused_ms)
+            if now_ms >= self.state.reconnect_until_ms:
+                self.state.reconnect_until_ms = now_ms + AGENT_CONNECT_MS
         if paused_ms >= self.state.limits.volatile_expiry_ms:
             # Another entry may have begun the jobs meanwhile.
             give_up_all(self.state, "entry was paused")
--- a/catkincross/owner/_lost_agents.py
+++ b/catkincross/owner/_lost_agents.py
@@ -46,8 +46,13 @@
 
     Also stop waiting for agents of earlier owners whose leases must have ended, unless
     they have got leases from this entry since, which let them keep the runs.
+
+    After a pause of this process the silence may have been its own, and the agents may
+    know of runs of stored jobs that have ended. Volatile jobs are given up after a long
+    pause in any case.
     """
     limits = state.limits
+    agents_reconnect = state.now_ms < state.reconnect_until_ms
     for agent_info in list(state.agents.values()):
         if agent_info.connected:
             continue
@@ -58,7 +63,7 @@
         for task in list(agent_info.assigned_tasks):
             volatile = task.job.spec.volatile
             limit_ms = limits.volatile_silence_ms if volatile else limits.silence_ms
-            if silent_ms < limit_ms:
+            if silent_ms < limit_ms or (agents_reconnect and not volatile):
                 continue
             state.note(
                 "run of a lost agent given up",
@@ -71,7 +76,7 @@
                 state.requeue(task)
             agent_info.assigned_tasks.discard(task)
     for shard in state.shards.values():
-        if state.now_ms < shard.unresolved_until_ms:
+        if state.now_ms < shard.unresolved_until_ms or agents_reconnect:
             continue
         lost = {name for name in shard.unresolved if not _has_lease(state, name)}
         if not lost:
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -25,8 +25,9 @@
 from ._limits import OwnerLimits
 from ._shard import Shard, ShardPhase, VolatileChange, VolatileShard
 
-# Most agents connect within this time after an entry's first step: they look for
-# entries every 200 ms, and a process needs up to 530 ms to start.
+# Most agents connect within this time after an entry's first step, or after a pause of
+# its process: they look for entries every 200 ms, a process needs up to 530 ms to
+# start, and a link that has closed is opened again after 500 ms.
 AGENT_CONNECT_MS = 800
 # A worker registers at a restarted agent within this time: its heartbeats are 1,500 ms
 # apart.
@@ -61,6 +62,8 @@
             to write again.
         next_seek_ms: Time at which unresolved agents are next sought.
         next_deadline_check_ms: Time of the next check of the volatile jobs' deadlines.
+        reconnect_until_ms: Time until which agents may reconnect after this process was
+            paused, before their runs of stored jobs are given up.
         started_ms: Time of the first step; None before it.
         next_placement_ms: Time of the next placement pass if no event asks for one.
         next_deferral_ms: Earliest time at which jobs are deferred again.
@@ -95,6 +98,7 @@
     next_retention_check_ms: int = 0
     next_seek_ms: int = 0
     next_deadline_check_ms: int = 0
+    reconnect_until_ms: int = 0
     started_ms: int | None = None
     next_placement_ms: int = 0
     next_deferral_ms: int = 0
--- a/tests/test_platform_pauses.py
+++ b/tests/test_platform_pauses.py
@@ -80,3 +80,36 @@
     model.run(3 * RUN_MS)
     assert model.answers["again"].detail == "completed"
     assert model.overlapping() == []
+
+
+@pytest.mark.parametrize("how", ["done", "stopped"])
+def test_an_owner_that_was_paused_hears_its_agents_before_it_gives_up_runs(
+    how: str,
+) -> None:
+    """review/6: it looked at the clock first, and ran tasks again that had ended."""
+    model = ready_model()
+    for machine in model.machines.values():
+        machine.run_ms = 30_000
+    spec = job(JOB)
+    owner = model.owner_of(spec)
+    model.submit("post", spec, owner)
+    model.run(300)
+    for machine in model.machines.values():
+        for run in machine.running.values():
+            run.ends_ms = model.now_ms + 1_000
+            run.how = how
+    host = model.owners[owner]
+    host.frozen_until_ms = model.now_ms + 4_000
+    model.cut |= {(owner, agent) for agent in model.workers}
+    for agent in model.workers:
+        model.workers[agent].core.handle_entry_lost(model.now_ms, owner)
+        host.core.handle_agent_lost(model.now_ms, agent)
+    model.run(4_000)
+    model.cut.clear()
+    # The agents try again within half a second.
+    model.run(2_000)
+    starts = model.count("start", JOB)
+    assert starts == (4 if how == "done" else 8)
+    assert not any(
+        event == "run of a lost agent given up" for _, _, event, _ in model.notes
+    )
