End the probe of an ejected worker with its run

Cause: the health of a worker set a flag when a probe was sent and cleared it by a list of outcomes. A run that ended `stopped`, `lapsed`, `broken`, `alone`, `absent` or `lost` left it set, and the worker got no task of that entry any more.

Change: the probe is the run itself. A worker on probation accepts a task unless the probe is among the runs assigned to its agent, so that no outcome has to be listed. On a related path, runs that were being stopped when their shard was lost stayed assigned for good; the tasks of ended and forgotten jobs are now taken back as well.

--- a/catkincross/dispatch/_health.py
+++ b/catkincross/dispatch/_health.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 # A worker is ejected after failed runs of this many different jobs with no successful
@@ -18,6 +20,9 @@
 # Largest share of the workers that may be ejected or on probation at once.
 MAX_EJECTED_SHARE = 0.5
 
+# Name of a task and number of its run.
+RunKey = tuple[str, int]
+
 
 @attrs.define
 class _FailureHistory:
@@ -29,14 +34,15 @@
             milliseconds; 0 if there was none.
         ejections: Number of ejections.
         probing: Whether the worker was ejected, and gets one task at a time after it.
-        probe_sent: Whether that task is in flight.
+        probe: Newest run that was sent as such a task; None before the first, and once
+            it has failed.
     """
 
     failed_jobs: set[str] = attrs.field(factory=set)
     ejected_until_ms: int = 0
     ejections: int = 0
     probing: bool = False
-    probe_sent: bool = False
+    probe: RunKey | None = None
 
 
 @attrs.define
@@ -70,7 +76,7 @@
         """
         history = self.histories.setdefault(agent, _FailureHistory())
         history.failed_jobs.add(job_id)
-        history.probe_sent = False
+        history.probe = None
         if (
             len(history.failed_jobs) < FAILED_JOBS_TO_EJECT
             or history.ejected_until_ms > now_ms
@@ -85,27 +91,28 @@
         history.probing = True
         return True
 
-    def accepts_tasks(self, agent: str, now_ms: int) -> bool:
+    def accepts_tasks(
+        self, agent: str, now_ms: int, has_run: Callable[[RunKey], bool]
+    ) -> bool:
         """Whether a task may be sent to an agent's worker now.
 
         After an ejection one task at a time is sent, until a run succeeds.
+
+        Args:
+            agent: Name of the agent.
+            now_ms: Current time on the process's clock, in milliseconds.
+            has_run: Whether the agent has, or may have, a run. The probe is over with
+                its run, however that ends.
         """
         history = self.histories.get(agent)
         if history is None or not history.probing:
             return True
-        return now_ms >= history.ejected_until_ms and not history.probe_sent
+        if now_ms < history.ejected_until_ms:
+            return False
+        return history.probe is None or not has_run(history.probe)
 
-    def record_send(self, agent: str) -> None:
-        """Record that a task was sent."""
+    def record_send(self, agent: str, run: RunKey) -> None:
+        """Record that a run was sent."""
         history = self.histories.get(agent)
         if history is not None and history.probing:
-            history.probe_sent = True
-
-    def record_no_start(self, agent: str) -> None:
-        """Record that a task did not start, or that its agent or worker was lost.
-
-        The next task may then be sent as a probe.
-        """
-        history = self.histories.get(agent)
-        if history is not None:
-            history.probe_sent = False
+            history.probe = run
--- a/catkincross/owner/_agents.py
+++ b/catkincross/owner/_agents.py
@@ -163,6 +163,10 @@
         self.unacknowledged_orders[self.last_order] = step_spec
         return self.last_order
 
+    def has_run(self, key: tuple[str, int]) -> bool:
+        """Whether a run, by task name and number, is assigned to the agent."""
+        return any((task.name, task.run) == key for task in self.assigned_tasks)
+
     def leases_seen_since(self, since_ms: int) -> bool:
         """Whether the worker has no run of an entry that was lost before a time.
 
--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -318,7 +318,6 @@
         agent_info = self.state.agents.get(name)
         if agent_info is not None:
             agent_info.link_closed(now_ms)
-            self.state.health.record_no_start(name)
             self.state.note(
                 "agent lost", agent=name, tasks=len(agent_info.assigned_tasks)
             )
--- a/catkincross/owner/_crashes.py
+++ b/catkincross/owner/_crashes.py
@@ -59,7 +59,6 @@
             # The crash may be of an earlier life of the job, with a higher number.
             task.run = present_run
         _note_crash(state, agent_info, task, ended_run)
-        state.health.record_no_start(agent_info.name)
         if ends_present_run:
             state.requeue(task)
         state.send_to_agent(
--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -102,7 +102,7 @@
         return False
     candidate.allocate(task.step_spec)
     send_start(state, shard, task, candidate, task.job.next_run(task, shard.epoch))
-    if not state.health.accepts_tasks(candidate.name, state.now_ms):
+    if not state.accepts_tasks(state.agents[candidate.name]):
         candidates.exclude(candidate)
     return True
 
@@ -245,7 +245,7 @@
     job = task.job
     state.assign(task, agent_info, run)
     step_spec = task.step_spec
-    state.health.record_send(agent_info.name)
+    state.health.record_send(agent_info.name, (task.name, run))
     task.order_number = agent_info.record_order(step_spec)
     start = Start(
         task.order_number,
--- a/catkincross/owner/_placement_candidates.py
+++ b/catkincross/owner/_placement_candidates.py
@@ -155,7 +155,7 @@
         return False
     if state.now_ms - agent_info.received_ms > STALE_STATE_MS:
         return False
-    return state.health.accepts_tasks(agent_info.name, state.now_ms)
+    return state.accepts_tasks(agent_info)
 
 
 def _eligible(
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -80,12 +80,9 @@
 def drop_shard(state: OwnerState, number: int, reason: str) -> None:
     """Stop owning a shard; its runs continue, and the next owner adopts them."""
     shard = state.shards.pop(number)
-    for job in shard.open_jobs.values():
-        for task in job.all_tasks():
-            state.waiting.remove(task)
-            agent_info = state.agents.get(task.agent)
-            if agent_info is not None:
-                agent_info.assigned_tasks.discard(task)
+    # A job that has ended may have runs that are being stopped.
+    for job in shard.jobs.values():
+        state.forget_runs(job)
     for agent_info in state.agents.values():
         agent_info.reported_shards.discard(number)
     shard.fail_pending_records()
--- a/catkincross/owner/_retention.py
+++ b/catkincross/owner/_retention.py
@@ -58,6 +58,7 @@
     for job_id, job in list(shard.jobs.items()):
         ended = job.final_state is not None
         if ended and state.now_ms - job.ended_ms > limits.status_ms:
+            state.forget_runs(job)
             shard.forget(job_id)
             continue
         age_ms = state.now_ms - shard.recorded_ms[job_id]
--- a/catkincross/owner/_runs.py
+++ b/catkincross/owner/_runs.py
@@ -316,7 +316,6 @@
         # The worker has ended a run with this or a higher number for another entry. The
         # number is not known here, so this one is doubled until it is higher.
         task.run *= 2
-    state.health.record_no_start(agent_info.name)
     task.job.possible_starts -= 1
     state.note(
         "run not started",
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -192,6 +192,17 @@
             job.scheduled_due_ms = due_ms
             heapq.heappush(self.due_jobs, (due_ms, job.spec.id))
 
+    def forget_runs(self, job: Job) -> None:
+        """Remove the tasks of a job from the queue and from the agents that have runs.
+
+        The job is no longer known here afterwards.
+        """
+        for task in job.all_tasks():
+            self.waiting.remove(task)
+            agent_info = self.agents.get(task.agent)
+            if agent_info is not None:
+                agent_info.assigned_tasks.discard(task)
+
     def requeue(self, task: Task) -> None:
         """Queue a task again after a run that did not complete it."""
         agent_info = self.agents.get(task.agent)
@@ -254,6 +265,12 @@
         entry_count = agent_info.profile.offered_to
         return agent_info.profile.cpu * capacity_share(own_work, peer_work, entry_count)
 
+    def accepts_tasks(self, agent_info: AgentInfo) -> bool:
+        """Whether the health of an agent's worker lets it get a task now."""
+        return self.health.accepts_tasks(
+            agent_info.name, self.now_ms, agent_info.has_run
+        )
+
     def may_serve(self, agent_info: AgentInfo, service: str) -> bool:
         """Whether an agent's worker runs a service outside evacuated data centres."""
         if agent_info.profile is None or not agent_info.serves(service):
--- a/tests/test_platform_dispatch.py
+++ b/tests/test_platform_dispatch.py
@@ -150,7 +150,7 @@
     health = AgentHealth()
     for _ in range(10):
         assert not health.record_failure("u1", "bad", 0, 4)
-    assert health.accepts_tasks("u1", 0)
+    assert health.accepts_tasks("u1", 0, lambda run: False)
 
 
 def test_an_ejected_worker_gets_one_task_at_a_time() -> None:
@@ -158,12 +158,15 @@
     health = AgentHealth()
     health.record_failure("u1", "one", 0, 4)
     assert health.record_failure("u1", "two", 0, 4)
-    assert not health.accepts_tasks("u1", 100)
-    assert health.accepts_tasks("u1", 2_000)
-    health.record_send("u1")
-    assert not health.accepts_tasks("u1", 2_001)
+    probe = ("a task", 1)
+    runs: set[tuple[str, int]] = set()
+    assert not health.accepts_tasks("u1", 100, runs.__contains__)
+    assert health.accepts_tasks("u1", 2_000, runs.__contains__)
+    runs.add(probe)
+    health.record_send("u1", probe)
+    assert not health.accepts_tasks("u1", 2_001, runs.__contains__)
     health.record_success("u1")
-    assert health.accepts_tasks("u1", 2_002)
+    assert health.accepts_tasks("u1", 2_002, runs.__contains__)
 
 
 def test_run_times_are_learned_by_queue_and_worker() -> None:
