Bound the time for which a task that runs alone keeps a worker free

The job whose workers had crashed was shown as running for good and had no run.

Cause: after two crashes of workers a task runs only on a worker without other runs. Its owner keeps a worker free of new runs until that worker is empty, and repeats the order without a limit. Beside a run that lasts the worker never becomes empty, so the reservation never ends.

Change: no worker is kept free later than 8 s after the crash. A task that has found no empty worker by then runs beside others. The time doubles with each further crash, so a lasting task that crashes its workers each time disturbs the others less and less; other tasks are given up after the third crash as before.

--- a/catkincross/dispatch/_crashed_tasks.py
+++ b/catkincross/dispatch/_crashed_tasks.py
@@ -18,6 +18,9 @@
 # A task that has to run alone waits this long for a worker that is empty by chance;
 # after that one is kept free of new runs for it. Tasks run for up to some seconds.
 EXCLUSIVE_WAIT_MS = 500
+# No worker is kept free any more this long after the crash. Its runs may last, and
+# other tasks that last have to begin there within 9 s.
+RESERVE_LIMIT_MS = 8_000
 # Interval between the orders that keep a worker free of new runs.
 RESERVE_INTERVAL_MS = 300
 # Shortest interval between orders to empty workers. An empty worker refuses the order
@@ -63,8 +66,8 @@
 ) -> AgentResources | None:
     """Return the worker to which to send a task that has to run alone, or None.
 
-    After a wait this is a worker that still has runs. Its agent then refuses the order
-    and keeps the worker free of new runs for a while.
+    For some seconds after a wait this is a worker that still has runs. Its agent then
+    refuses the order and keeps the worker free of new runs for a while.
 
     Args:
         step_spec: Resources and constraints of the task.
@@ -86,7 +89,7 @@
         return min(
             empty, key=lambda worker: (worker.name in crashed_agents, worker.slowdown)
         )
-    if not may_reserve or waited_ms < EXCLUSIVE_WAIT_MS:
+    if not may_reserve or not EXCLUSIVE_WAIT_MS <= waited_ms < RESERVE_LIMIT_MS:
         return None
     if since_order_ms < RESERVE_INTERVAL_MS:
         return None
--- a/catkincross/jobs/_crashes.py
+++ b/catkincross/jobs/_crashes.py
@@ -13,6 +13,11 @@
 
 # A task with this many crashes runs only on a worker that has no other run.
 CRASHES_TO_ISOLATE = 2
+# A task that has found no such worker for this long after its newest crash may run
+# beside others, in milliseconds. The time doubles with each further crash, up to the
+# longest one.
+ISOLATION_MS = 8_000
+MAX_ISOLATION_MS = 64_000
 # A task is given up after this many crashes if it was alone on the worker that crashed
 # last.
 MAX_CRASHES_IF_ALONE = 2
@@ -45,6 +50,19 @@
     return crash_count >= CRASHES_TO_ISOLATE
 
 
+def isolation_is_over(crash_count: int, waited_ms: int) -> bool:
+    """Whether an isolated task may run beside others, since it has waited too long.
+
+    Workers whose runs last never become empty.
+
+    Args:
+        crash_count: Number of crashes under the task.
+        waited_ms: Time since the newest crash was counted, in milliseconds.
+    """
+    further_crashes = max(crash_count - CRASHES_TO_ISOLATE, 0)
+    return waited_ms >= min(ISOLATION_MS << further_crashes, MAX_ISOLATION_MS)
+
+
 def must_give_up(crashes: Sequence[Crash]) -> bool:
     """Whether a task, or a gang, with these crashes in order is given up."""
     certain_count = sum(not crash.uncertain for crash in crashes)
--- a/catkincross/jobs/_job.py
+++ b/catkincross/jobs/_job.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ._crashes import Crash, must_give_up, must_isolate
+from ._crashes import Crash, isolation_is_over, must_give_up, must_isolate
 from ._records import JobAccepted, TaskEnd
 from ._spec import JobSpec, Step
 
@@ -108,6 +108,11 @@
         """
         return must_isolate(len(self.crashes)) and not self.step_spec.gang
 
+    def runs_alone(self, now_ms: int) -> bool:
+        """Whether the next run has to be exclusive at this time."""
+        waited_ms = now_ms - self.crash_counted_ms
+        return self.exclusive and not isolation_is_over(len(self.crashes), waited_ms)
+
     def release(self) -> None:
         """Return the task to the waiting state."""
         self.state = TaskState.WAITING
--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -60,7 +60,7 @@
             continue
         if task.step_spec.gang:
             placed = place_gang(state, shard, task, candidates)
-        elif task.exclusive:
+        elif task.runs_alone(state.now_ms):
             place_exclusive(state, shard, task, candidates)
             continue
         elif candidates.known_not_to_fit(shard, task):
@@ -258,7 +258,7 @@
         step_spec.memory_mb,
         step_spec.gpu,
         task.checkpoint if step_spec.checkpointing else "",
-        task.exclusive,
+        task.runs_alone(state.now_ms),
     )
     state.send_to_agent(agent_info.name, start)
     state.note(
