Share the spans that are reserved for gangs among the gangs of a service

Cause: a gang that does not fit reserves all workers of its service for 10 s in every 20 s, counted from the arrival of its job. The spans of several gangs that last fill each other's gaps, so other tasks are never placed.

Change: the spans belong to the service. They last 5 s, and 2.5 s while less than half of the service's cores is in use, with gaps of the same length. The decision is apart from the placement pass.

--- a/catkincross/dispatch/__init__.py
+++ b/catkincross/dispatch/__init__.py
@@ -12,7 +12,12 @@
     from ._crashed_tasks import candidates_after_crash, choose_exclusive
     from ._estimates import Estimates
     from ._forwarding import PeerLoad, choose_forwarding
-    from ._gangs import choose_gang, fits_idle_workers, gang_fits_when_idle
+    from ._gangs import (
+        GangReservations,
+        choose_gang,
+        fits_idle_workers,
+        gang_fits_when_idle,
+    )
     from ._health import AgentHealth
     from ._job_claims import HELD, Claim, Contested, JobClaims, holder_in
     from ._offering import offered_entries
@@ -43,6 +48,7 @@
     "Claim",
     "Contested",
     "Estimates",
+    "GangReservations",
     "JobClaims",
     "LiveHolder",
     "LostHolder",
@@ -83,6 +89,7 @@
     "Claim": "_job_claims",
     "Contested": "_job_claims",
     "Estimates": "_estimates",
+    "GangReservations": "_gangs",
     "JobClaims": "_job_claims",
     "LiveHolder": "_peer_jobs",
     "LostHolder": "_peer_jobs",
--- a/catkincross/dispatch/_gangs.py
+++ b/catkincross/dispatch/_gangs.py
@@ -15,6 +15,43 @@
 from ..jobs import Step
 from ._placement import DEFAULT_REMOTE_FACTOR, AgentResources, choose_agent
 
+# The workers of a service are reserved for gangs for at most this long, and then left
+# to other tasks for the same time: tasks that last may hold what a gang needs. Tasks
+# run for up to some seconds, and one that lasts has to begin within 9 s.
+RESERVE_SPAN_MS = 5_000
+# The same while the service uses less than half of its capacity. Other jobs then have
+# to begin within 3 s.
+SHORT_SPAN_MS = 2_500
+HALF_USED = 0.5
+
+
+@attrs.define
+class GangReservations:
+    """When the workers of each service are reserved for gangs that do not fit.
+
+    The spans belong to the service, so that those of several gangs do not add up.
+
+    Attributes:
+        spans: Begin and length of the newest span by service, in milliseconds.
+    """
+
+    spans: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+
+    def is_reserved(self, service: str, now_ms: int, used_share: float) -> bool:
+        """Whether a gang that does not fit has the workers reserved now.
+
+        Args:
+            service: Service of the gang.
+            now_ms: Current time on the process's clock, in milliseconds.
+            used_share: Share of the service's capacity that is in use, 0 to 1.
+        """
+        begun_ms, length_ms = self.spans.get(service, (0, 0))
+        if now_ms >= begun_ms + 2 * length_ms:
+            begun_ms = now_ms
+            length_ms = SHORT_SPAN_MS if used_share < HALF_USED else RESERVE_SPAN_MS
+            self.spans[service] = begun_ms, length_ms
+        return now_ms < begun_ms + length_ms
+
 
 def choose_gang(
     step_spec: Step,
--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -23,12 +23,9 @@
 # Interval between placement passes if no event frees resources. It bounds the delay
 # after changes that come with no event, such as the end of an ejection.
 PLACEMENT_INTERVAL_MS = 50
-# A gang that does not fit this long after its job arrived reserves the workers of its
-# service until all of its members fit; tasks run for up to some seconds.
+# A gang that does not fit this long after its job arrived has the workers of its
+# service reserved for some of the time.
 GANG_RESERVE_MS = 500
-# The workers of a service are reserved for a gang for this long, and then left to other
-# tasks for the same time: tasks that do not end may hold what the gang needs.
-GANG_RESERVE_SPAN_MS = 10_000
 
 
 @owner_system(order=500)
@@ -210,8 +207,8 @@
         )
     if chosen is None:
         candidates.unplaced_gangs.add(gang)
-        if _reserve_now(state, task):
-            candidates.reserve_service(task.job.spec.policy.service)
+        if state.now_ms - task.job.arrived_ms > GANG_RESERVE_MS:
+            _reserve_for_gangs(state, task.job.spec.policy.service, candidates)
         return False
     run = max(task.job.next_run(member, shard.epoch) for member in members)
     # A checkpoint of any member is valid for the whole gang, and all members have to
@@ -223,10 +220,13 @@
     return True
 
 
-def _reserve_now(state: OwnerState, task: Task) -> bool:
-    """Whether a gang has waited long enough to have workers reserved at this time."""
-    reserve_ms = state.now_ms - task.job.arrived_ms - GANG_RESERVE_MS
-    return reserve_ms > 0 and reserve_ms // GANG_RESERVE_SPAN_MS % 2 == 0
+def _reserve_for_gangs(
+    state: OwnerState, service: str, candidates: PlacementCandidates
+) -> None:
+    """Reserve the workers of a service for the rest of the pass, if it is time to."""
+    used_share = candidates.used_share(service)
+    if state.gang_reservations.is_reserved(service, state.now_ms, used_share):
+        candidates.reserve_service(service)
 
 
 def send_start(
--- a/catkincross/owner/_placement_candidates.py
+++ b/catkincross/owner/_placement_candidates.py
@@ -68,6 +68,13 @@
                 self.all.remove(candidate)
         self._clear_caches()
 
+    def used_share(self, service: str) -> float:
+        """Return the share of the candidates' cores of a service in use, 0 to 1."""
+        serving = [c for c in self.all if self.state.agents[c.name].serves(service)]
+        total_cpu = sum(candidate.cpu_total for candidate in serving)
+        free_cpu = sum(candidate.cpu_free for candidate in serving)
+        return 1 - free_cpu / total_cpu if total_cpu else 1.0
+
     def _clear_caches(self) -> None:
         self._eligible_cache.clear()
         self._too_large_cache.clear()
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -12,6 +12,7 @@
     AgentHealth,
     AgentResources,
     Estimates,
+    GangReservations,
     WaitingQueue,
     capacity_share,
     expected_capacity,
@@ -55,6 +56,7 @@
         waiting: Tasks that wait for a worker, in the order of placement.
         estimates: Learned run times.
         health: Failures and ejections of workers.
+        gang_reservations: When workers are reserved for gangs.
         effects: Effects since the last step.
         joined_ms: Time at which the last successful join was sent.
         generation: Generation of the group at that join.
@@ -92,6 +94,7 @@
     waiting: WaitingQueue = attrs.field(factory=WaitingQueue)
     estimates: Estimates = attrs.field(factory=Estimates)
     health: AgentHealth = attrs.field(factory=AgentHealth)
+    gang_reservations: GangReservations = attrs.field(factory=GangReservations)
     effects: list[Effect] = attrs.field(factory=list)
     joined_ms: int = -1_000_000
     generation: int = 0
--- a/tests/test_platform_gangs.py
+++ b/tests/test_platform_gangs.py
@@ -136,3 +136,25 @@
     assert [worker.cpu_free for worker in workers] == [4_000] * 4
     assert not gang_fits_when_idle(Step(17, cpu=1_000), 17, workers)
     assert gang_fits_when_idle(Step(16, cpu=1_000), 16, workers)
+
+
+def test_waiting_gangs_leave_the_workers_to_others_for_some_of_the_time() -> None:
+    """review/8: the reserved spans of several gangs filled each other's gaps."""
+    model = ready_model(entries=1)
+    for machine in model.machines.values():
+        machine.run_ms = 1_000_000
+    lasting = {"long_running": True}
+    model.submit("base", job("0" * 16, count=6, anti_affinity=2, **lasting), "e0")
+    model.run(1_000)
+    for number in range(1, 9):
+        # Each gang needs three of the two cores that are free on each worker.
+        gang = job(f"{number:016x}", count=9, gang=True, anti_affinity=3, **lasting)
+        model.submit(f"gang {number}", gang, "e0")
+        model.run(2_500)
+    for number in range(4):
+        # A task that lasts has to begin within 9 s, at whatever time it comes.
+        name = f"{number + 16:016x}"
+        model.submit(name, job(name, count=1, **lasting), "e0")
+        model.run(9_000)
+        assert model.count("start", name) == 1
+        model.run(1_700)
