Do not end a placement pass at replicas that wait for another worker

Cause: a placement pass ends after 24 tasks that fit on no worker. A lost replica of each of 64 services counts as one, though each worker has one of its step already and no run that ends would let it start.

Change: tasks are not counted if each worker that may run them has as many of their step as it may, like those that are too large for every worker.

--- a/catkincross/owner/_placement.py
+++ b/catkincross/owner/_placement.py
@@ -18,7 +18,8 @@
 from ._state import OwnerState, owner_system
 
 # A placement pass ends after this many tasks that fit on no worker now. Tasks that are
-# too large for all workers are not counted, since they may wait for a long time.
+# too large for all workers, or may not share one with others of their step, are not
+# counted, since they may wait for a long time.
 MAX_UNPLACED_TASKS = 24
 # Interval between placement passes if no event frees resources. It bounds the delay
 # after changes that come with no event, such as the end of an ejection.
@@ -66,10 +67,17 @@
             placed = _place_task(state, shard, task, candidates)
         # Tasks with crashes leave some workers out, which may have room for others.
         placed = placed or bool(task.crashes)
-        if not placed and not candidates.too_large(shard, task):
+        if not placed and not _waits_for_a_worker(candidates, shard, task):
             unplaced_count += 1
 
 
+def _waits_for_a_worker(
+    candidates: PlacementCandidates, shard: Shard, task: Task
+) -> bool:
+    """Whether no resources that get free on the candidates would let a task start."""
+    return candidates.too_large(shard, task) or candidates.all_at_limit(shard, task)
+
+
 def _place_task(
     state: OwnerState, shard: Shard, task: Task, candidates: PlacementCandidates
 ) -> bool:
--- a/catkincross/owner/_placement_candidates.py
+++ b/catkincross/owner/_placement_candidates.py
@@ -111,6 +111,10 @@
             self._too_large_cache[key] = found
         return found
 
+    def all_at_limit(self, shard: Shard, task: Task) -> bool:
+        """Whether each worker that may run a task has as many of its step as it may."""
+        return bool(task.step_spec.anti_affinity) and not self.eligible(shard, task)
+
     def eligible(self, shard: Shard, task: Task) -> list[AgentResources]:
         """Return the candidates that may run a task, whether it fits now or not."""
         found = self._eligible(shard, task)
--- a/tests/test_platform_unfitting_work.py
+++ b/tests/test_platform_unfitting_work.py
@@ -159,3 +159,23 @@
     model.run(500)
     assert model.answers[JOB].detail == "completed"
     assert model.count("start", JOB) == 2
+
+
+def test_replicas_that_wait_for_another_worker_do_not_starve_others() -> None:
+    """review/more/starving: 24 of them were as many as a placement pass looked at."""
+    model = small_model(run_ms=600_000, agents=3)
+    replicas = job("0" * 16, count=3, long_running=True, anti_affinity=1)
+    step_spec = attrs.evolve(replicas.steps[0], cpu=50)
+    for number in range(1, 41):
+        submit(model, attrs.evolve(replicas, id=f"{number:016x}", steps=(step_spec,)))
+        model.run(50)
+    assert model.count("start") == 3 * 40
+    model.kill("u0")
+    model.machines["u0"].running.clear()
+    model.run(5_000)
+    for machine in model.machines.values():
+        machine.run_ms = 100
+    submit(model, job(JOB, count=2))
+    model.run(1_000)
+    assert model.answers[JOB].outcome == "accepted"
+    assert model.count("done", JOB) == 2
