Divide full records of jobs that are above the store's limit

Cause: a job is written again, with all of its ended tasks in one record, before its records expire. The store refuses a record above `record_bytes`, and the owner repeats the append for good.

Change: such a record is divided into the job and records of its ends, in the same append. The limit is read from the platform's settings. A job whose first record is too large is rejected at once.

--- a/catkincross/daemons/_own_settings.py
+++ b/catkincross/daemons/_own_settings.py
@@ -110,6 +110,7 @@
             lapse_ms=lapse_ms(node),
             status_ms=node.status_ms,
             keep_ms=node.keep_ms,
+            record_bytes=node.record_bytes,
             remote_factor=node.remote_factor,
         )
 
--- a/catkincross/jobs/__init__.py
+++ b/catkincross/jobs/__init__.py
@@ -12,6 +12,7 @@
     from ._crashes import Crash
     from ._job import Job, JobState, Task, TaskState
     from ._records import (
+        DEFAULT_RECORD_BYTES,
         AgentsUsed,
         JobAccepted,
         JobCancelled,
@@ -20,10 +21,12 @@
         TasksEnded,
         decode_record,
         encode_record,
+        split_record,
     )
     from ._spec import VOLATILE_SHARD, JobSpec, QueuePolicy, Schedule, Step, shard_of
 
 __all__ = [
+    "DEFAULT_RECORD_BYTES",
     "VOLATILE_SHARD",
     "AgentsUsed",
     "AppendOutcome",
@@ -45,6 +48,7 @@
     "encode_record",
     "from_fields",
     "shard_of",
+    "split_record",
     "to_fields",
 ]
 
@@ -53,6 +57,7 @@
     "AgentsUsed": "_records",
     "AppendOutcome": "_append_outcome",
     "Crash": "_crashes",
+    "DEFAULT_RECORD_BYTES": "_records",
     "Job": "_job",
     "JobAccepted": "_records",
     "JobCancelled": "_records",
@@ -71,6 +76,7 @@
     "encode_record": "_records",
     "from_fields": "_codec",
     "shard_of": "_spec",
+    "split_record": "_records",
     "to_fields": "_codec",
 }
 
--- a/catkincross/jobs/_records.py
+++ b/catkincross/jobs/_records.py
@@ -10,6 +10,9 @@
 from ._codec import from_fields, to_fields
 from ._spec import JobSpec
 
+# Largest record that the platform's log takes by default.
+DEFAULT_RECORD_BYTES = 262_144
+
 RECORD_KINDS: dict[str, type[Any]] = {}
 
 
@@ -132,6 +135,35 @@
     return orjson.dumps([content.kind, to_fields(content)])
 
 
+def split_record(content: JobRecord, max_bytes: int) -> list[JobRecord]:
+    """Return a record as several ones, if it is too large for the log.
+
+    The ends in the full record of a job follow it in records of their own. They are to
+    be in the same append, since a reader that has only the first one takes the job for
+    one without progress.
+
+    Args:
+        content: The record; one that cannot be divided is returned as it is.
+        max_bytes: Largest size of an encoded record, in bytes.
+    """
+    if not isinstance(content, JobAccepted) or not content.ends:
+        return [content]
+    if len(encode_record(content)) <= max_bytes:
+        return [content]
+    chunks: list[list[TaskEnd]] = [[]]
+    size = empty_size = len(encode_record(TasksEnded(())))
+    for end in content.ends:
+        # Besides its fields, an end takes a comma in the list.
+        end_size = len(orjson.dumps(to_fields(end))) + 1
+        if size + end_size > max_bytes and chunks[-1]:
+            chunks.append([])
+            size = empty_size
+        chunks[-1].append(end)
+        size += end_size
+    ends = [TasksEnded(tuple(chunk)) for chunk in chunks]
+    return [attrs.evolve(content, ends=()), *ends]
+
+
 def decode_record(data: bytes) -> JobRecord:
     """Return the record that `encode_record` encoded.
 
--- a/catkincross/owner/_limits.py
+++ b/catkincross/owner/_limits.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..jobs import DEFAULT_RECORD_BYTES
+
 
 @attrs.frozen
 class OwnerLimits:
@@ -23,6 +25,7 @@
             stopped the runs.
         status_ms: Time for which the state of an ended job can be queried.
         keep_ms: Time for which the log retains a record.
+        record_bytes: Largest record that the log takes, in bytes.
         remote_factor: Run time of a task away from the rack of its data, as a multiple
             of its run time there.
     """
@@ -44,6 +47,7 @@
     lapse_ms: int = 1_450
     status_ms: int = 120_000
     keep_ms: int = 300_000
+    record_bytes: int = DEFAULT_RECORD_BYTES
     remote_factor: float = 1.5
 
     @property
--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -72,7 +72,8 @@
 
 def claim_shard(state: OwnerState, number: int, epoch: int) -> None:
     """Start to claim a shard under a new epoch."""
-    state.shards[number] = Shard(number, epoch)
+    max_bytes = state.limits.record_bytes
+    state.shards[number] = Shard(number, epoch, max_record_bytes=max_bytes)
     state.effects.append(ClaimShard(number, epoch))
     state.note("shard claimed", shard=number, epoch=epoch)
 
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -12,6 +12,7 @@
     JobSpec,
     JobState,
     TaskState,
+    encode_record,
 )
 from ..peers import Answer, Stop
 from ._effects import Reply
@@ -24,6 +25,10 @@
 # registers, within about this time.
 NO_WORKER_RETRY_MS = 1_000
 
+# Retry-After for a job whose record the log does not take. It will not be accepted as
+# it is, and the interface knows no final rejection.
+TOO_LARGE_RETRY_MS = 60_000
+
 # After its start an entry has no agents yet: they connect within some 100 ms, and their
 # workers register within 1,500 ms. For this long jobs are accepted and wait, instead of
 # being rejected for lack of a worker.
@@ -96,6 +101,8 @@
     record = JobAccepted(spec, accepted_ms, shard.epoch)
     job = Job.from_record(record, state.now_ms)
     rejection = check_admission(state, shard, job)
+    if len(encode_record(record)) > state.limits.record_bytes:
+        rejection = Rejection("record_too_large", TOO_LARGE_RETRY_MS)
     if rejection is not None:
         state.note(
             "job rejected",
--- a/catkincross/owner/_shard.py
+++ b/catkincross/owner/_shard.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ..jobs import (
+    DEFAULT_RECORD_BYTES,
     VOLATILE_SHARD,
     AgentsUsed,
     AppendOutcome,
@@ -20,6 +21,7 @@
     TaskEnd,
     TasksEnded,
     encode_record,
+    split_record,
 )
 from ._effects import Append
 
@@ -70,6 +72,7 @@
     Attributes:
         number: Number of the shard.
         epoch: Fencing epoch under which this owner writes.
+        max_record_bytes: Largest record that the log takes, in bytes.
         phase: Whether the records of earlier owners have been read.
         jobs: Open jobs and jobs that ended recently, by job ID.
         open_jobs: Jobs without a final state, by job ID.
@@ -111,6 +114,7 @@
     append_failing_since_ms: int | None = None
     sequence: int = 0
     flush_at_ms: int | None = None
+    max_record_bytes: int = DEFAULT_RECORD_BYTES
     _queue: list[_PendingRecord] = attrs.field(factory=list)
     _in_flight: list[_PendingRecord] = attrs.field(factory=list)
     _rewrites: dict[str, Callable[[], JobRecord]] = attrs.field(factory=dict)
@@ -198,7 +202,8 @@
 
         The record is made when it is sent, and comes first in its append. It then
         states the effects of all records before it in the log, which are durable; the
-        effects that it lacks are in records after it.
+        effects that it lacks are in records after it. One that is too large for the log
+        is divided, within the same append.
 
         Args:
             key: What the record states anew, such as a job ID.
@@ -242,9 +247,10 @@
         size = 0
         while self._rewrites and size < MAX_REWRITE_BYTES:
             make_record = self._rewrites.pop(next(iter(self._rewrites)))
-            data = encode_record(make_record())
-            size += len(data)
-            self._in_flight.append(_PendingRecord(data, _ignore, _ignore))
+            for record in split_record(make_record(), self.max_record_bytes):
+                data = encode_record(record)
+                size += len(data)
+                self._in_flight.append(_PendingRecord(data, _ignore, _ignore))
         return size
 
     def _make_append(self, delay_ms: int) -> Append:
--- a/catkincross/platform/_settings.py
+++ b/catkincross/platform/_settings.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ..jobs import DEFAULT_RECORD_BYTES
+
 # Defaults for bounds that the settings file omits, as documented by the platform.
 DEFAULT_RESEND_MS = 1_300
 DEFAULT_CONFIG_MS = 2_000
@@ -37,6 +39,7 @@
         store: Address of the platform's store.
         shards: Number of partitions of a topic, one shard of jobs in each.
         keep_ms: How long the store keeps a record, in milliseconds.
+        record_bytes: Largest record that the store takes, in bytes.
         member_ttl_ms: Shortest time after which the store drops a silent group member,
             in milliseconds.
         lease_ms: Longest lease that a worker grants, in milliseconds.
@@ -72,6 +75,7 @@
     status_ms: int
     grace_ms: int
     remote_factor: float
+    record_bytes: int = DEFAULT_RECORD_BYTES
     capacity_change_ms: int = DEFAULT_CONTACT_MS + DEFAULT_HEARTBEAT_MS
 
 
@@ -114,6 +118,7 @@
         store=store["address"],
         shards=int(store["parts"]),
         keep_ms=int(store["keep_s"] * 1_000),
+        record_bytes=int(store.get("record_bytes", DEFAULT_RECORD_BYTES)),
         member_ttl_ms=int(store["ttl_min_ms"]),
         lease_ms=int(bounds["hold_max_ms"]),
         stop_ms=int(bounds.get("stop_ms", 0)),
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from catkincross.jobs import DEFAULT_RECORD_BYTES
 from catkincross.owner import AppendOutcome
 
 # Number of last appends of an epoch that are recognised as repeats.
@@ -42,6 +43,7 @@
         down: Whether appends are rejected without effect.
         lose_answers: Number of next appends that take effect but whose outcome the
             producer does not learn.
+        max_record_bytes: Largest record; an append with a larger one is rejected.
         keep_ms: Age at which records expire, in milliseconds; None for never.
         now_ms: Current time; set by the caller.
         partitions: Partitions by shard.
@@ -49,6 +51,7 @@
 
     down: bool = False
     lose_answers: int = 0
+    max_record_bytes: int = DEFAULT_RECORD_BYTES
     keep_ms: int | None = None
     now_ms: int = 0
     partitions: dict[int, Partition] = attrs.field(factory=dict)
@@ -61,7 +64,7 @@
         Raises:
             AssertionError: If the sequence does not follow the last one of the epoch.
         """
-        if self.down:
+        if self.down or any(len(data) > self.max_record_bytes for data in records):
             return AppendOutcome.NOT_APPENDED
         partition = self.partitions.setdefault(shard, Partition())
         if epoch < partition.epoch:
--- a/tests/test_platform_expiring_records.py
+++ b/tests/test_platform_expiring_records.py
@@ -56,3 +56,33 @@
     model.run(20_000)
     assert model.overlapping() == []
     assert model.count("done") == 3
+
+
+def test_a_job_with_much_progress_does_not_block_its_shard() -> None:
+    """review/more/large_record: the log refused the record that was written again."""
+    model = model_with_short_retention(agents=1)
+    model.store.max_record_bytes = 4_096
+    for host in model.owners.values():
+        for shard in host.core.state.shards.values():
+            shard.max_record_bytes = model.store.max_record_bytes
+    model.machines["u0"].run_ms = 20
+    large = job(JOB, count=150)
+    owner = model.owner_of(large)
+    model.submit("large", large, owner)
+    # The last task outlives the time after which the job is written again.
+    model.run(2_500)
+    model.machines["u0"].run_ms = 10_000
+    model.run(KEEP_MS // 2)
+    model.machines["u0"].run_ms = 20
+    later = attrs.evolve(large, id=JOB[:-1] + "c", steps=job("", count=1).steps)
+    assert model.owner_of(later) == owner
+    model.submit("later", later, owner)
+    model.run(500)
+    assert model.answers["later"].outcome == "accepted"
+    # The next owner knows the same progress.
+    done = model.count("done", JOB)
+    model.deal_to(["e0" if owner == "e1" else "e1"])
+    model.run(12_000)
+    assert model.answers["large"].outcome == "accepted"
+    assert model.count("start", JOB) <= 150 + 4
+    assert done > 100
