Deny an unknown job only after the log has confirmed the owner's epoch

Cause: an owner denied an unknown job while its membership of the group was young enough. The group may assign a shard to another entry at any time, and the former owner learns of it at its next join.

Change: the owner first appends a record that changes nothing. A later owner has fenced the epoch before it accepts a job, so the append fails and the request is passed on. A store that gives no answer makes the outcome unknown after the first failed append.

--- a/catkincross/owner/_recovery.py
+++ b/catkincross/owner/_recovery.py
@@ -64,9 +64,7 @@
 def _check_epoch(state: OwnerState, shard: Shard) -> None:
     """Append a record that changes nothing, which fails if a later owner has fenced."""
     if shard.phase is ShardPhase.OPEN:
-        names = tuple(sorted(shard.recorded_agents))
-        record = AgentsUsed(names, recorded_ms=state.wall_ms)
-        shard.append(record, state.now_ms)
+        shard.append(shard.agents_record(state.wall_ms), state.now_ms)
         state.note("epoch checked", shard=shard.number, epoch=shard.epoch)
 
 
--- a/catkincross/owner/_requests.py
+++ b/catkincross/owner/_requests.py
@@ -202,7 +202,7 @@
 def job_state(state: OwnerState, request: Any, job_id: str) -> None:
     """Answer with the state of a job.
 
-    An unknown job is answered with `gone` only while no other entry can own its shard.
+    An unknown job is answered with `gone` only if no other entry can own its shard.
     """
 
     def on_open(lost: bool) -> None:
@@ -221,12 +221,36 @@
     if job is None and not state.is_member:
         reply(state, request, "moved", "membership")
     elif job is None:
-        reply(state, request, "gone")
-        state.note("job asked for is not known", job=job_id, shard=shard.number)
+        _deny_job(state, shard, request, job_id)
     else:
         reply(state, request, "state", job.state)
 
 
+def _deny_job(state: OwnerState, shard: Shard, request: Any, job_id: str) -> None:
+    """Answer that there is no such job, once the log shows that this is known.
+
+    The group may have assigned the shard to another entry since the last join, and that
+    entry may have accepted the job. Its claim fences this one, whose append then fails.
+    """
+
+    def deny(now_ms: int) -> None:
+        reply(state, request, "gone")
+        state.note("job asked for is not known", job=job_id, shard=shard.number)
+
+    def fail(may_exist: bool) -> None:
+        owned = state.shards.get(shard.number) is shard
+        outcome = ("unknown", "append") if owned else ("moved", "shard")
+        reply(state, request, *outcome)
+
+    shard.append(
+        shard.agents_record(state.wall_ms),
+        state.now_ms,
+        on_durable=deny,
+        on_lost=fail,
+        once=True,
+    )
+
+
 def cancel(state: OwnerState, request: Any, job_id: str) -> None:
     """Cancel a job, and answer once the cancellation is durable.
 
@@ -243,9 +267,11 @@
     if shard is None:
         return
     job = shard.jobs.get(job_id)
+    if job is None and (job_id in shard.pending_accepts or not state.is_member):
+        reply(state, request, "unknown")
+        return
     if job is None:
-        certainly_gone = job_id not in shard.pending_accepts and state.is_member
-        reply(state, request, "gone" if certainly_gone else "unknown")
+        _deny_job(state, shard, request, job_id)
         return
     if job.final_state is not None:
         reply(state, request, "cancelled", job.final_state)
--- a/catkincross/owner/_shard.py
+++ b/catkincross/owner/_shard.py
@@ -52,11 +52,15 @@
 
 @attrs.frozen
 class _PendingRecord:
-    """An encoded record that is not durable yet, and the callbacks for its outcome."""
+    """An encoded record that is not durable yet, and the callbacks for its outcome.
+
+    With `once`, `on_lost` is called when the first append of the record fails.
+    """
 
     data: bytes
     on_durable: Callable[[int], None]
     on_lost: Callable[[bool], None]
+    once: bool = False
 
 
 def _ignore(_: Any) -> None:
@@ -152,6 +156,14 @@
                 recorded_ms = now_ms - max(0, wall_ms - recorded_ms)
                 self.add_recorded_agents(set(names), recorded_ms)
 
+    def agents_record(self, wall_ms: int) -> AgentsUsed:
+        """Return a record that changes nothing, to learn whether the epoch is in force.
+
+        Args:
+            wall_ms: Time of day, in milliseconds since 1970.
+        """
+        return AgentsUsed(tuple(sorted(self.recorded_agents)), recorded_ms=wall_ms)
+
     def add_recorded_agents(self, names: set[str], recorded_ms: int) -> None:
         """Add agents that the log names, by a record that was written at a time."""
         if not self.recorded_agents or recorded_ms < self.agents_recorded_ms:
@@ -180,6 +192,7 @@
         delay_ms: int = 0,
         on_durable: Callable[[int], None] = _ignore,
         on_lost: Callable[[bool], None] = _ignore,
+        once: bool = False,
     ) -> None:
         """Queue a record for the next append.
 
@@ -191,8 +204,11 @@
             on_durable: Called with the time once the record is durable.
             on_lost: Called if the record is given up before that, with whether it may
                 be in the log nevertheless.
+            once: Whether nobody waits for the record any more once an append of it has
+                failed. The append is repeated all the same.
         """
-        self._queue.append(_PendingRecord(encode_record(record), on_durable, on_lost))
+        data = encode_record(record)
+        self._queue.append(_PendingRecord(data, on_durable, on_lost, once))
         self._flush_by(now_ms + delay_ms)
 
     def rewrite(
@@ -276,12 +292,21 @@
             self._retry = True
             if self.append_failing_since_ms is None:
                 self.append_failing_since_ms = now_ms
+            self._give_up_waiting()
             return
         self.append_failing_since_ms = None
         done, self._in_flight = self._in_flight, []
         for pending in done:
             pending.on_durable(now_ms)
 
+    def _give_up_waiting(self) -> None:
+        """Tell those who wait for one append only that it has failed."""
+        in_flight = self._in_flight
+        for position, pending in enumerate(in_flight):
+            if pending.once:
+                in_flight[position] = _PendingRecord(pending.data, _ignore, _ignore)
+                pending.on_lost(True)
+
     def fail_pending_records(self) -> None:
         """Give up all records that are not durable, since the shard is dropped.
 
@@ -401,6 +426,7 @@
         delay_ms: int = 0,
         on_durable: Callable[[int], None] = _ignore,
         on_lost: Callable[[bool], None] = _ignore,
+        once: bool = False,
     ) -> None:
         """Count a record as durable at once: nothing of this shard is stored."""
         on_durable(now_ms)
--- a/tests/test_platform_missed_generation.py
+++ b/tests/test_platform_missed_generation.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import pytest
+
 from catkincross.owner import Append, ClaimShard, OwnerCore, OwnerLimits
+from scenarios.platform_model import job, ready_model
+
+JOB = "5c0e7a21d94b36f8"
 
 
 def test_a_shard_that_had_another_owner_between_two_joins_is_checked() -> None:
@@ -21,3 +26,43 @@
         effects += core.step(now_ms)
     calls = [effect for effect in effects if isinstance(effect, Append | ClaimShard)]
     assert [call.shard for call in calls] == [2]
+
+
+@pytest.mark.parametrize("ask", ["cancel", "job_state"])
+def test_a_former_owner_does_not_deny_a_job_of_the_next_one(ask: str) -> None:
+    """It had not joined since, answered 410, and the job ran on."""
+    model = ready_model(entries=2)
+    spec = job(JOB)
+    former = model.owner_of(spec)
+    successor = "e1" if former == "e0" else "e0"
+    model.deal_to([successor])
+    model.run(20)
+    model.submit("post", spec, successor)
+    model.run(20)
+    assert model.answers["post"].outcome == "accepted"
+    host = model.owners[former]
+    assert host.core.state.shard_for(JOB) is not None
+    getattr(host.core, ask)(model.now_ms, "ask", JOB)
+    model.run(50)
+    assert model.answers["ask"].outcome == "moved"
+
+
+@pytest.mark.parametrize("ask", ["cancel", "job_state"])
+def test_an_owner_denies_an_unknown_job(ask: str) -> None:
+    """The check of its epoch must not keep the answer back."""
+    model = ready_model(entries=2)
+    host = model.owners[model.owner_of(job(JOB))]
+    getattr(host.core, ask)(model.now_ms, "ask", JOB)
+    model.run(50)
+    assert model.answers["ask"].outcome == "gone"
+
+
+@pytest.mark.parametrize("ask", ["cancel", "job_state"])
+def test_an_owner_that_reaches_no_store_denies_no_job(ask: str) -> None:
+    """Nothing shows that no other entry has accepted the job."""
+    model = ready_model(entries=2)
+    host = model.owners[model.owner_of(job(JOB))]
+    model.store.down = True
+    getattr(host.core, ask)(model.now_ms, "ask", JOB)
+    model.run(800)
+    assert model.answers["ask"].outcome in ("unknown", "moved")
