Move the shard of volatile jobs into a module of its own

No change of logic; the callback that ignores an outcome has a name that tells so, since two modules use it.

--- a/catkincross/owner/_core.py
+++ b/catkincross/owner/_core.py
@@ -27,9 +27,10 @@
     open_shard,
 )
 from ._requests import cancel, job_state, submit
-from ._shard import ShardPhase, VolatileChange, VolatileShard
+from ._shard import ShardPhase
 from ._state import AGENT_CONNECT_MS, AGENT_HANDLERS, OWNER_SYSTEMS, OwnerState
 from ._volatile import abandon, give_up_all, submit_volatile
+from ._volatile_shard import VolatileChange, VolatileShard
 from ._wall_clock import WallClock
 
 # Longest time between two steps if no event comes.
--- a/catkincross/owner/_shard.py
+++ b/catkincross/owner/_shard.py
@@ -10,7 +10,6 @@
 
 from ..jobs import (
     DEFAULT_RECORD_BYTES,
-    VOLATILE_SHARD,
     AgentsUsed,
     AppendOutcome,
     Job,
@@ -18,7 +17,6 @@
     JobCancelled,
     JobRecord,
     JobState,
-    TaskEnd,
     TasksEnded,
     encode_record,
     split_record,
@@ -37,11 +35,6 @@
 # acceptances in the same append are not delayed by the records of many jobs.
 MAX_REWRITE_BYTES = 262_144
 
-# The run numbers of a forgotten job are remembered for this long, in milliseconds.
-# Agents report crashes for 10 s after they have noticed them; a worker that is lost
-# shows its crash when it is back, which takes some seconds.
-RUN_NUMBERS_MEMORY_MS = 30_000
-
 
 class ShardPhase(enum.Enum):
     """Whether an owner has read the records of a shard."""
@@ -63,8 +56,8 @@
     once: bool = False
 
 
-def _ignore(_: Any) -> None:
-    return None
+def ignore_outcome(_: Any) -> None:
+    """Do nothing: nobody waits for the outcome of a record."""
 
 
 @attrs.define(eq=False)
@@ -190,8 +183,8 @@
         now_ms: int,
         *,
         delay_ms: int = 0,
-        on_durable: Callable[[int], None] = _ignore,
-        on_lost: Callable[[bool], None] = _ignore,
+        on_durable: Callable[[int], None] = ignore_outcome,
+        on_lost: Callable[[bool], None] = ignore_outcome,
         once: bool = False,
     ) -> None:
         """Queue a record for the next append.
@@ -266,7 +259,9 @@
             for record in split_record(make_record(), self.max_record_bytes):
                 data = encode_record(record)
                 size += len(data)
-                self._in_flight.append(_PendingRecord(data, _ignore, _ignore))
+                self._in_flight.append(
+                    _PendingRecord(data, ignore_outcome, ignore_outcome)
+                )
         return size
 
     def _make_append(self, delay_ms: int) -> Append:
@@ -304,7 +299,9 @@
         in_flight = self._in_flight
         for position, pending in enumerate(in_flight):
             if pending.once:
-                in_flight[position] = _PendingRecord(pending.data, _ignore, _ignore)
+                in_flight[position] = _PendingRecord(
+                    pending.data, ignore_outcome, ignore_outcome
+                )
                 pending.on_lost(True)
 
     def fail_pending_records(self) -> None:
@@ -324,8 +321,10 @@
 
         Records of the append in flight are kept, since they may be in the log.
         """
-        kept = [pending for pending in self._queue if pending.on_lost is _ignore]
-        failed = [pending for pending in self._queue if pending.on_lost is not _ignore]
+        kept = [pending for pending in self._queue if pending.on_lost is ignore_outcome]
+        failed = [
+            pending for pending in self._queue if pending.on_lost is not ignore_outcome
+        ]
         self._queue = kept
         for pending in failed:
             pending.on_lost(False)
@@ -334,99 +333,3 @@
     def idle(self) -> bool:
         """Whether all records are durable."""
         return not self._queue and not self._in_flight
-
-
-class VolatileChange(enum.Enum):
-    """What has become of a volatile job; the values name fields of `VolatileJobs`."""
-
-    BEGUN = "begun"
-    ENDED = "ended"
-    GIVEN_UP = "given_up"
-    DROPPED = "dropped"
-
-
-@attrs.frozen(eq=False)
-class Resubmission:
-    """A repeated submission of a job whose runs have to end first.
-
-    Attributes:
-        request: The request to answer.
-        submit: Carries out the submission.
-    """
-
-    request: Any
-    submit: Callable[[], None]
-
-
-@attrs.define(eq=False)
-class VolatileShard(Shard):
-    """The volatile jobs of one entry, which are not stored.
-
-    The epoch is the incarnation of the entry's process.
-
-    Attributes:
-        requests: Requests that wait for the end of a job, by job ID.
-        resubmissions: Repeated submissions of a job that was given up, by job ID; each
-            is carried out once no worker has a run of the job.
-        given_up_ms: Time at which each job was given up that may have run, by job ID.
-        highest_runs: Highest run number of each job that was forgotten lately, by job
-            ID, with the time at which it was recorded; the oldest comes first. If the
-            job begins anew, its runs are numbered above it.
-        crash_ends: Crashes under the tasks of jobs that were forgotten, by job ID, with
-            the time at which the job was forgotten.
-    """
-
-    requests: dict[str, list[Any]] = attrs.field(factory=dict)
-    resubmissions: dict[str, list[Resubmission]] = attrs.field(factory=dict)
-    given_up_ms: dict[str, int] = attrs.field(factory=dict)
-    highest_runs: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    crash_ends: dict[str, tuple[int, tuple[TaskEnd, ...]]] = attrs.field(factory=dict)
-
-    @classmethod
-    def for_process(cls, incarnation: int) -> VolatileShard:
-        """Return the shard of the entry's process with this incarnation."""
-        return cls(VOLATILE_SHARD, incarnation, ShardPhase.OPEN)
-
-    def remember_runs(self, job_id: str, run: int, now_ms: int) -> None:
-        """Keep the number of a run of a forgotten job, which it must not use again."""
-        _, highest_run = self.highest_runs.pop(job_id, (0, 0))
-        if run or highest_run:
-            self.highest_runs[job_id] = now_ms, max(run, highest_run)
-
-    def remembered_run(self, job_id: str) -> int:
-        """Return the highest number of the earlier runs of a job; 0 for none."""
-        return self.highest_runs.get(job_id, (0, 0))[1]
-
-    def forget_run_numbers(self, now_ms: int) -> None:
-        """Drop the run numbers of jobs whose late ends have all arrived."""
-        while self.highest_runs:
-            job_id, (recorded_ms, _) = next(iter(self.highest_runs.items()))
-            if now_ms - recorded_ms <= RUN_NUMBERS_MEMORY_MS:
-                break
-            del self.highest_runs[job_id]
-
-    def remember_crashes(self, job: Job, now_ms: int) -> None:
-        """Keep the crashes under a job that is forgotten, for a repeated submission."""
-        ends = job.crash_ends()
-        if ends:
-            self.crash_ends[job.spec.id] = now_ms, ends
-
-    def remembered_crashes(self, job_id: str, now_ms: int) -> tuple[TaskEnd, ...]:
-        """Return the crashes under an earlier submission of a job, and keep them."""
-        _, ends = self.crash_ends.get(job_id, (0, ()))
-        if ends:
-            self.crash_ends[job_id] = now_ms, ends
-        return ends
-
-    def append(
-        self,
-        record: JobRecord,
-        now_ms: int,
-        *,
-        delay_ms: int = 0,
-        on_durable: Callable[[int], None] = _ignore,
-        on_lost: Callable[[bool], None] = _ignore,
-        once: bool = False,
-    ) -> None:
-        """Count a record as durable at once: nothing of this shard is stored."""
-        on_durable(now_ms)
--- a/catkincross/owner/_state.py
+++ b/catkincross/owner/_state.py
@@ -24,7 +24,8 @@
 from ._agents import AgentInfo
 from ._effects import Effect, Note, SendToAgent
 from ._limits import OwnerLimits
-from ._shard import Shard, ShardPhase, VolatileChange, VolatileShard
+from ._shard import Shard, ShardPhase
+from ._volatile_shard import VolatileChange, VolatileShard
 
 # Most agents connect within this time after an entry's first step, or after a pause of
 # its process: they look for entries every 200 ms, a process needs up to 530 ms to
--- a/catkincross/owner/_volatile.py
+++ b/catkincross/owner/_volatile.py
@@ -19,8 +19,8 @@
 )
 from ..jobs import Job, JobAccepted, JobSpec, JobState, Step, TaskState
 from ._requests import NO_WORKER_RETRY_MS, check_admission, job_ended, reply
-from ._shard import Resubmission, VolatileChange
 from ._state import OwnerState, owner_system
+from ._volatile_shard import Resubmission, VolatileChange
 
 # An ended job is retained for this long, so that a request that is repeated 1,300 ms
 # after its connection broke gets the same answer.
