Test that links which fall silent for good are replaced

The test guards the replacement: jobs that come after the limit and the pause before a new link complete, and nothing runs twice.

--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -13,7 +13,8 @@
     Members,
     announcement,
 )
-from scenarios.platform_model import Model, job, ready_model
+from scenarios.platform_model import SETTLE_MS, Model, job, ready_model
+from scenarios.volatile_model import VolatileModel
 
 
 def links(model: Model) -> int:
@@ -183,3 +184,27 @@
     peers.update(greeting, changes, model.now_ms)
     assert peers.find_holder(spec.id, model.now_ms) == LiveHolder("1.1.1.1:1")
     assert peers.find_holder("d" * 16, model.now_ms) == NoHolder()
+
+
+@pytest.mark.parametrize("every", [1, 2])
+def test_links_that_fall_silent_for_good_are_replaced(every: int) -> None:
+    """deploy/days/severed: nothing but a limit of its own shows such a connection."""
+    model = VolatileModel(entries=3, agents=6)
+    model.run(SETTLE_MS)
+    for machine in model.machines.values():
+        machine.run_ms = 400
+    model.submit("first", job("a" * 16, volatile=True), "e0", timeout_ms=9_000)
+    model.run(200)
+    for link in list(model.agent_links.values())[::every]:
+        link.to_agent.dead = link.to_entry.dead = True
+    # The limit for silent links, a look each 200 ms, and a pause of 500 ms.
+    model.run(1_600 + 200 + 500)
+    for entry in model.owners:
+        spec = job(entry[1:] * 16, count=12, volatile=True)
+        model.submit(entry, spec, entry, timeout_ms=3_000)
+    model.run(5_000)
+    ended = [
+        fields["state"] for _, _, event, fields in model.notes if event == "job ended"
+    ]
+    assert ended == ["completed"] * 4
+    assert model.overlapping() == []
