--- a/catkincross/jobs/__init__.py
+++ b/catkincross/jobs/__init__.py
@@ -11,8 +11,8 @@
     from ._codec import from_fields, to_fields
     from ._crashes import Crash
     from ._job import Job, JobState, Task, TaskState
+    from ._record_limit import DEFAULT_RECORD_BYTES
     from ._records import (
-        DEFAULT_RECORD_BYTES,
         AgentsUsed,
         JobAccepted,
         JobCancelled,
@@ -57,7 +57,7 @@
     "AgentsUsed": "_records",
     "AppendOutcome": "_append_outcome",
     "Crash": "_crashes",
-    "DEFAULT_RECORD_BYTES": "_records",
+    "DEFAULT_RECORD_BYTES": "_record_limit",
     "Job": "_job",
     "JobAccepted": "_records",
     "JobCancelled": "_records",
--- a/catkincross/jobs/_records.py
+++ b/catkincross/jobs/_records.py
@@ -10,9 +10,6 @@
 from ._codec import from_fields, to_fields
 from ._spec import JobSpec
 
-# Largest record that the platform's log takes by default.
-DEFAULT_RECORD_BYTES = 262_144
-
 RECORD_KINDS: dict[str, type[Any]] = {}
 
 
